Lay down the workspace, the shared types and the developers' page

Cause: nothing existed; the parts that go side by side need one contract. The wire package carries names, numbers, the declared configuration, the view and its differences, attempts, frames, claims, calls to control and between agents, and every timing constant with the sums that the promises rest on. Event and action types of the three roles fix how shells and cores meet.

--- /dev/null
+++ b/crates/hyssopfork-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' program.
--- /dev/null
+++ b/crates/hyssopfork-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' program.
+
+fn main() {}
--- /dev/null
+++ b/crates/hyssopfork-consensus/src/lib.rs
@@ -0,0 +1,3 @@
+//! Replicated log as a step function, and its journal on disk.
+
+pub mod write;
--- /dev/null
+++ b/crates/hyssopfork-daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Daemon of the control, entry and agent roles.
--- /dev/null
+++ b/crates/hyssopfork-daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon of the control, entry and agent roles.
+
+fn main() {}
--- /dev/null
+++ b/crates/hyssopfork-entry/src/lib.rs
@@ -0,0 +1,6 @@
+//! Entry role as a step function.
+
+pub mod action;
+pub mod event;
+pub mod measure;
+pub mod notice;
--- /dev/null
+++ b/crates/hyssopfork-policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions under load, without network, clock or threads.
--- /dev/null
+++ b/crates/hyssopfork-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings in JSON with comments, checked whole.
--- /dev/null
+++ b/crates/hyssopfork-state/src/lib.rs
@@ -0,0 +1,1 @@
+//! Aggregates of the replicated state, applied deterministically.
--- /dev/null
+++ b/crates/hyssopfork-telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Numbered events, logs and histograms.
--- /dev/null
+++ b/crates/hyssopfork-test-support/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fixtures and fakes at the interfaces.
--- /dev/null
+++ b/crates/hyssopfork-wire/src/member.rs
@@ -0,0 +1,43 @@
+//! Calls between the agents of one serving group.
+
+use crate::{envelope, name, number};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// The first member asks another member to stand by the group for a term.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Request {
+    /// The group.
+    pub group: name::Group,
+    /// Fencing number of the placement.
+    pub fence: number::Fence,
+    /// The first member, which asks.
+    pub first: name::Instance,
+    /// Version of the asker's view: a member that knows an older one asks control at once.
+    pub version: number::Version,
+}
+
+/// Reply of a member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Response {
+    /// The member stands by the group for the term, measured from when the request was sent.
+    Granted {
+        /// Term of the grant.
+        term: Duration,
+        /// Version of the member's view.
+        version: number::Version,
+    },
+    /// The member doesn't stand by it: it knows another placement, its back end is gone, it is
+    /// leaving, or it has no recent view.
+    Refused {
+        /// Version of the member's view.
+        version: number::Version,
+    },
+}
+
+/// Service of an agent towards other agents.
+#[tarpc::service]
+pub trait Member {
+    /// Takes a request of the group's first member.
+    async fn stand(request: envelope::Envelope<Request>) -> Response;
+}
