Add the log's messages for formation, joining and handing over

Cause: instances know each other by name at first start, while folder numbers are random; a lost folder has to ask to be admitted; a graceful stop has to end the voters' duty to withhold votes. Ruled out: a flag in Vote for the hand-over, which would change a message that others build; a folder number chosen by an operator. Conclusion: four further messages and the folder number of a vacant seat; nothing existing changes.

--- a/crates/hyssopfork-wire/src/consensus.rs
+++ b/crates/hyssopfork-wire/src/consensus.rs
@@ -11,10 +11,14 @@
 pub struct Voter {
     /// Instance of the control process.
     pub instance: name::Instance,
-    /// Random identity of its data folder.
+    /// Random identity of its data folder; [`VACANT`] in a list of voters for a seat whose folder
+    /// was lost.
     pub folder: u64,
 }
 
+/// Folder number of a seat without a voter: it counts in the size of a quorum and never answers.
+pub const VACANT: u64 = 0;
+
 /// One entry of the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -117,4 +121,25 @@
         /// Whether this is the last part.
         last: bool,
     },
+    /// The leader gives up its quorum lease and every voter's duty to withhold votes that rests on
+    /// hearing from it; `successor` stands for election at once.
+    Release {
+        /// Leader's term.
+        term: number::Term,
+        /// Voter that is to lead next.
+        successor: Voter,
+    },
+    /// The sender's folder is not a voter's: asks the leader to be caught up and admitted.
+    Join,
+    /// The first of the listed instances, whose folder is blank, asks whether the receiver's is
+    /// blank as well, so as to form the log.
+    Form {
+        /// Instances that are to be the first voters, in order of name.
+        instances: Vec<name::Instance>,
+    },
+    /// Answer to [`Message::Form`] from a folder that has never written anything.
+    Blank {
+        /// Folder of the asker: an answer to a folder that has since been lost is void.
+        folder: u64,
+    },
 }
