--- a/crates/hyssopfork-consensus/src/node.rs
+++ b/crates/hyssopfork-consensus/src/node.rs
@@ -296,7 +296,7 @@
             consensus::Message::Release { term, successor } => {
                 self.released(from, term, successor);
             }
-            consensus::Message::Join => self.asked_to_join(from),
+            consensus::Message::Join { relayed } => self.asked_to_join(from, relayed),
             consensus::Message::Form { instances } => self.asked_to_form(from, instances),
             consensus::Message::Blank { folder } => self.found_blank(from, folder),
         }
--- a/crates/hyssopfork-consensus/src/node/formation.rs
+++ b/crates/hyssopfork-consensus/src/node/formation.rs
@@ -68,7 +68,7 @@
         instances.extend(self.settings.voters.iter().cloned());
         instances.remove(&self.identity.instance);
         for instance in instances {
-            self.send(&instance, consensus::Message::Join);
+            self.send(&instance, consensus::Message::Join { relayed: false });
         }
     }
 
--- a/crates/hyssopfork-consensus/src/node/membership.rs
+++ b/crates/hyssopfork-consensus/src/node/membership.rs
@@ -5,9 +5,9 @@
 //! of the new ones. A folder that was lost is replaced in two such changes, by way of a vacant
 //! seat; one that swaps it at once would let {A, old B} and {C, new B} be quorums at the same time.
 
-use crate::change;
 use crate::node::{self, Node, lead, progress};
 use crate::notice;
+use crate::{action, change};
 use hyssopfork_wire::{consensus, name};
 
 /// Folders of other instances that a leader remembers to have asked to join.
@@ -18,7 +18,11 @@
 
 impl Node {
     /// A folder that is not a voter's asks to be let in.
-    pub(super) fn asked_to_join(&mut self, from: consensus::Voter) {
+    pub(super) fn asked_to_join(&mut self, from: consensus::Voter, relayed: bool) {
+        if !self.is_leader() {
+            self.relay_join(from, relayed);
+            return;
+        }
         let wanted = self.seat(&from.instance).is_some();
         let known = self.log.voters().contains(&from);
         let own = from.instance == self.identity.instance;
@@ -40,6 +44,18 @@
         }
     }
 
+    /// Passes a request to join on: the asker knows the first voters, and the leader may be one
+    /// that was added since.
+    fn relay_join(&mut self, from: consensus::Voter, relayed: bool) {
+        let leader = self.leader.as_ref().filter(|_| !relayed);
+        let Some(leader) = leader.filter(|leader| **leader != self.identity) else {
+            return;
+        };
+        let to = leader.instance.clone();
+        let message = consensus::Message::Join { relayed: true };
+        self.actions.push(action::Action::Send(consensus::Packet { from, to, message }));
+    }
+
     pub(super) fn change_voters(&mut self, ticket: u64, change: change::Change) {
         let (change::Change::Add(instance) | change::Change::Remove(instance)) = &change;
         let instance = instance.clone();
@@ -77,13 +93,30 @@
     fn remove(&mut self, ticket: u64, instance: &name::Instance) -> bool {
         let mut voters = self.log.voters().to_vec();
         voters.retain(|voter| voter.instance != *instance);
-        if voters.len() == self.log.voters().len() || voters.is_empty() {
+        if voters.len() == self.log.voters().len() || !self.quorum_answers(&voters) {
             return false;
         }
         self.set_voters(Some(ticket), voters);
         true
     }
 
+    /// Whether a quorum of `voters` has answered lately. Removing a live voter beside dead ones
+    /// would otherwise leave a list that can never commit anything, not even its own repair.
+    fn quorum_answers(&self, voters: &[consensus::Voter]) -> bool {
+        let node::Role::Leader(lead) = &self.role else {
+            return false;
+        };
+        let answers = |voter: &&consensus::Voter| {
+            let progress = lead.progress.get(voter);
+            **voter == self.identity || progress.is_some_and(|progress| !self.is_silent(progress))
+        };
+        voters.iter().filter(answers).count() > voters.len() / 2
+    }
+
+    fn is_silent(&self, progress: &progress::Progress) -> bool {
+        self.now.since(progress.contact) >= self.settings.election_timeout
+    }
+
     /// Whether the voters may change now.
     fn may_change(&self) -> bool {
         self.is_leader()
@@ -113,8 +146,7 @@
 
     fn is_caught_up(&self, progress: &progress::Progress) -> bool {
         let lag = self.log.last().index.0 - progress.matched.0;
-        let silent = self.now.since(progress.contact);
-        lag <= LAG_LIMIT && progress.matched.0 > 0 && silent < self.settings.election_timeout
+        lag <= LAG_LIMIT && progress.matched.0 > 0 && !self.is_silent(progress)
     }
 
     /// Vacates the seat of the learner's instance, fills a vacant one, or adds a seat.
--- a/crates/hyssopfork-wire/src/consensus.rs
+++ b/crates/hyssopfork-wire/src/consensus.rs
@@ -130,7 +130,10 @@
         successor: Voter,
     },
     /// The sender's folder is not a voter's: asks the leader to be caught up and admitted.
-    Join,
+    Join {
+        /// Whether a follower passed it on to the leader; it is passed on once at most.
+        relayed: bool,
+    },
     /// The first of the listed instances, whose folder is blank, asks whether the receiver's is
     /// blank as well, so as to form the log.
     Form {
