Count a voter's answers from when the round was sent, and check the quorum at each event

A leader paused for seconds read old answers on waking, believed in voters whose disks were gone, and took a removal that left no quorum. Ruled out: a stricter limit on silence alone, since late-read answers look fresh at any limit. Conclusion: contact is measured as the lease is, and a paused leader steps down before anything else.

--- a/crates/hyssopfork-consensus/src/node.rs
+++ b/crates/hyssopfork-consensus/src/node.rs
@@ -187,6 +187,7 @@
     /// Takes an event and gives the actions that answer it.
     pub fn step(&mut self, now: clock::Instant, event: event::Event) -> Vec<action::Action> {
         self.now = self.now.max(now);
+        self.check_quorum();
         match event {
             event::Event::Tick => self.tick(),
             event::Event::Received(packet) => self.received(packet),
--- a/crates/hyssopfork-consensus/src/node/lead.rs
+++ b/crates/hyssopfork-consensus/src/node/lead.rs
@@ -139,11 +139,11 @@
     }
 
     /// Takes an answer.
-    pub fn answered(&mut self, from: &consensus::Voter, answer: Answer, now: clock::Instant) {
+    pub fn answered(&mut self, from: &consensus::Voter, answer: Answer) {
         let Some(progress) = self.progress.get_mut(from) else {
             return;
         };
-        progress.answered(answer.round, now);
+        progress.answered(answer.round);
         if progress.transfer.as_ref().is_some_and(|transfer| transfer.round == answer.round) {
             take_part(progress, answer);
             return;
--- a/crates/hyssopfork-consensus/src/node/leadership.rs
+++ b/crates/hyssopfork-consensus/src/node/leadership.rs
@@ -51,12 +51,16 @@
         self.with_lead(|lead, context| lead.replicate(context));
     }
 
-    pub(super) fn tick_leader(&mut self) {
-        if !self.hears_quorum() {
+    /// Steps down when no quorum answers: before each event, since after a pause the first one may
+    /// be a proposal.
+    pub(super) fn check_quorum(&mut self) {
+        if self.is_leader() && !self.hears_quorum() {
             self.notice(notice::Notice::QuorumLost(self.ballot.term));
             self.become_follower();
-            return;
         }
+    }
+
+    pub(super) fn tick_leader(&mut self) {
         let interval = self.settings.heartbeat;
         self.with_lead(|lead, context| {
             if context.now < lead.heartbeat_at {
@@ -123,10 +127,9 @@
         if term < self.ballot.term {
             return;
         }
-        self.with_lead(|lead, context| {
-            lead.answered(&from, answer, context.now);
-            Vec::new()
-        });
+        if let node::Role::Leader(lead) = &mut self.role {
+            lead.answered(&from, answer);
+        }
         self.advance_commit();
         self.replicate();
         self.admit();
--- a/crates/hyssopfork-consensus/src/node/progress.rs
+++ b/crates/hyssopfork-consensus/src/node/progress.rs
@@ -42,7 +42,9 @@
     pub matched: number::Index,
     /// Whether one message at a time looks for the place where the logs match.
     pub probing: bool,
-    /// When an answer last came.
+    /// When the newest answered round was sent, or else since when the follower is watched. Not
+    /// when the answer was read: after a pause old answers are read late, and would make a leader
+    /// believe in voters that are gone.
     pub contact: clock::Instant,
     /// When the newest answered round was sent.
     pub upheld: Option<clock::Instant>,
@@ -89,13 +91,13 @@
     }
 
     /// Notes an answer: the quorum lease is measured from when the answered round was sent.
-    pub fn answered(&mut self, number: u64, now: clock::Instant) {
-        self.contact = now;
+    pub fn answered(&mut self, number: u64) {
         while let Some(round) = self.rounds.front()
             && round.number <= number
         {
             if round.number == number {
                 self.upheld = self.upheld.max(Some(round.sent));
+                self.contact = self.contact.max(round.sent);
             }
             self.rounds.pop_front();
         }
