--- a/crates/hyssopfork-consensus/src/lib.rs
+++ b/crates/hyssopfork-consensus/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod action;
 pub mod change;
+pub mod error;
 pub mod event;
 pub mod journal;
 mod log;
--- a/crates/hyssopfork-consensus/src/write.rs
+++ b/crates/hyssopfork-consensus/src/write.rs
@@ -1,9 +1,10 @@
 //! Writes to the journal that the step function asks for.
 
 use hyssopfork_wire::{consensus, number};
+use serde::{Deserialize, Serialize};
 
 /// Term and vote that must survive a restart.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ballot {
     /// Newest term seen.
     pub term: number::Term,
@@ -12,7 +13,7 @@
 }
 
 /// A snapshot of the state.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
     /// Last index that it covers.
     pub index: number::Index,
--- /dev/null
+++ b/crates/hyssopfork-consensus/tests/journal.rs
@@ -0,0 +1,246 @@
+//! The journal through torn writes, damage and failing disks.
+
+use hyssopfork_consensus::{error, journal, node, write};
+use hyssopfork_wire::{consensus, number};
+use proptest::prelude::{Strategy, any, prop, prop_assert_eq, proptest};
+use std::fs;
+use std::path;
+
+/// An empty folder for one test.
+fn folder(name: &str) -> path::PathBuf {
+    let path = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = fs::remove_dir_all(&path);
+    path
+}
+
+fn entry(index: u64, term: u64) -> consensus::Entry {
+    let payload = consensus::Payload::Command(vec![index as u8; 20]);
+    consensus::Entry { index: number::Index(index), term: number::Term(term), payload }
+}
+
+fn entries(indexes: &[u64], term: u64) -> write::Write {
+    let entries = indexes.iter().map(|index| entry(*index, term)).collect();
+    write::Write { entries, ..write::Write::default() }
+}
+
+fn snapshot(index: u64, term: u64) -> write::Write {
+    let (index, term) = (number::Index(index), number::Term(term));
+    let snapshot = write::Snapshot { index, term, voters: Vec::new(), data: vec![9; 64] };
+    write::Write { snapshot: Some(snapshot), ..write::Write::default() }
+}
+
+/// Writes to the folder's journal and gives what it then holds.
+fn written(path: &path::Path, writes: &[write::Write]) -> node::Durable {
+    let (mut journal, mut durable, _) = journal::Journal::open(path).expect("opens");
+    for write in writes {
+        journal.write(write).expect("writes");
+        durable.apply(write);
+    }
+    durable
+}
+
+fn reopened(path: &path::Path) -> Result<node::Durable, error::Error> {
+    journal::Journal::open(path).map(|(_, durable, _)| durable)
+}
+
+fn flip(path: &path::Path, file: &str, offset: usize) {
+    let mut bytes = fs::read(path.join(file)).expect("reads");
+    bytes[offset] ^= 0x10;
+    fs::write(path.join(file), bytes).expect("writes");
+}
+
+fn check_damage(path: &path::Path, file: &str) {
+    let error = reopened(path).expect_err("damage is refused").to_string();
+    assert!(error.contains(file) && error.contains("wipe its data folder"), "{error}");
+}
+
+/// A crash in the middle of a write leaves any part of its record. The write was never reported as
+/// synced, so the process must start without it, and must be able to write and read on: a torn
+/// record left in place would hide everything written after it.
+#[test]
+fn a_torn_last_record_is_dropped_wherever_it_ends() {
+    let path = folder("torn");
+    let before = written(&path, &[entries(&[1, 2], 1)]);
+    let kept = fs::metadata(path.join("log")).expect("is there").len() as usize;
+    written(&path, &[entries(&[3], 1)]);
+    let whole = fs::read(path.join("log")).expect("reads");
+
+    for length in kept..whole.len() {
+        fs::write(path.join("log"), &whole[..length]).expect("writes");
+        assert_eq!(reopened(&path).expect("opens"), before, "torn at {length}");
+        let after = written(&path, &[entries(&[3], 2)]);
+        assert_eq!(reopened(&path).expect("opens"), after, "written after {length}");
+    }
+}
+
+/// A torn record's pages may reach the disk in any order: its end without its beginning.
+#[test]
+fn a_last_record_with_a_hole_is_dropped() {
+    let path = folder("hole");
+    let before = written(&path, &[entries(&[1, 2], 1)]);
+    let kept = fs::metadata(path.join("log")).expect("is there").len() as usize;
+    written(&path, &[entries(&[3, 4, 5], 1)]);
+    let mut bytes = fs::read(path.join("log")).expect("reads");
+
+    bytes[kept..kept + 40].fill(0);
+    fs::write(path.join("log"), bytes).expect("writes");
+
+    assert_eq!(reopened(&path).expect("opens"), before);
+}
+
+/// Bits rot in a record that was synced and acknowledged. Dropping it and all after it would let
+/// this voter deny what it promised: a committed change could vanish. So the process must refuse
+/// to start, whichever byte it is, and name the file and the remedy.
+#[test]
+fn damage_before_the_last_record_is_refused_at_every_byte() {
+    let path = folder("rot");
+    written(&path, &[entries(&[1], 1), entries(&[2], 1)]);
+    let end = fs::metadata(path.join("log")).expect("is there").len() as usize;
+    written(&path, &[entries(&[3], 1)]);
+
+    for offset in 0..end {
+        flip(&path, "log", offset);
+        check_damage(&path, "log");
+        flip(&path, "log", offset);
+    }
+    assert!(reopened(&path).is_ok(), "whole again");
+}
+
+#[test]
+fn a_partial_or_damaged_snapshot_is_refused() {
+    let path = folder("snapshot");
+    written(&path, &[entries(&[1, 2], 1), snapshot(2, 1)]);
+    let whole = fs::read(path.join("snapshot")).expect("reads");
+
+    for length in 0..whole.len() {
+        fs::write(path.join("snapshot"), &whole[..length]).expect("writes");
+        check_damage(&path, "snapshot");
+    }
+    for offset in 0..whole.len() {
+        fs::write(path.join("snapshot"), &whole).expect("writes");
+        flip(&path, "snapshot", offset);
+        check_damage(&path, "snapshot");
+    }
+    fs::remove_file(path.join("snapshot")).expect("removes");
+    check_damage(&path, "snapshot");
+}
+
+/// A crash while a snapshot is written leaves its temporary file; the old files count.
+#[test]
+fn an_unfinished_snapshot_is_ignored() {
+    let path = folder("unfinished");
+    let before = written(&path, &[entries(&[1, 2], 1)]);
+
+    fs::write(path.join("snapshot.next"), b"hfj1").expect("writes");
+
+    assert_eq!(reopened(&path).expect("opens"), before);
+}
+
+/// A crash between the snapshot's replacement and the log's: the old log still holds entries that
+/// the snapshot covers. Those after it count only if they follow the snapshot's own last entry;
+/// entries of a history that lost would otherwise look like this voter's.
+#[test]
+fn a_snapshot_beside_an_older_log_keeps_only_what_follows_it() {
+    for (term, kept) in [(1, vec![3]), (2, vec![])] {
+        let path = folder(&format!("between-{term}"));
+        written(&path, &[entries(&[1, 2, 3], 1)]);
+        let log = fs::read(path.join("log")).expect("reads");
+        written(&path, &[snapshot(2, term)]);
+
+        fs::write(path.join("log"), log).expect("writes");
+        let durable = reopened(&path).expect("opens");
+
+        let indexes: Vec<u64> = durable.entries.iter().map(|entry| entry.index.0).collect();
+        assert_eq!(indexes, kept, "snapshot of term {term}");
+    }
+}
+
+#[test]
+fn a_folder_keeps_its_number_and_a_new_one_gets_another() {
+    let path = folder("number");
+    let number = |path: &path::Path| journal::Journal::open(path).expect("opens").2;
+
+    let first = number(&path);
+    let again = number(&path);
+    fs::remove_dir_all(&path).expect("removes");
+    let lost = number(&path);
+
+    assert_eq!(first, again);
+    assert_ne!(first, lost);
+    assert_ne!(first, consensus::VACANT);
+}
+
+/// Somebody deletes one file of a voter's folder. With a new number or an empty log it would be a
+/// voter that has forgotten, so it must refuse.
+#[test]
+fn a_used_folder_without_its_number_or_log_is_refused() {
+    for file in ["identity", "log"] {
+        let path = folder(&format!("without-{file}"));
+        written(&path, &[entries(&[1], 1)]);
+
+        fs::remove_file(path.join(file)).expect("removes");
+
+        check_damage(&path, file);
+    }
+}
+
+#[test]
+fn a_folder_in_use_is_refused() {
+    let path = folder("in-use");
+    let (_journal, _, _) = journal::Journal::open(&path).expect("opens");
+
+    let second = journal::Journal::open(&path);
+
+    assert!(matches!(second, Err(error::Error::Locked(_))));
+}
+
+/// A write fails once and the disk then recovers. What the failed one left is unknown, so every
+/// write after it must fail too, or an entry would be acknowledged behind a gap.
+#[test]
+fn a_failed_write_is_final() {
+    let path = folder("failed");
+    let (mut journal, _, _) = journal::Journal::open(&path).expect("opens");
+    let aside = folder("failed-aside");
+
+    fs::rename(&path, &aside).expect("renames");
+    let failed = journal.write(&snapshot(0, 0));
+    fs::rename(&aside, &path).expect("renames");
+    let after = journal.write(&entries(&[1], 1));
+
+    assert!(matches!(failed, Err(error::Error::Damaged(..) | error::Error::Disk(..))));
+    assert!(matches!(after, Err(error::Error::Failed)));
+}
+
+/// Random writes as a node makes them: entries without gaps, some after a cut, some snapshots.
+fn writes() -> impl Strategy<Value = Vec<write::Write>> {
+    let step = (any::<bool>(), 0..4_u64, 0..5_u64, 0..8_u8);
+    prop::collection::vec(step, 1..30).prop_map(|steps| {
+        let (mut last, mut covered, mut writes) = (0, 0, Vec::new());
+        for (term, (votes, cut, count, kind)) in (1..).zip(steps) {
+            if kind == 0 && last > covered {
+                covered = last - (last - covered) / 2;
+                writes.push(snapshot(covered, 1));
+                continue;
+            }
+            let kept = (last - cut.min(last - covered)).max(covered);
+            let indexes: Vec<u64> = (kept + 1..=kept + count).collect();
+            let truncate = (kept < last).then_some(number::Index(kept + 1));
+            let ballot = write::Ballot { term: number::Term(term), vote: None };
+            let ballot = votes.then_some(ballot);
+            writes.push(write::Write { ballot, truncate, ..entries(&indexes, 1) });
+            last = kept + count;
+        }
+        writes
+    })
+}
+
+proptest! {
+    #[test]
+    fn what_was_written_is_read_again(writes in writes()) {
+        let path = folder("random");
+
+        let durable = written(&path, &writes);
+
+        prop_assert_eq!(reopened(&path).expect("opens"), durable);
+    }
+}
