--- a/crates/hyssopfork-consensus/src/node/lead.rs
+++ b/crates/hyssopfork-consensus/src/node/lead.rs
@@ -19,6 +19,9 @@
 /// Time after which an unanswered part of a snapshot is sent again.
 const PART_RETRY: Duration = Duration::from_millis(300);
 
+/// Silence after which a follower gets no parts until it answers a heartbeat.
+const PART_SILENCE: Duration = Duration::from_secs(2);
+
 /// What a leader reads of its node.
 #[derive(Clone, Copy)]
 pub struct Context<'a> {
@@ -223,11 +226,12 @@
     progress: &mut progress::Progress,
 ) -> Vec<consensus::Message> {
     let mut messages = Vec::new();
+    // Also when there is no room for entries: where what comes next was dropped, no heartbeat can
+    // find out that the messages on their way were lost.
+    if progress.transfer.is_none() && progress.next <= context.log.base().index {
+        start_transfer(context, progress);
+    }
     while progress.has_room() && progress.next <= context.log.last().index {
-        if progress.next <= context.log.base().index {
-            start_transfer(context, progress);
-            break;
-        }
         *round += 1;
         messages.push(batch(context, *round, progress));
     }
@@ -270,6 +274,7 @@
 
 fn start_transfer(context: Context<'_>, progress: &mut progress::Progress) {
     let snapshot = context.log.snapshot().expect("entries are dropped only for a snapshot");
+    progress.forget_flight();
     progress.transfer = Some(progress::Transfer {
         snapshot: sync::Arc::clone(snapshot),
         offset: 0,
@@ -284,7 +289,8 @@
     round: &mut u64,
     progress: &mut progress::Progress,
 ) -> Option<consensus::Message> {
-    let transfer = progress.transfer.as_mut()?;
+    let silent = context.now.since(progress.contact) >= PART_SILENCE;
+    let transfer = progress.transfer.as_mut().filter(|_| !silent)?;
     if transfer.round != 0 && context.now.since(transfer.sent) < PART_RETRY {
         return None;
     }
--- a/crates/hyssopfork-consensus/src/node/progress.rs
+++ b/crates/hyssopfork-consensus/src/node/progress.rs
@@ -113,10 +113,15 @@
         }
     }
 
+    /// Counts nothing as on its way any more.
+    pub fn forget_flight(&mut self) {
+        self.flight.clear();
+    }
+
     /// The follower lacks what the message built on; its log may match up to `hint`.
     pub fn refused(&mut self, hint: number::Index) {
         self.probing = true;
-        self.flight.clear();
+        self.forget_flight();
         let before = number::Index(self.next.0 - 1);
         self.next = hint.min(before).max(self.matched).next();
     }
--- a/crates/hyssopfork-consensus/tests/histories/main.rs
+++ b/crates/hyssopfork-consensus/tests/histories/main.rs
@@ -1,4 +1,5 @@
 //! Histories of several nodes on one true clock.
 
 mod random;
+mod scenarios;
 mod world;
--- a/crates/hyssopfork-consensus/tests/histories/random.rs
+++ b/crates/hyssopfork-consensus/tests/histories/random.rs
@@ -54,11 +54,11 @@
     let slot = world.random.random_range(0..world.slots.len());
     let runs = world.slots[slot].node.is_some();
     match world.random.random_range(0..100) {
-        0..60 => {
+        0..57 => {
             let slot = world.leader().filter(|_| ticket.is_multiple_of(4)).unwrap_or(slot);
-            let command = ticket.to_le_bytes().to_vec();
-            world.step(slot, event::Event::Propose { ticket, command });
+            propose(world, slot, ticket, 1);
         }
+        57..60 => propose(world, world.leader().unwrap_or(slot), ticket, 50),
         60..66 if runs => world.crash(slot),
         66..74 if !runs => world.start(slot),
         74..78 => world.pause(slot),
@@ -73,6 +73,15 @@
     }
 }
 
+/// Proposes `count` commands at once; their tickets are `ticket` and numbers that no other has.
+fn propose(world: &mut world::World, slot: usize, ticket: u64, count: u64) {
+    for burst in 0..count {
+        let ticket = ticket + burst * u64::from(HAPPENINGS);
+        let command = ticket.to_le_bytes().to_vec();
+        world.step(slot, event::Event::Propose { ticket, command });
+    }
+}
+
 fn change_voters(world: &mut world::World, slot: usize, ticket: u64) {
     let Some(leader) = world.leader() else {
         return;
