--- a/crates/hyssopfork-consensus/src/error.rs
+++ b/crates/hyssopfork-consensus/src/error.rs
@@ -1,5 +1,6 @@
 //! Why a journal refuses.
 
+use hyssopfork_wire::name;
 use quick_error::quick_error;
 use std::io;
 use std::path;
@@ -32,6 +33,14 @@
                 folder.display()
             )
         }
+        /// The folder isn't a voter's.
+        NoVoter(folder: path::PathBuf, instance: name::Instance) {
+            display(
+                "{} holds no log in which {} is a voter; name the surviving voter's own folder and instance",
+                folder.display(),
+                instance
+            )
+        }
         /// A write failed before: what is on the disk is not known.
         Failed {
             display("a write to the journal failed before; mend the disk and restart the process")
--- a/crates/hyssopfork-consensus/src/lib.rs
+++ b/crates/hyssopfork-consensus/src/lib.rs
@@ -16,4 +16,5 @@
 mod log;
 pub mod node;
 pub mod notice;
+pub mod recovery;
 pub mod write;
--- a/crates/hyssopfork-consensus/tests/journal.rs
+++ b/crates/hyssopfork-consensus/tests/journal.rs
@@ -1,7 +1,7 @@
 //! The journal through torn writes, damage and failing disks.
 
-use hyssopfork_consensus::{error, journal, node, write};
-use hyssopfork_wire::{consensus, number};
+use hyssopfork_consensus::{error, event, journal, node, recovery, write};
+use hyssopfork_wire::{clock, consensus, name, number};
 use proptest::prelude::{Strategy, any, prop, prop_assert_eq, proptest};
 use std::fs;
 use std::path;
@@ -211,6 +211,38 @@
     assert!(matches!(after, Err(error::Error::Failed)));
 }
 
+/// Two of three disks are lost for good. The operator makes the survivor the only voter: it leads
+/// alone and commits what it has, and says whose folders must not come back.
+#[test]
+fn a_survivor_can_be_made_the_only_voter() {
+    let path = folder("survivor");
+    let instance = name::Instance::from("a");
+    let identity = |instance: &str, folder| consensus::Voter {
+        instance: name::Instance::from(instance),
+        folder,
+    };
+    let own = identity("a", journal::Journal::open(&path).expect("opens").2);
+    let voters = vec![own.clone(), identity("b", 5), identity("c", 6)];
+    let payload = consensus::Payload::Voters(voters.clone());
+    let first = consensus::Entry { payload, ..entry(1, 1) };
+    let ballot = Some(write::Ballot { term: number::Term(1), vote: None });
+    written(&path, &[write::Write { ballot, entries: vec![first], ..entries(&[], 1) }]);
+
+    let recovery = recovery::stand_alone(&path, &instance).expect("recovers");
+    let settings = node::Settings::default();
+    let (_, durable, _) = journal::Journal::open(&path).expect("opens");
+    let start = clock::Instant::ORIGIN;
+    let mut node = node::Node::new(own.clone(), durable, settings, 1, start);
+    node.step(clock::Instant::from_millis(1_300), event::Event::Tick);
+    node.step(clock::Instant::from_millis(1_301), event::Event::Persisted(1));
+    node.step(clock::Instant::from_millis(1_302), event::Event::Persisted(2));
+
+    assert_eq!((recovery.kept, recovery.removed), (number::Index(1), voters[1..].to_vec()));
+    assert!(node.is_leader());
+    assert_eq!((node.voters(), node.committed()), ([own].as_slice(), number::Index(3)));
+    assert!(recovery::stand_alone(&path, &name::Instance::from("b")).is_err(), "not b's folder");
+}
+
 /// Random writes as a node makes them: entries without gaps, some after a cut, some snapshots.
 fn writes() -> impl Strategy<Value = Vec<write::Write>> {
     let step = (any::<bool>(), 0..4_u64, 0..5_u64, 0..8_u8);
