Ask to join also when the own list may be one that lost

Ruled out: sending to every vacant seat's instance, which has no identity to count. Conclusion: a voter that hears no leader asks to join as well; a leader that seats it ignores that.

--- a/crates/hyssopfork-consensus/src/node/election.rs
+++ b/crates/hyssopfork-consensus/src/node/election.rs
@@ -34,6 +34,9 @@
             return;
         }
         self.stand(true);
+        // Its own list may be one that lost: a folder whose admission was never committed believes
+        // to have a seat, nobody sends to it, and the seat would stay vacant.
+        self.ask_to_join();
     }
 
     /// Whether votes are withheld.
--- a/crates/hyssopfork-consensus/src/node/formation.rs
+++ b/crates/hyssopfork-consensus/src/node/formation.rs
@@ -62,7 +62,7 @@
         self.form(&instances);
     }
 
-    fn ask_to_join(&mut self) {
+    pub(super) fn ask_to_join(&mut self) {
         let seats = self.log.voters().iter().map(|voter| voter.instance.clone());
         let mut instances: collections::BTreeSet<_> = seats.collect();
         instances.extend(self.settings.voters.iter().cloned());
--- a/crates/hyssopfork-consensus/tests/histories/random.rs
+++ b/crates/hyssopfork-consensus/tests/histories/random.rs
@@ -17,7 +17,7 @@
     world.faults.lost = [0, 10, 100, 300][rough];
     world.faults.doubled = [0, 50, 100, 100][world.random.random_range(0..4)];
     world.faults.late = [0, 5, 20, 100][world.random.random_range(0..4)];
-    world.faults.slow_sync = [0, 0, 5, 50][world.random.random_range(0..4)];
+    world.faults.slow_sync = [0, 5, 50, 300][world.random.random_range(0..4)];
 }
 
 fn repartition(world: &mut world::World) {
@@ -29,8 +29,11 @@
             world.isolate(slot);
         }
         1 => {
-            let cut = (world.random.random_range(0..count), world.random.random_range(0..count));
-            world.faults.blocked.insert(cut);
+            for _ in 0..world.random.random_range(1..8) {
+                let from = world.random.random_range(0..count);
+                let to = world.random.random_range(0..count);
+                world.faults.blocked.insert((from, to));
+            }
         }
         _ => {}
     }
@@ -59,7 +62,7 @@
             propose(world, slot, ticket, 1);
         }
         57..60 => propose(world, world.leader().unwrap_or(slot), ticket, 50),
-        60..66 if runs => world.crash(slot),
+        60..66 if runs => crash(world, slot),
         66..74 if !runs => world.start(slot),
         74..78 => world.pause(slot),
         78..84 => world.resume(slot),
@@ -69,7 +72,15 @@
         94..96 if may_lose(world, slot) => world.lose_disk(slot),
         96..98 => change_voters(world, slot, ticket),
         98 => world.step(slot, event::Event::Resign),
-        _ => {}
+        _ => restart_all(world),
+    }
+}
+
+/// Ends a process; sometimes it is started again at once, before others miss it.
+fn crash(world: &mut world::World, slot: usize) {
+    world.crash(slot);
+    if world.random.random_bool(0.5) {
+        world.start(slot);
     }
 }
 
@@ -102,6 +113,11 @@
 
 fn heal(world: &mut world::World) {
     world.faults = world::Faults::default();
+    restart_all(world);
+}
+
+/// Power fails everywhere at once, and comes back.
+fn restart_all(world: &mut world::World) {
     for slot in 0..world.slots.len() {
         world.crash(slot);
         world.start(slot);
--- a/crates/hyssopfork-consensus/tests/rules.rs
+++ b/crates/hyssopfork-consensus/tests/rules.rs
@@ -188,6 +188,29 @@
     assert!(grants(&after), "after it");
 }
 
+/// The same holds for a candidate's vote for itself.
+#[test]
+fn a_candidate_asks_and_counts_only_after_its_ballot_is_synced() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.now = QUIET;
+    fixture.step(event::Event::Tick);
+    let asks = |actions: &[action::Action]| {
+        let vote = |message: &&consensus::Message| {
+            matches!(message, consensus::Message::Vote { pre: false, .. })
+        };
+        sent(actions).iter().any(vote)
+    };
+
+    let early = fixture.receive("b", voted(true));
+    fixture.receive("b", voted(false));
+    fixture.step(event::Event::Persisted(0));
+    let leads_early = fixture.node.is_leader();
+    let late = fixture.persist();
+
+    assert!(!asks(&early) && !leads_early, "not before the sync");
+    assert!(asks(&late) && fixture.node.is_leader(), "after it");
+}
+
 /// An entry that counts towards a quorum before it is on the disk is lost in a crash, and with it
 /// a change that an operator was told is accepted.
 #[test]
@@ -248,6 +271,18 @@
     assert_eq!(fixture.node.term(), number::Term(1));
 }
 
+/// Nor does a leader that hears its quorum make way for a candidate that doesn't hear it.
+#[test]
+fn a_leader_gives_no_vote() {
+    let mut fixture = Fixture::settled();
+
+    fixture.receive("c", vote(false, 9, 5, 5));
+    let answer = fixture.persist();
+
+    assert!(!grants(&answer));
+    assert!(fixture.node.is_leader());
+}
+
 /// A leader that stops says so; then its followers may vote for another at once.
 #[test]
 fn a_release_ends_the_duty_to_withhold_votes() {
