Answer a doubled refusal once

Cause: with a safeguard turned off by hand (acknowledging what isn't synced) a history never ended: each copy of a refusal made the leader send again, and each doubled message doubled the answers. Ruled out: a fault of the harness, whose queue only grew by such messages. Conclusion: refusals of rounds sent before the last reaction are settled, and so are those from before what is known to match.

--- a/crates/hyssopfork-consensus/src/node/lead.rs
+++ b/crates/hyssopfork-consensus/src/node/lead.rs
@@ -154,7 +154,7 @@
         if answer.accepted {
             progress.accepted(answer.matched);
         } else {
-            progress.refused(answer.matched);
+            progress.refused(answer.round, answer.matched);
         }
     }
 
--- a/crates/hyssopfork-consensus/src/node/progress.rs
+++ b/crates/hyssopfork-consensus/src/node/progress.rs
@@ -53,6 +53,13 @@
     /// Last indexes of messages with entries that are on their way.
     flight: collections::VecDeque<number::Index>,
     rounds: collections::VecDeque<Round>,
+    /// Newest round sent.
+    newest: u64,
+    /// Refusals of rounds up to this one are settled.
+    ///
+    /// Each refusal is answered by sending again; refusals that the network doubled would double
+    /// the messages each time, without end.
+    settled: u64,
 }
 
 impl Progress {
@@ -67,6 +74,8 @@
             transfer: None,
             flight: collections::VecDeque::new(),
             rounds: collections::VecDeque::new(),
+            newest: 0,
+            settled: 0,
         }
     }
 
@@ -78,6 +87,7 @@
 
     /// Notes a sent message.
     pub fn sent(&mut self, number: u64, now: clock::Instant) {
+        self.newest = number;
         if self.rounds.len() == ROUND_LIMIT {
             self.rounds.pop_front();
         }
@@ -118,8 +128,13 @@
         self.flight.clear();
     }
 
-    /// The follower lacks what the message built on; its log may match up to `hint`.
-    pub fn refused(&mut self, hint: number::Index) {
+    /// The follower lacks what round `number` built on; its log may match up to `hint`. A late
+    /// refusal, from before what is known to match, tells nothing.
+    pub fn refused(&mut self, number: u64, hint: number::Index) {
+        if number <= self.settled || hint < self.matched {
+            return;
+        }
+        self.settled = self.newest;
         self.probing = true;
         self.forget_flight();
         let before = number::Index(self.next.0 - 1);
--- a/crates/hyssopfork-consensus/tests/rules.rs
+++ b/crates/hyssopfork-consensus/tests/rules.rs
@@ -360,6 +360,24 @@
     assert_eq!(new_voters(&filled), Some(vec![voter("a"), voter("b"), stranger]));
 }
 
+/// A network doubles a refusal. If the leader sent again for each copy, and the network doubled
+/// the answers to those, messages would grow without end.
+#[test]
+fn a_doubled_refusal_is_answered_once() {
+    let mut fixture = Fixture::leading(&[1, 1, 1]);
+    let refusal = consensus::Message::Appended {
+        term: number::Term(2),
+        round: 1,
+        accepted: false,
+        matched: number::Index(0),
+    };
+
+    let first = fixture.receive("b", refusal.clone());
+    let second = fixture.receive("b", refusal);
+
+    assert_eq!((sent(&first).len(), sent(&second).len()), (1, 0));
+}
+
 /// Two changes under way at once may have quorums without a common member.
 #[test]
 fn no_second_change_is_made_while_one_is_uncommitted() {
