--- a/crates/hyssopfork-wire/src/lib.rs
+++ b/crates/hyssopfork-wire/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod envelope;
 pub mod fleet;
 pub mod frame;
+pub mod level;
 pub mod member;
 pub mod name;
 pub mod number;
