Publish the decisions under load with their signatures

Entry, agent and control are built on these modules at the same time, so the signatures come first.

Ruled out: one queue for each upstream (a request would wait behind one upstream while another is free), a clock or generator inside the modules (the same history could not be run twice).

Nothing measured.

--- /dev/null
+++ b/crates/hyssopfork-policy/src/admission.rs
@@ -0,0 +1,52 @@
+//! Admission: whether a request may wait, by the time that it would wait.
+//!
+//! *Pattern.* More arrives than can be served, for seconds (a burst) or for hours (overload).
+//!
+//! *Without it.* The queue grows until every request in it is older than its deadline; all service
+//! goes to callers that have given up, and goodput falls towards zero though every upstream is
+//! busy.
+//!
+//! *Rule.* A queue is bounded by time: a request is refused at once when its estimated wait and
+//! the usual time until an answer begins don't fit before its deadline. The refusal names when to
+//! come back, from the measured drain rate, with jitter.
+
+use crate::random;
+use hyssopfork_wire::{clock, refusal};
+use std::time::Duration;
+
+/// Share of the time before the deadline that the estimate may fill. The estimate errs by the
+/// spread of costs and by teams that overtake later; the rest is room for that error, so that who
+/// is queued is served and who is refused is refused at once.
+pub const FILL: f64 = 0.75;
+
+/// Shortest time named to a refused caller: less would bring it back within the same burst.
+pub const RETRY_LEAST: Duration = Duration::from_millis(500);
+
+/// Longest time named to a refused caller: after it the measured rate says nothing any more.
+pub const RETRY_MOST: Duration = Duration::from_secs(60);
+
+/// Whether a request with `deadline` may wait `wait` and then `begin` until its answer begins.
+/// An unknown wait is taken for none.
+pub fn fits(
+    now: clock::Instant,
+    deadline: clock::Instant,
+    wait: Option<Duration>,
+    begin: Duration,
+) -> bool {
+    let left = now.until(deadline);
+    let wait = wait.unwrap_or_default();
+    !left.is_zero() && wait + begin <= left.mul_f64(FILL)
+}
+
+/// When to come back, if serving what waits now takes `wait`: that time, and up to as much again
+/// by `random`, so that callers refused together don't return together.
+pub fn retry_after(wait: Option<Duration>, random: u64) -> Duration {
+    let base = wait.unwrap_or_default().max(RETRY_LEAST);
+    let jitter = base.mul_f64(random::fraction(random));
+    (base + jitter).min(RETRY_MOST)
+}
+
+/// The refusal of a request that cannot be served before its deadline.
+pub fn refusal(reason: refusal::Reason, wait: Option<Duration>, random: u64) -> refusal::Refusal {
+    refusal::Refusal::not_run(reason, Some(retry_after(wait, random)))
+}
--- /dev/null
+++ b/crates/hyssopfork-policy/src/average.rs
@@ -0,0 +1,32 @@
+//! Averages that forget: a mean over samples whose weight halves with each further `span` samples.
+
+/// A decaying mean; empty until the first sample.
+#[derive(Clone, Copy, Debug)]
+pub struct Average {
+    span: f64,
+    weight: f64,
+    mean: f64,
+}
+
+impl Average {
+    /// An empty mean over about the last `span` samples.
+    pub const fn new(span: f64) -> Average {
+        Average { span, weight: 0.0, mean: 0.0 }
+    }
+
+    /// Takes in a sample. The first `span` samples weigh alike, so that the mean is right early.
+    pub fn add(&mut self, sample: f64) {
+        self.weight = (self.weight + 1.0).min(self.span);
+        self.mean += (sample - self.mean) / self.weight;
+    }
+
+    /// The mean; `None` before the first sample.
+    pub fn get(&self) -> Option<f64> {
+        (self.weight > 0.0).then_some(self.mean)
+    }
+
+    /// Number of samples taken in, at most the span.
+    pub fn weight(&self) -> f64 {
+        self.weight
+    }
+}
--- /dev/null
+++ b/crates/hyssopfork-policy/src/balance.rs
@@ -0,0 +1,95 @@
+//! Balance: which of the upstreams that have room takes a piece of work.
+//!
+//! *Pattern.* Several entries send to the same upstreams; what each knows of the others' work is
+//! late.
+//!
+//! *Without it.* Round robin sends a slow upstream as much as a fast one; the least reported load
+//! sends every entry to the same upstream until its next report.
+//!
+//! *Rule.* The load of an upstream is its own work in flight, which is exact, and the others'
+//! work from the last report, which fades with age. Two candidates are drawn at random and the
+//! less loaded is taken. One in the entry's own zone wins unless it costs more than it saves.
+
+use crate::random;
+use hyssopfork_wire::{clock, frame};
+use std::time::Duration;
+
+/// Half-life of what a report says of others' work: about the time that a short answer takes.
+pub const HALF_LIFE: Duration = Duration::from_millis(500);
+
+/// Load, as a share of an upstream's limit, that staying in the own zone may cost. Crossing zones
+/// costs about a millisecond on requests of a tenth of a second and more, so little.
+pub const ZONE_WORTH: f64 = 0.1;
+
+/// What is known of an upstream's load.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    /// Work of this process in flight.
+    pub own: u32,
+    others: f64,
+    reported: clock::Instant,
+    limit: u32,
+}
+
+impl Load {
+    /// Load of an upstream that bears `limit` pieces of work at once.
+    pub fn new(limit: u32) -> Load {
+        Load { limit, ..Load::default() }
+    }
+
+    /// Takes in a report. What it counts beyond this process's own work is others'.
+    pub fn report(&mut self, now: clock::Instant, load: frame::Load) {
+        self.others = f64::from(load.running.saturating_sub(self.own));
+        self.reported = now;
+        self.limit = load.limit;
+    }
+
+    /// Others' work, as far as the last report still says.
+    pub fn others(&self, now: clock::Instant) -> f64 {
+        let age = now.since(self.reported).as_secs_f64();
+        self.others * (-age / HALF_LIFE.as_secs_f64() * std::f64::consts::LN_2).exp()
+    }
+
+    /// Work that the upstream bears at once, as last reported.
+    pub fn limit(&self) -> u32 {
+        self.limit
+    }
+
+    /// More work that it has room for, within `limit`.
+    pub fn free(&self, now: clock::Instant, limit: u32) -> u32 {
+        let taken = f64::from(self.own) + self.others(now);
+        (f64::from(limit) - taken).max(0.0).round() as u32
+    }
+}
+
+/// A candidate for a piece of work.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Place of the upstream in the caller's table.
+    pub index: usize,
+    /// Work in flight as a share of what it bears.
+    pub share: f64,
+    /// Pace relative to its peers; 1 is usual, 2 is twice as slow.
+    pub pace: f64,
+    /// Whether it stands in the caller's zone.
+    pub local: bool,
+}
+
+impl Candidate {
+    /// Cost of choosing it: lower is better.
+    pub fn score(&self) -> f64 {
+        let crossing = if self.local { 0.0 } else { ZONE_WORTH };
+        (self.share + crossing) * self.pace
+    }
+}
+
+/// The better of two candidates drawn with `random`; `None` when there is none.
+pub fn choose(candidates: &[Candidate], random: u64) -> Option<Candidate> {
+    if candidates.is_empty() {
+        return None;
+    }
+    let first = candidates[random::index(random::mix(random, 1), candidates.len())];
+    let second = candidates[random::index(random::mix(random, 2), candidates.len())];
+    let better = if second.score() < first.score() { second } else { first };
+    Some(better)
+}
--- a/crates/hyssopfork-policy/src/lib.rs
+++ b/crates/hyssopfork-policy/src/lib.rs
@@ -1,1 +1,145 @@
 //! Decisions under load, without network, clock or threads.
+//!
+//! Time (`now`) and random numbers come in as arguments; everything else is plain state. Each
+//! module answers one load pattern and says what happens without it and what its figures rest on.
+//!
+//! # What an entry uses, for each pool
+//!
+//! ```
+//! use hyssopfork_policy::{choice, queue};
+//! use hyssopfork_wire::{attempt, clock, configuration, frame, number};
+//! use std::time::Duration;
+//!
+//! let now = clock::Instant::from_millis(1_000);
+//! let mut chooser = choice::Chooser::default();
+//! let mut queue = queue::Queue::default();
+//!
+//! // From the view, whenever it changes: upstreams, zones, weights.
+//! let upstream = choice::Upstream {
+//!     instance: "runner-1".into(),
+//!     zone: "ikeja".into(),
+//!     concurrency: 16,
+//! };
+//! chooser.insert(now, upstream);
+//! chooser.set_zone(&"apapa".into(), true);
+//! queue.weigh(&"plant".into(), 2);
+//!
+//! // A request arrives: it waits, or is refused at once.
+//! let item = queue::Item {
+//!     request: 1,
+//!     team: "plant".into(),
+//!     class: configuration::Class::Interactive,
+//!     cost: 400,
+//!     deadline: now + Duration::from_secs(2),
+//! };
+//! assert_eq!(queue.enqueue(now, item, 17), queue::Entered::Queued);
+//!
+//! // At once, on each tick and after each end: start what there is room for.
+//! let batch = queue.next(now, chooser.room(now), 18);
+//! assert!(batch.expired.is_empty());
+//! for item in batch.ready {
+//!     let zone = "ikeja".into();
+//!     let want = choice::Want { zone: &zone, prefix: None, excluded: &[] };
+//!     let Some(instance) = chooser.pick(now, want, 19) else {
+//!         queue.restore(now, item);
+//!         break;
+//!     };
+//!     let attempt = attempt::Identifier { boot: 7, count: 1 };
+//!     chooser.begin(now, &instance, attempt, item.cost);
+//!
+//!     // What comes back.
+//!     let load = frame::Load { version: number::Version(3), running: 1, limit: 16, warm: true };
+//!     chooser.report(now, &instance, load);
+//!     chooser.heard(now, attempt);
+//!     queue.begun(now, item.request);
+//!     chooser.end(now, attempt, choice::Outcome::Answered);
+//!     queue.complete(now, item.request);
+//! }
+//! ```
+//!
+//! A request that is tried again picks anew with the tried upstreams excluded, if
+//! [`retry::Budget::again`] allows it; it stays started in the queue until its last end.
+//!
+//! ```
+//! use hyssopfork_policy::{hedge, retry};
+//! use hyssopfork_wire::refusal;
+//! use std::time::Duration;
+//!
+//! let mut budget = retry::Budget::default();
+//! budget.first();
+//! assert!(budget.again(false, refusal::Ran::NotRun));
+//! assert!(!budget.again(false, refusal::Ran::MayHaveRun));
+//! assert!(budget.again(true, refusal::Ran::MayHaveRun));
+//!
+//! let mut hedge = hedge::Hedge::default();
+//! hedge.observe(Duration::from_millis(80));
+//! assert!(!hedge.again(true, Duration::from_millis(90), &mut budget));
+//! ```
+//!
+//! # What an agent uses
+//!
+//! ```
+//! use hyssopfork_policy::ramp;
+//! use hyssopfork_wire::clock;
+//!
+//! let now = clock::Instant::from_millis(1_000);
+//! let mut ramp = ramp::Ramp::new(now, 16);
+//! assert_eq!(ramp.limit(), ramp::INITIAL);
+//! ramp.incarnation(now, "boot-1");
+//! let later = clock::Instant::from_millis(1_200);
+//! ramp.end(later, now, 400, ramp::Outcome::Completed);
+//! assert!(!ramp.is_warm());
+//! ```
+//!
+//! # What control uses
+//!
+//! ```
+//! use hyssopfork_policy::{loads, placement};
+//! use std::collections::BTreeMap;
+//!
+//! let instance = |name: &str| placement::Instance {
+//!     name: name.into(),
+//!     zone: "perth-a".into(),
+//!     domain: "rack-1".into(),
+//!     pool: "writers".into(),
+//!     standing: placement::Standing::Usable,
+//!     holds: None,
+//! };
+//! let group = placement::Group {
+//!     name: "citations".into(),
+//!     pool: "writers".into(),
+//!     model: "citation-70b".into(),
+//!     size: 2,
+//!     priority: 1,
+//! };
+//! let fleet = placement::Fleet {
+//!     instances: vec![instance("a"), instance("b"), instance("c")],
+//!     groups: vec![group],
+//!     placements: BTreeMap::new(),
+//!     budget: loads::Budget { limit: 4, running: 0 },
+//! };
+//! let place = placement::Decision::Place {
+//!     group: "citations".into(),
+//!     members: vec!["a".into(), "b".into()],
+//! };
+//! assert_eq!(placement::decide(&fleet), vec![place]);
+//! ```
+
+pub mod admission;
+pub mod affinity;
+pub mod average;
+pub mod balance;
+pub mod choice;
+pub mod classes;
+pub mod drain;
+pub mod ejection;
+pub mod evacuation;
+pub mod fairness;
+pub mod hedge;
+pub mod limit;
+pub mod loads;
+pub mod placement;
+pub mod queue;
+pub mod ramp;
+pub mod random;
+pub mod retry;
--- /dev/null
+++ b/crates/hyssopfork-policy/src/queue.rs
@@ -0,0 +1,270 @@
+//! The queue of one pool in an entry: classes, fairness and admission put together.
+//!
+//! One queue stands before all upstreams of a pool, so that no request waits behind one upstream
+//! while another is free. [`Queue::enqueue`] answers at once whether a request may wait;
+//! [`Queue::next`] gives what to start now, and what can no longer be served in time.
+
+use crate::{admission, average, classes, drain, fairness, random};
+use hyssopfork_wire::{clock, configuration, name, refusal};
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+/// Samples over which the time until an answer begins is averaged.
+const BEGIN_SPAN: f64 = 64.0;
+
+/// A request that waits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// The entry's number of the request.
+    pub request: u64,
+    /// Team of the caller.
+    pub team: name::Team,
+    /// Class of the route.
+    pub class: configuration::Class,
+    /// Estimated cost in tokens.
+    pub cost: u32,
+    /// When the answer must have begun.
+    pub deadline: clock::Instant,
+}
+
+/// What became of a request that asked to wait.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Entered {
+    /// It waits.
+    Queued,
+    /// It is refused, and is to be answered at once.
+    Refused(refusal::Refusal),
+}
+
+/// A request that waited in vain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Expired {
+    /// The request.
+    pub item: Item,
+    /// Its refusal, to be answered at once.
+    pub refusal: refusal::Refusal,
+}
+
+/// What leaves the queue.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Batch {
+    /// Requests to start now, in order.
+    pub ready: Vec<Item>,
+    /// Requests that can no longer be served in time.
+    pub expired: Vec<Expired>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    lane: classes::Lane,
+    cost: u32,
+    started: clock::Instant,
+}
+
+#[derive(Clone, Debug)]
+struct Line {
+    scheduler: fairness::Scheduler<Item>,
+    drain: drain::Drain,
+    begin: average::Average,
+}
+
+impl Default for Line {
+    fn default() -> Self {
+        Line {
+            scheduler: fairness::Scheduler::default(),
+            drain: drain::Drain::default(),
+            begin: average::Average::new(BEGIN_SPAN),
+        }
+    }
+}
+
+impl Line {
+    fn begin(&self) -> Duration {
+        Duration::from_secs_f64(self.begin.get().unwrap_or_default())
+    }
+}
+
+/// The queue.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    lines: [Line; classes::LANES],
+    classes: classes::Classes,
+    waiting: HashMap<u64, (classes::Lane, clock::Instant)>,
+    deadlines: BTreeSet<(clock::Instant, u64)>,
+    running: HashMap<u64, Running>,
+    total: u32,
+}
+
+impl Queue {
+    /// Sets a team's weight; teams without one have weight 1.
+    pub fn weigh(&mut self, team: &name::Team, weight: u32) {
+        for line in &mut self.lines {
+            line.scheduler.weigh(team, weight);
+        }
+    }
+
+    /// Takes a request in, or refuses it at once.
+    pub fn enqueue(&mut self, now: clock::Instant, item: Item, random: u64) -> Entered {
+        let lane = self.classes.lane(item.class, item.cost);
+        let line = &self.lines[lane.index()];
+        let ahead = line.scheduler.ahead(&item.team, item.cost);
+        let wait = line.drain.time(ahead, self.total);
+        if !admission::fits(now, item.deadline, wait, line.begin()) {
+            return Entered::Refused(self.refuse(lane, &item, random));
+        }
+        self.insert(lane, item, false);
+        self.mark(now);
+        Entered::Queued
+    }
+
+    /// Puts a request back at the front of its team's queue, after it was taken and an upstream
+    /// refused it before any of it ran. It is not judged again, but expires as before.
+    pub fn restore(&mut self, now: clock::Instant, item: Item) {
+        self.complete(now, item.request);
+        let lane = self.classes.lane(item.class, item.cost);
+        self.insert(lane, item, true);
+        self.mark(now);
+    }
+
+    /// Takes what can start in `room`, and what can no longer be served in time.
+    pub fn next(&mut self, now: clock::Instant, room: classes::Room, random: u64) -> Batch {
+        self.total = room.total;
+        let expired = self.expire(now, random);
+        let mut ready = Vec::new();
+        let mut room = room;
+        while let Some(lane) = self.classes.choose(room, self.lanes_waiting()) {
+            let Some(item) = self.take(now, lane) else { break };
+            room.free -= 1;
+            ready.push(item);
+        }
+        self.mark(now);
+        Batch { ready, expired }
+    }
+
+    /// Takes in that a started request's answer has begun.
+    pub fn begun(&mut self, now: clock::Instant, request: u64) {
+        if let Some(running) = self.running.get(&request) {
+            let elapsed = now.since(running.started).as_secs_f64();
+            self.lines[running.lane.index()].begin.add(elapsed);
+        }
+    }
+
+    /// Takes in that a started request has ended, whichever way.
+    pub fn complete(&mut self, now: clock::Instant, request: u64) {
+        if let Some(running) = self.running.remove(&request) {
+            self.classes.end(running.lane);
+            let elapsed = now.since(running.started);
+            self.lines[running.lane.index()].drain.completed(running.cost, elapsed);
+        }
+    }
+
+    /// Removes a request that waits, because its caller went away; `None` when it doesn't wait.
+    pub fn remove(&mut self, request: u64) -> Option<Item> {
+        let (lane, deadline) = self.waiting.remove(&request)?;
+        self.deadlines.remove(&(deadline, request));
+        let scheduler = &mut self.lines[lane.index()].scheduler;
+        scheduler.extract(|item| item.request == request).pop()
+    }
+
+    /// When a caller of the class whom the entry refuses for want of an upstream should come back.
+    pub fn retry_after(&self, class: configuration::Class, random: u64) -> Duration {
+        let lane = match class {
+            configuration::Class::Status => classes::Lane::Status,
+            configuration::Class::Interactive => classes::Lane::Short,
+            configuration::Class::Batch => classes::Lane::Long,
+        };
+        let line = &self.lines[lane.index()];
+        admission::retry_after(line.drain.time(line.scheduler.cost(), self.total), random)
+    }
+
+    /// Number of requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    fn refuse(&self, lane: classes::Lane, item: &Item, random: u64) -> refusal::Refusal {
+        let line = &self.lines[lane.index()];
+        let ahead = line.scheduler.ahead(&item.team, item.cost);
+        let wait = line.drain.time(ahead, self.total);
+        let own = line.scheduler.cost_of(&item.team);
+        let reason = if own * 2 > line.scheduler.cost() && line.scheduler.cost() > own {
+            refusal::Reason::TeamLimit
+        } else {
+            refusal::Reason::Overloaded
+        };
+        admission::refusal(reason, wait, random::mix(random, item.request))
+    }
+
+    fn insert(&mut self, lane: classes::Lane, item: Item, front: bool) {
+        self.waiting.insert(item.request, (lane, item.deadline));
+        self.deadlines.insert((item.deadline, item.request));
+        let scheduler = &mut self.lines[lane.index()].scheduler;
+        let (team, cost) = (item.team.clone(), item.cost);
+        if front {
+            scheduler.restore(&team, cost, item);
+        } else {
+            scheduler.push(&team, cost, item);
+        }
+    }
+
+    fn take(&mut self, now: clock::Instant, lane: classes::Lane) -> Option<Item> {
+        let line = &mut self.lines[lane.index()];
+        let item = line.scheduler.pop()?;
+        line.drain.started(now, item.cost);
+        self.classes.start(lane);
+        self.waiting.remove(&item.request);
+        self.deadlines.remove(&(item.deadline, item.request));
+        self.running.insert(item.request, Running { lane, cost: item.cost, started: now });
+        Some(item)
+    }
+
+    fn expire(&mut self, now: clock::Instant, random: u64) -> Vec<Expired> {
+        let mut late = BTreeSet::new();
+        let most = self.lines.iter().map(Line::begin).max().unwrap_or_default();
+        for &(deadline, request) in &self.deadlines {
+            if deadline > now + most {
+                break;
+            }
+            let Some((lane, _)) = self.waiting.get(&request) else { continue };
+            if deadline <= now + self.lines[lane.index()].begin() {
+                late.insert(request);
+            }
+        }
+        if late.is_empty() {
+            return Vec::new();
+        }
+        self.drop_late(&late, random)
+    }
+
+    fn drop_late(&mut self, late: &BTreeSet<u64>, random: u64) -> Vec<Expired> {
+        let mut expired = Vec::new();
+        for index in 0..classes::LANES {
+            let line = &mut self.lines[index];
+            let wait = line.drain.time(line.scheduler.cost(), self.total);
+            for item in line.scheduler.extract(|item| late.contains(&item.request)) {
+                self.waiting.remove(&item.request);
+                self.deadlines.remove(&(item.deadline, item.request));
+                let random = random::mix(random, item.request);
+                let refusal = admission::refusal(refusal::Reason::Deadline, wait, random);
+                expired.push(Expired { item, refusal });
+            }
+        }
+        expired
+    }
+
+    fn lanes_waiting(&self) -> [bool; classes::LANES] {
+        std::array::from_fn(|index| !self.lines[index].scheduler.is_empty())
+    }
+
+    fn mark(&mut self, now: clock::Instant) {
+        for line in &mut self.lines {
+            let backlogged = !line.scheduler.is_empty();
+            line.drain.mark(now, backlogged);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hyssopfork-policy/src/retry.rs
@@ -0,0 +1,60 @@
+//! Retry budget: how much of the traffic may be second tries, and which work may be tried again.
+//!
+//! *Pattern.* Upstreams fail or refuse part of the work; each layer that tries again multiplies
+//! the load just when there is least room for it.
+//!
+//! *Without it.* At three tries a request, a brief fault turns a load of 0.9 into 2.7; the system
+//! stays down after the fault is gone, because the retries alone keep it full.
+//!
+//! *Rule.* Second tries (and hedges) spend from a budget that first tries fill, at [`SHARE`] each,
+//! up to [`BURST`]. Work that may have run and may not repeat is never tried again.
+
+use hyssopfork_wire::refusal;
+
+/// Second tries for each first try: load grows by a tenth at most, within the headroom that a
+/// fleet needs anyway for the loss of an instance in thirty.
+pub const SHARE: f64 = 0.1;
+
+/// Second tries that may come in a row after quiet: one upstream's worth of running work, so that
+/// the sudden loss of one upstream is retried in full.
+pub const BURST: f64 = 32.0;
+
+/// Budget of one process for one pool.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    tokens: f64,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Budget { tokens: BURST }
+    }
+}
+
+impl Budget {
+    /// Counts a first try.
+    pub fn first(&mut self) {
+        self.tokens = (self.tokens + SHARE).min(BURST);
+    }
+
+    /// Whether a second try may go out now; spends from the budget when it may.
+    pub fn spend(&mut self) -> bool {
+        let enough = self.tokens >= 1.0;
+        if enough {
+            self.tokens -= 1.0;
+        }
+        enough
+    }
+
+    /// Whether a request may be tried again now after a try that ended with `ran`; spends from the
+    /// budget when it may.
+    pub fn again(&mut self, repeatable: bool, ran: refusal::Ran) -> bool {
+        may_repeat(repeatable, ran) && self.spend()
+    }
+}
+
+/// Whether work may be sent again at all: it surely did not run, or its route says that it may
+/// run more than once. A customs lodgement that may have run is never sent again.
+pub fn may_repeat(repeatable: bool, ran: refusal::Ran) -> bool {
+    repeatable || ran == refusal::Ran::NotRun
+}
