Measure the decisions under load against a plain proxy

A discrete-event model of upstreams, agents, entries and callers, as a package beside the policy package that only its benchmark and tests depend on. A package and not a folder under benches, since tests and benchmark each use a part of it and the compiler would call the rest dead.

Seen and not yet mended: ours refuses nobody at once. All refusals are expirations in the queue, so admission decides nothing.

--- /dev/null
+++ b/crates/hyssopfork-policy/model/src/entry.rs
@@ -0,0 +1,125 @@
+//! What entries tell the model to do, and what they hear from agents.
+
+use crate::{baseline, ours, traffic};
+use hyssopfork_wire::{clock, frame, name};
+use std::time::Duration;
+
+/// What an entry does.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Sends an attempt to an upstream.
+    Send {
+        /// The request.
+        request: usize,
+        /// The attempt.
+        attempt: u64,
+        /// The upstream.
+        upstream: usize,
+    },
+    /// Cancels an attempt.
+    Cancel {
+        /// The attempt.
+        attempt: u64,
+        /// The upstream that it is on.
+        upstream: usize,
+    },
+    /// Refuses a request.
+    Refuse {
+        /// The request.
+        request: usize,
+        /// When to come back.
+        after: Option<Duration>,
+    },
+    /// Tells the caller that its request failed.
+    Fail(usize),
+}
+
+/// What an entry hears of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reply {
+    /// The agent's load, ahead of an answer.
+    Loaded(frame::Load),
+    /// The agent refused it: it did not run.
+    Refused(frame::Load),
+    /// The answer began.
+    Begun,
+    /// The answer ended.
+    Ended,
+    /// The upstream failed it.
+    Failed,
+}
+
+/// Who decides in an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A plain proxy: round robin, no limits, first come first served, retries without a budget.
+    Baseline,
+    /// The policy package.
+    Ours,
+}
+
+/// An entry.
+#[derive(Clone, Debug)]
+pub enum Entry {
+    /// A plain proxy.
+    Baseline(baseline::Entry),
+    /// The policy package.
+    Ours(Box<ours::Entry>),
+}
+
+impl Entry {
+    /// An entry that knows `upstreams`, each with its zone.
+    pub fn new(kind: Kind, index: usize, upstreams: &[name::Zone], seed: u64) -> Entry {
+        match kind {
+            Kind::Baseline => Entry::Baseline(baseline::Entry::new(index, upstreams)),
+            Kind::Ours => Entry::Ours(Box::new(ours::Entry::new(index, upstreams, seed))),
+        }
+    }
+
+    /// A request arrives.
+    pub fn arrive(
+        &mut self,
+        now: clock::Instant,
+        id: usize,
+        request: &traffic::Request,
+    ) -> Vec<Effect> {
+        match self {
+            Entry::Baseline(entry) => entry.arrive(id),
+            Entry::Ours(entry) => entry.arrive(now, id, request),
+        }
+    }
+
+    /// An agent replies.
+    pub fn reply(&mut self, now: clock::Instant, attempt: u64, reply: Reply) -> Vec<Effect> {
+        match self {
+            Entry::Baseline(entry) => entry.reply(attempt, reply),
+            Entry::Ours(entry) => entry.reply(now, attempt, reply),
+        }
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: clock::Instant) -> Vec<Effect> {
+        match self {
+            Entry::Baseline(_) => Vec::new(),
+            Entry::Ours(entry) => entry.tick(now),
+        }
+    }
+
+    /// A zone is taken out or brought back.
+    pub fn zone(&mut self, zone: &name::Zone, out: bool) {
+        match self {
+            Entry::Baseline(entry) => entry.zone(zone, out),
+            Entry::Ours(entry) => entry.zone(zone, out),
+        }
+    }
+}
+
+/// Number of an attempt: unique over entries.
+pub fn attempt(entry: usize, count: u64) -> u64 {
+    (entry as u64) << 40 | count
+}
+
+/// The entry of an attempt.
+pub fn of(attempt: u64) -> usize {
+    (attempt >> 40) as usize
+}
--- /dev/null
+++ b/crates/hyssopfork-policy/model/src/traffic.rs
@@ -0,0 +1,176 @@
+//! Callers: seeded open-loop arrivals, the same for whoever serves them.
+
+use crate::figures;
+use hyssopfork_wire::{clock, configuration, name};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+/// A request that arrives.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// When.
+    pub at: clock::Instant,
+    /// Team of the caller.
+    pub team: name::Team,
+    /// Class of its route.
+    pub class: configuration::Class,
+    /// Work before its answer begins, in tokens.
+    pub prefill: f64,
+    /// Work from there to the answer's end, in tokens.
+    pub decode: f64,
+    /// Cost as an entry estimates it, in tokens.
+    pub cost: u32,
+    /// Time within which the answer must begin.
+    pub patience: Duration,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Prompt prefix.
+    pub prefix: Option<u64>,
+    /// Times that its caller has sent it before.
+    pub resends: u32,
+}
+
+impl Request {
+    /// When its answer must have begun.
+    pub fn deadline(&self) -> clock::Instant {
+        self.at + self.patience
+    }
+
+    /// Its work in tokens.
+    pub fn units(&self) -> f64 {
+        self.prefill + self.decode
+    }
+}
+
+/// Length of a source's requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Length {
+    /// A short request.
+    Short,
+    /// A job of [`figures::LONG`] times a short one.
+    Long,
+    /// A status check.
+    Status,
+}
+
+/// Callers that send alike.
+#[derive(Clone, Debug)]
+pub struct Source {
+    /// Their team.
+    pub team: String,
+    /// Requests a second.
+    pub rate: f64,
+    /// Length of the requests.
+    pub length: Length,
+    /// Class of the route that they call.
+    pub class: configuration::Class,
+    /// First and last second of sending.
+    pub span: (f64, f64),
+    /// Number of prompt prefixes, drawn with Zipf's shares; 0 for none.
+    pub prefixes: usize,
+    /// Share of the requests that may repeat.
+    pub repeatable: f64,
+}
+
+impl Source {
+    /// Short interactive requests of a team through the whole of `seconds`.
+    pub fn short(team: &str, rate: f64, seconds: f64) -> Source {
+        Source {
+            team: team.to_owned(),
+            rate,
+            length: Length::Short,
+            class: configuration::Class::Interactive,
+            span: (0.0, seconds),
+            prefixes: 0,
+            repeatable: 0.8,
+        }
+    }
+
+    /// The same with another length and class.
+    pub fn of(self, length: Length, class: configuration::Class) -> Source {
+        Source { length, class, ..self }
+    }
+
+    /// The same only from one second to another.
+    pub fn during(self, from: f64, to: f64) -> Source {
+        Source { span: (from, to), ..self }
+    }
+
+    /// The same with so many prompt prefixes.
+    pub fn with_prefixes(self, prefixes: usize) -> Source {
+        Source { prefixes, ..self }
+    }
+}
+
+/// Ten teams with Zipf's shares of `rate` short requests a second.
+pub fn teams(rate: f64, seconds: f64) -> Vec<Source> {
+    let total: f64 = (1..=figures::TEAMS).map(|rank| 1.0 / rank as f64).sum();
+    let share = |rank: usize| rate / rank as f64 / total;
+    let team = |rank: usize| Source::short(&format!("team-{rank:02}"), share(rank), seconds);
+    (1..=figures::TEAMS).map(team).collect()
+}
+
+/// All arrivals of the sources, in order.
+pub fn arrivals(sources: &[Source], seed: u64) -> Vec<Request> {
+    let mut requests = Vec::new();
+    for (index, source) in sources.iter().enumerate() {
+        let mut random =
+            ChaCha8Rng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(index as u64));
+        let mut at = source.span.0;
+        loop {
+            at += exponential(&mut random, 1.0 / source.rate);
+            if at >= source.span.1 {
+                break;
+            }
+            requests.push(request(source, at, &mut random));
+        }
+    }
+    requests.sort_by_key(|request| request.at);
+    requests
+}
+
+fn request(source: &Source, at: f64, random: &mut ChaCha8Rng) -> Request {
+    let ((prompt, answer), patience) = match source.length {
+        Length::Short => (figures::SHORT, figures::SHORT_DEADLINE),
+        Length::Status => (figures::STATUS, figures::STATUS_DEADLINE),
+        Length::Long => {
+            let (prompt, answer) = figures::SHORT;
+            ((prompt * figures::LONG, answer * figures::LONG), figures::LONG_DEADLINE)
+        }
+    };
+    let prefill = prompt * figures::PREFILL;
+    // Between half and one and a half of the mean: answers vary, prompts of a route hardly do.
+    let decode = answer * random.random_range(0.5..1.5);
+    let spread = figures::ESTIMATE_SPREAD.ln();
+    let error: f64 = random.random_range(-spread..spread);
+    Request {
+        at: clock::Instant::from_micros((at * 1e6) as u64),
+        team: source.team.as_str().into(),
+        class: source.class,
+        prefill,
+        decode,
+        cost: ((prefill + decode) * error.exp()).ceil() as u32,
+        patience,
+        repeatable: random.random_range(0.0..1.0) < source.repeatable,
+        prefix: (source.prefixes > 0).then(|| zipf(random, source.prefixes)),
+        resends: 0,
+    }
+}
+
+fn exponential(random: &mut ChaCha8Rng, mean: f64) -> f64 {
+    let uniform: f64 = random.random_range(0.0..1.0);
+    -(1.0 - uniform).ln() * mean
+}
+
+fn zipf(random: &mut ChaCha8Rng, count: usize) -> u64 {
+    let total: f64 = (1..=count).map(|rank| 1.0 / rank as f64).sum();
+    let mut left = random.random_range(0.0..total);
+    for rank in 1..=count {
+        left -= 1.0 / rank as f64;
+        if left <= 0.0 {
+            return rank as u64;
+        }
+    }
+    count as u64
+}
