Count work that an upstream refused once in the drain rate

Cause: entries share upstreams, so an agent often refuses what an entry's late knowledge had room for. The entry puts it back and takes it again, and each time it counted as served; a full pool looked many times as fast as it was, so admission let everybody in and all refusals came by expiry. Also: a request that entered an empty queue and left at once counted its cost with no busy time. Only what next() leaves behind is a backlog now.

--- a/crates/hyssopfork-policy/src/drain.rs
+++ b/crates/hyssopfork-policy/src/drain.rs
@@ -51,6 +51,13 @@
         }
     }
 
+    /// Takes back work that left the queue and was refused before any of it ran: counted once more
+    /// with each refusal, it would make a full pool look fast and admission let everybody in.
+    pub fn returned(&mut self, now: clock::Instant, cost: u32) {
+        self.advance(now);
+        self.cost = (self.cost - f64::from(cost)).max(0.0);
+    }
+
     /// Says whether somebody waits from now on.
     pub fn mark(&mut self, now: clock::Instant, backlogged: bool) {
         self.advance(now);
--- a/crates/hyssopfork-policy/src/queue.rs
+++ b/crates/hyssopfork-policy/src/queue.rs
@@ -103,7 +103,8 @@
         }
     }
 
-    /// Takes a request in, or refuses it at once.
+    /// Takes a request in, or refuses it at once. Call [`Queue::next`] at once after it: only what
+    /// still waits then counts as a backlog.
     pub fn enqueue(&mut self, now: clock::Instant, item: Item, random: u64) -> Entered {
         let lane = self.classes.lane(item.class, item.cost);
         let line = &self.lines[lane.index()];
@@ -113,17 +114,18 @@
             return Entered::Refused(self.refuse(lane, &item, random));
         }
         self.insert(lane, item, false);
-        self.mark(now);
         Entered::Queued
     }
 
     /// Puts a request back at the front of its team's queue, after it was taken and an upstream
     /// refused it before any of it ran. It is not judged again, but expires as before.
     pub fn restore(&mut self, now: clock::Instant, item: Item) {
-        self.complete(now, item.request);
+        if let Some(running) = self.running.remove(&item.request) {
+            self.classes.end(running.lane);
+            self.lines[running.lane.index()].drain.returned(now, running.cost);
+        }
         let lane = self.classes.lane(item.class, item.cost);
         self.insert(lane, item, true);
-        self.mark(now);
     }
 
     /// Takes what can start in `room`, and what can no longer be served in time.
