--- a/crates/hyssopfork-policy/src/fairness.rs
+++ b/crates/hyssopfork-policy/src/fairness.rs
@@ -6,17 +6,21 @@
 //! *Without it.* First come first served gives each team service in proportion to what it sends:
 //! the hot team's backlog stands before everybody and small teams wait for it.
 //!
-//! *Rule.* Each team has its own queue. Teams with work take turns; a turn is worth
-//! [`QUANTUM`] tokens of cost times the team's weight, and what is not used of it while the team
-//! still has work is kept for its next turn. A small team's wait is then bounded by one turn of
+//! *Rule.* Each team has its own queue. Teams with work take turns; a turn is worth the mean cost
+//! of a request times the team's weight, and what is not used of it while the team still has work
+//! is kept for its next turn. A small team's wait is then bounded by one turn of
 //! each other team, whatever their backlog.
 
+use crate::average;
 use hyssopfork_wire::name;
 use std::collections::{BTreeMap, VecDeque};
 
-/// Tokens of a turn: about one ordinary request (a prompt of some hundred tokens and its answer),
-/// so that turns are short and most requests need one turn.
-pub const QUANTUM: u64 = 512;
+/// Worth of a turn in tokens before any cost was seen.
+const FIRST_QUANTUM: u64 = 64;
+
+/// Requests over which the worth of a turn is averaged. A turn of the mean cost serves about one
+/// request, so that a round over all teams is as short as it can be without many empty turns.
+const QUANTUM_SPAN: f64 = 256.0;
 
 #[derive(Clone, Debug)]
 struct Lane<T> {
@@ -34,6 +38,7 @@
     turns: VecDeque<name::Team>,
     /// Whether the first of `turns` has had its turn's worth added.
     opened: bool,
+    mean: average::Average,
     cost: u64,
     length: usize,
 }
@@ -44,6 +49,7 @@
             lanes: BTreeMap::new(),
             turns: VecDeque::new(),
             opened: false,
+            mean: average::Average::new(QUANTUM_SPAN),
             cost: 0,
             length: 0,
         }
@@ -61,6 +67,7 @@
         let cost = u64::from(cost.max(1));
         let lane = self.lane(team);
         lane.items.push_back((cost, item));
+        self.mean.add(cost as f64);
         self.pushed(team, cost);
     }
 
@@ -78,9 +85,10 @@
         loop {
             let team = self.turns.front()?.clone();
             let opened = self.opened;
+            let quantum = self.quantum();
             let lane = self.lane(&team);
             if !opened {
-                lane.deficit += QUANTUM * u64::from(lane.weight);
+                lane.deficit += quantum * u64::from(lane.weight);
                 self.opened = true;
                 continue;
             }
@@ -126,7 +134,7 @@
         let own = self.lanes.get(team);
         let weight = own.map_or(1, |lane| lane.weight);
         let backlog = own.map_or(0, |lane| lane.cost);
-        let turn = (backlog + u64::from(cost)) / u64::from(weight) + QUANTUM;
+        let turn = (backlog + u64::from(cost)) / u64::from(weight) + self.quantum();
         let others = self.turns.iter().filter(|other| *other != team);
         let others = others.filter_map(|other| self.lanes.get(other));
         let others: u64 = others.map(|lane| lane.cost.min(turn * u64::from(lane.weight))).sum();
@@ -153,6 +161,10 @@
         self.length == 0
     }
 
+    fn quantum(&self) -> u64 {
+        self.mean.get().map_or(FIRST_QUANTUM, |mean| mean.ceil() as u64)
+    }
+
     fn lane(&mut self, team: &name::Team) -> &mut Lane<T> {
         if !self.lanes.contains_key(team) {
             let lane = Lane { weight: 1, deficit: 0, cost: 0, items: VecDeque::new() };
