--- a/crates/hyssopfork-policy/src/drain.rs
+++ b/crates/hyssopfork-policy/src/drain.rs
@@ -70,9 +70,14 @@
         self.service.add(elapsed.as_secs_f64());
     }
 
+    /// Whether enough busy time was seen for a measured rate.
+    pub fn is_measured(&self) -> bool {
+        self.busy >= BUSY_LEAST && self.cost > 0.0
+    }
+
     /// Tokens of cost a second with `room` pieces of work at once; `None` while nothing is known.
     pub fn rate(&self, room: u32) -> Option<f64> {
-        if self.busy >= BUSY_LEAST && self.cost > 0.0 {
+        if self.is_measured() {
             return Some(self.cost / self.busy);
         }
         let service = self.service.get().filter(|service| *service > 0.0)?;
--- a/crates/hyssopfork-policy/src/queue.rs
+++ b/crates/hyssopfork-policy/src/queue.rs
@@ -6,7 +6,7 @@
 
 use crate::{admission, average, classes, drain, fairness, random};
 use hyssopfork_wire::{clock, configuration, name, refusal};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 /// Samples over which the time until an answer begins is averaged.
@@ -65,6 +65,8 @@
 struct Line {
     scheduler: fairness::Scheduler<Item>,
     drain: drain::Drain,
+    /// Rates of the teams, each measured while that team waits.
+    teams: BTreeMap<name::Team, drain::Drain>,
     begin: average::Average,
 }
 
@@ -73,6 +75,7 @@
         Line {
             scheduler: fairness::Scheduler::default(),
             drain: drain::Drain::default(),
+            teams: BTreeMap::new(),
             begin: average::Average::new(BEGIN_SPAN),
         }
     }
@@ -82,6 +85,34 @@
     fn begin(&self) -> Duration {
         Duration::from_secs_f64(self.begin.get().unwrap_or_default())
     }
+
+    /// Estimated wait of an item of `cost` that the team adds now. What waits ahead of it says too
+    /// little while other teams, never waiting long, keep taking their turns; then the team's own
+    /// rate says more.
+    fn wait(&self, team: &name::Team, cost: u32, room: u32) -> Option<Duration> {
+        let ahead = self.scheduler.ahead(team, cost);
+        let shared = self.drain.time(ahead, room);
+        let own = self.scheduler.cost_of(team);
+        let drain = self.teams.get(team).filter(|drain| own > 0 && drain.is_measured());
+        shared.max(drain.and_then(|drain| drain.time(own, room)))
+    }
+
+    fn started(&mut self, now: clock::Instant, team: &name::Team, cost: u32) {
+        self.drain.started(now, cost);
+        self.teams.entry(team.clone()).or_default().started(now, cost);
+    }
+
+    fn returned(&mut self, now: clock::Instant, team: &name::Team, cost: u32) {
+        self.drain.returned(now, cost);
+        self.teams.entry(team.clone()).or_default().returned(now, cost);
+    }
+
+    fn mark(&mut self, now: clock::Instant) {
+        self.drain.mark(now, !self.scheduler.is_empty());
+        for (team, drain) in &mut self.teams {
+            drain.mark(now, self.scheduler.cost_of(team) > 0);
+        }
+    }
 }
 
 /// The queue.
@@ -108,10 +139,9 @@
     pub fn enqueue(&mut self, now: clock::Instant, item: Item, random: u64) -> Entered {
         let lane = self.classes.lane(item.class, item.cost);
         let line = &self.lines[lane.index()];
-        let ahead = line.scheduler.ahead(&item.team, item.cost);
-        let wait = line.drain.time(ahead, self.total);
+        let wait = line.wait(&item.team, item.cost, self.total);
         if !admission::fits(now, item.deadline, wait, line.begin()) {
-            return Entered::Refused(self.refuse(lane, &item, random));
+            return Entered::Refused(self.refuse(lane, &item, wait, random));
         }
         self.insert(lane, item, false);
         Entered::Queued
@@ -122,7 +152,7 @@
     pub fn restore(&mut self, now: clock::Instant, item: Item) {
         if let Some(running) = self.running.remove(&item.request) {
             self.classes.end(running.lane);
-            self.lines[running.lane.index()].drain.returned(now, running.cost);
+            self.lines[running.lane.index()].returned(now, &item.team, running.cost);
         }
         let lane = self.classes.lane(item.class, item.cost);
         self.insert(lane, item, true);
@@ -189,10 +219,14 @@
         self.waiting.is_empty()
     }
 
-    fn refuse(&self, lane: classes::Lane, item: &Item, random: u64) -> refusal::Refusal {
+    fn refuse(
+        &self,
+        lane: classes::Lane,
+        item: &Item,
+        wait: Option<Duration>,
+        random: u64,
+    ) -> refusal::Refusal {
         let line = &self.lines[lane.index()];
-        let ahead = line.scheduler.ahead(&item.team, item.cost);
-        let wait = line.drain.time(ahead, self.total);
         let own = line.scheduler.cost_of(&item.team);
         let reason = if own * 2 > line.scheduler.cost() && line.scheduler.cost() > own {
             refusal::Reason::TeamLimit
@@ -217,7 +251,7 @@
     fn take(&mut self, now: clock::Instant, lane: classes::Lane) -> Option<Item> {
         let line = &mut self.lines[lane.index()];
         let item = line.scheduler.pop()?;
-        line.drain.started(now, item.cost);
+        line.started(now, &item.team, item.cost);
         self.classes.start(lane);
         self.waiting.remove(&item.request);
         self.deadlines.remove(&(item.deadline, item.request));
@@ -265,8 +299,7 @@
 
     fn mark(&mut self, now: clock::Instant) {
         for line in &mut self.lines {
-            let backlogged = !line.scheduler.is_empty();
-            line.drain.mark(now, backlogged);
+            line.mark(now);
         }
     }
 }
