--- a/crates/hyssopfork-policy/model/src/lib.rs
+++ b/crates/hyssopfork-policy/model/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod entry;
 pub mod figures;
 pub mod ours;
+pub mod repair;
 pub mod report;
 pub mod scenario;
 pub mod simulation;
--- /dev/null
+++ b/crates/hyssopfork-policy/model/src/repair.rs
@@ -0,0 +1,363 @@
+//! Loss and repair of serving groups: how long groups are down, and what stands idle meanwhile.
+//!
+//! A run in steps of a second: instances are lost, control notices, decides, members load weights
+//! from a store that all loads share, and the group serves again after a ramp. Downtime and
+//! stranded accelerators of the policy stand beside those of a plain repair (each broken group is
+//! rebuilt from nothing at the first place that has room, all loads at once) and beside a bound
+//! that no repair can beat which learns of a loss when it happens.
+
+use crate::entry::Kind;
+use hyssopfork_policy::{loads, placement, random};
+use hyssopfork_wire::name;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
+
+/// Fabric domains, two in each zone.
+pub const DOMAINS: usize = 6;
+
+/// Instances of a domain: two groups and two spares.
+pub const INSTANCES: usize = 10;
+
+/// Members of a group.
+pub const SIZE: u32 = 4;
+
+/// Accelerators of an instance: about 19,000 over 4,800.
+pub const ACCELERATORS: u32 = 4;
+
+/// Seconds until control counts an instance as missing and has decided: the presence limit, and a
+/// round of the log.
+pub const DETECT: u32 = 2;
+
+/// Seconds of a weight load at the store's full speed: some hundred gigabytes at some gigabytes a
+/// second.
+pub const LOAD: u32 = 60;
+
+/// Loads that the store serves at full speed at once.
+pub const STORE: u32 = 8;
+
+/// Seconds from the last load until the group carries its load again.
+pub const RAMP: u32 = 5;
+
+/// Seconds of a run.
+pub const LENGTH: u32 = 1_200;
+
+/// Instances that are lost at a second.
+#[derive(Clone, Debug)]
+pub struct Loss {
+    /// Second of the run.
+    pub at: u32,
+    /// Domain, and place within it, of each.
+    pub instances: Vec<(usize, usize)>,
+}
+
+/// A sequence of losses in a fleet with so many groups.
+#[derive(Clone, Debug)]
+pub struct Case {
+    /// Its name.
+    pub name: &'static str,
+    /// Groups declared; the first third has priority over the rest.
+    pub groups: usize,
+    /// Loads that the store serves at full speed at once.
+    pub store: u32,
+    /// What is lost when.
+    pub losses: Vec<Loss>,
+}
+
+/// What a run cost.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Cost {
+    /// Seconds in which a group did not serve, over all groups.
+    pub downtime: u32,
+    /// The same over the groups with priority.
+    pub priority_downtime: u32,
+    /// Accelerator seconds on usable instances outside whole groups while a group was not whole.
+    pub stranded: u64,
+    /// Weight loads that were started.
+    pub loads: u32,
+}
+
+impl Cost {
+    /// Adds another run's cost.
+    pub fn add(&mut self, other: Cost) {
+        self.downtime += other.downtime;
+        self.priority_downtime += other.priority_downtime;
+        self.stranded += other.stranded;
+        self.loads += other.loads;
+    }
+}
+
+struct Run<'a> {
+    case: &'a Case,
+    kind: Kind,
+    missing: BTreeMap<name::Instance, u32>,
+    placements: BTreeMap<name::Group, placement::Current>,
+    loading: BTreeMap<name::Instance, f64>,
+    ready: BTreeMap<name::Group, u32>,
+    cost: Cost,
+}
+
+/// Runs a case.
+pub fn run(case: &Case, kind: Kind) -> Cost {
+    let mut run = Run::new(case, kind);
+    for second in 0..LENGTH {
+        run.lose(second);
+        run.decide(second);
+        run.load();
+        run.count(second);
+    }
+    run.cost
+}
+
+/// All cases, in the order in which the benchmark prints them.
+pub fn cases() -> Vec<Case> {
+    let one = |at, place| Loss { at, instances: vec![(0, place)] };
+    let all = |domain: usize| (0..INSTANCES).map(move |place| (domain, place));
+    let dark = |domains: Range<usize>| Loss { at: 100, instances: domains.flat_map(all).collect() };
+    let case = |name, groups, losses| Case { name, groups, store: STORE, losses };
+    let two = Loss { at: 100, instances: vec![(0, 1), (0, 2)] };
+    let each = Loss { at: 100, instances: (0..DOMAINS).map(|domain| (domain, 1)).collect() };
+    vec![
+        case("one member", 12, vec![one(100, 1)]),
+        case("two members of a group", 12, vec![two]),
+        case("a second member right after the repair", 12, vec![one(100, 1), one(170, 2)]),
+        case("a third member with two spares", 11, vec![one(100, 1), one(170, 5), one(240, 2)]),
+        case("a domain dark, with room", 10, vec![dark(0..1)]),
+        case("a zone dark, with room", 8, vec![dark(0..2)]),
+        case("a domain dark, no room", 12, vec![dark(0..1)]),
+        case(
+            "a domain dark, then a member",
+            10,
+            vec![dark(0..1), Loss { at: 260, instances: vec![(1, 0)] }],
+        ),
+        Case { store: 2, ..case("a member of each domain, a slow store", 12, vec![each]) },
+    ]
+}
+
+/// Six instances lost at random seconds and places.
+pub fn random_losses(seed: u64) -> Case {
+    let loss = |index: u64| {
+        let draw = |salt, length| random::index(random::mix(seed, index * 8 + salt), length);
+        let at = 100 + draw(0, 600) as u32;
+        Loss { at, instances: vec![(draw(1, DOMAINS), draw(2, INSTANCES))] }
+    };
+    let losses = (0..6).map(loss).collect();
+    Case { name: "six members at random", groups: 12, store: STORE, losses }
+}
+
+/// Least downtime and stranded accelerator seconds of any repair that learns of each loss when it
+/// happens: each group that is hit loads one instance at least, or all of its members where its
+/// domain is dark; the store's rate binds; a group without room stays down. For losses that don't
+/// overlap.
+pub fn bound(case: &Case) -> Cost {
+    let mut bound = Cost::default();
+    let mut usable = (DOMAINS * INSTANCES) as u32;
+    for loss in &case.losses {
+        usable -= loss.instances.len() as u32;
+        let dark = loss.instances.len() >= INSTANCES;
+        let hit = hit_groups(case, loss);
+        let each = if dark { SIZE } else { 1 };
+        let mended = if dark { hit.min(room_elsewhere(case, loss)) } else { hit };
+        let end = |place: u32| ((place + 1) * each).div_ceil(case.store) * LOAD + RAMP;
+        bound.downtime += (0..mended).map(end).sum::<u32>();
+        bound.downtime += (hit - mended) * (LENGTH - loss.at);
+        bound.loads += mended * each;
+        let span = if hit > mended { LENGTH - loss.at } else { end(mended.max(1) - 1) };
+        let whole = (case.groups as u32 - (hit - mended)) * SIZE;
+        bound.stranded += u64::from((usable - whole) * ACCELERATORS * span);
+    }
+    bound
+}
+
+fn hit_groups(case: &Case, loss: &Loss) -> u32 {
+    let lost = |member: &name::Instance| {
+        loss.instances.iter().any(|(domain, place)| *member == instance(*domain, *place))
+    };
+    let formed = Run::new(case, Kind::Ours).placements;
+    formed.values().filter(|it| it.members.iter().any(lost)).count() as u32
+}
+
+/// Groups that fit into the other domains beside those that stand there.
+fn room_elsewhere(case: &Case, loss: &Loss) -> u32 {
+    let dark = loss.instances.len() / INSTANCES;
+    let capacity = (INSTANCES as u32 / SIZE) * (DOMAINS - dark) as u32;
+    capacity.saturating_sub(case.groups as u32 - hit_groups(case, loss))
+}
+
+fn instance(domain: usize, place: usize) -> name::Instance {
+    name::Instance::new(format!("instance-{domain}-{place}"))
+}
+
+fn group(index: usize) -> name::Group {
+    name::Group::new(format!("group-{index:02}"))
+}
+
+impl<'a> Run<'a> {
+    fn new(case: &'a Case, kind: Kind) -> Run<'a> {
+        let mut run = Run {
+            case,
+            kind,
+            missing: BTreeMap::new(),
+            placements: BTreeMap::new(),
+            loading: BTreeMap::new(),
+            ready: BTreeMap::new(),
+            cost: Cost::default(),
+        };
+        run.form();
+        run
+    }
+
+    /// Forms all groups, as the policy does, before the run.
+    fn form(&mut self) {
+        let fleet = self.fleet(0, u32::MAX);
+        for decision in placement::decide(&fleet) {
+            let placement::Decision::Place { group, members } = decision else { continue };
+            self.placements.insert(group, placement::Current { members, running: 0 });
+        }
+    }
+
+    fn lose(&mut self, second: u32) {
+        for loss in self.case.losses.iter().filter(|loss| loss.at == second) {
+            for (domain, place) in &loss.instances {
+                let lost = instance(*domain, *place);
+                self.loading.remove(&lost);
+                self.missing.insert(lost, second);
+            }
+        }
+    }
+
+    fn decide(&mut self, second: u32) {
+        let decisions = match self.kind {
+            Kind::Ours => placement::decide(&self.fleet(second, self.case.store)),
+            Kind::Baseline => self.plain(second),
+        };
+        for decision in decisions {
+            match decision {
+                placement::Decision::Unplace(group) => {
+                    self.placements.remove(&group);
+                }
+                placement::Decision::Place { group, members } => self.place(group, members),
+            }
+        }
+    }
+
+    fn place(&mut self, group: name::Group, members: Vec<name::Instance>) {
+        let before = self.placements.remove(&group).map(|it| it.members).unwrap_or_default();
+        for (rank, member) in members.iter().enumerate() {
+            let stays = self.kind == Kind::Ours && before.get(rank) == Some(member);
+            if !stays {
+                self.loading.insert(member.clone(), f64::from(LOAD));
+                self.cost.loads += 1;
+            }
+        }
+        self.ready.remove(&group);
+        self.placements.insert(group, placement::Current { members, running: 0 });
+    }
+
+    fn load(&mut self) {
+        let speed = (f64::from(self.case.store) / self.loading.len().max(1) as f64).min(1.0);
+        for left in self.loading.values_mut() {
+            *left -= speed;
+        }
+        self.loading.retain(|_, left| *left > 0.0);
+    }
+
+    fn count(&mut self, second: u32) {
+        let mut whole = BTreeSet::new();
+        let mut down = 0;
+        for index in 0..self.case.groups {
+            let group = group(index);
+            let serves = self.serves(&group, second);
+            down += u32::from(!serves);
+            self.cost.priority_downtime += u32::from(!serves && self.has_priority(index));
+            if self.is_whole(&group) {
+                whole.extend(self.placements[&group].members.clone());
+            }
+        }
+        self.cost.downtime += down;
+        if down > 0 {
+            let usable = DOMAINS * INSTANCES - self.missing.len();
+            self.cost.stranded += ((usable - whole.len()) * ACCELERATORS as usize) as u64;
+        }
+    }
+
+    fn serves(&mut self, group: &name::Group, second: u32) -> bool {
+        let loaded = self.is_whole(group)
+            && self.placements[group].members.iter().all(|it| !self.loading.contains_key(it));
+        if !loaded {
+            self.ready.insert(group.clone(), second + 1 + RAMP);
+            return false;
+        }
+        self.ready.get(group).is_none_or(|ready| second >= *ready)
+    }
+
+    fn is_whole(&self, group: &name::Group) -> bool {
+        let current = self.placements.get(group);
+        current.is_some_and(|it| it.members.iter().all(|it| !self.missing.contains_key(it)))
+    }
+
+    fn has_priority(&self, index: usize) -> bool {
+        index < self.case.groups / 3
+    }
+
+    /// A plain repair: broken groups are given up and rebuilt at the first place with room.
+    fn plain(&self, second: u32) -> Vec<placement::Decision> {
+        let seen =
+            |it: &name::Instance| self.missing.get(it).is_some_and(|at| second >= at + DETECT);
+        let mut used = BTreeSet::new();
+        let mut waiting = Vec::new();
+        for index in 0..self.case.groups {
+            match self.placements.get(&group(index)) {
+                Some(it) if !it.members.iter().any(seen) => used.extend(it.members.clone()),
+                _ => waiting.push(index),
+            }
+        }
+        let mut decisions = Vec::new();
+        for index in waiting {
+            for domain in 0..DOMAINS {
+                let free = (0..INSTANCES).map(|place| instance(domain, place));
+                let free: Vec<_> =
+                    free.filter(|it| !used.contains(it) && !seen(it)).take(SIZE as usize).collect();
+                if free.len() == SIZE as usize {
+                    used.extend(free.clone());
+                    decisions
+                        .push(placement::Decision::Place { group: group(index), members: free });
+                    break;
+                }
+            }
+        }
+        decisions
+    }
+
+    fn fleet(&self, second: u32, limit: u32) -> placement::Fleet {
+        let places = (0..DOMAINS).flat_map(|domain| (0..INSTANCES).map(move |it| (domain, it)));
+        let instances = places.map(|(domain, place)| {
+            let name = instance(domain, place);
+            let seen = self.missing.get(&name).is_some_and(|at| second >= at + DETECT);
+            placement::Instance {
+                name,
+                zone: name::Zone::new(format!("zone-{}", domain / 2)),
+                domain: name::Domain::new(format!("domain-{domain}")),
+                pool: "engines".into(),
+                standing: if seen {
+                    placement::Standing::Missing
+                } else {
+                    placement::Standing::Usable
+                },
+                holds: None,
+            }
+        });
+        let groups = (0..self.case.groups).map(|index| placement::Group {
+            name: group(index),
+            pool: "engines".into(),
+            model: "model".into(),
+            size: SIZE,
+            priority: u32::from(self.has_priority(index)),
+        });
+        placement::Fleet {
+            instances: instances.collect(),
+            groups: groups.collect(),
+            placements: self.placements.clone(),
+            budget: loads::Budget { limit, running: self.loading.len() as u32 },
+        }
+    }
+}
--- a/crates/hyssopfork-policy/model/src/simulation.rs
+++ b/crates/hyssopfork-policy/model/src/simulation.rs
@@ -97,7 +97,7 @@
     }
 
     fn drive(&mut self) {
-        let end = clock::Instant::ORIGIN + self.scenario.length + scenario::DRAIN;
+        let end = clock::Instant::ORIGIN + self.scenario.length + self.scenario.drain;
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             if at > end {
                 return;
@@ -358,3 +358,28 @@
     }
     ramp
 }
+
+/// Time until an upstream that is cold at first has its full limit, when it always gets as much
+/// work as the ramp lets through: the bound that the ramp alone gives.
+pub fn ramp_alone() -> Duration {
+    let mut engine = Engine::new(false);
+    let mut ramp = ramp::Ramp::new(clock::Instant::ORIGIN, figures::BATCH as u32);
+    let mut begun = HashMap::new();
+    let (mut now, mut count) = (clock::Instant::ORIGIN, 0);
+    while !ramp.is_warm() {
+        for note in engine.wake(now) {
+            if let Note::Ended(attempt) = note {
+                ramp.end(now, begun[&attempt], 50, ramp::Outcome::Completed);
+            }
+        }
+        while engine.load() < ramp.limit() as usize {
+            let (prompt, decode) = figures::SHORT;
+            let prefill = prompt * figures::PREFILL;
+            begun.insert(count, now);
+            engine.start(now, Job { attempt: count, prefill, decode, prefix: None });
+            count += 1;
+        }
+        now = engine.next().unwrap_or(now);
+    }
+    now.since(clock::Instant::ORIGIN)
+}
--- a/crates/hyssopfork-policy/src/admission.rs
+++ b/crates/hyssopfork-policy/src/admission.rs
@@ -17,7 +17,7 @@
 /// Share of the time before the deadline that the estimate may fill. The estimate errs by the
 /// spread of costs and by teams that overtake later; the rest is room for that error, so that who
 /// is queued is served and who is refused is refused at once.
-pub const FILL: f64 = 0.75;
+pub const FILL: f64 = 0.95;
 
 /// Shortest time named to a refused caller: less would bring it back within the same burst.
 pub const RETRY_LEAST: Duration = Duration::from_millis(500);
