--- /dev/null
+++ b/crates/hyssopfork-state/src/upstream.rs
@@ -0,0 +1,144 @@
+//! Which upstreams may take a pool's work, as a view has it.
+
+use hyssopfork_wire::{change, configuration, fleet, name, number};
+use std::net;
+
+/// An upstream that may take work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Upstream<'a> {
+    /// Instance that takes the requests: a group's first member, or the service's own.
+    pub instance: &'a name::Instance,
+    /// Where its agent takes attempts.
+    pub traffic: net::SocketAddr,
+    /// Boot of its agent's process.
+    pub boot: u64,
+    /// Incarnation of its agent.
+    pub incarnation: number::Incarnation,
+    /// The group with the fencing number of its placement; `None` for a plain service.
+    pub group: Option<(&'a name::Group, number::Fence)>,
+    /// What the back end can do.
+    pub profile: &'a fleet::Profile,
+    /// Availability zone.
+    pub zone: &'a name::Zone,
+}
+
+/// Why an instance may take no new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Obstacle {
+    /// The instance has not announced itself.
+    Unrecorded,
+    /// Its pool is not declared.
+    PoolUndeclared,
+    /// Its back end is not of the pool's kind.
+    KindDiffers,
+    /// Its zone is not declared.
+    ZoneUndeclared,
+    /// Its zone has been taken out.
+    ZoneOut,
+    /// Its pool doesn't take instances of its zone.
+    ZoneNotAllowed,
+    /// Operators have drained it.
+    Drained,
+    /// Its agent is leaving.
+    Leaving,
+    /// Control counts it as missing. Comes last: an agent that holds a lease is present again as
+    /// soon as its next renewal is recorded.
+    Absent,
+}
+
+/// Upstreams that may take the pool's work: of an engine pool the first member of each placed
+/// group whose members may all take work, of a service pool each member that may.
+pub fn of_pool<'a>(view: &'a change::View, pool: &name::Pool) -> Vec<Upstream<'a>> {
+    match view.configuration.pools.get(pool).map(|declared| declared.kind) {
+        Some(configuration::Kind::Engine) => groups(view, pool),
+        Some(configuration::Kind::Service) => services(view, pool),
+        None => Vec::new(),
+    }
+}
+
+/// Why `instance` may take no new work; `None` when it may. Says nothing of its group.
+pub fn obstacle(view: &change::View, instance: &name::Instance) -> Option<Obstacle> {
+    match view.members.get(instance) {
+        None => Some(Obstacle::Unrecorded),
+        Some(member) => declared_obstacle(&view.configuration, &member.announcement)
+            .or_else(|| member.leaving.then_some(Obstacle::Leaving))
+            .or_else(|| (!member.present).then_some(Obstacle::Absent)),
+    }
+}
+
+/// Why the configuration alone keeps work from an instance; `None` when it doesn't.
+pub fn declared_obstacle(
+    configuration: &configuration::Configuration,
+    announcement: &fleet::Announcement,
+) -> Option<Obstacle> {
+    let Some(pool) = configuration.pools.get(&announcement.pool) else {
+        return Some(Obstacle::PoolUndeclared);
+    };
+    if pool.kind != announcement.profile.kind {
+        return Some(Obstacle::KindDiffers);
+    }
+    let Some(zone) = configuration.zones.get(&announcement.zone) else {
+        return Some(Obstacle::ZoneUndeclared);
+    };
+    if zone.out {
+        return Some(Obstacle::ZoneOut);
+    }
+    if !pool.zones.is_empty() && !pool.zones.contains(&announcement.zone) {
+        return Some(Obstacle::ZoneNotAllowed);
+    }
+    configuration.drained.contains(&announcement.instance).then_some(Obstacle::Drained)
+}
+
+/// Placement in which `instance` stands, with its group and the instance's place in it from 0.
+pub fn placement<'a>(
+    view: &'a change::View,
+    instance: &name::Instance,
+) -> Option<(&'a name::Group, &'a fleet::Placement, usize)> {
+    view.placements.iter().find_map(|(group, placement)| {
+        let rank = placement.members.iter().position(|member| member == instance)?;
+        Some((group, placement, rank))
+    })
+}
+
+fn groups<'a>(view: &'a change::View, pool: &name::Pool) -> Vec<Upstream<'a>> {
+    let of_pool = |group: &name::Group| {
+        view.configuration.groups.get(group).is_some_and(|declared| declared.pool == *pool)
+    };
+    view.placements
+        .iter()
+        .filter(|(group, _)| of_pool(group))
+        .filter(|(_, placement)| {
+            placement.members.iter().all(|member| obstacle(view, member).is_none())
+        })
+        .filter_map(|(group, placement)| {
+            let first = view.members.get(placement.members.first()?)?;
+            Some(upstream(first, Some((group, placement.fence))))
+        })
+        .collect()
+}
+
+fn services<'a>(view: &'a change::View, pool: &name::Pool) -> Vec<Upstream<'a>> {
+    view.members
+        .values()
+        .filter(|member| member.announcement.pool == *pool)
+        .filter(|member| obstacle(view, &member.announcement.instance).is_none())
+        .map(|member| upstream(member, None))
+        .collect()
+}
+
+fn upstream<'a>(
+    member: &'a fleet::Member,
+    group: Option<(&'a name::Group, number::Fence)>,
+) -> Upstream<'a> {
+    let announcement = &member.announcement;
+    Upstream {
+        instance: &announcement.instance,
+        traffic: announcement.traffic,
+        boot: announcement.boot,
+        incarnation: member.incarnation,
+        group,
+        profile: &announcement.profile,
+        zone: &announcement.zone,
+    }
+}
