Apply commands to the replicated state through aggregates with their own rules

Cause: control needs one deterministic state that decides patches, records instances, places groups and holds claims.

--- a/crates/hyssopfork-state/src/operation.rs
+++ b/crates/hyssopfork-state/src/operation.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 /// Applies one operation. Whether the result keeps the rules is for
-/// the rules of a whole configuration to say.
+/// [`crate::rules::faults`] to say.
 pub fn apply(configuration: &mut configuration::Configuration, operation: &patch::Operation) {
     match operation {
         patch::Operation::Declare(whole) => {
--- /dev/null
+++ b/crates/hyssopfork-state/src/placements.rs
@@ -0,0 +1,131 @@
+//! Rules of where groups stand.
+//!
+//! A leader that proposes a placement may have decided on a state that has since moved, and two
+//! leaders may have proposed at once. So every rule is checked here again, when the command is
+//! applied: what breaks one has no effect.
+
+use crate::upstream;
+use hyssopfork_wire::{change, configuration, fleet, name, number};
+use std::collections::BTreeSet;
+
+/// Why a placement is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Obstacle {
+    /// The group is not declared.
+    Undeclared,
+    /// The group stands under another fencing number than the one to be replaced.
+    Moved,
+    /// There are more or fewer members than declared, or one twice.
+    Size,
+    /// A member may take no work, is not of the group's pool or is not recorded.
+    Ineligible,
+    /// A member stands in another group's placement.
+    Taken,
+    /// The members are not of one fabric domain.
+    Domains,
+}
+
+/// Why `members` cannot be placed as `group` in place of the placement `over`; `None` when they
+/// can.
+pub fn obstacle(
+    view: &change::View,
+    group: &name::Group,
+    members: &[name::Instance],
+    over: Option<number::Fence>,
+) -> Option<Obstacle> {
+    let Some(declared) = view.configuration.groups.get(group) else {
+        return Some(Obstacle::Undeclared);
+    };
+    if view.placements.get(group).map(|placement| placement.fence) != over {
+        return Some(Obstacle::Moved);
+    }
+    let distinct: BTreeSet<&name::Instance> = members.iter().collect();
+    if members.len() != declared.size as usize || distinct.len() != members.len() {
+        return Some(Obstacle::Size);
+    }
+    if !members.iter().all(|member| may_join(view, declared, member)) {
+        return Some(Obstacle::Ineligible);
+    }
+    // An instance in two placements would be asked to serve two groups: the second one's first
+    // member would wait for its grants for good and both groups would be down in turn.
+    let others = view.placements.iter().filter(|(name, _)| *name != group);
+    let mut taken = others.flat_map(|(_, placement)| &placement.members);
+    if taken.any(|member| distinct.contains(member)) {
+        return Some(Obstacle::Taken);
+    }
+    (domains(view, members) != 1).then_some(Obstacle::Domains)
+}
+
+/// Groups whose placement ends with a change of the configuration to `next`: removed ones, and
+/// those whose members would have to hold something else.
+pub fn ended_by_configuration(
+    view: &change::View,
+    next: &configuration::Configuration,
+) -> Vec<name::Group> {
+    let stands = |group: &name::Group| match (
+        view.configuration.groups.get(group),
+        next.groups.get(group),
+    ) {
+        (Some(old), Some(new)) => {
+            old.pool == new.pool && old.model == new.model && old.size == new.size
+        }
+        _ => false,
+    };
+    view.placements.keys().filter(|group| !stands(group)).cloned().collect()
+}
+
+/// The group whose placement ends because one of its members now says that it is of another pool,
+/// fabric domain or kind; `None` when there is none.
+pub fn ended_by_record(view: &change::View, member: &fleet::Member) -> Option<name::Group> {
+    let new = &member.announcement;
+    let old = &view.members.get(&new.instance)?.announcement;
+    let same =
+        old.pool == new.pool && old.domain == new.domain && old.profile.kind == new.profile.kind;
+    if same {
+        return None;
+    }
+    upstream::placement(view, &new.instance).map(|(group, _, _)| group.clone())
+}
+
+/// Checks the invariants of the placements as a whole.
+///
+/// # Panics
+///
+/// When an instance stands in two placements, a placement's members are of several fabric domains
+/// or not recorded, its group is not declared in that size, or a fencing number stands twice or
+/// is above `newest`.
+pub fn assert_sound(view: &change::View, newest: number::Fence) {
+    let mut taken = BTreeSet::new();
+    let mut fences = BTreeSet::new();
+    for (group, placement) in &view.placements {
+        let size = view.configuration.groups.get(group).map(|declared| declared.size as usize);
+        assert_eq!(size, Some(placement.members.len()), "group {group} is placed as declared");
+        assert!(fences.insert(placement.fence), "fencing number {} stands twice", placement.fence);
+        assert!(placement.fence <= newest, "fencing number {} was given", placement.fence);
+        for member in &placement.members {
+            assert!(taken.insert(member), "instance {member} stands in two placements");
+            assert!(view.members.contains_key(member), "member {member} is recorded");
+        }
+        assert_eq!(domains(view, &placement.members), 1, "group {group} has one fabric domain");
+    }
+}
+
+fn may_join(
+    view: &change::View,
+    declared: &configuration::Group,
+    instance: &name::Instance,
+) -> bool {
+    let of_pool =
+        view.members.get(instance).is_some_and(|member| member.announcement.pool == declared.pool);
+    of_pool && upstream::obstacle(view, instance).is_none()
+}
+
+fn domains(view: &change::View, members: &[name::Instance]) -> usize {
+    let domains: BTreeSet<&name::Domain> = members
+        .iter()
+        .filter_map(|member| view.members.get(member))
+        .map(|member| &member.announcement.domain)
+        .collect();
+    domains.len()
+}
