--- /dev/null
+++ b/crates/hyssopfork-state/tests/state.rs
@@ -0,0 +1,4 @@
+//! Tests of the replicated state, one module for each aggregate.
+
+mod aggregates;
+mod fixture;
