--- a/crates/hyssopfork-state/src/claims.rs
+++ b/crates/hyssopfork-state/src/claims.rs
@@ -21,9 +21,8 @@
 /// this. Longer, while there is room.
 pub const RETENTION: Duration = Duration::from_secs(24 * 3_600);
 
-/// Time in progress after which a claim's outcome is unknown: its holder fell silent. Twice the
-/// longest time that a route's answer may take to begin would be two hours; the work that claims
-/// cover is short, and an answer recorded later still reaches the caller that waits for it.
+/// Time in progress after which a claim's outcome is unknown: its holder fell silent. The work that
+/// claims cover is short; an answer that comes later still reaches the caller that waits for it.
 pub const PROGRESS_LIMIT: Duration = Duration::from_secs(600);
 
 /// Longest step by which the state ages at once ([`crate::command::Command::Elapsed`]): a claim
--- a/crates/hyssopfork-state/src/fleet.rs
+++ b/crates/hyssopfork-state/src/fleet.rs
@@ -43,7 +43,7 @@
         let instance = &announcement.instance;
         // Without this memory two live processes under one name would replace each other with
         // every renewal, and each replacement would end the group's placement.
-        if self.former.get(instance).is_some_and(|boots| boots.contains(&announcement.boot)) {
+        if self.is_superseded(instance, announcement.boot) {
             return Announced::Superseded;
         }
         let member = match view.members.get(instance) {
@@ -60,6 +60,11 @@
         Announced::Taken(member.incarnation, changed.then(|| Box::new(member)))
     }
 
+    /// Whether a newer process than the one of this boot runs under the instance's name.
+    pub fn is_superseded(&self, instance: &name::Instance, boot: u64) -> bool {
+        self.former.get(instance).is_some_and(|boots| boots.contains(&boot))
+    }
+
     /// Forgets an instance. Its replaced boots go too: its newest process was absent for long, so
     /// those before it are gone.
     pub fn forget(&mut self, member: &fleet::Member) {
--- a/crates/hyssopfork-state/src/machine.rs
+++ b/crates/hyssopfork-state/src/machine.rs
@@ -130,6 +130,11 @@
         &self.history
     }
 
+    /// What is known of instances besides their records in the view.
+    pub fn fleet(&self) -> &fleet::Fleet {
+        &self.fleet
+    }
+
     /// Claims on non-repeatable work.
     pub fn claims(&self) -> &claims::Claims {
         &self.claims
--- a/crates/hyssopfork-state/src/placements.rs
+++ b/crates/hyssopfork-state/src/placements.rs
@@ -76,7 +76,7 @@
 }
 
 /// The group whose placement ends because one of its members now says that it is of another pool,
-/// fabric domain or kind; `None` when there is none.
+/// zone, fabric domain or kind; `None` when there is none.
 pub fn ended_by_record(view: &change::View, member: &fleet::Member) -> Option<name::Group> {
     let new = &member.announcement;
     let old = &view.members.get(&new.instance)?.announcement;
@@ -121,11 +121,12 @@
     of_pool && upstream::obstacle(view, instance).is_none()
 }
 
+/// Number of fabric domains of `members`; names of domains are unique only within a zone.
 fn domains(view: &change::View, members: &[name::Instance]) -> usize {
-    let domains: BTreeSet<&name::Domain> = members
+    let domains: BTreeSet<(&name::Zone, &name::Domain)> = members
         .iter()
         .filter_map(|member| view.members.get(member))
-        .map(|member| &member.announcement.domain)
+        .map(|member| (&member.announcement.zone, &member.announcement.domain))
         .collect();
     domains.len()
 }
