Put the control role together as a step function

Cause: the daemon, the entries and the agents need control's final signatures: core::Core::new, step, and the notices 1200 to 1250.

Ruled out: answering a leaving agent with no lease. Its view says that it is leaving, so the lease admits no work, and the agents' core takes the grant as the sign that its leaving was heard. Ruled out as well: counting silence from the last renewal alone, which would make a whole fleet look missing to a new or paused leader; presence counts from when the leader began to listen.

Action::Fail is added for a log that this release cannot read.

--- a/crates/hyssopfork-control/src/action.rs
+++ b/crates/hyssopfork-control/src/action.rs
@@ -24,4 +24,7 @@
     Notice(super::notice::Notice),
     /// Everything is handed over: the process may end.
     Stopped,
+    /// The log holds what this release cannot read: log the reason and end the process at once.
+    /// The core answers nothing any more.
+    Fail(String),
 }
--- /dev/null
+++ b/crates/hyssopfork-control/src/core.rs
@@ -0,0 +1,227 @@
+//! The step function: events in, actions out.
+
+mod apply;
+mod duties;
+mod requests;
+
+use crate::{action, calls, event, groups, holders, notice, presence, steps, watches};
+use hyssopfork_consensus::{action as log_action, event as log_event, node};
+use hyssopfork_state::{command, machine};
+use hyssopfork_wire::{clock, control, name, number};
+use std::collections::{BTreeMap, VecDeque};
+use std::mem;
+use std::net;
+use std::time::Duration;
+
+/// Weight loads at once where settings name no other figure.
+pub const LOADS: u32 = 8;
+
+/// Entries applied between two snapshots.
+pub const SNAPSHOT_ENTRIES: u64 = 4_096;
+
+/// Bytes of commands applied between two snapshots, at which one is taken earlier.
+pub const SNAPSHOT_BYTES: usize = 16 << 20;
+
+/// Longest gap between two events after which this process counts as having been stopped. Ticks
+/// come every [`action::TICK`].
+pub const GAP_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time that a process which is to stop gives another instance to take over.
+pub const HANDOVER_LIMIT: Duration = Duration::from_secs(2);
+
+/// Settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This instance.
+    pub instance: name::Instance,
+    /// Addresses at which control instances take calls, to send callers on to the leader.
+    pub peers: BTreeMap<name::Instance, net::SocketAddr>,
+    /// Weight loads that the store serves at full speed at once.
+    pub loads: u32,
+}
+
+/// What a leader keeps for the time that it leads.
+#[derive(Clone, Copy, Debug)]
+struct Leadership {
+    term: number::Term,
+    /// Since when it has listened to agents without a gap; presence counts from here.
+    listening: clock::Instant,
+    /// Whether it has answered calls.
+    serving: bool,
+    /// When it last let the state age.
+    aged: clock::Instant,
+    /// When it last surveyed presence.
+    surveyed: clock::Instant,
+    /// When it last looked at the groups.
+    planned: clock::Instant,
+    /// Whether the groups must be looked at without waiting.
+    dirty: bool,
+}
+
+/// A control instance.
+#[derive(Debug)]
+pub struct Core {
+    settings: Settings,
+    node: node::Node,
+    machine: machine::Machine,
+    /// Term of the last applied entry.
+    applied_term: number::Term,
+    applied_since_snapshot: u64,
+    bytes_since_snapshot: usize,
+    steps: steps::Steps,
+    calls: calls::Calls,
+    watches: watches::Watches,
+    holders: holders::Holders,
+    presence: presence::Presence,
+    groups: groups::Groups,
+    leadership: Option<Leadership>,
+    now: clock::Instant,
+    /// When the process was asked to stop.
+    stopping: Option<clock::Instant>,
+    /// Whether the end was announced, or the log could not be read.
+    ended: bool,
+    /// Events that wait for the node.
+    inbox: VecDeque<log_event::Event>,
+    actions: Vec<action::Action>,
+}
+
+impl Core {
+    /// A control instance over a node and the state before the node's first entry or snapshot.
+    pub fn new(
+        settings: Settings,
+        node: node::Node,
+        machine: machine::Machine,
+        now: clock::Instant,
+    ) -> Core {
+        let steps = steps::Steps::new(machine.view().version);
+        Core {
+            settings,
+            node,
+            machine,
+            applied_term: number::Term::default(),
+            applied_since_snapshot: 0,
+            bytes_since_snapshot: 0,
+            steps,
+            calls: calls::Calls::default(),
+            watches: watches::Watches::default(),
+            holders: holders::Holders::default(),
+            presence: presence::Presence::default(),
+            groups: groups::Groups::default(),
+            leadership: None,
+            now,
+            stopping: None,
+            ended: false,
+            inbox: VecDeque::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes an event and gives the actions that answer it, to be carried out in order.
+    pub fn step(&mut self, now: clock::Instant, event: event::Event) -> Vec<action::Action> {
+        if self.ended {
+            return Vec::new();
+        }
+        let before = self.now;
+        self.now = before.max(now);
+        self.note_gap(before);
+        match event {
+            event::Event::Tick => self.tell(log_event::Event::Tick),
+            event::Event::Received(packet) => self.tell(log_event::Event::Received(packet)),
+            event::Event::Persisted(mark) => self.tell(log_event::Event::Persisted(mark)),
+            event::Event::Called { call, request } => self.called(call, request),
+            event::Event::Abandoned(call) => self.abandoned(call),
+            event::Event::Stop => self.stop(),
+        }
+        self.drive();
+        self.attend();
+        self.drive();
+        mem::take(&mut self.actions)
+    }
+
+    /// The state, for tests and status pages.
+    pub fn machine(&self) -> &machine::Machine {
+        &self.machine
+    }
+
+    /// Whether this instance may answer for the fleet now.
+    ///
+    /// A cut-off leader goes on believing that it leads until it hears otherwise; the quorum lease
+    /// lapses before any other can commit, so what this instance knows is the newest while it
+    /// runs. And a new leader knows all that was ever accepted only after it has applied an entry
+    /// of its own term.
+    pub fn leads(&self) -> bool {
+        let leased = self.node.quorum_lease(self.now).is_some_and(|until| self.now < until);
+        self.node.is_leader() && leased && self.applied_term == self.node.term()
+    }
+
+    fn tell(&mut self, event: log_event::Event) {
+        self.inbox.push_back(event);
+    }
+
+    /// Hands waiting events to the node and carries out what it asks, until nothing waits.
+    fn drive(&mut self) {
+        while let Some(event) = self.inbox.pop_front() {
+            let actions = self.node.step(self.now, event);
+            for action in actions {
+                self.carry_out(action);
+            }
+            self.follow_leadership();
+        }
+    }
+
+    fn carry_out(&mut self, action: log_action::Action) {
+        match action {
+            log_action::Action::Send(packet) => self.act(action::Action::Send(packet)),
+            log_action::Action::Persist(write) => self.act(action::Action::Persist(write)),
+            log_action::Action::Apply(entry) => self.apply(entry),
+            log_action::Action::Restore(snapshot) => self.restore(snapshot),
+            log_action::Action::Proposed { ticket, index, term } => {
+                self.calls.append(ticket, index, term);
+            }
+            log_action::Action::Rejected { ticket, .. } => self.rejected(ticket),
+            log_action::Action::Notice(inner) => self.notice(notice::Notice::Log(inner)),
+        }
+    }
+
+    fn act(&mut self, action: action::Action) {
+        self.actions.push(action);
+    }
+
+    fn notice(&mut self, notice: notice::Notice) {
+        self.act(action::Action::Notice(notice));
+    }
+
+    fn reply(&mut self, call: u64, response: control::Response) {
+        self.act(action::Action::Reply { call, response });
+    }
+
+    fn fail(&mut self, reason: String) {
+        self.ended = true;
+        self.act(action::Action::Fail(reason));
+    }
+
+    /// Hands a command to the log; returns whether there was room.
+    fn propose(&mut self, purpose: calls::Purpose, command: &command::Command) -> bool {
+        let command = command::encode(command);
+        if !self.calls.has_room() || command.len() > node::COMMAND_LIMIT {
+            return false;
+        }
+        let ticket = self.calls.wait(self.now, purpose);
+        self.tell(log_event::Event::Propose { ticket, command });
+        true
+    }
+
+    fn rejected(&mut self, ticket: u64) {
+        if let Some(call) = self.calls.reject(ticket).and_then(|purpose| purpose.call()) {
+            let response = self.elsewhere();
+            self.reply(call, response);
+        }
+    }
+
+    /// Sends a caller on: the request was not taken up here.
+    fn elsewhere(&self) -> control::Response {
+        let leader = self.node.leader().filter(|leader| leader.instance != self.settings.instance);
+        let address = leader.and_then(|leader| self.settings.peers.get(&leader.instance));
+        control::Response::NotLeader(address.copied())
+    }
+}
--- /dev/null
+++ b/crates/hyssopfork-control/src/core/apply.rs
@@ -0,0 +1,177 @@
+//! What committed entries do: to the state, to watchers and to the calls that wait.
+
+use super::{Core, SNAPSHOT_BYTES, SNAPSHOT_ENTRIES};
+use crate::{calls, notice, steps};
+use hyssopfork_consensus::{event as log_event, write};
+use hyssopfork_state::{command, machine};
+use hyssopfork_wire::{change, claim, consensus, control, fleet, name, number, patch};
+
+impl Core {
+    pub(super) fn apply(&mut self, entry: consensus::Entry) {
+        if self.ended {
+            return;
+        }
+        self.applied_term = entry.term;
+        match &entry.payload {
+            consensus::Payload::Command(bytes) => self.apply_command(&entry, bytes),
+            consensus::Payload::Empty | consensus::Payload::Voters(_) => {
+                self.machine.pass(entry.index);
+            }
+        }
+        self.snapshot_when_due();
+    }
+
+    pub(super) fn restore(&mut self, snapshot: write::Snapshot) {
+        match machine::Machine::decode(&snapshot.data) {
+            Ok(machine) => {
+                self.machine = machine;
+                self.applied_term = snapshot.term;
+                self.applied_since_snapshot = 0;
+                self.bytes_since_snapshot = 0;
+                self.steps = steps::Steps::new(self.machine.view().version);
+                self.notice(notice::Notice::Restored(snapshot.index));
+            }
+            Err(error) => self.fail(error.to_string()),
+        }
+    }
+
+    fn apply_command(&mut self, entry: &consensus::Entry, bytes: &[u8]) {
+        let command = match command::decode(bytes) {
+            Ok(command) => command,
+            // Passing over it would let this instance's state differ from the others' for good.
+            Err(error) => return self.fail(error.to_string()),
+        };
+        self.bytes_since_snapshot += bytes.len();
+        let before = self.machine.view().version;
+        let applied = self.machine.apply(entry.index, &command);
+        if self.machine.view().version > before {
+            let version = self.machine.view().version;
+            self.steps.push(change::Step { version, changes: applied.changes.clone() });
+        }
+        self.note_applied(&command, &applied);
+        if let Some(purpose) = self.calls.apply(entry.index, entry.term) {
+            self.answer(purpose, applied.reply);
+        }
+        if !applied.changes.is_empty() {
+            self.leadership.iter_mut().for_each(|leadership| leadership.dirty = true);
+            self.release_watches();
+        }
+    }
+
+    fn snapshot_when_due(&mut self) {
+        self.applied_since_snapshot += 1;
+        let due = self.applied_since_snapshot >= SNAPSHOT_ENTRIES
+            || self.bytes_since_snapshot >= SNAPSHOT_BYTES;
+        if !due || self.ended {
+            return;
+        }
+        self.applied_since_snapshot = 0;
+        self.bytes_since_snapshot = 0;
+        let index = self.machine.applied();
+        let data = self.machine.encode();
+        self.notice(notice::Notice::Snapshot(index, data.len()));
+        self.tell(log_event::Event::Snapshotted { index, data });
+    }
+
+    fn answer(&mut self, purpose: calls::Purpose, reply: machine::Reply) {
+        match purpose {
+            calls::Purpose::Call(call) => {
+                let response = response(reply);
+                self.reply(call, response);
+            }
+            calls::Purpose::Renew(call, renewal) => self.answer_renewal(call, &renewal, &reply),
+            calls::Purpose::Group(group) => {
+                if let machine::Reply::Unplaceable(obstacle) = reply {
+                    self.notice(notice::Notice::Unplaceable(group, obstacle));
+                }
+            }
+            calls::Purpose::Presence(_) | calls::Purpose::Age => {}
+        }
+    }
+
+    fn answer_renewal(&mut self, call: u64, renewal: &control::Renewal, reply: &machine::Reply) {
+        if *reply == machine::Reply::Superseded {
+            return self.refuse_superseded(call, renewal);
+        }
+        self.grant(call, renewal);
+    }
+
+    /// Logs what a command came to. Only the leader does: it is the same everywhere.
+    fn note_applied(&mut self, command: &command::Command, applied: &machine::Applied) {
+        if self.leadership.is_none() {
+            return;
+        }
+        for change in &applied.changes {
+            self.note_change(command, change);
+        }
+        match (&applied.reply, command) {
+            (machine::Reply::Submitted(outcome), command::Command::Submit(patch)) => {
+                self.note_refused(patch, outcome);
+            }
+            (machine::Reply::Claimed(claim::Reply::Full), _) => {
+                self.notice(notice::Notice::ClaimsFull);
+            }
+            (machine::Reply::Aged(count), _) if *count > 0 => {
+                self.notice(notice::Notice::Expired(*count));
+            }
+            _ => {}
+        }
+    }
+
+    fn note_change(&mut self, command: &command::Command, change: &change::Change) {
+        let notice = match change {
+            change::Change::Configured { number, .. } => accepted(command, *number),
+            change::Change::Joined(member) => Some(recorded(command, member)),
+            change::Change::Forgotten(instance) => {
+                Some(notice::Notice::Forgotten(instance.clone()))
+            }
+            change::Change::Placed(group, placed) => {
+                Some(notice::Notice::Placed(group.clone(), placed.fence, placed.members.clone()))
+            }
+            change::Change::Unplaced(group) => Some(notice::Notice::Unplaced(group.clone())),
+        };
+        notice.into_iter().for_each(|notice| self.notice(notice));
+    }
+
+    fn note_refused(&mut self, patch: &patch::Patch, outcome: &patch::Outcome) {
+        let why = match outcome {
+            patch::Outcome::Accepted(_) => return,
+            patch::Outcome::Stale { .. } => "its base is not the number in force",
+            patch::Outcome::Invalid(_) => "its result breaks rules",
+            patch::Outcome::Reused => "its identifier was used with other content",
+        };
+        self.notice(notice::Notice::Refused(patch.identifier.clone(), why));
+    }
+}
+
+fn accepted(command: &command::Command, number: number::Configuration) -> Option<notice::Notice> {
+    match command {
+        command::Command::Submit(patch) => {
+            Some(notice::Notice::Accepted(number, patch.identifier.clone()))
+        }
+        _ => None,
+    }
+}
+
+fn recorded(command: &command::Command, member: &fleet::Member) -> notice::Notice {
+    let instance: name::Instance = member.announcement.instance.clone();
+    match command {
+        command::Command::Leaving { .. } => notice::Notice::Leaving(instance),
+        command::Command::Absent { .. } => notice::Notice::Absent(instance),
+        _ => notice::Notice::Joined(instance, member.incarnation),
+    }
+}
+
+fn response(reply: machine::Reply) -> control::Response {
+    match reply {
+        machine::Reply::Submitted(outcome) => control::Response::Submitted(outcome),
+        machine::Reply::Claimed(reply) => control::Response::Claimed(reply),
+        machine::Reply::Recorded => control::Response::Recorded,
+        machine::Reply::Announced(_)
+        | machine::Reply::Superseded
+        | machine::Reply::Placed(_)
+        | machine::Reply::Unplaceable(_)
+        | machine::Reply::Aged(_)
+        | machine::Reply::Done => control::Response::Unavailable,
+    }
+}
--- /dev/null
+++ b/crates/hyssopfork-control/src/groups.rs
@@ -0,0 +1,280 @@
+//! Where groups stand: what the leader knows, brought together for the placement policy, and the
+//! policy's decisions as commands.
+
+use crate::holders;
+use hyssopfork_policy::{loads, placement};
+use hyssopfork_state::{command, upstream};
+use hyssopfork_wire::{change, clock, configuration, fleet, name, number, timing};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time for which a placement counts as loading. A member that has not loaded by then is passed
+/// over for as long again. Weights of a large model at a shared store take minutes.
+pub const LOADING_LIMIT: Duration = Duration::from_secs(300);
+
+/// Time between two looks at the groups when nothing has changed.
+pub const PERIOD: Duration = Duration::from_millis(500);
+
+/// A placement as this leader has seen it.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    fence: number::Fence,
+    /// When this leader first saw it.
+    since: clock::Instant,
+}
+
+/// What the leader knows of groups besides the view; lost with its leadership.
+#[derive(Debug, Default)]
+pub struct Groups {
+    seen: BTreeMap<name::Group, Seen>,
+    /// Model that an engine last said it holds, with the boot of its agent.
+    holds: BTreeMap<name::Instance, (u64, name::Model)>,
+    /// Until when instances that did not load in time are passed over.
+    shunned: BTreeMap<name::Instance, clock::Instant>,
+}
+
+impl Groups {
+    /// Forgets all: another leader may have decided meanwhile.
+    pub fn clear(&mut self) {
+        *self = Groups::default();
+    }
+
+    /// Commands that mend, place, move and end groups now; empty when nothing can or need be done.
+    pub fn decide(
+        &mut self,
+        now: clock::Instant,
+        view: &change::View,
+        holders: &holders::Holders,
+        loads: u32,
+    ) -> Vec<command::Command> {
+        self.observe(now, view, holders);
+        let fleet = placement::Fleet {
+            instances: self.instances(now, view, holders),
+            groups: groups(view),
+            placements: self.placements(now, view, holders),
+            budget: loads::Budget { limit: loads, running: self.loading(now, view, holders) },
+        };
+        let decisions = placement::decide(&fleet);
+        decisions.into_iter().filter_map(|decision| command(view, decision)).collect()
+    }
+
+    fn observe(&mut self, now: clock::Instant, view: &change::View, holders: &holders::Holders) {
+        self.seen.retain(|group, _| view.placements.contains_key(group));
+        self.holds.retain(|instance, (boot, _)| {
+            holders.agent(instance, *boot).is_some_and(|agent| agent.report.alive)
+        });
+        self.shunned.retain(|_, until| *until > now);
+        for (group, placed) in &view.placements {
+            let fence = placed.fence;
+            let seen = self.seen.entry(group.clone()).or_insert(Seen { fence, since: now });
+            if seen.fence != fence {
+                *seen = Seen { fence, since: now };
+            }
+            let since = seen.since;
+            self.observe_members(now, view, holders, group, placed, since);
+        }
+    }
+
+    fn observe_members(
+        &mut self,
+        now: clock::Instant,
+        view: &change::View,
+        holders: &holders::Holders,
+        group: &name::Group,
+        placed: &fleet::Placement,
+        since: clock::Instant,
+    ) {
+        let Some(declared) = view.configuration.groups.get(group) else { return };
+        for instance in &placed.members {
+            let Some(agent) = agent(view, holders, instance) else { continue };
+            if agent.report.joined == placed.fence {
+                self.holds.insert(instance.clone(), (agent.boot, declared.model.clone()));
+            } else if agent.report.alive && now.since(since) >= LOADING_LIMIT {
+                // An engine that answers probes but never loads would keep its group down for
+                // good: it is neither lost nor ready. Passing over it for a while lets a spare
+                // take its place, and keeps it from being the very spare that is chosen.
+                self.shunned.entry(instance.clone()).or_insert(now + LOADING_LIMIT);
+            }
+        }
+    }
+
+    fn instances(
+        &self,
+        now: clock::Instant,
+        view: &change::View,
+        holders: &holders::Holders,
+    ) -> Vec<placement::Instance> {
+        let engines = view
+            .members
+            .values()
+            .filter(|member| member.announcement.profile.kind == configuration::Kind::Engine);
+        engines.map(|member| self.instance(now, view, holders, member)).collect()
+    }
+
+    fn instance(
+        &self,
+        now: clock::Instant,
+        view: &change::View,
+        holders: &holders::Holders,
+        member: &fleet::Member,
+    ) -> placement::Instance {
+        let announcement = &member.announcement;
+        let holds = self.holds.get(&announcement.instance);
+        placement::Instance {
+            name: announcement.instance.clone(),
+            zone: announcement.zone.clone(),
+            domain: announcement.domain.clone(),
+            pool: announcement.pool.clone(),
+            standing: self.standing(now, view, holders, member),
+            holds: holds.map(|(_, model)| model.clone()),
+        }
+    }
+
+    fn standing(
+        &self,
+        now: clock::Instant,
+        view: &change::View,
+        holders: &holders::Holders,
+        member: &fleet::Member,
+    ) -> placement::Standing {
+        let instance = &member.announcement.instance;
+        if !member.present || self.shunned.contains_key(instance) {
+            return placement::Standing::Missing;
+        }
+        let Some(agent) = agent(view, holders, instance) else {
+            return placement::Standing::Closed;
+        };
+        if !agent.report.alive {
+            return dead(now, agent);
+        }
+        match upstream::obstacle(view, instance) {
+            None => placement::Standing::Usable,
+            Some(_) => placement::Standing::Closed,
+        }
+    }
+
+    fn placements(
+        &self,
+        now: clock::Instant,
+        view: &change::View,
+        holders: &holders::Holders,
+    ) -> BTreeMap<name::Group, placement::Current> {
+        let current = |(group, placed): (&name::Group, &fleet::Placement)| {
+            let running = self.running(now, view, holders, group, placed);
+            (group.clone(), placement::Current { members: placed.members.clone(), running })
+        };
+        view.placements.iter().map(current).collect()
+    }
+
+    /// Requests that run on a group, as far as placement may know: a group that is to stay where
+    /// it stands counts as busy, so that it is not moved off closed instances.
+    fn running(
+        &self,
+        now: clock::Instant,
+        view: &change::View,
+        holders: &holders::Holders,
+        group: &name::Group,
+        placed: &fleet::Placement,
+    ) -> u32 {
+        let loading = self.is_loading(now, group)
+            && placed.members.iter().any(|member| !loaded(view, holders, member, placed.fence));
+        let kept = placed.members.iter().any(|member| is_kept(view, holders, member));
+        if loading || kept {
+            return 1;
+        }
+        let first = placed.members.first().and_then(|first| agent(view, holders, first));
+        first.map_or(1, |agent| agent.report.running)
+    }
+
+    fn is_loading(&self, now: clock::Instant, group: &name::Group) -> bool {
+        self.seen.get(group).is_some_and(|seen| now.since(seen.since) < LOADING_LIMIT)
+    }
+
+    /// Members that load weights now.
+    fn loading(&self, now: clock::Instant, view: &change::View, holders: &holders::Holders) -> u32 {
+        let mut count = 0;
+        for (group, placed) in &view.placements {
+            if !self.is_loading(now, group) {
+                continue;
+            }
+            let Some(declared) = view.configuration.groups.get(group) else { continue };
+            let loads = |member: &&name::Instance| {
+                let holds = self.holds.get(*member).map(|(_, model)| model);
+                let lost = view.members.get(*member).is_none_or(|member| !member.present);
+                !lost && holds != Some(&declared.model)
+            };
+            let waiting = placed.members.iter().filter(loads);
+            let waiting = waiting.filter(|member| !loaded(view, holders, member, placed.fence));
+            count += waiting.count() as u32;
+        }
+        count
+    }
+}
+
+/// The command of a decision; `None` when it is about a placement that isn't there.
+fn command(view: &change::View, decision: placement::Decision) -> Option<command::Command> {
+    match decision {
+        placement::Decision::Place { group, members } => {
+            let over = view.placements.get(&group).map(|placed| placed.fence);
+            Some(command::Command::Place { group, members, over })
+        }
+        placement::Decision::Unplace(group) => {
+            let fence = view.placements.get(&group)?.fence;
+            Some(command::Command::Unplace { group, fence })
+        }
+    }
+}
+
+fn groups(view: &change::View) -> Vec<placement::Group> {
+    let group = |(name, declared): (&name::Group, &configuration::Group)| placement::Group {
+        name: name.clone(),
+        pool: declared.pool.clone(),
+        model: declared.model.clone(),
+        size: declared.size,
+        priority: declared.priority,
+    };
+    view.configuration.groups.iter().map(group).collect()
+}
+
+/// What the recorded agent of an instance last reported.
+fn agent<'a>(
+    view: &change::View,
+    holders: &'a holders::Holders,
+    instance: &name::Instance,
+) -> Option<&'a holders::Agent> {
+    let member = view.members.get(instance)?;
+    holders.agent(instance, member.announcement.boot)
+}
+
+fn loaded(
+    view: &change::View,
+    holders: &holders::Holders,
+    instance: &name::Instance,
+    fence: number::Fence,
+) -> bool {
+    agent(view, holders, instance).is_some_and(|agent| agent.report.joined >= fence)
+}
+
+/// An engine that was alive and is not is lost. One that has not answered yet is given time: its
+/// agent has only just started and has probed nothing.
+fn dead(now: clock::Instant, agent: &holders::Agent) -> placement::Standing {
+    if agent.was_alive || now.since(agent.since) >= timing::PRESENCE_LIMIT {
+        placement::Standing::Missing
+    } else {
+        placement::Standing::Closed
+    }
+}
+
+/// Whether a member keeps its group where it stands although it takes no work: its zone is out
+/// (it comes back with its weights), or nothing is known of it yet.
+fn is_kept(view: &change::View, holders: &holders::Holders, instance: &name::Instance) -> bool {
+    let zone = matches!(
+        upstream::obstacle(view, instance),
+        Some(
+            upstream::Obstacle::ZoneOut
+                | upstream::Obstacle::ZoneNotAllowed
+                | upstream::Obstacle::ZoneUndeclared
+        )
+    );
+    zone || agent(view, holders, instance).is_none_or(|agent| !agent.report.alive)
+}
