--- a/crates/hyssopfork-control/src/core.rs
+++ b/crates/hyssopfork-control/src/core.rs
@@ -38,6 +38,18 @@
     pub peers: BTreeMap<name::Instance, net::SocketAddr>,
     /// Weight loads that the store serves at full speed at once.
     pub loads: u32,
+    /// Entries applied between two snapshots.
+    pub snapshot_entries: u64,
+}
+
+impl Settings {
+    /// Settings with the figures of this module.
+    pub fn new(
+        instance: name::Instance,
+        peers: BTreeMap<name::Instance, net::SocketAddr>,
+    ) -> Settings {
+        Settings { instance, peers, loads: LOADS, snapshot_entries: SNAPSHOT_ENTRIES }
+    }
 }
 
 /// What a leader keeps for the time that it leads.
--- a/crates/hyssopfork-control/src/core/apply.rs
+++ b/crates/hyssopfork-control/src/core/apply.rs
@@ -1,6 +1,6 @@
 //! What committed entries do: to the state, to watchers and to the calls that wait.
 
-use super::{Core, SNAPSHOT_BYTES, SNAPSHOT_ENTRIES};
+use super::{Core, SNAPSHOT_BYTES};
 use crate::{calls, notice, steps};
 use hyssopfork_consensus::{event as log_event, write};
 use hyssopfork_state::{command, machine};
@@ -60,7 +60,7 @@
 
     fn snapshot_when_due(&mut self) {
         self.applied_since_snapshot += 1;
-        let due = self.applied_since_snapshot >= SNAPSHOT_ENTRIES
+        let due = self.applied_since_snapshot >= self.settings.snapshot_entries
             || self.bytes_since_snapshot >= SNAPSHOT_BYTES;
         if !due || self.ended {
             return;
