--- /dev/null
+++ b/crates/hyssopfork-control/tests/histories/holder.rs
@@ -0,0 +1,157 @@
+//! Agents and entries that renew leases, watch, restart and check what they are told.
+
+use crate::histories::{client, slot};
+use hyssopfork_state::{upstream, view};
+use hyssopfork_wire::{change, clock, configuration, control, fleet, name, number, timing};
+use rand::RngExt;
+use std::net;
+
+pub struct Holder {
+    pub instance: name::Instance,
+    agent: bool,
+    clock: slot::Clock,
+    boot: u64,
+    pub view: change::View,
+    /// Until when the lease runs, on the holder's clock.
+    lease: clock::Instant,
+    renewing: Option<u64>,
+    watching: bool,
+    down_until: u64,
+    /// Newest fencing number loaded.
+    joined: number::Fence,
+}
+
+/// The first four are agents, the others entries.
+pub fn new(index: u64, clock: slot::Clock) -> Holder {
+    Holder {
+        instance: name::Instance::new(format!("a{index}")),
+        agent: index < 4,
+        clock,
+        boot: 1,
+        view: change::View::default(),
+        lease: clock::Instant::ORIGIN,
+        renewing: None,
+        watching: false,
+        down_until: 0,
+        joined: number::Fence(0),
+    }
+}
+
+impl Holder {
+    pub fn wake(&mut self, now: u64) -> (Vec<control::Request>, u64) {
+        let renewal = timing::RENEWAL.as_micros() as u64;
+        let mut requests = Vec::new();
+        if now < self.down_until {
+            return (requests, renewal);
+        }
+        if self.renewing.is_none_or(|sent| now >= sent + renewal) {
+            self.renewing = Some(now);
+            requests.push(control::Request::Renew(self.renewal()));
+        }
+        if !self.watching {
+            self.watching = true;
+            requests.push(control::Request::Watch(self.view.version));
+        }
+        (requests, renewal / 10)
+    }
+
+    pub fn answered(
+        &mut self,
+        now: u64,
+        ask: client::Ask,
+        response: Option<control::Response>,
+        versions: &client::Versions,
+    ) {
+        match &ask.request {
+            control::Request::Watch(_) => self.watching = false,
+            control::Request::Renew(renewal) if !self.is_own(renewal) => return,
+            _ => self.renewing = self.renewing.filter(|sent| *sent != ask.sent),
+        }
+        if now < self.down_until {
+            return;
+        }
+        match response {
+            Some(control::Response::Granted(grant)) => {
+                let lease = self.clock.local(ask.sent) + grant.term;
+                self.lead(grant.update, versions);
+                self.lease = self.lease.max(lease);
+            }
+            Some(control::Response::Updated(update)) => self.lead(update, versions),
+            _ => {}
+        }
+    }
+
+    /// Its process ends, is down for a while and comes back with nothing.
+    pub fn restart(&mut self, now: u64, random: &mut rand_chacha::ChaCha8Rng) {
+        let clock = self.clock;
+        let (instance, agent, boot) = (self.instance.clone(), self.agent, self.boot + 1);
+        *self = Holder { instance, agent, boot, ..new(0, clock) };
+        self.down_until = now + random.random_range(0..4_000_000);
+    }
+
+    pub fn check_lease(&self, now: u64, in_force: number::Version) {
+        let leased = self.clock.local(now) < self.lease && now >= self.down_until;
+        assert!(
+            !leased || self.view.version >= in_force,
+            "{} holds a lease on version {} while {in_force} must be in force",
+            self.instance,
+            self.view.version
+        );
+    }
+
+    fn lead(&mut self, update: change::Update, versions: &client::Versions) {
+        let before = self.view.version;
+        // Steps up to the version that it asked from may all be known by now: nothing to take.
+        if view::lead(&mut self.view, update).is_err() {
+            return;
+        }
+        assert!(self.view.version >= before, "a version went down");
+        let known = versions.get(&self.view.version).map(|(_, view)| view);
+        assert!(
+            self.view.version == number::Version(0) || known == Some(&self.view),
+            "{} holds a view of version {} that no instance has",
+            self.instance,
+            self.view.version
+        );
+        let placed = upstream::placement(&self.view, &self.instance);
+        self.joined = placed.map_or(self.joined, |(_, placement, _)| placement.fence);
+    }
+
+    fn is_own(&self, renewal: &control::Renewal) -> bool {
+        match &renewal.holder {
+            control::Holder::Agent(announcement, _) => announcement.boot == self.boot,
+            control::Holder::Entry(_) => true,
+        }
+    }
+
+    fn renewal(&self) -> control::Renewal {
+        let holder = if self.agent {
+            let report = fleet::Report { alive: true, joined: self.joined, ..Default::default() };
+            control::Holder::Agent(Box::new(self.announcement()), report)
+        } else {
+            control::Holder::Entry(self.instance.clone())
+        };
+        control::Renewal { holder, have: self.view.version, leaving: false }
+    }
+
+    fn announcement(&self) -> fleet::Announcement {
+        let address = net::SocketAddr::from(([127, 0, 0, 1], 1));
+        fleet::Announcement {
+            instance: self.instance.clone(),
+            zone: "zone-a".into(),
+            domain: "d1".into(),
+            pool: "engines".into(),
+            traffic: address,
+            peer: address,
+            profile: fleet::Profile {
+                kind: configuration::Kind::Engine,
+                checks_fence: true,
+                resumes: true,
+                cancels: true,
+                accelerators: 8,
+                concurrency: 4,
+            },
+            boot: self.boot,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hyssopfork-control/tests/histories/world.rs
@@ -0,0 +1,287 @@
+//! True time, the network, faults, and what every moment must show.
+
+use crate::histories::{claimer, client, holder, operator, slot};
+use hyssopfork_control::{action, event};
+use hyssopfork_wire::{change, consensus, control, number, timing};
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+const SECOND: u64 = 1_000_000;
+/// When faults end.
+pub const HEALED: u64 = 16 * SECOND;
+/// When the run ends.
+const END: u64 = 28 * SECOND;
+const TIMEOUT: u64 = SECOND;
+
+enum Happening {
+    Tick(usize),
+    Arrive(consensus::Packet),
+    Synced { slot: usize, boot: u64, mark: u64 },
+    Call { slot: usize, call: u64, request: control::Request },
+    Answer { call: u64, response: control::Response },
+    Timeout(u64),
+    Wake(usize),
+    Fault,
+    Start(usize),
+}
+
+struct Asked {
+    client: usize,
+    slot: usize,
+    ask: client::Ask,
+}
+
+/// A run.
+pub struct World {
+    pub random: rand_chacha::ChaCha8Rng,
+    pub now: u64,
+    pub slots: Vec<slot::Slot>,
+    pub clients: Vec<client::Client>,
+    /// Each version's first application anywhere, and its view.
+    pub versions: BTreeMap<number::Version, (u64, change::View)>,
+    queue: BTreeMap<(u64, u64), Happening>,
+    sequence: u64,
+    calls: BTreeMap<u64, Asked>,
+    /// Pairs of control instances that cannot reach each other.
+    cut: BTreeSet<(usize, usize)>,
+    wiped: bool,
+}
+
+/// Runs a seed to its end and gives the world for the checks over the whole history.
+pub fn run(seed: u64) -> World {
+    let mut world = World::new(seed);
+    while let Some(((at, _), happening)) = world.queue.pop_first() {
+        if at > END {
+            break;
+        }
+        world.now = at;
+        world.happen(happening);
+    }
+    world
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+        let mut clocks = || slot::Clock {
+            offset: random.random_range(0..1_000 * SECOND),
+            rate: random.random_range(-slot::RATE_SPREAD_PPM..=slot::RATE_SPREAD_PPM),
+        };
+        let slots = (0..3).map(|index| slot::Slot::new(index, clocks())).collect();
+        let mut clients = Vec::new();
+        clients.extend((0..3).map(|index| client::Client::Operator(operator::new(index))));
+        clients.extend((0..3).map(|index| client::Client::Claimer(claimer::new(index))));
+        clients.extend((0..6).map(|index| client::Client::Holder(holder::new(index, clocks()))));
+        let mut world = World {
+            random,
+            now: 0,
+            slots,
+            clients,
+            versions: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            calls: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            wiped: false,
+        };
+        (0..3).for_each(|index| world.at(0, Happening::Start(index)));
+        (0..world.clients.len()).for_each(|client| world.at(100_000, Happening::Wake(client)));
+        world.at(SECOND, Happening::Fault);
+        world
+    }
+
+    fn at(&mut self, delay: u64, happening: Happening) {
+        self.sequence += 1;
+        self.queue.insert((self.now + delay, self.sequence), happening);
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Start(slot) => {
+                let seed = self.random.random();
+                self.slots[slot].start(self.now, seed);
+                self.at(0, Happening::Tick(slot));
+            }
+            Happening::Tick(slot) if self.slots[slot].core.is_some() => {
+                self.step(slot, event::Event::Tick, Happening::Tick(slot));
+            }
+            Happening::Arrive(packet) => {
+                let slot = index(&packet.to);
+                let event = event::Event::Received(packet.clone());
+                self.step(slot, event, Happening::Arrive(packet));
+            }
+            Happening::Synced { slot, boot, mark } if self.slots[slot].boot == boot => {
+                self.slots[slot].sync(mark);
+                let event = event::Event::Persisted(mark);
+                self.step(slot, event, Happening::Synced { slot, boot, mark });
+            }
+            Happening::Call { slot, call, request } => {
+                let event = event::Event::Called { call, request: request.clone() };
+                self.step(slot, event, Happening::Call { slot, call, request });
+            }
+            Happening::Answer { call, response } => self.answered(call, Some(response)),
+            Happening::Timeout(call) => self.answered(call, None),
+            Happening::Wake(client) => self.wake(client),
+            Happening::Fault => self.fault(),
+            Happening::Tick(_) | Happening::Synced { .. } => {}
+        }
+    }
+
+    /// Steps a control instance, later if it is paused.
+    fn step(&mut self, slot: usize, event: event::Event, again: Happening) {
+        let paused = self.slots[slot].paused_until;
+        if paused > self.now {
+            return self.at(paused - self.now, again);
+        }
+        if matches!(again, Happening::Tick(_)) {
+            self.at(20_000, again);
+        }
+        let actions = self.slots[slot].step(self.now, event);
+        self.note_version(slot);
+        self.check_leases();
+        actions.into_iter().for_each(|action| self.carry_out(slot, action));
+    }
+
+    fn carry_out(&mut self, slot: usize, action: action::Action) {
+        match action {
+            action::Action::Send(packet) => {
+                let to = index(&packet.to);
+                let cut = self.cut.contains(&(slot.min(to), slot.max(to)));
+                if !cut && !self.lost() {
+                    let delay = self.delay();
+                    self.at(delay, Happening::Arrive(packet));
+                }
+            }
+            action::Action::Persist(write) => {
+                let (boot, mark) = (self.slots[slot].boot, write.mark);
+                self.slots[slot].write(write);
+                let delay = self.random.random_range(100..3_000);
+                self.at(delay, Happening::Synced { slot, boot, mark });
+            }
+            action::Action::Reply { call, response } => {
+                if !self.lost() {
+                    let delay = self.delay();
+                    self.at(delay, Happening::Answer { call, response });
+                }
+            }
+            action::Action::Fail(reason) => panic!("{reason}"),
+            action::Action::Notice(_) | action::Action::Stopped => {}
+        }
+    }
+
+    fn lost(&mut self) -> bool {
+        self.now < HEALED && self.random.random_range(0..100) < 3
+    }
+
+    fn delay(&mut self) -> u64 {
+        let late = self.now < HEALED && self.random.random_range(0..100) < 2;
+        self.random.random_range(if late { 0..1_500_000 } else { 100..2_000 })
+    }
+
+    fn wake(&mut self, client: usize) {
+        let (asks, again) = self.clients[client].wake(self.now, &mut self.random);
+        for ask in asks {
+            self.ask(client, ask);
+        }
+        self.at(again, Happening::Wake(client));
+    }
+
+    fn ask(&mut self, client: usize, ask: client::Ask) {
+        self.sequence += 1;
+        let call = self.sequence;
+        let slot = self.random.random_range(0..3);
+        let request = ask.request.clone();
+        self.calls.insert(call, Asked { client, slot, ask });
+        if !self.lost() {
+            let delay = self.delay();
+            self.at(delay, Happening::Call { slot, call, request });
+        }
+        self.at(TIMEOUT * 6, Happening::Timeout(call));
+    }
+
+    fn answered(&mut self, call: u64, response: Option<control::Response>) {
+        let Some(asked) = self.calls.remove(&call) else { return };
+        if response.is_none() {
+            self.step(asked.slot, event::Event::Abandoned(call), Happening::Timeout(call));
+        }
+        let versions = &self.versions;
+        self.clients[asked.client].answered(self.now, asked.ask, response, versions);
+    }
+
+    fn fault(&mut self) {
+        if self.now >= HEALED {
+            self.cut.clear();
+            self.slots.iter_mut().for_each(|slot| slot.paused_until = 0);
+            return;
+        }
+        let slot = self.random.random_range(0..3);
+        match self.random.random_range(0..12) {
+            0..4 => {
+                let other = (slot + 1) % 3;
+                self.cut.insert((slot.min(other), slot.max(other)));
+                if self.random.random_bool(0.5) {
+                    let third = (slot + 2) % 3;
+                    self.cut.insert((slot.min(third), slot.max(third)));
+                }
+            }
+            4..7 => self.cut.clear(),
+            7..9 => {
+                self.slots[slot].paused_until =
+                    self.now + self.random.random_range(100_000..2_500_000);
+            }
+            9..11 => self.crash(slot),
+            _ => {
+                let holders = self.clients.len() - 6;
+                let client = holders + self.random.random_range(0..6);
+                self.clients[client].restart(self.now, &mut self.random);
+            }
+        }
+        let next = self.random.random_range(100_000..1_500_000);
+        let next = next.min(HEALED.saturating_sub(self.now).max(1));
+        self.at(next, Happening::Fault);
+    }
+
+    fn crash(&mut self, slot: usize) {
+        if self.slots[slot].core.is_none() {
+            return;
+        }
+        let kept = self.random.random_range(0..3);
+        self.slots[slot].crash(kept);
+        self.slots[slot].paused_until = 0;
+        let others = (0..3).filter(|other| *other != slot);
+        let alone = others.into_iter().all(|other| self.slots[other].core.is_some());
+        if alone && !self.wiped && self.random.random_bool(0.3) {
+            self.wiped = true;
+            let folder = self.random.random_range(100..u64::MAX);
+            self.slots[slot].wipe(folder);
+        }
+        let delay = self.random.random_range(50_000..2_000_000);
+        self.at(delay, Happening::Start(slot));
+    }
+
+    /// Every instance that applies a version must come to the same view.
+    fn note_version(&mut self, slot: usize) {
+        let Some(core) = &self.slots[slot].core else { return };
+        let view = core.machine().view();
+        let known = self.versions.entry(view.version).or_insert_with(|| (self.now, view.clone()));
+        if known.1 != *view {
+            panic!("{} has another view of version {}", self.slots[slot].name, view.version);
+        }
+    }
+
+    /// No holder may act on a view older than what was accepted more than the bound ago.
+    fn check_leases(&self) {
+        let bound = timing::IN_FORCE_BOUND.as_micros() as u64;
+        let in_force = self.versions.iter().rev().find(|(_, (at, _))| at + bound < self.now);
+        let Some((in_force, _)) = in_force else { return };
+        for client in &self.clients {
+            if let client::Client::Holder(holder) = client {
+                holder.check_lease(self.now, *in_force);
+            }
+        }
+    }
+}
+
+fn index(instance: &hyssopfork_wire::name::Instance) -> usize {
+    slot::names().iter().position(|name| name == instance).expect("a control instance")
+}
