Read settings whole and write numbered events and metrics

Cause: every process needs its settings before anything else, and a file with several faults should be mended in one go. The text is parsed to a syntax tree with offsets (jsonc-parser) and each section asks for its keys by type; what is wrong is noted with line and column, and keys nobody asked for are refused with the nearest known one.

Ruled out: deserialising with serde stops at the first fault and loses the place. A broken syntax still reports one fault only, the parser's first.

Log format and level are owned by telemetry and read by settings, so that they stand once.

--- /dev/null
+++ b/crates/hyssopfork-settings/src/agent.rs
@@ -0,0 +1,58 @@
+//! The `agent` section.
+
+use crate::section;
+use hyssopfork_wire::{configuration, fleet, name};
+use std::net;
+
+/// The section.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Agent {
+    /// Where entries bring attempts (HTTP); announced as written.
+    pub traffic_listen: net::SocketAddr,
+    /// Where the agents of the same group call (tarpc); announced as written.
+    pub peer_listen: net::SocketAddr,
+    /// Pool that the upstream offers itself to.
+    pub pool: name::Pool,
+    /// Fabric domain of the instance.
+    pub domain: name::Domain,
+    /// Where the upstream listens (HTTP).
+    pub upstream: net::SocketAddr,
+    /// What the upstream can do.
+    pub profile: fleet::Profile,
+}
+
+const LIMIT: u64 = 1 << 16;
+
+/// Reads the section.
+pub fn read(section: section::Section<'_>) -> Option<Agent> {
+    let traffic_listen = section.reachable("traffic_listen");
+    let peer_listen = section.reachable("peer_listen");
+    let pool = section.name("pool").map(name::Pool::from);
+    let domain = section.name("domain").map(name::Domain::from);
+    let upstream = section.reachable("upstream");
+    let profile = section.section("profile");
+    if profile.is_none() && !section.has("profile") {
+        section.fault("profile", "\"agent.profile\" is missing; add it");
+    }
+    let profile = profile.and_then(read_profile);
+    section.finish();
+    Some(Agent {
+        traffic_listen: traffic_listen?,
+        peer_listen: peer_listen?,
+        pool: pool?,
+        domain: domain?,
+        upstream: upstream?,
+        profile: profile?,
+    })
+}
+
+fn read_profile(section: section::Section<'_>) -> Option<fleet::Profile> {
+    let kind: Option<configuration::Kind> = section.required_word("kind", &["engine", "service"]);
+    let checks_fence = section.flag("checks_fence");
+    let resumes = section.flag("resumes");
+    let cancels = section.flag("cancels");
+    let accelerators = section.number("accelerators", 0, 0..=LIMIT) as u32;
+    let concurrency = section.required_number("concurrency", 1..=LIMIT) as u32;
+    section.finish();
+    Some(fleet::Profile { kind: kind?, checks_fence, resumes, cancels, accelerators, concurrency })
+}
--- /dev/null
+++ b/crates/hyssopfork-settings/src/entry.rs
@@ -0,0 +1,52 @@
+//! The `entry` section.
+
+use crate::section;
+use std::net;
+use std::time::Duration;
+
+/// The section.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Where callers connect (HTTP).
+    pub listen: net::SocketAddr,
+    /// Longest request body, in bytes.
+    pub body_limit_bytes: u64,
+    /// Time that a caller has to send a request's head.
+    pub head_timeout: Duration,
+    /// Time that a caller has to send a request's body.
+    pub body_timeout: Duration,
+    /// Time that an idle connection is kept open.
+    pub keep_alive: Duration,
+    /// Most connections of callers at once.
+    pub connection_limit: u64,
+}
+
+/// Default of `body_limit_bytes`.
+pub const BODY_LIMIT_BYTES: u64 = 1 << 20;
+/// Default of `head_timeout_ms`.
+pub const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Default of `body_timeout_ms`.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Default of `keep_alive_ms`.
+pub const KEEP_ALIVE: Duration = Duration::from_secs(30);
+/// Default of `connection_limit`.
+pub const CONNECTION_LIMIT: u64 = 4096;
+
+/// Reads the section.
+pub fn read(section: section::Section<'_>) -> Option<Entry> {
+    let listen = section.address("listen");
+    let body_limit_bytes = section.number("body_limit_bytes", BODY_LIMIT_BYTES, 1..=1 << 26);
+    let head_timeout = section.millis("head_timeout_ms", HEAD_TIMEOUT, 1..=60_000);
+    let body_timeout = section.millis("body_timeout_ms", BODY_TIMEOUT, 1..=600_000);
+    let keep_alive = section.millis("keep_alive_ms", KEEP_ALIVE, 1..=3_600_000);
+    let connection_limit = section.number("connection_limit", CONNECTION_LIMIT, 1..=1 << 20);
+    section.finish();
+    Some(Entry {
+        listen: listen?,
+        body_limit_bytes,
+        head_timeout,
+        body_timeout,
+        keep_alive,
+        connection_limit,
+    })
+}
--- /dev/null
+++ b/crates/hyssopfork-settings/src/log.rs
@@ -0,0 +1,22 @@
+//! The `log` section.
+
+use crate::section;
+use hyssopfork_telemetry::log;
+
+/// The section.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Log {
+    /// How lines are written.
+    pub format: log::Format,
+    /// Least severity that is written.
+    pub level: log::Level,
+}
+
+/// Reads the section.
+pub fn read(section: section::Section<'_>) -> Log {
+    let format = section.word("format", log::Format::default(), &["json", "text"]);
+    let levels = ["error", "warn", "info", "debug", "trace"];
+    let level = section.word("level", log::Level::default(), &levels);
+    section.finish();
+    Log { format, level }
+}
--- /dev/null
+++ b/crates/hyssopfork-settings/tests/settings.rs
@@ -0,0 +1,189 @@
+//! Reading settings: defaults, every fault at once, what each role needs.
+
+use hyssopfork_settings::{error, fault, log, settings};
+use std::net;
+
+fn agent_text(agent: &str) -> String {
+    format!(
+        r#"{{
+  "instance": "runner-1", "zone": "ikeja", "roles": ["agent"],
+  "control_addresses": ["127.0.0.1:7100"],
+  "agent": {agent},
+  "metrics_listen": "127.0.0.1:0"
+}}"#
+    )
+}
+
+const AGENT: &str = r#"{
+    "traffic_listen": "127.0.0.1:7200", "peer_listen": "127.0.0.1:7201",
+    "pool": "hyssop-pool", "domain": "ikeja-1", "upstream": "127.0.0.1:9000",
+    "profile": { "kind": "engine", "concurrency": 8 }
+  }"#;
+
+fn faults(text: &str) -> Vec<fault::Fault> {
+    match settings::parse(text) {
+        Err(error::Error::Faulty(faults)) => faults,
+        other => panic!("expected faults, got {other:?}"),
+    }
+}
+
+fn messages(text: &str) -> Vec<String> {
+    faults(text).into_iter().map(|fault| fault.message).collect()
+}
+
+#[test]
+fn default_text_parses_with_the_documented_defaults() {
+    let text = settings::default_text();
+
+    let parsed = settings::parse(text).expect("the default file is whole");
+
+    let entry = parsed.entry.expect("the default file holds every role");
+    assert_eq!(entry.body_limit_bytes, hyssopfork_settings::entry::BODY_LIMIT_BYTES);
+    assert_eq!(entry.head_timeout, hyssopfork_settings::entry::HEAD_TIMEOUT);
+    assert_eq!(entry.body_timeout, hyssopfork_settings::entry::BODY_TIMEOUT);
+    assert_eq!(entry.keep_alive, hyssopfork_settings::entry::KEEP_ALIVE);
+    assert_eq!(entry.connection_limit, hyssopfork_settings::entry::CONNECTION_LIMIT);
+    assert_eq!(parsed.stop_limit, hyssopfork_wire::timing::STOP_LIMIT);
+    assert_eq!(parsed.log, log::Log::default());
+    assert_eq!(parsed.threads, 1);
+}
+
+#[test]
+fn absent_keys_take_the_values_of_the_default_text() {
+    let text = agent_text(AGENT);
+
+    let parsed = settings::parse(&text).expect("optional keys may be left out");
+
+    let defaults = settings::parse(settings::default_text()).expect("the default file is whole");
+    assert_eq!(parsed.log, defaults.log);
+    assert_eq!(parsed.threads, defaults.threads);
+    assert_eq!(parsed.stop_limit, defaults.stop_limit);
+    assert_eq!(parsed.control, None);
+    assert_eq!(parsed.entry, None);
+    let address: net::SocketAddr = "127.0.0.1:9000".parse().expect("a literal");
+    assert_eq!(parsed.agent.expect("the role is held").upstream, address);
+}
+
+#[test]
+fn every_fault_is_reported_at_once_with_line_and_column() {
+    let text = r#"{
+  "instance": "Runner 1", // capital letter and blank
+  "zone": "ikeja",
+  "roles": ["entry"],
+  "control_addresses": ["localhost:7100"],
+  "entry": { "listen": "127.0.0.1:80800", "body_limit_bytes": 0 },
+  "metrics_listen": 7
+}"#;
+
+    let found = faults(text);
+
+    let places: Vec<(usize, usize)> =
+        found.iter().map(|fault| (fault.line, fault.column)).collect();
+    assert_eq!(places, [(2, 15), (5, 25), (6, 24), (6, 63), (7, 21)]);
+}
+
+#[test]
+fn columns_count_characters_and_not_bytes() {
+    let text = "{ /* äöü */ \"zone\": 1 }";
+
+    let found = faults(text);
+
+    assert!(found.iter().any(|fault| fault.line == 1 && fault.column == 21));
+}
+
+#[test]
+fn unknown_key_names_the_nearest_known_one() {
+    let text = agent_text(&AGENT.replace("upstream", "upstraem"));
+
+    let found = messages(&text);
+
+    let wanted = "\"agent.upstraem\" is unknown; did you mean \"upstream\"?";
+    assert!(found.iter().any(|message| message == wanted), "{found:?}");
+}
+
+#[test]
+fn unknown_key_far_from_all_lists_the_known_ones() {
+    let text = agent_text(&AGENT.replace("\"concurrency\": 8", "\"concurrency\": 8, \"zz\": 1"));
+
+    let found = messages(&text);
+
+    assert_eq!(found.len(), 1);
+    assert!(found[0].starts_with("\"agent.profile.zz\" is unknown"), "{found:?}");
+}
+
+#[test]
+fn key_that_stands_twice_is_refused() {
+    let text = agent_text(&AGENT.replace("\"pool\"", "\"domain\": \"x\", \"pool\""));
+
+    let found = messages(&text);
+
+    assert_eq!(found, ["\"agent.domain\" stands twice; keep one"]);
+}
+
+#[test]
+fn role_without_its_section_is_refused() {
+    let text = r#"{
+  "instance": "a", "zone": "z", "roles": ["control", "entry"],
+  "control_addresses": ["127.0.0.1:1"], "metrics_listen": "127.0.0.1:0"
+}"#;
+
+    let found = messages(text);
+
+    let control = "\"control\" is missing; the role control needs it".to_owned();
+    let entry = "\"entry\" is missing; the role entry needs it".to_owned();
+    assert!(found.contains(&control) && found.contains(&entry), "{found:?}");
+}
+
+#[test]
+fn section_without_its_role_is_refused() {
+    let text = agent_text(AGENT).replace("[\"agent\"]", "[\"entry\"]");
+
+    let found = messages(&text);
+
+    let wanted = "\"agent\" stands here without the role; add the role or remove it";
+    assert!(found.iter().any(|message| message == wanted), "{found:?}");
+}
+
+#[test]
+fn announced_wildcard_address_is_refused() {
+    let text = agent_text(&AGENT.replace("127.0.0.1:7201", "0.0.0.0:7201"));
+
+    let found = messages(&text);
+
+    assert_eq!(found.len(), 1);
+    assert!(found[0].contains("others can reach"), "{found:?}");
+}
+
+#[test]
+fn even_number_of_voters_and_a_list_without_this_instance_are_refused() {
+    let text = r#"{
+  "instance": "c", "zone": "z", "roles": ["control"], "metrics_listen": "127.0.0.1:0",
+  "control": { "listen": "127.0.0.1:1", "data_folder": "/tmp/x", "voters": [
+    { "instance": "a", "address": "127.0.0.1:1" }, { "instance": "b", "address": "127.0.0.1:2" }
+  ] }
+}"#;
+
+    let found = messages(text);
+
+    assert_eq!(found.len(), 2, "{found:?}");
+}
+
+#[test]
+fn broken_json_is_reported_with_its_place() {
+    let text = "{\n  \"instance\": \"a\"\n  \"zone\": \"z\"\n}";
+
+    let found = faults(text);
+
+    assert_eq!(found.len(), 1);
+    assert_eq!(found[0].line, 2, "{found:?}");
+    assert!(found[0].message.starts_with("not JSON with comments"));
+}
+
+#[test]
+fn unreadable_file_names_its_path() {
+    let path = std::path::Path::new("/nonexistent/hyssopfork.jsonc");
+
+    let error = settings::read(path).expect_err("there is no such file");
+
+    assert!(error.to_string().contains("/nonexistent/hyssopfork.jsonc"));
+}
--- a/crates/hyssopfork-telemetry/src/lib.rs
+++ b/crates/hyssopfork-telemetry/src/lib.rs
@@ -1,1 +1,5 @@
-//! Numbered events, logs and histograms.
+//! What operators see of a process: numbered log events and metrics.
+
+pub mod label;
+pub mod log;
+pub mod metrics;
--- /dev/null
+++ b/crates/hyssopfork-telemetry/tests/metrics.rs
@@ -0,0 +1,68 @@
+//! What a process's metrics say.
+
+use hyssopfork_telemetry::metrics;
+use hyssopfork_wire::{configuration, name, number, refusal};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+const CLASS: configuration::Class = configuration::Class::Interactive;
+
+fn team() -> name::Team {
+    name::Team::from("lagos-steel")
+}
+
+#[test]
+fn times_are_kept_for_each_team_and_class() {
+    let registry = metrics::Registry::new();
+
+    registry.answered(&team(), CLASS, Duration::from_millis(20));
+    registry.answered(&name::Team::from("other"), CLASS, Duration::from_millis(20));
+
+    let text = registry.encode();
+    let wanted = "hyssopfork_whole_seconds_count{team=\"lagos-steel\",class=\"interactive\"} 1";
+    assert!(text.contains(wanted), "{text}");
+}
+
+#[test]
+fn refusals_tell_reason_and_whether_work_ran() {
+    let registry = metrics::Registry::new();
+    let refusal = refusal::Refusal::not_run(refusal::Reason::Overloaded, None);
+
+    registry.refused(Some(&team()), &refusal);
+
+    let text = registry.encode();
+    let wanted = "hyssopfork_refusals_total{team=\"lagos-steel\",reason=\"overloaded\",\
+                  ran=\"not_run\"} 1";
+    assert!(text.contains(wanted), "{text}");
+}
+
+#[test]
+fn gauges_show_what_is_in_force() {
+    let registry = metrics::Registry::new();
+
+    registry.in_force(number::Configuration(7), number::Version(41));
+    registry.lease_age(Duration::from_millis(1_500));
+    registry.consensus(number::Term(3), number::Index(99), true);
+
+    let text = registry.encode();
+    assert!(text.contains("hyssopfork_configuration_number 7\n"), "{text}");
+    assert!(text.contains("hyssopfork_lease_age_seconds 1.5\n"), "{text}");
+    assert!(text.contains("hyssopfork_consensus_leads 1\n"), "{text}");
+}
+
+#[test]
+fn counts_from_several_threads_are_all_kept() {
+    let registry = Arc::new(metrics::Registry::new());
+
+    let threads: Vec<_> = (0..4).map(|_| spawn_counting(registry.clone())).collect();
+    threads.into_iter().for_each(|thread| thread.join().expect("no thread panics"));
+
+    let text = registry.encode();
+    let wanted = "hyssopfork_retries_total{team=\"lagos-steel\",class=\"interactive\"} 4000";
+    assert!(text.contains(wanted), "{text}");
+}
+
+fn spawn_counting(registry: Arc<metrics::Registry>) -> thread::JoinHandle<()> {
+    thread::spawn(move || (0..1_000).for_each(|_| registry.retried(&team(), CLASS)))
+}
