Tell cut answers from whole ones: awc does not, so add an exchange of our own

Cause: the first test of the fake engine's cut failed: a stream broken off after two events came back from awc as a clean, whole body. awc 3.11 ends its payload stream alike on the last chunk and on the connection's end (h1proto, PlStream: Some(None) and None both become the stream's end), for lengths and chunks. An agent or a load generator on awc would hand a cut answer on as a whole one.

Ruled out: the fake not cutting (the codec beneath, actix_http::h1, sees the missing last chunk); checking lengths and [DONE] above awc, which leaves chunked answers of plain services unchecked.

Conclusion: a small package hyssopfork-exchange runs one exchange at a time on its own connection with actix_http::h1::ClientCodec. It reports unreachable (nothing sent), cut, malformed and unframed apart, and opens before it sends, so that a caller can look again just before the first byte. The daemon's agent side and the load generator should use it towards back ends.

--- /dev/null
+++ b/crates/hyssopfork-exchange/src/connection.rs
@@ -0,0 +1,206 @@
+//! A connection that carries one exchange after another.
+
+use crate::error;
+use actix_http::body::BodySize;
+use actix_http::error::PayloadError;
+use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
+use actix_http::header::{self, HeaderName, HeaderValue};
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Uri};
+use bytes::{Bytes, BytesMut};
+use std::net;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_util::codec::{Decoder, Encoder};
+
+/// A request's head.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request<'a> {
+    /// HTTP method.
+    pub method: &'a str,
+    /// Path and query.
+    pub path: &'a str,
+    /// Headers besides `Host` and `Content-Length`, which the connection writes.
+    pub headers: &'a [(String, String)],
+}
+
+/// An answer's head.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Head {
+    /// HTTP status code.
+    pub status: u16,
+    /// Header names in lower case, and values that are text.
+    pub headers: Vec<(String, String)>,
+}
+
+impl Head {
+    /// The first value of a header; `name` in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(known, _)| known == name);
+        found.map(|(_, value)| value.as_str())
+    }
+}
+
+enum Stage {
+    /// No exchange runs.
+    Idle(ClientCodec),
+    /// The head is awaited.
+    Head(ClientCodec),
+    /// Parts of the body are awaited.
+    Body(ClientPayloadCodec),
+    /// An exchange failed: the connection cannot be used again.
+    Failed,
+}
+
+/// A connection. Its waits may be dropped and called again without loss.
+pub struct Connection {
+    address: net::SocketAddr,
+    stream: TcpStream,
+    buffer: BytesMut,
+    stage: Stage,
+}
+
+impl Connection {
+    /// Connects; nothing is sent yet.
+    pub async fn open(address: net::SocketAddr) -> Result<Connection, error::Error> {
+        let unreachable = |cause| error::Error::Unreachable(address, cause);
+        let stream = TcpStream::connect(address).await.map_err(unreachable)?;
+        stream.set_nodelay(true).map_err(unreachable)?;
+        let stage = Stage::Idle(ClientCodec::default());
+        Ok(Connection { address, stream, buffer: BytesMut::new(), stage })
+    }
+
+    /// Whether the last answer was read whole and the peer keeps the connection open.
+    pub fn is_reusable(&self) -> bool {
+        matches!(&self.stage, Stage::Idle(codec) if codec.keep_alive()) && self.buffer.is_empty()
+    }
+
+    /// Writes a request. After an error other than [`error::Error::Unsendable`] it may have come.
+    pub async fn send(&mut self, request: &Request<'_>, body: Bytes) -> Result<(), error::Error> {
+        let head = encode_head(request, self.address)?;
+        let Stage::Idle(mut codec) = std::mem::replace(&mut self.stage, Stage::Failed) else {
+            return Err(error::Error::Cut);
+        };
+        let mut bytes = BytesMut::new();
+        let size = BodySize::Sized(body.len() as u64);
+        let message = Message::Item((RequestHeadType::from(head), size));
+        codec.encode(message, &mut bytes).map_err(|_| error::Error::Unsendable("head"))?;
+        bytes.extend_from_slice(&body);
+        self.stream.write_all(&bytes).await.map_err(|_| error::Error::Cut)?;
+        self.stage = Stage::Head(codec);
+        Ok(())
+    }
+
+    /// Waits for the answer's head.
+    pub async fn head(&mut self) -> Result<Head, error::Error> {
+        loop {
+            if let Some(head) = self.decode_head()? {
+                return Ok(head);
+            }
+            self.fill().await?;
+        }
+    }
+
+    /// Waits for the next part of the body; `None` when the answer is whole.
+    pub async fn part(&mut self) -> Result<Option<Bytes>, error::Error> {
+        loop {
+            let Stage::Body(codec) = &mut self.stage else {
+                return if matches!(self.stage, Stage::Idle(_)) {
+                    Ok(None)
+                } else {
+                    Err(error::Error::Cut)
+                };
+            };
+            match codec.decode(&mut self.buffer).map_err(malformed_payload)? {
+                Some(Some(part)) => return Ok(Some(part)),
+                Some(None) => self.end_body(),
+                None => self.fill().await?,
+            }
+        }
+    }
+
+    /// Reads the rest of the body; fails when it is cut.
+    pub async fn rest(&mut self) -> Result<Bytes, error::Error> {
+        let mut whole = BytesMut::new();
+        while let Some(part) = self.part().await? {
+            whole.extend_from_slice(&part);
+        }
+        Ok(whole.freeze())
+    }
+
+    async fn fill(&mut self) -> Result<(), error::Error> {
+        let read = self.stream.read_buf(&mut self.buffer).await;
+        if matches!(read, Ok(0) | Err(_)) {
+            self.stage = Stage::Failed;
+            return Err(error::Error::Cut);
+        }
+        Ok(())
+    }
+
+    fn decode_head(&mut self) -> Result<Option<Head>, error::Error> {
+        let Stage::Head(codec) = &mut self.stage else { return Err(error::Error::Cut) };
+        let decoded = codec.decode(&mut self.buffer);
+        let head = decoded.map_err(|error| error::Error::Malformed(error.to_string()))?;
+        let Some(head) = head else { return Ok(None) };
+        self.begin_body(&head)?;
+        Ok(Some(convert(&head)))
+    }
+
+    fn begin_body(&mut self, head: &ResponseHead) -> Result<(), error::Error> {
+        let Stage::Head(codec) = std::mem::replace(&mut self.stage, Stage::Failed) else {
+            return Err(error::Error::Cut);
+        };
+        self.stage = match codec.message_type() {
+            MessageType::Payload => Stage::Body(codec.into_payload_codec()),
+            MessageType::None if is_framed(head) => Stage::Idle(codec),
+            MessageType::None | MessageType::Stream => return Err(error::Error::Unframed),
+        };
+        Ok(())
+    }
+
+    fn end_body(&mut self) {
+        self.stage = match std::mem::replace(&mut self.stage, Stage::Failed) {
+            Stage::Body(codec) => Stage::Idle(codec.into_message_codec()),
+            other => other,
+        };
+    }
+}
+
+/// Whether an answer without a payload is whole by its own words. Without a length and chunks the
+/// body would last until the connection's end, and the codec would leave it unread.
+fn is_framed(head: &ResponseHead) -> bool {
+    let bare = head.status.is_informational()
+        || head.status == StatusCode::NO_CONTENT
+        || head.status == StatusCode::NOT_MODIFIED;
+    bare || head.headers.contains_key(header::CONTENT_LENGTH)
+}
+
+fn encode_head(
+    request: &Request<'_>,
+    address: net::SocketAddr,
+) -> Result<RequestHead, error::Error> {
+    let mut head = RequestHead::default();
+    head.method = Method::from_bytes(request.method.as_bytes())
+        .map_err(|_| error::Error::Unsendable("method"))?;
+    head.uri = request.path.parse::<Uri>().map_err(|_| error::Error::Unsendable("path"))?;
+    for (name, value) in request.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let name = name.map_err(|_| error::Error::Unsendable("header name"))?;
+        let value = HeaderValue::from_str(value);
+        let value = value.map_err(|_| error::Error::Unsendable("header value"))?;
+        head.headers.append(name, value);
+    }
+    let host = HeaderValue::from_str(&address.to_string());
+    head.headers.insert(header::HOST, host.map_err(|_| error::Error::Unsendable("address"))?);
+    Ok(head)
+}
+
+fn convert(head: &ResponseHead) -> Head {
+    let text = head.headers.iter().filter_map(|(name, value)| {
+        Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
+    });
+    Head { status: head.status.as_u16(), headers: text.collect() }
+}
+
+fn malformed_payload(error: PayloadError) -> error::Error {
+    error::Error::Malformed(error.to_string())
+}
--- /dev/null
+++ b/crates/hyssopfork-test-support/src/engine.rs
@@ -0,0 +1,244 @@
+//! A model engine that batches, streams, goes cold and stalls.
+
+use crate::{disturbance, http, prefix, token};
+use actix_http::body::BoxBody;
+use actix_http::{Request, Response, StatusCode};
+use bytes::Bytes;
+use serde_json::{Value, json};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use std::{io, net};
+
+mod generation;
+
+/// What the engine is like.
+#[derive(Clone, Copy, Debug)]
+pub struct Profile {
+    /// Requests at once after which each further one slows all.
+    pub slots: u32,
+    /// Time between two tokens of one request when alone.
+    pub token_time: Duration,
+    /// Time to read a prompt whose prefix is not held; a tenth of it when it is.
+    pub prompt_time: Duration,
+    /// Time to load a model's weights; none when it holds them already.
+    pub load_time: Duration,
+    /// Requests at once that it bears while cold; more make it fall over.
+    pub cold_bearing: u32,
+    /// Completed requests after which it is warm.
+    pub warm_after: u32,
+    /// Time that it is away after falling over.
+    pub away: Duration,
+    /// Prefixes that it holds.
+    pub prefixes: usize,
+    /// Refuses an order with an old fencing number.
+    pub checks_fence: bool,
+    /// Skips the events that a resuming caller has.
+    pub resumes: bool,
+}
+
+impl Default for Profile {
+    fn default() -> Self {
+        Profile {
+            slots: 8,
+            token_time: Duration::from_millis(4),
+            prompt_time: Duration::from_millis(10),
+            load_time: Duration::from_millis(300),
+            cold_bearing: 2,
+            warm_after: 4,
+            away: Duration::from_millis(500),
+            prefixes: 64,
+            checks_fence: true,
+            resumes: true,
+        }
+    }
+}
+
+/// What it holds for a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Loaded {
+    fence: u64,
+    model: String,
+    rank: u64,
+}
+
+/// Counts for tests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests completed.
+    pub completed: u64,
+    /// Requests whose caller went away before the end.
+    pub cancelled: u64,
+    /// Times that it fell over because it was loaded while cold.
+    pub falls: u64,
+    /// Requests that came while it held no model, or to another member than the first.
+    pub misdirected: u64,
+    /// Orders refused for their old fencing number.
+    pub old_orders: u64,
+    /// Times that it loaded weights.
+    pub loads: u64,
+}
+
+struct State {
+    incarnation: u64,
+    running: u32,
+    since_start: u32,
+    loaded: Option<Loaded>,
+    newest_fence: u64,
+    prefixes: prefix::Memory,
+    counts: Counts,
+    disturbance: disturbance::Disturbance,
+}
+
+/// The engine.
+pub struct Engine {
+    profile: Profile,
+    state: Mutex<State>,
+}
+
+impl Engine {
+    fn new(profile: Profile) -> Self {
+        let state = State {
+            incarnation: 1,
+            running: 0,
+            since_start: 0,
+            loaded: None,
+            newest_fence: 0,
+            prefixes: prefix::Memory::new(profile.prefixes),
+            counts: Counts::default(),
+            disturbance: disturbance::Disturbance::default(),
+        };
+        Engine { profile, state: Mutex::new(state) }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    /// Counts so far.
+    pub fn counts(&self) -> Counts {
+        self.state().counts
+    }
+
+    /// Requests running.
+    pub fn running(&self) -> u32 {
+        self.state().running
+    }
+
+    /// Does what a test asks.
+    pub fn disturb(&self, order: disturbance::Order) {
+        let mut state = self.state();
+        state.disturbance.apply(order);
+        match order {
+            disturbance::Order::Cold => state.since_start = 0,
+            disturbance::Order::Die(_) => restart(&mut state),
+            _ => {}
+        }
+    }
+}
+
+/// Starts anew: nothing is loaded, remembered or running.
+fn restart(state: &mut State) {
+    state.incarnation += 1;
+    state.running = 0;
+    state.since_start = 0;
+    state.loaded = None;
+    state.newest_fence = 0;
+    state.prefixes.clear();
+}
+
+/// Starts an engine on `listener`.
+pub fn start(
+    listener: net::TcpListener,
+    profile: Profile,
+) -> io::Result<(http::Server, Arc<Engine>)> {
+    let engine = Arc::new(Engine::new(profile));
+    let shared = engine.clone();
+    let server = http::Server::start(listener, move |request| answer(shared.clone(), request))?;
+    Ok((server, engine))
+}
+
+async fn answer(engine: Arc<Engine>, mut request: Request) -> Response<BoxBody> {
+    if let Some(order) = disturbance::parse(&request) {
+        engine.disturb(order);
+        return http::json(StatusCode::OK, &json!({ "done": true }));
+    }
+    disturbance::wait_while_stalled(|| engine.state().disturbance.stalled).await;
+    if engine.state().disturbance.is_away() {
+        return http::broken(&request);
+    }
+    let body = http::read(&mut request).await;
+    match request.path() {
+        "/health" => health(&engine),
+        "/counts" => counts(&engine),
+        "/orders/load" => load(&engine, &body).await,
+        "/v1/completions" => generation::run(engine, token::Shape::Text, &request, &body).await,
+        "/v1/chat/completions" => {
+            generation::run(engine, token::Shape::Chat, &request, &body).await
+        }
+        _ => problem(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
+
+fn problem(status: StatusCode, text: &str) -> Response<BoxBody> {
+    http::json(status, &json!({ "error": { "message": text } }))
+}
+
+fn health(engine: &Engine) -> Response<BoxBody> {
+    let state = engine.state();
+    let incarnation = format!("engine-{}", state.incarnation);
+    let loaded = state.loaded.as_ref().map(|loaded| loaded.fence);
+    let value = json!({ "incarnation": incarnation, "running": state.running, "loaded": loaded });
+    http::json(StatusCode::OK, &value)
+}
+
+fn counts(engine: &Engine) -> Response<BoxBody> {
+    let counts = engine.counts();
+    let value = json!({
+        "completed": counts.completed, "cancelled": counts.cancelled, "falls": counts.falls,
+        "misdirected": counts.misdirected, "old_orders": counts.old_orders,
+        "loads": counts.loads, "ran": {},
+    });
+    http::json(StatusCode::OK, &value)
+}
+
+async fn load(engine: &Engine, body: &Bytes) -> Response<BoxBody> {
+    let order: Value = serde_json::from_slice(body).unwrap_or_default();
+    let (Some(fence), Some(model)) = (order["fence"].as_u64(), order["model"].as_str()) else {
+        return problem(StatusCode::BAD_REQUEST, "an order needs fence and model");
+    };
+    let Some((incarnation, holds)) = take_order(engine, fence, model) else {
+        return problem(StatusCode::CONFLICT, "a newer fencing number was ordered");
+    };
+    if !holds {
+        actix_rt::time::sleep(engine.profile.load_time).await;
+    }
+    let rank = order["rank"].as_u64().unwrap_or(0);
+    let loaded = Loaded { fence, model: model.to_owned(), rank };
+    complete_order(engine, incarnation, loaded)
+}
+
+/// Takes an order on: the incarnation that took it, and whether the weights are there already.
+fn take_order(engine: &Engine, fence: u64, model: &str) -> Option<(u64, bool)> {
+    let mut state = engine.state();
+    if engine.profile.checks_fence && fence < state.newest_fence {
+        state.counts.old_orders += 1;
+        return None;
+    }
+    state.newest_fence = state.newest_fence.max(fence);
+    let holds = state.loaded.as_ref().is_some_and(|loaded| loaded.model == model);
+    if !holds {
+        state.loaded = None;
+        state.counts.loads += 1;
+    }
+    Some((state.incarnation, holds))
+}
+
+fn complete_order(engine: &Engine, incarnation: u64, loaded: Loaded) -> Response<BoxBody> {
+    let mut state = engine.state();
+    let overtaken = engine.profile.checks_fence && loaded.fence < state.newest_fence;
+    if state.incarnation != incarnation || overtaken {
+        return problem(StatusCode::CONFLICT, "overtaken while loading");
+    }
+    state.loaded = Some(loaded);
+    http::json(StatusCode::OK, &json!({ "loaded": true }))
+}
--- /dev/null
+++ b/crates/hyssopfork-test-support/src/http.rs
@@ -0,0 +1,166 @@
+//! A small HTTP server on a thread of its own, and the answers that the fakes give.
+
+use actix_http::body::{BodyStream, BoxBody, SizedStream};
+use actix_http::{HttpMessage, HttpService, Request, Response, StatusCode, header};
+use actix_server::ServerHandle;
+use bytes::{Bytes, BytesMut};
+use futures::{StreamExt, stream};
+use std::convert::Infallible;
+use std::future::Future;
+use std::os::fd::AsFd;
+use std::sync::mpsc;
+use std::{io, net, thread};
+use tokio::net::TcpStream;
+
+/// Media type of JSON.
+pub const JSON: &str = "application/json";
+/// Media type of server-sent events.
+pub const EVENTS: &str = "text/event-stream";
+
+/// The connection that a request came on.
+struct Connection(net::TcpStream);
+
+/// A running server; stops when dropped.
+pub struct Server {
+    address: net::SocketAddr,
+    handle: ServerHandle,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Server {
+    /// Serves `listener` with `handler` until dropped.
+    pub fn start<H, F>(listener: net::TcpListener, handler: H) -> io::Result<Server>
+    where
+        H: Fn(Request) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<BoxBody>> + 'static,
+    {
+        let address = listener.local_addr()?;
+        let (sender, receiver) = mpsc::channel();
+        let thread = thread::spawn(move || serve(listener, handler, sender));
+        let handle = receiver.recv().map_err(|_| io::Error::other("the server did not start"))?;
+        Ok(Server { address, handle, thread: Some(thread) })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Waits until the server ends by itself, which it does only on a failure.
+    pub fn wait(mut self) {
+        if let Some(thread) = self.thread.take() {
+            thread.join().ok();
+        }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        let Some(thread) = self.thread.take() else { return };
+        futures::executor::block_on(self.handle.stop(false));
+        thread.join().ok();
+    }
+}
+
+fn serve<H, F>(listener: net::TcpListener, handler: H, started: mpsc::Sender<ServerHandle>)
+where
+    H: Fn(Request) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    let factory = move || {
+        let handler = handler.clone();
+        HttpService::build()
+            .h1_allow_half_closed(false)
+            .on_connect_ext(|stream: &TcpStream, data| {
+                // A second handle of the socket, so that an answer can break it without a head.
+                if let Ok(handle) = stream.as_fd().try_clone_to_owned() {
+                    data.insert(Connection(net::TcpStream::from(handle)));
+                }
+            })
+            .finish(move |request: Request| {
+                let answer = handler(request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            })
+            .tcp()
+    };
+    actix_rt::System::new().block_on(async move {
+        let builder = actix_server::Server::build().workers(1).disable_signals();
+        let Ok(bound) = builder.listen("fake", listener, factory) else { return };
+        let server = bound.run();
+        started.send(server.handle()).ok();
+        server.await.ok();
+    });
+}
+
+/// A listener on a free loopback port.
+pub fn free_listener() -> io::Result<net::TcpListener> {
+    net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))
+}
+
+/// The whole body of a request; a body that breaks off counts as what came of it.
+pub async fn read(request: &mut Request) -> Bytes {
+    let mut whole = BytesMut::new();
+    while let Some(Ok(part)) = request.payload().next().await {
+        whole.extend_from_slice(&part);
+    }
+    whole.freeze()
+}
+
+/// The value of a header, if it is text.
+pub fn header_text<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+    request.headers().get(name)?.to_str().ok()
+}
+
+/// A value of the query, as `key=value`.
+pub fn query<'a>(request: &'a Request, key: &str) -> Option<&'a str> {
+    let query = request.uri().query()?;
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.into_iter().find(|(name, _)| *name == key).map(|(_, value)| value)
+}
+
+/// An answer with a JSON body.
+pub fn json(status: StatusCode, value: &serde_json::Value) -> Response<BoxBody> {
+    let mut response = Response::build(status);
+    response.insert_header((header::CONTENT_TYPE, JSON));
+    response.body(value.to_string()).map_into_boxed_body()
+}
+
+/// An answer of known length that may break off after `keep` bytes.
+pub fn sized(status: StatusCode, whole: Bytes, keep: Option<usize>) -> Response<BoxBody> {
+    let mut response = Response::build(status);
+    response.insert_header((header::CONTENT_TYPE, JSON));
+    let length = whole.len() as u64;
+    let body = SizedStream::new(length, parts(whole, keep));
+    response.message_body(body).expect("the head is well formed").map_into_boxed_body()
+}
+
+/// An answer of events as they come; an error in `events` breaks the connection off.
+pub fn events<S>(events: S) -> Response<BoxBody>
+where
+    S: stream::Stream<Item = Result<Bytes, io::Error>> + 'static,
+{
+    let mut response = Response::build(StatusCode::OK);
+    response.insert_header((header::CONTENT_TYPE, EVENTS));
+    let body = BodyStream::new(Box::pin(events));
+    response.message_body(body).expect("the head is well formed").map_into_boxed_body()
+}
+
+/// Closes the request's connection without an answer, as a back end does that falls over.
+pub fn broken(request: &Request) -> Response<BoxBody> {
+    if let Some(Connection(stream)) = request.conn_data() {
+        stream.shutdown(net::Shutdown::Both).ok();
+    }
+    Response::new(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+fn parts(
+    whole: Bytes,
+    keep: Option<usize>,
+) -> impl stream::Stream<Item = Result<Bytes, io::Error>> + Unpin {
+    let kept = keep.map_or(whole.len(), |keep| keep.min(whole.len()));
+    let mut items = vec![Ok(whole.slice(..kept))];
+    if kept < whole.len() {
+        items.push(Err(io::Error::other("cut by a test")));
+    }
+    stream::iter(items)
+}
--- /dev/null
+++ b/crates/hyssopfork-test-support/src/relay.rs
@@ -0,0 +1,162 @@
+//! A TCP relay that cuts, delays, holds back or silently forgets connections.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::{io, net, thread};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, watch};
+
+/// Bytes passed on at once.
+const CHUNK: usize = 16 * 1024;
+
+/// What the relay does now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Mode {
+    /// Connections numbered below this are closed.
+    cut_below: u64,
+    /// Connections numbered below this pass nothing on for good, and stay open.
+    forgotten_below: u64,
+    /// Whether bytes are held back, on all connections; they go on when healed.
+    silent: bool,
+    /// Time by which each chunk is late.
+    delay: Duration,
+    /// Connections accepted so far.
+    accepted: u64,
+}
+
+/// A relay to one target; stops when dropped.
+pub struct Relay {
+    address: net::SocketAddr,
+    mode: Arc<watch::Sender<Mode>>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Relay {
+    /// Starts a relay to `target` on a free loopback port.
+    pub fn start(target: net::SocketAddr) -> io::Result<Relay> {
+        let listener = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let mode = Arc::new(watch::Sender::new(Mode::default()));
+        let (stop, stopped) = oneshot::channel();
+        let shared = mode.clone();
+        let thread = thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                tokio::select! {
+                    _ = accept(listener, target, shared) => {}
+                    _ = stopped => {}
+                }
+            });
+        });
+        Ok(Relay { address, mode, stop: Some(stop), thread: Some(thread) })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Closes every open connection; new ones work.
+    pub fn cut(&self) {
+        self.mode.send_modify(|mode| mode.cut_below = mode.accepted);
+    }
+
+    /// Passes nothing more on over the connections that are open now, for good and without closing
+    /// them, as when something between the two ends has lost track of them; new ones work.
+    pub fn forget(&self) {
+        self.mode.send_modify(|mode| mode.forgotten_below = mode.accepted);
+    }
+
+    /// Holds all bytes back, on new connections too, until [`Relay::heal`].
+    pub fn silence(&self) {
+        self.mode.send_modify(|mode| mode.silent = true);
+    }
+
+    /// Makes each chunk late by `time`.
+    pub fn delay(&self, time: Duration) {
+        self.mode.send_modify(|mode| mode.delay = time);
+    }
+
+    /// Ends silence and delay. What was cut or forgotten stays so.
+    pub fn heal(&self) {
+        self.mode.send_modify(|mode| {
+            mode.silent = false;
+            mode.delay = Duration::ZERO;
+        });
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            stop.send(()).ok();
+        }
+        if let Some(thread) = self.thread.take() {
+            thread.join().ok();
+        }
+    }
+}
+
+async fn accept(
+    listener: net::TcpListener,
+    target: net::SocketAddr,
+    mode: Arc<watch::Sender<Mode>>,
+) {
+    let Ok(listener) = TcpListener::from_std(listener) else { return };
+    while let Ok((near, _)) = listener.accept().await {
+        let mut number = 0;
+        mode.send_modify(|mode| {
+            number = mode.accepted;
+            mode.accepted += 1;
+        });
+        actix_rt::spawn(connect(near, target, number, mode.subscribe()));
+    }
+}
+
+async fn connect(
+    near: TcpStream,
+    target: net::SocketAddr,
+    number: u64,
+    mut mode: watch::Receiver<Mode>,
+) {
+    let Ok(far) = TcpStream::connect(target).await else { return };
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let forth = pass(near_read, far_write, number, mode.clone());
+    let back = pass(far_read, near_write, number, mode.clone());
+    tokio::select! {
+        _ = async { tokio::join!(forth, back) } => {}
+        _ = mode.wait_for(|mode| number < mode.cut_below) => {}
+    }
+}
+
+async fn pass<R, W>(mut from: R, mut to: W, number: u64, mut mode: watch::Receiver<Mode>)
+where
+    R: AsyncReadExt + Unpin,
+    W: AsyncWriteExt + Unpin,
+{
+    let mut buffer = vec![0; CHUNK];
+    loop {
+        let read = from.read(&mut buffer).await.unwrap_or(0);
+        let delay = mode.borrow().delay;
+        if !delay.is_zero() {
+            actix_rt::time::sleep(delay).await;
+        }
+        if mode.wait_for(|mode| !mode.silent).await.is_err() {
+            return;
+        }
+        if number < mode.borrow().forgotten_below {
+            // Neither bytes nor the end of the connection are passed on any more.
+            std::future::pending::<()>().await;
+        }
+        if read == 0 {
+            to.shutdown().await.ok();
+            return;
+        }
+        if to.write_all(&buffer[..read]).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/hyssopfork-test-support/src/token.rs
@@ -0,0 +1,75 @@
+//! Tokens of the fake engine: a function of the prompt alone, so that any engine continues what
+//! another began, and a caller can tell its own answer, whole and in order, from any other.
+
+use serde_json::{Value, json};
+
+/// Start of a mark in a prompt that the tokens repeat.
+pub const MARK_OPEN: &str = "[#";
+/// End of such a mark.
+pub const MARK_CLOSE: &str = "]";
+
+/// Which of the two completion calls is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shape {
+    /// `/v1/completions`.
+    Text,
+    /// `/v1/chat/completions`.
+    Chat,
+}
+
+/// What a prompt's tokens are named after: its mark, or a hash of the whole.
+pub fn stem(prompt: &str) -> String {
+    let after = prompt.split_once(MARK_OPEN).map(|(_, after)| after);
+    let mark = after.and_then(|after| after.split_once(MARK_CLOSE)).map(|(mark, _)| mark);
+    mark.map_or_else(|| format!("{:016x}", hash(prompt.as_bytes())), str::to_owned)
+}
+
+/// Token number `place` of a prompt's answer.
+pub fn text(stem: &str, place: u64) -> String {
+    format!(" {stem}.{place}")
+}
+
+/// One event of a stream, without its end mark.
+pub fn event(shape: Shape, stem: &str, place: u64) -> String {
+    let token = text(stem, place);
+    let body = match shape {
+        Shape::Text => json!({
+            "id": stem, "object": "text_completion",
+            "choices": [{ "index": 0, "text": token }],
+        }),
+        Shape::Chat => json!({
+            "id": stem, "object": "chat.completion.chunk",
+            "choices": [{ "index": 0, "delta": { "content": token } }],
+        }),
+    };
+    format!("data: {body}\n\n")
+}
+
+/// End mark of a stream.
+pub const DONE: &str = "data: [DONE]\n\n";
+
+/// A whole answer that is not streamed.
+pub fn whole(shape: Shape, stem: &str, count: u64) -> Value {
+    let tokens: String = (0..count).map(|place| text(stem, place)).collect();
+    let usage = json!({ "completion_tokens": count });
+    match shape {
+        Shape::Text => json!({
+            "id": stem, "object": "text_completion", "usage": usage,
+            "choices": [{ "index": 0, "text": tokens, "finish_reason": "length" }],
+        }),
+        Shape::Chat => {
+            let message = json!({ "role": "assistant", "content": tokens });
+            json!({
+                "id": stem, "object": "chat.completion", "usage": usage,
+                "choices": [{ "index": 0, "message": message, "finish_reason": "length" }],
+            })
+        }
+    }
+}
+
+/// FNV-1a, 64 bits.
+pub fn hash(bytes: &[u8]) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    bytes.iter().fold(OFFSET, |hash, &byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
+}
--- /dev/null
+++ b/crates/hyssopfork-test-support/tests/relay.rs
@@ -0,0 +1,92 @@
+//! The relay cuts, forgets and holds back.
+
+use hyssopfork_test_support::{http, relay};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+/// Time after which silence counts as such.
+const SILENCE: Duration = Duration::from_millis(150);
+
+fn echo_target() -> SocketAddr {
+    let listener = http::free_listener().expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    thread::spawn(move || echo_all(listener));
+    address
+}
+
+fn echo_all(listener: TcpListener) {
+    for stream in listener.incoming().flatten() {
+        thread::spawn(move || {
+            let mut back = stream.try_clone().expect("a second handle");
+            std::io::copy(&mut &stream, &mut back).ok();
+        });
+    }
+}
+
+fn connect(relay: &relay::Relay) -> TcpStream {
+    let stream = TcpStream::connect(relay.address()).expect("the relay accepts");
+    stream.set_read_timeout(Some(SILENCE)).expect("a timeout may be set");
+    stream
+}
+
+fn echo(stream: &mut TcpStream) -> std::io::Result<u8> {
+    let mut byte = [0];
+    stream.write_all(b"x")?;
+    stream.read_exact(&mut byte)?;
+    Ok(byte[0])
+}
+
+#[test]
+fn bytes_pass_both_ways() {
+    let relay = relay::Relay::start(echo_target()).expect("the relay starts");
+
+    let answer = echo(&mut connect(&relay));
+
+    assert_eq!(answer.expect("echoed"), b'x');
+}
+
+#[test]
+fn cut_connection_ends_and_new_ones_work() {
+    let relay = relay::Relay::start(echo_target()).expect("the relay starts");
+    let mut stream = connect(&relay);
+    echo(&mut stream).expect("echoed");
+
+    relay.cut();
+
+    stream.set_read_timeout(None).expect("a timeout may be taken away");
+    let ended = matches!(stream.read(&mut [0]), Ok(0) | Err(_));
+    assert!(ended);
+    assert!(echo(&mut connect(&relay)).is_ok());
+}
+
+#[test]
+fn forgotten_connection_stays_silent_for_good_while_new_ones_work() {
+    let relay = relay::Relay::start(echo_target()).expect("the relay starts");
+    let mut stream = connect(&relay);
+    echo(&mut stream).expect("echoed");
+
+    relay.forget();
+    relay.heal();
+
+    let error = echo(&mut stream).expect_err("nothing comes back");
+    assert!(matches!(error.kind(), std::io::ErrorKind::WouldBlock), "{error}");
+    assert!(echo(&mut connect(&relay)).is_ok());
+}
+
+#[test]
+fn bytes_held_back_in_silence_arrive_when_healed() {
+    let relay = relay::Relay::start(echo_target()).expect("the relay starts");
+    let mut stream = connect(&relay);
+    echo(&mut stream).expect("echoed");
+    relay.silence();
+    echo(&mut stream).expect_err("nothing comes back");
+
+    relay.heal();
+
+    let mut byte = [0];
+    stream.set_read_timeout(None).expect("a timeout may be taken away");
+    stream.read_exact(&mut byte).expect("the held byte comes");
+    assert_eq!(byte, *b"x");
+}
--- /dev/null
+++ b/crates/hyssopfork-test-support/tests/service.rs
@@ -0,0 +1,56 @@
+//! The fake service counts what it ran.
+
+mod support;
+
+use hyssopfork_test_support::{http, service};
+use std::sync::Arc;
+use support::call;
+
+fn start() -> (http::Server, Arc<service::Service>) {
+    let listener = http::free_listener().expect("a free port");
+    service::start(listener, service::Profile::default()).expect("the service starts")
+}
+
+#[actix_rt::test]
+async fn work_is_counted_for_each_reference() {
+    let (server, service) = start();
+    let body = r#"{"reference":"lodgement-1"}"#;
+
+    call("POST", server.address(), "/lodgements", body).await;
+    let answer = call("POST", server.address(), "/lodgements", body).await.expect("answered");
+
+    assert_eq!(answer.status, 201);
+    assert_eq!(answer.json()["reference"], "lodgement-1");
+    assert_eq!(service.ran()["lodgement-1"], 2);
+}
+
+#[actix_rt::test]
+async fn work_whose_answer_is_cut_has_run() {
+    let (server, service) = start();
+    call("POST", server.address(), "/fake/cut?after=3", "").await;
+
+    let answer = call("POST", server.address(), "/lodgements", r#"{"reference":"a"}"#).await;
+
+    assert!(answer.is_none());
+    assert_eq!(service.ran()["a"], 1);
+}
+
+#[actix_rt::test]
+async fn reading_is_not_counted_as_work() {
+    let (server, service) = start();
+
+    let answer = call("GET", server.address(), "/status?reference=x", "").await;
+
+    assert_eq!(answer.expect("answered").json()["reference"], "x");
+    assert!(service.ran().is_empty());
+}
+
+#[actix_rt::test]
+async fn service_that_died_answers_nothing() {
+    let (server, _) = start();
+    call("POST", server.address(), "/fake/die?millis=60000", "").await;
+
+    let answer = call("GET", server.address(), "/health", "").await;
+
+    assert!(answer.is_none());
+}
