Take notices' severity from the shared type

Cause: the shared types now own the severity of numbered events; telemetry had one of its own with a level that no event has. What stays here is the threshold of the log, which also knows the libraries' traces.

Conclusion: emit takes wire's level; settings read the threshold.

--- a/crates/hyssopfork-settings/src/log.rs
+++ b/crates/hyssopfork-settings/src/log.rs
@@ -9,14 +9,14 @@
     /// How lines are written.
     pub format: log::Format,
     /// Least severity that is written.
-    pub level: log::Level,
+    pub level: log::Threshold,
 }
 
 /// Reads the section.
 pub fn read(section: section::Section<'_>) -> Log {
     let format = section.word("format", log::Format::default(), &["json", "text"]);
     let levels = ["error", "warn", "info", "debug", "trace"];
-    let level = section.word("level", log::Level::default(), &levels);
+    let level = section.word("level", log::Threshold::default(), &levels);
     section.finish();
     Log { format, level }
 }
--- a/crates/hyssopfork-telemetry/src/log.rs
+++ b/crates/hyssopfork-telemetry/src/log.rs
@@ -3,6 +3,7 @@
 //! A line goes to standard output. The cores only return notices; this module writes them, so that
 //! a notice has the same shape whatever role it comes from.
 
+use hyssopfork_wire::level;
 use quick_error::quick_error;
 use tracing_subscriber::filter::LevelFilter;
 use tracing_subscriber::util::SubscriberInitExt;
@@ -18,22 +19,20 @@
     Text,
 }
 
-/// Severity.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, strum::Display, strum::EnumString,
-)]
+/// Least severity that is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display, strum::EnumString)]
 #[strum(serialize_all = "snake_case")]
-pub enum Level {
-    /// What needs somebody now.
+pub enum Threshold {
+    /// Errors only.
     Error,
-    /// What may need somebody soon.
+    /// Also what puts service at risk.
     Warn,
-    /// What changed.
+    /// Also ordinary changes of state.
     #[default]
     Info,
-    /// What a developer asks for.
+    /// Also what follows one request or call.
     Debug,
-    /// Everything.
+    /// Also what libraries trace.
     Trace,
 }
 
@@ -48,9 +47,9 @@
     }
 }
 
-/// Starts the log of this process; lines less severe than `level` are left out.
-pub fn start(format: Format, level: Level) -> Result<(), Error> {
-    let builder = tracing_subscriber::fmt().with_max_level(filter(level)).with_target(false);
+/// Starts the log of this process; what is below `threshold` is left out.
+pub fn start(format: Format, threshold: Threshold) -> Result<(), Error> {
+    let builder = tracing_subscriber::fmt().with_max_level(filter(threshold)).with_target(false);
     let started = match format {
         Format::Json => builder.json().flatten_event(true).finish().try_init(),
         Format::Text => builder.with_ansi(false).finish().try_init(),
@@ -60,14 +59,19 @@
 
 /// Writes a numbered event. `name` is its entry in the catalogue, `message` tells it to people,
 /// `fields` carries what scripts look for.
-pub fn emit(number: u16, level: Level, name: &str, message: &str, fields: &[(&str, String)]) {
+pub fn emit(
+    number: u16,
+    level: level::Level,
+    name: &str,
+    message: &str,
+    fields: &[(&str, String)],
+) {
     let fields = join(fields);
     match level {
-        Level::Error => tracing::error!(number, name, %fields, "{message}"),
-        Level::Warn => tracing::warn!(number, name, %fields, "{message}"),
-        Level::Info => tracing::info!(number, name, %fields, "{message}"),
-        Level::Debug => tracing::debug!(number, name, %fields, "{message}"),
-        Level::Trace => tracing::trace!(number, name, %fields, "{message}"),
+        level::Level::Error => tracing::error!(number, name, %fields, "{message}"),
+        level::Level::Warn => tracing::warn!(number, name, %fields, "{message}"),
+        level::Level::Info => tracing::info!(number, name, %fields, "{message}"),
+        level::Level::Debug => tracing::debug!(number, name, %fields, "{message}"),
     }
 }
 
@@ -76,12 +80,12 @@
     pairs.join(" ")
 }
 
-fn filter(level: Level) -> LevelFilter {
-    match level {
-        Level::Error => LevelFilter::ERROR,
-        Level::Warn => LevelFilter::WARN,
-        Level::Info => LevelFilter::INFO,
-        Level::Debug => LevelFilter::DEBUG,
-        Level::Trace => LevelFilter::TRACE,
+fn filter(threshold: Threshold) -> LevelFilter {
+    match threshold {
+        Threshold::Error => LevelFilter::ERROR,
+        Threshold::Warn => LevelFilter::WARN,
+        Threshold::Info => LevelFilter::INFO,
+        Threshold::Debug => LevelFilter::DEBUG,
+        Threshold::Trace => LevelFilter::TRACE,
     }
 }
