--- a/crates/hyssopfork-settings/src/lib.rs
+++ b/crates/hyssopfork-settings/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod error;
 pub mod fault;
 pub mod log;
+pub mod plain;
 pub mod section;
 pub mod settings;
--- a/crates/hyssopfork-settings/src/settings.rs
+++ b/crates/hyssopfork-settings/src/settings.rs
@@ -1,6 +1,6 @@
 //! A whole settings file.
 
-use crate::{agent, control, entry, error, fault, log, section};
+use crate::{agent, control, entry, error, fault, log, plain, section};
 use hyssopfork_wire::{name, timing};
 use jsonc_parser::{ast, common};
 use std::collections::BTreeSet;
@@ -86,8 +86,6 @@
         }
         None => None,
     };
-    // The value borrows from the text only, so that the log may be taken apart here.
-    drop(value);
     finish(settings, log)
 }
 
@@ -100,19 +98,7 @@
 }
 
 fn parse_value<'a>(text: &'a str, log: &fault::Log<'_>) -> Option<ast::Value<'a>> {
-    let options = jsonc_parser::ParseOptions {
-        allow_comments: true,
-        allow_trailing_commas: true,
-        allow_loose_object_property_names: false,
-        allow_missing_commas: false,
-        allow_single_quoted_strings: false,
-        allow_hexadecimal_numbers: false,
-        allow_unary_plus_numbers: false,
-        allow_bare_decimal_point_numbers: false,
-        allow_non_finite_numbers: false,
-        allow_extended_string_escapes: false,
-    };
-    match jsonc_parser::parse_to_ast(text, &jsonc_parser::CollectOptions::default(), &options) {
+    match jsonc_parser::parse_to_ast(text, &Default::default(), &plain::options()) {
         Ok(result) => {
             if result.value.is_none() {
                 log.add(0, "the file is empty; start from `hyssopforkd settings --default`");
