Write the operators' program: commands, load generator, history check (untested)

Commands talk to the control instances through a client that follows the leader, turns to the next instance on a failure and sends the same patch identifier again after a lost answer; a patch whose outcome did not come back is told so, with the identifier to ask again.

The load generator is open-loop; latencies count from when a request was due. It uses hyssopfork-exchange, since awc cannot tell a cut answer from a whole one.

--- /dev/null
+++ b/crates/hyssopfork-cli/src/command/check_history.rs
@@ -0,0 +1,94 @@
+//! `check-history`: whether all held in histories that `load` wrote.
+
+use crate::{context, error, history, output};
+use bytes::Bytes;
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use hyssopfork_exchange::connection;
+use std::time::Duration;
+use std::{net, path};
+
+/// Time that a back end has to tell its counts.
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// Examples of the command.
+pub const EXAMPLES: &[&str] =
+    &["hyssopfork check-history run.jsonl --counts 127.0.0.1:9000,127.0.0.1:9001,127.0.0.1:9002"];
+
+/// The command.
+pub fn command() -> Command {
+    let about = "Check histories against what back ends ran; exit code 1 if anything did not hold";
+    super::described("check-history", about, EXAMPLES)
+        .arg(
+            Arg::new("files")
+                .value_name("FILE")
+                .required(true)
+                .num_args(1..)
+                .value_parser(clap::value_parser!(path::PathBuf))
+                .help("Histories that `load --history` wrote"),
+        )
+        .arg(
+            Arg::new("counts")
+                .long("counts")
+                .value_name("IP:PORT")
+                .required(true)
+                .action(ArgAction::Append)
+                .value_delimiter(',')
+                .value_parser(clap::value_parser!(net::SocketAddr))
+                .help("Every back end of the non-repeatable routes; asked for GET /counts"),
+        )
+}
+
+/// Runs it.
+pub async fn run(
+    matches: &ArgMatches,
+    context: &mut context::Context,
+) -> Result<output::Report, error::Error> {
+    let mut lines = Vec::new();
+    for path in matches.get_many::<path::PathBuf>("files").expect("required by the parser") {
+        lines.extend(history::read(path)?);
+    }
+    let mut counts = Vec::new();
+    for &address in matches.get_many::<net::SocketAddr>("counts").expect("required") {
+        counts.push(read_counts(address).await?);
+    }
+    let verdict = history::check(&lines, &counts);
+    let text = match context.output {
+        output::Output::Json => output::json(&verdict),
+        output::Output::Table => render(&verdict),
+    };
+    Ok(output::Report { text, code: if verdict.held() { 0 } else { error::FOUND } })
+}
+
+async fn read_counts(address: net::SocketAddr) -> Result<history::Counts, error::Error> {
+    let failed = |cause: String| error::Error::Counts(address, cause);
+    let body = actix_rt::time::timeout(LIMIT, fetch(address)).await;
+    let body = body.map_err(|_| failed("no answer in time".into()))?;
+    let body = body.map_err(|cause| failed(cause.to_string()))?;
+    serde_json::from_slice(&body).map_err(|cause| failed(cause.to_string()))
+}
+
+async fn fetch(address: net::SocketAddr) -> Result<Bytes, hyssopfork_exchange::error::Error> {
+    let mut connection = connection::Connection::open(address).await?;
+    let request = connection::Request { method: "GET", path: "/counts", headers: &[] };
+    connection.send(&request, Bytes::new()).await?;
+    connection.head().await?;
+    connection.rest().await
+}
+
+fn render(verdict: &history::Verdict) -> String {
+    let mut table = output::Table::new(&["ENDED AS", "REQUESTS"]);
+    for (kind, count) in &verdict.kinds {
+        table.row([kind.to_string(), count.to_string()]);
+    }
+    let held = if verdict.held() {
+        "all held: whole answers, true refusals, at most one run for each of the compared\n".into()
+    } else {
+        format!("DID NOT HOLD:\n  {}\n", verdict.violations.join("\n  "))
+    };
+    format!(
+        "{}{} requests, {} pieces of non-repeatable work compared with what back ends ran\n{held}",
+        table.render(),
+        verdict.requests,
+        verdict.compared
+    )
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/src/command/config/history.rs
@@ -0,0 +1,52 @@
+//! `config history`: accepted patches, and by whom.
+
+use crate::{context, error, output};
+use clap::{Arg, ArgMatches, Command};
+use hyssopfork_wire::{control, number, patch};
+
+/// Examples of the command.
+pub const EXAMPLES: &[&str] = &[
+    "hyssopfork config history --control 127.0.0.1:7100",
+    "hyssopfork config history --since 12 --control 127.0.0.1:7100",
+];
+
+/// The command.
+pub fn command() -> Command {
+    let since = Arg::new("since")
+        .long("since")
+        .value_name("N")
+        .default_value("0")
+        .value_parser(clap::value_parser!(u64))
+        .help("Only patches after this number");
+    super::super::described("history", "Show accepted patches, oldest first", EXAMPLES).arg(since)
+}
+
+/// Runs it.
+pub async fn run(
+    matches: &ArgMatches,
+    context: &mut context::Context,
+) -> Result<output::Report, error::Error> {
+    let since = *matches.get_one::<u64>("since").expect("has a default");
+    let request = control::Request::History(number::Configuration(since));
+    let control::Response::History(records) = context.client()?.call(&request).await? else {
+        return Err(error::Error::Unexpected);
+    };
+    let text = match context.output {
+        output::Output::Json => output::json(&records),
+        output::Output::Table => render(&records),
+    };
+    Ok(output::Report::done(text))
+}
+
+fn render(records: &[patch::Record]) -> String {
+    let mut table = output::Table::new(&["NUMBER", "BY", "IDENTIFIER", "CHANGE"]);
+    for record in records {
+        table.row([
+            record.number.to_string(),
+            record.author.to_string(),
+            record.identifier.0.clone(),
+            record.summary.join("; "),
+        ]);
+    }
+    table.render()
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/src/command/config/mod.rs
@@ -0,0 +1,46 @@
+//! `config`: the declared configuration.
+
+pub mod check;
+pub mod diff;
+pub mod history;
+pub mod show;
+pub mod submit;
+
+use crate::{context, error, output};
+use clap::{Arg, ArgMatches, Command};
+use std::path;
+
+/// The family.
+pub fn command() -> Command {
+    let commands =
+        [show::command(), check::command(), diff::command(), submit::command(), history::command()];
+    super::family("config", "Show, check and change the declared configuration", commands)
+}
+
+/// Runs the command that was parsed.
+pub async fn run(
+    matches: &ArgMatches,
+    context: &mut context::Context,
+) -> Result<output::Report, error::Error> {
+    match matches.subcommand() {
+        Some(("show", _)) => show::run(context).await,
+        Some(("check", matches)) => check::run(matches, context),
+        Some(("diff", matches)) => diff::run(matches, context).await,
+        Some(("submit", matches)) => submit::run(matches, context).await,
+        Some(("history", matches)) => history::run(matches, context).await,
+        _ => Err(error::Error::Usage("name a command of config".into())),
+    }
+}
+
+/// The declaration's path.
+fn file_argument() -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(clap::value_parser!(path::PathBuf))
+        .help("Declaration in JSON with comments")
+}
+
+fn file(matches: &ArgMatches) -> &path::Path {
+    matches.get_one::<path::PathBuf>("file").expect("required by the parser")
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/src/command/config/show.rs
@@ -0,0 +1,28 @@
+//! `config show`: the configuration in force.
+
+use crate::{context, error, output};
+use clap::Command;
+
+/// Examples of the command.
+pub const EXAMPLES: &[&str] = &[
+    "hyssopfork config show --control 127.0.0.1:7100",
+    "hyssopfork config show --control 127.0.0.1:7100 --output json",
+];
+
+/// The command.
+pub fn command() -> Command {
+    super::super::described("show", "Show the configuration in force as a declaration", EXAMPLES)
+}
+
+/// Runs it.
+pub async fn run(context: &mut context::Context) -> Result<output::Report, error::Error> {
+    let configuration = context.client()?.status().await?.view.configuration;
+    let declaration = output::json(&configuration);
+    let text = match context.output {
+        output::Output::Json => declaration,
+        output::Output::Table => {
+            format!("// Configuration {} in force.\n{declaration}", configuration.number)
+        }
+    };
+    Ok(output::Report::done(text))
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/src/command/group/list.rs
@@ -0,0 +1,51 @@
+//! `group list`: declared serving groups and where they stand.
+
+use crate::{context, error, output, screen};
+use clap::{ArgMatches, Command};
+
+/// Examples of the command.
+pub const EXAMPLES: &[&str] = &["hyssopfork group list --control 127.0.0.1:7100"];
+
+/// The command.
+pub fn command() -> Command {
+    super::super::described("list", "List serving groups with their members", EXAMPLES)
+}
+
+/// Runs it.
+pub async fn run(
+    _: &ArgMatches,
+    context: &mut context::Context,
+) -> Result<output::Report, error::Error> {
+    let groups = screen::draw(&context.client()?.status().await?).groups;
+    let text = match context.output {
+        output::Output::Json => output::json(&groups),
+        output::Output::Table => render(&groups),
+    };
+    Ok(output::Report::done(text))
+}
+
+/// Groups as a table.
+pub fn render(groups: &[screen::Group]) -> String {
+    let mut table =
+        output::Table::new(&["GROUP", "STATE", "ZONE", "FENCE", "RUNNING", "MEMBERS", "MISSING"]);
+    for group in groups {
+        table.row([
+            group.group.to_string(),
+            group.standing.to_string(),
+            group.zone.as_ref().map_or_else(|| "-".into(), ToString::to_string),
+            group.fence.map_or_else(|| "-".into(), |fence| fence.to_string()),
+            group.running.to_string(),
+            join(&group.members),
+            join(&group.missing),
+        ]);
+    }
+    table.render()
+}
+
+fn join(names: &[hyssopfork_wire::name::Instance]) -> String {
+    if names.is_empty() {
+        return "-".into();
+    }
+    let names: Vec<&str> = names.iter().map(|name| name.as_str()).collect();
+    names.join(",")
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/src/command/group/mod.rs
@@ -0,0 +1,27 @@
+//! `group`: serving groups.
+
+pub mod create;
+pub mod list;
+pub mod remove;
+
+use crate::{context, error, output};
+use clap::{ArgMatches, Command};
+
+/// The family.
+pub fn command() -> Command {
+    let commands = [list::command(), create::command(), remove::command()];
+    super::family("group", "List, create and remove serving groups", commands)
+}
+
+/// Runs the command that was parsed.
+pub async fn run(
+    matches: &ArgMatches,
+    context: &mut context::Context,
+) -> Result<output::Report, error::Error> {
+    match matches.subcommand() {
+        Some(("list", matches)) => list::run(matches, context).await,
+        Some(("create", matches)) => create::run(matches, context).await,
+        Some(("remove", matches)) => remove::run(matches, context).await,
+        _ => Err(error::Error::Usage("name a command of group".into())),
+    }
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/src/command/instance/list.rs
@@ -0,0 +1,68 @@
+//! `instance list`: every process that holds a lease or announced itself.
+
+use crate::{context, error, output, screen};
+use clap::Command;
+use hyssopfork_wire::control;
+use serde::Serialize;
+
+/// Examples of the command.
+pub const EXAMPLES: &[&str] = &["hyssopfork instance list --control 127.0.0.1:7100"];
+
+/// The command.
+pub fn command() -> Command {
+    super::super::described("list", "List every instance with its role and lease", EXAMPLES)
+}
+
+#[derive(Serialize)]
+struct Row {
+    instance: String,
+    role: &'static str,
+    version: u64,
+    lease_age_ms: u64,
+    condition: String,
+}
+
+/// Runs it.
+pub async fn run(
+    _: &clap::ArgMatches,
+    context: &mut context::Context,
+) -> Result<output::Report, error::Error> {
+    let status = context.client()?.status().await?;
+    let rows = rows(&status);
+    let text = match context.output {
+        output::Output::Json => output::json(&rows),
+        output::Output::Table => render(&rows),
+    };
+    Ok(output::Report::done(text))
+}
+
+fn rows(status: &control::Status) -> Vec<Row> {
+    let drawn = screen::draw(status);
+    let row = |holding: &control::Holding| {
+        let known = drawn.instances.iter().find(|known| known.instance == holding.instance);
+        let condition = known.filter(|_| holding.agent).map(|known| known.condition.to_string());
+        Row {
+            instance: holding.instance.to_string(),
+            role: if holding.agent { "agent" } else { "entry" },
+            version: holding.version.0,
+            lease_age_ms: holding.age.as_millis() as u64,
+            condition: condition.unwrap_or_else(|| "ready".into()),
+        }
+    };
+    status.holdings.iter().map(row).collect()
+}
+
+fn render(rows: &[Row]) -> String {
+    let mut table =
+        output::Table::new(&["INSTANCE", "ROLE", "VERSION", "LEASE AGE MS", "CONDITION"]);
+    for row in rows {
+        table.row([
+            row.instance.clone(),
+            row.role.into(),
+            row.version.to_string(),
+            row.lease_age_ms.to_string(),
+            row.condition.clone(),
+        ]);
+    }
+    table.render()
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/src/command/load.rs
@@ -0,0 +1,123 @@
+//! `load`: send requests as a plan says, when they are due, and tell what callers received.
+
+use crate::load::{plan, run, schedule, summary};
+use crate::{context, declaration, error, history, output};
+use clap::{Arg, ArgAction, ArgMatches, Command, builder};
+use std::time::Duration;
+use std::{fs, net, path};
+
+/// Examples of the command.
+pub const EXAMPLES: &[&str] = &[
+    "hyssopfork load examples/levy-reporting/load.json --entry 127.0.0.1:8080 --rate 50 \
+     --duration-s 20",
+    "hyssopfork load plan.json --entry 127.0.0.1:8080,127.0.0.1:8081 --rate 200 \
+     --arrivals constant --resend-percent 10 --history run.jsonl --seed 7",
+];
+
+/// The command.
+pub fn command() -> Command {
+    super::described("load", "Send requests at a rate and tell what callers received", EXAMPLES)
+        .arg(
+            Arg::new("plan")
+                .value_name("PLAN")
+                .required(true)
+                .value_parser(clap::value_parser!(path::PathBuf))
+                .help("Teams and routes with their shares, in JSON with comments"),
+        )
+        .arg(
+            Arg::new("entry")
+                .long("entry")
+                .value_name("IP:PORT")
+                .required(true)
+                .action(ArgAction::Append)
+                .value_delimiter(',')
+                .value_parser(clap::value_parser!(net::SocketAddr))
+                .help("Entries, used in turn"),
+        )
+        .args(numbers())
+        .arg(
+            Arg::new("arrivals")
+                .long("arrivals")
+                .value_parser(["poisson", "constant"])
+                .default_value("poisson")
+                .help("How arrivals are spread"),
+        )
+        .arg(
+            Arg::new("history")
+                .long("history")
+                .value_name("FILE")
+                .value_parser(clap::value_parser!(path::PathBuf))
+                .help("Where to write one JSON line for each request"),
+        )
+        .arg(
+            Arg::new("label")
+                .long("label")
+                .value_name("TEXT")
+                .default_value("load")
+                .help("Start of every request's reference; differs between runs"),
+        )
+}
+
+fn numbers() -> [Arg; 6] {
+    let number = |id: &'static str, default: &'static str, least: u64, help: &'static str| {
+        let parser = builder::RangedU64ValueParser::<u64>::new().range(least..=1_000_000);
+        let argument = Arg::new(id).long(id).value_name("N").default_value(default);
+        argument.value_parser(parser).help(help)
+    };
+    [
+        number("rate", "20", 1, "Requests a second"),
+        number("duration-s", "10", 1, "Time during which requests are sent"),
+        number("seed", "1", 0, "Seed of everything random"),
+        number("resend-percent", "0", 0, "Of 100 requests with a key, how many are sent twice"),
+        number("caller-timeout-ms", "30000", 1, "Time after which a caller gives up"),
+        number("outstanding", "2000", 1, "Most requests at once"),
+    ]
+}
+
+/// Runs it.
+pub async fn run(
+    matches: &ArgMatches,
+    context: &mut context::Context,
+) -> Result<output::Report, error::Error> {
+    let order = order(matches)?;
+    let lines = run::run(order).await;
+    if let Some(path) = matches.get_one::<path::PathBuf>("history") {
+        write(path, &lines)?;
+    }
+    let summary = summary::sum(&lines);
+    let text = match context.output {
+        output::Output::Json => output::json(&summary),
+        output::Output::Table => summary.render(),
+    };
+    Ok(output::Report::done(text))
+}
+
+fn order(matches: &ArgMatches) -> Result<run::Order, error::Error> {
+    let path = matches.get_one::<path::PathBuf>("plan").expect("required by the parser");
+    let plan: plan::Plan = declaration::read_json(path)?;
+    let faults = plan.faults();
+    if !faults.is_empty() {
+        return Err(error::Error::Faulty(path.clone(), faults));
+    }
+    let number = |id| *matches.get_one::<u64>(id).expect("has a default");
+    let text = |id| matches.get_one::<String>(id).expect("has a default").as_str();
+    let entries = matches.get_many::<net::SocketAddr>("entry").expect("required by the parser");
+    let arrivals: schedule::Arrivals = text("arrivals").parse().expect("checked by the parser");
+    Ok(run::Order {
+        entries: entries.copied().collect(),
+        plan,
+        rate: number("rate") as f64,
+        arrivals,
+        duration: Duration::from_secs(number("duration-s")),
+        seed: number("seed"),
+        resend_percent: number("resend-percent") as u32,
+        limit: Duration::from_millis(number("caller-timeout-ms")),
+        outstanding: number("outstanding") as usize,
+        label: text("label").to_owned(),
+    })
+}
+
+fn write(path: &path::Path, lines: &[history::Line]) -> Result<(), error::Error> {
+    let text: String = lines.iter().map(output::json_line).collect();
+    fs::write(path, text).map_err(|cause| error::Error::File(path.to_owned(), cause))
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/src/command/upstream/list.rs
@@ -0,0 +1,50 @@
+//! `upstream list`: engines and plain services that announced themselves.
+
+use crate::{context, error, output, screen};
+use clap::{Arg, ArgMatches, Command};
+
+/// Examples of the command.
+pub const EXAMPLES: &[&str] = &[
+    "hyssopfork upstream list --control 127.0.0.1:7100",
+    "hyssopfork upstream list --zone lekki --control 127.0.0.1:7100",
+];
+
+/// The command.
+pub fn command() -> Command {
+    let zone = Arg::new("zone").long("zone").value_name("ZONE").help("Only those in this zone");
+    super::super::described("list", "List upstreams with their state", EXAMPLES).arg(zone)
+}
+
+/// Runs it.
+pub async fn run(
+    matches: &ArgMatches,
+    context: &mut context::Context,
+) -> Result<output::Report, error::Error> {
+    let zone = matches.get_one::<String>("zone");
+    let mut instances = screen::draw(&context.client()?.status().await?).instances;
+    instances.retain(|instance| zone.is_none_or(|zone| instance.zone.as_str() == zone));
+    let text = match context.output {
+        output::Output::Json => output::json(&instances),
+        output::Output::Table => render(&instances),
+    };
+    Ok(output::Report::done(text))
+}
+
+fn render(instances: &[screen::Instance]) -> String {
+    let mut table = output::Table::new(&[
+        "INSTANCE", "ZONE", "DOMAIN", "POOL", "KIND", "STATE", "GROUP", "RUNNING",
+    ]);
+    for instance in instances {
+        table.row([
+            instance.instance.to_string(),
+            instance.zone.to_string(),
+            instance.domain.to_string(),
+            instance.pool.to_string(),
+            instance.kind.to_string(),
+            instance.condition.to_string(),
+            instance.group.as_ref().map_or_else(|| "-".into(), ToString::to_string),
+            instance.running.to_string(),
+        ]);
+    }
+    table.render()
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/src/command/zone/bring_in.rs
@@ -0,0 +1,27 @@
+//! `zone in`: bring an availability zone back into service.
+
+use crate::{context, error, output, submission};
+use clap::{Arg, ArgMatches, Command};
+use hyssopfork_wire::{name, patch};
+
+/// Examples of the command.
+pub const EXAMPLES: &[&str] = &["hyssopfork zone in lekki --control 127.0.0.1:7100"];
+
+/// The command.
+pub fn command() -> Command {
+    let zone = Arg::new("zone").value_name("ZONE").required(true).help("Availability zone");
+    super::super::described("in", "Bring a zone back into service", EXAMPLES)
+        .arg(zone)
+        .arg(submission::base_argument())
+        .arg(submission::identifier_argument())
+}
+
+/// Runs it.
+pub async fn run(
+    matches: &ArgMatches,
+    context: &mut context::Context,
+) -> Result<output::Report, error::Error> {
+    let zone = matches.get_one::<String>("zone").expect("required by the parser");
+    let zone = name::Zone::from(zone.as_str());
+    submission::submit(matches, context, vec![patch::Operation::SetZoneOut(zone, false)]).await
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/src/command/zone/out.rs
@@ -0,0 +1,30 @@
+//! `zone out`: take an availability zone out of service.
+
+use crate::{context, error, output, submission};
+use clap::{Arg, ArgMatches, Command};
+use hyssopfork_wire::{name, patch};
+
+/// Examples of the command.
+pub const EXAMPLES: &[&str] = &[
+    "hyssopfork zone out lekki --control 127.0.0.1:7100",
+    "hyssopfork zone out lekki --base 12 --control 127.0.0.1:7100",
+];
+
+/// The command.
+pub fn command() -> Command {
+    let zone = Arg::new("zone").value_name("ZONE").required(true).help("Availability zone");
+    super::super::described("out", "Take a zone out of service: no new work goes there", EXAMPLES)
+        .arg(zone)
+        .arg(submission::base_argument())
+        .arg(submission::identifier_argument())
+}
+
+/// Runs it.
+pub async fn run(
+    matches: &ArgMatches,
+    context: &mut context::Context,
+) -> Result<output::Report, error::Error> {
+    let zone = matches.get_one::<String>("zone").expect("required by the parser");
+    let zone = name::Zone::from(zone.as_str());
+    submission::submit(matches, context, vec![patch::Operation::SetZoneOut(zone, true)]).await
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/src/context.rs
@@ -0,0 +1,107 @@
+//! What every command is given besides its own arguments.
+
+use crate::{client, error, output};
+use clap::{Arg, ArgAction, ArgMatches};
+use hyssopfork_wire::name;
+use std::time::Duration;
+use std::{env, net};
+
+/// Environment variable with the control instances' addresses.
+pub const CONTROL_VARIABLE: &str = "HYSSOPFORK_CONTROL";
+
+/// Context of one run.
+#[derive(Debug)]
+pub struct Context {
+    /// Client of the control instances; a command that needs none leaves it unused.
+    pub control: Option<client::Client>,
+    /// How results are printed.
+    pub output: output::Output,
+    /// Who submits.
+    pub operator: name::Operator,
+}
+
+/// Arguments that every command takes.
+pub fn arguments() -> [Arg; 4] {
+    [
+        Arg::new("control")
+            .long("control")
+            .value_name("IP:PORT")
+            .action(ArgAction::Append)
+            .value_delimiter(',')
+            .value_parser(clap::value_parser!(net::SocketAddr))
+            .global(true)
+            .help(format!("Control instances; else from {CONTROL_VARIABLE}, separated by commas")),
+        Arg::new("output")
+            .long("output")
+            .value_parser(["table", "json"])
+            .default_value("table")
+            .global(true)
+            .help("How results are printed"),
+        Arg::new("operator")
+            .long("operator")
+            .value_name("NAME")
+            .global(true)
+            .help("Who submits patches, for the history; else from USER"),
+        Arg::new("timeout-ms")
+            .long("timeout-ms")
+            .value_name("MS")
+            .value_parser(clap::value_parser!(u64).range(1..))
+            .default_value("10000")
+            .global(true)
+            .help("Time after which a request to the control instances is given up"),
+    ]
+}
+
+impl Context {
+    /// Reads the common arguments.
+    pub fn read(matches: &ArgMatches) -> Result<Context, error::Error> {
+        let output = matches.get_one::<String>("output").expect("has a default");
+        let limit = *matches.get_one::<u64>("timeout-ms").expect("has a default");
+        let given = matches.get_many::<net::SocketAddr>("control");
+        let addresses = match given {
+            Some(addresses) => addresses.copied().collect(),
+            None => from_environment()?,
+        };
+        let control = (!addresses.is_empty())
+            .then(|| client::Client::new(addresses, Duration::from_millis(limit)));
+        Ok(Context {
+            control,
+            output: output.parse().expect("checked by the parser"),
+            operator: operator(matches)?,
+        })
+    }
+
+    /// The client, for a command that needs one.
+    pub fn client(&mut self) -> Result<&mut client::Client, error::Error> {
+        let missing = || {
+            let text =
+                format!("name the control instances with --control IP:PORT or {CONTROL_VARIABLE}");
+            error::Error::Usage(text)
+        };
+        self.control.as_mut().ok_or_else(missing)
+    }
+}
+
+fn from_environment() -> Result<Vec<net::SocketAddr>, error::Error> {
+    let Ok(text) = env::var(CONTROL_VARIABLE) else { return Ok(Vec::new()) };
+    let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+    let parsed = parts.map(|part| {
+        part.parse().map_err(|_| {
+            let text = format!("{CONTROL_VARIABLE} holds {part:?}; write IP:PORT,IP:PORT,...");
+            error::Error::Usage(text)
+        })
+    });
+    parsed.collect()
+}
+
+fn operator(matches: &ArgMatches) -> Result<name::Operator, error::Error> {
+    let given = matches.get_one::<String>("operator").cloned();
+    let text = given.or_else(|| env::var("USER").ok()).unwrap_or_else(|| "operator".into());
+    if name::is_valid(&text) {
+        return Ok(name::Operator::new(text));
+    }
+    Err(error::Error::Usage(format!(
+        "{text:?} is no operator's name; give --operator with lower-case letters, digits, '-', '_' \
+         or '.'"
+    )))
+}
--- a/crates/hyssopfork-cli/src/lib.rs
+++ b/crates/hyssopfork-cli/src/lib.rs
@@ -1,1 +1,13 @@
-//! Operators' program.
+//! Operators' program: what `hyssopfork` does, as a library that tests can call.
+
+pub mod client;
+pub mod command;
+pub mod context;
+pub mod declaration;
+pub mod error;
+pub mod history;
+pub mod load;
+pub mod output;
+pub mod program;
+pub mod screen;
+pub mod submission;
--- a/crates/hyssopfork-cli/src/main.rs
+++ b/crates/hyssopfork-cli/src/main.rs
@@ -1,3 +1,8 @@
-//! The operators' program.
+//! The program `hyssopfork`.
 
-fn main() {}
+use hyssopfork_cli::program;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    program::main()
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/src/output.rs
@@ -0,0 +1,92 @@
+//! What commands print: tables for people, JSON for scripts.
+
+use serde::Serialize;
+use std::io::{self, Write};
+
+/// How results are printed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Output {
+    /// Columns for people.
+    #[default]
+    Table,
+    /// One JSON value, or one a line for commands that go on.
+    Json,
+}
+
+/// What a command has to say, and the program's exit code.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Text, with its last line end.
+    pub text: String,
+    /// Exit code.
+    pub code: u8,
+}
+
+impl Report {
+    /// A result with exit code 0.
+    pub fn done(text: impl Into<String>) -> Report {
+        Report { text: text.into(), code: 0 }
+    }
+}
+
+/// Rows under a head, in columns as wide as their longest cell.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// A table with these column heads.
+    pub fn new(head: &[&str]) -> Table {
+        Table { rows: vec![head.iter().map(|cell| (*cell).to_owned()).collect()] }
+    }
+
+    /// Adds a row.
+    pub fn row<const N: usize>(&mut self, cells: [String; N]) {
+        self.rows.push(cells.into());
+    }
+
+    /// The table as text.
+    pub fn render(&self) -> String {
+        let widths = self.widths();
+        let mut text = String::new();
+        for row in &self.rows {
+            let cells = row.iter().zip(&widths);
+            let padded: Vec<String> =
+                cells.map(|(cell, width)| format!("{cell:<width$}")).collect();
+            text.push_str(padded.join("  ").trim_end());
+            text.push('\n');
+        }
+        text
+    }
+
+    fn widths(&self) -> Vec<usize> {
+        let columns = self.rows[0].len();
+        let widest = |column: usize| {
+            let cells = self.rows.iter().map(|row| row[column].chars().count());
+            cells.max().unwrap_or(0)
+        };
+        (0..columns).map(widest).collect()
+    }
+}
+
+/// A value as indented JSON.
+pub fn json(value: &impl Serialize) -> String {
+    let mut text = serde_json::to_string_pretty(value).expect("results are plain data");
+    text.push('\n');
+    text
+}
+
+/// A value as one line of JSON.
+pub fn json_line(value: &impl Serialize) -> String {
+    let mut text = serde_json::to_string(value).expect("results are plain data");
+    text.push('\n');
+    text
+}
+
+/// Prints at once; a reader that went away is no failure of the command.
+pub fn print(text: &str) {
+    let mut stdout = io::stdout().lock();
+    stdout.write_all(text.as_bytes()).and_then(|()| stdout.flush()).ok();
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/src/screen.rs
@@ -0,0 +1,328 @@
+//! What a control room sees of the fleet, worked out from the leader's status.
+
+use hyssopfork_wire::{configuration, control, fleet, name, number, timing};
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// State of a serving group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, strum::Display)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Standing {
+    /// Its first member takes requests.
+    Serving,
+    /// It is placed and not all members have loaded or granted yet.
+    Forming,
+    /// It is placed and a member is missing.
+    Incomplete,
+    /// No instances are placed for it.
+    Unplaced,
+}
+
+/// A serving group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Group {
+    /// Its name.
+    pub group: name::Group,
+    /// State.
+    pub standing: Standing,
+    /// Fencing number of its placement.
+    pub fence: Option<number::Fence>,
+    /// Zone of its first member.
+    pub zone: Option<name::Zone>,
+    /// Members, first one first.
+    pub members: Vec<name::Instance>,
+    /// Members that are missing.
+    pub missing: Vec<name::Instance>,
+    /// Requests that run on it.
+    pub running: u32,
+}
+
+/// What is the matter with an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, strum::Display)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Condition {
+    /// All is well.
+    Ready,
+    /// Its back end is new and bears little.
+    Cold,
+    /// Operators have drained it.
+    Drained,
+    /// Its agent has said that it is leaving.
+    Leaving,
+    /// Its back end doesn't answer its agent.
+    Down,
+    /// It fell silent or left.
+    Missing,
+}
+
+/// An instance that announced itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Instance {
+    /// Its name.
+    pub instance: name::Instance,
+    /// Its zone.
+    pub zone: name::Zone,
+    /// Its fabric domain.
+    pub domain: name::Domain,
+    /// Its pool.
+    pub pool: name::Pool,
+    /// What it runs.
+    pub kind: configuration::Kind,
+    /// State.
+    pub condition: Condition,
+    /// Group that it is placed in.
+    pub group: Option<name::Group>,
+    /// Requests that run on it.
+    pub running: u32,
+    /// Accelerators on it.
+    pub accelerators: u32,
+}
+
+/// An availability zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Zone {
+    /// Its name.
+    pub zone: name::Zone,
+    /// Whether operators have taken it out.
+    pub out: bool,
+    /// Groups that serve in it.
+    pub serving: usize,
+    /// Instances that are present.
+    pub present: usize,
+    /// Instances that are missing.
+    pub missing: usize,
+    /// Instances that are cold.
+    pub cold: usize,
+}
+
+/// A process that doesn't act on the newest view yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Behind {
+    /// Its instance.
+    pub instance: name::Instance,
+    /// Version that it reported last.
+    pub version: number::Version,
+    /// Whether its lease has lapsed, so that it serves nothing.
+    pub lapsed: bool,
+}
+
+/// The whole screen.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Screen {
+    /// Configuration number in force.
+    pub configuration: number::Configuration,
+    /// Version of the newest view.
+    pub version: number::Version,
+    /// Control instance that leads.
+    pub leader: name::Instance,
+    /// Term of the log.
+    pub term: number::Term,
+    /// Committed index of the log.
+    pub committed: number::Index,
+    /// Zones by name.
+    pub zones: Vec<Zone>,
+    /// Groups by name.
+    pub groups: Vec<Group>,
+    /// Instances by name.
+    pub instances: Vec<Instance>,
+    /// Entries that hold a lease.
+    pub entries: usize,
+    /// Processes that hold a lease.
+    pub holders: usize,
+    /// Processes that don't act on the newest view yet.
+    pub behind: Vec<Behind>,
+    /// Accelerators that serve nothing: on present, undrained engines in zones that are in service,
+    /// outside serving groups.
+    pub stranded: u32,
+}
+
+impl Screen {
+    /// Whether every declared group serves and the newest view is in force everywhere.
+    pub fn is_well(&self) -> bool {
+        let serving = self.groups.iter().all(|group| group.standing == Standing::Serving);
+        serving && self.behind.is_empty()
+    }
+}
+
+/// Works the screen out.
+pub fn draw(status: &control::Status) -> Screen {
+    let reports = Reports::new(status);
+    let groups: Vec<Group> =
+        status.view.configuration.groups.keys().map(|group| reports.group(group)).collect();
+    let instances: Vec<Instance> =
+        status.view.members.values().map(|member| reports.instance(member)).collect();
+    let zones = status.view.configuration.zones.iter();
+    let zones = zones.map(|(name, zone)| draw_zone(name, zone, &groups, &instances)).collect();
+    let stranded = stranded(status, &groups, &instances);
+    Screen {
+        configuration: status.view.configuration.number,
+        version: status.view.version,
+        leader: status.leader.clone(),
+        term: status.term,
+        committed: status.committed,
+        zones,
+        groups,
+        instances,
+        entries: status.holdings.iter().filter(|holding| !holding.agent).count(),
+        holders: status.holdings.len(),
+        behind: behind(status),
+        stranded,
+    }
+}
+
+/// Reports by instance, beside the view that they belong to.
+struct Reports<'a> {
+    status: &'a control::Status,
+    by_instance: BTreeMap<&'a name::Instance, &'a fleet::Report>,
+    group_of: BTreeMap<&'a name::Instance, &'a name::Group>,
+}
+
+impl<'a> Reports<'a> {
+    fn new(status: &'a control::Status) -> Self {
+        let holdings = status.holdings.iter();
+        let reported =
+            holdings.filter_map(|holding| Some((&holding.instance, holding.report.as_ref()?)));
+        let placements = status.view.placements.iter();
+        let placed = placements.flat_map(|(group, placement)| {
+            placement.members.iter().map(move |member| (member, group))
+        });
+        Reports { status, by_instance: reported.collect(), group_of: placed.collect() }
+    }
+
+    fn group(&self, group: &name::Group) -> Group {
+        let Some(placement) = self.status.view.placements.get(group) else {
+            return Group {
+                group: group.clone(),
+                standing: Standing::Unplaced,
+                fence: None,
+                zone: None,
+                members: Vec::new(),
+                missing: Vec::new(),
+                running: 0,
+            };
+        };
+        let members = placement.members.iter();
+        let missing: Vec<name::Instance> =
+            members.filter(|member| self.is_missing(member)).cloned().collect();
+        let first = placement.members.first();
+        let report = first.and_then(|first| self.by_instance.get(first));
+        let member = first.and_then(|first| self.status.view.members.get(first));
+        Group {
+            group: group.clone(),
+            standing: standing(placement, report.copied(), &missing),
+            fence: Some(placement.fence),
+            zone: member.map(|member| member.announcement.zone.clone()),
+            members: placement.members.clone(),
+            missing,
+            running: report.map_or(0, |report| report.running),
+        }
+    }
+
+    fn is_missing(&self, instance: &name::Instance) -> bool {
+        let Some(member) = self.status.view.members.get(instance) else { return true };
+        !matches!(
+            self.condition(member),
+            Condition::Ready | Condition::Cold | Condition::Drained | Condition::Leaving
+        )
+    }
+
+    fn condition(&self, member: &fleet::Member) -> Condition {
+        let instance = &member.announcement.instance;
+        let Some(report) = self.by_instance.get(instance).filter(|_| member.present) else {
+            return Condition::Missing;
+        };
+        if member.leaving {
+            Condition::Leaving
+        } else if self.status.view.configuration.drained.contains(instance) {
+            Condition::Drained
+        } else if !report.alive {
+            Condition::Down
+        } else if !report.warm {
+            Condition::Cold
+        } else {
+            Condition::Ready
+        }
+    }
+
+    fn instance(&self, member: &fleet::Member) -> Instance {
+        let announcement = &member.announcement;
+        let report = self.by_instance.get(&announcement.instance);
+        Instance {
+            instance: announcement.instance.clone(),
+            zone: announcement.zone.clone(),
+            domain: announcement.domain.clone(),
+            pool: announcement.pool.clone(),
+            kind: announcement.profile.kind,
+            condition: self.condition(member),
+            group: self.group_of.get(&announcement.instance).map(|&group| group.clone()),
+            running: report.map_or(0, |report| report.running),
+            accelerators: announcement.profile.accelerators,
+        }
+    }
+}
+
+fn standing(
+    placement: &fleet::Placement,
+    first: Option<&fleet::Report>,
+    missing: &[name::Instance],
+) -> Standing {
+    let serves = first.is_some_and(|first| first.serving && first.joined == placement.fence);
+    match (missing.is_empty(), serves) {
+        (false, _) => Standing::Incomplete,
+        (true, true) => Standing::Serving,
+        (true, false) => Standing::Forming,
+    }
+}
+
+fn draw_zone(
+    name: &name::Zone,
+    zone: &configuration::Zone,
+    groups: &[Group],
+    instances: &[Instance],
+) -> Zone {
+    let count = |matches: fn(Condition) -> bool| {
+        let here = instances.iter().filter(|instance| instance.zone == *name);
+        here.filter(|instance| matches(instance.condition)).count()
+    };
+    let serving = groups
+        .iter()
+        .filter(|group| group.standing == Standing::Serving && group.zone.as_ref() == Some(name));
+    Zone {
+        zone: name.clone(),
+        out: zone.out,
+        serving: serving.count(),
+        present: count(|condition| condition != Condition::Missing),
+        missing: count(|condition| condition == Condition::Missing),
+        cold: count(|condition| condition == Condition::Cold),
+    }
+}
+
+fn behind(status: &control::Status) -> Vec<Behind> {
+    let late = status.holdings.iter().filter(|holding| {
+        holding.version < status.view.version || holding.age > timing::HOLDER_LEASE
+    });
+    let drawn = late.map(|holding| Behind {
+        instance: holding.instance.clone(),
+        version: holding.version,
+        lapsed: holding.age > timing::HOLDER_LEASE,
+    });
+    drawn.collect()
+}
+
+fn stranded(status: &control::Status, groups: &[Group], instances: &[Instance]) -> u32 {
+    let serves = |instance: &Instance| {
+        let group = groups.iter().find(|group| Some(&group.group) == instance.group.as_ref());
+        group.is_some_and(|group| group.standing == Standing::Serving)
+    };
+    let idle = instances.iter().filter(|instance| {
+        let zone = status.view.configuration.zones.get(&instance.zone);
+        let usable = matches!(instance.condition, Condition::Ready | Condition::Cold);
+        instance.kind == configuration::Kind::Engine
+            && usable
+            && zone.is_some_and(|zone| !zone.out)
+            && !serves(instance)
+    });
+    idle.map(|instance| instance.accelerators).sum()
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/src/submission.rs
@@ -0,0 +1,90 @@
+//! Submitting patches against a numbered configuration.
+
+use crate::{context, error, output};
+use clap::{Arg, ArgMatches};
+use hyssopfork_wire::{control, number, patch, timing};
+use serde::Serialize;
+
+/// The base number's argument.
+pub fn base_argument() -> Arg {
+    Arg::new("base")
+        .long("base")
+        .value_name("N")
+        .value_parser(clap::value_parser!(u64))
+        .help("Configuration number that the change was written against")
+}
+
+/// The identifier's argument.
+pub fn identifier_argument() -> Arg {
+    Arg::new("identifier")
+        .long("identifier")
+        .value_name("TEXT")
+        .help("Identifier of the patch, to learn the outcome of one sent before")
+}
+
+#[derive(Serialize)]
+struct Accepted {
+    accepted: number::Configuration,
+    identifier: String,
+}
+
+/// Submits operations against the number given with `--base`, or else the one in force now.
+pub async fn submit(
+    matches: &ArgMatches,
+    context: &mut context::Context,
+    operations: Vec<patch::Operation>,
+) -> Result<output::Report, error::Error> {
+    let base = match matches.get_one::<u64>("base") {
+        Some(&base) => number::Configuration(base),
+        None => context.client()?.status().await?.view.configuration.number,
+    };
+    let identifier = matches.get_one::<String>("identifier").cloned().unwrap_or_else(fresh);
+    let author = context.operator.clone();
+    let patch =
+        patch::Patch { identifier: patch::Identifier(identifier), base, author, operations };
+    send(context, patch).await
+}
+
+fn fresh() -> String {
+    format!("{:016x}{:016x}", rand::random::<u64>(), rand::random::<u64>())
+}
+
+async fn send(
+    context: &mut context::Context,
+    patch: patch::Patch,
+) -> Result<output::Report, error::Error> {
+    let identifier = patch.identifier.0.clone();
+    let base = patch.base;
+    let answer = context.client()?.call(&control::Request::Submit(patch)).await;
+    let response = match answer {
+        Err(error::Error::Unreachable(tried, true)) => {
+            return Err(error::Error::OutcomeUnknown(identifier, tried));
+        }
+        answer => answer?,
+    };
+    let control::Response::Submitted(outcome) = response else {
+        return Err(error::Error::Unexpected);
+    };
+    match outcome {
+        patch::Outcome::Accepted(accepted) => Ok(report(context, accepted, identifier)),
+        patch::Outcome::Stale { current, since } => Err(error::Error::Stale(base, current, since)),
+        patch::Outcome::Invalid(faults) => Err(error::Error::Refused(faults)),
+        patch::Outcome::Reused => Err(error::Error::Reused(identifier)),
+    }
+}
+
+fn report(
+    context: &context::Context,
+    accepted: number::Configuration,
+    identifier: String,
+) -> output::Report {
+    match context.output {
+        output::Output::Json => {
+            output::Report::done(output::json(&Accepted { accepted, identifier }))
+        }
+        output::Output::Table => output::Report::done(format!(
+            "configuration {accepted} is accepted; in force everywhere within {} ms\n",
+            timing::IN_FORCE_BOUND.as_millis()
+        )),
+    }
+}
