Test the operators' program; keep due times and quantiles right

Cause: the tests found two faults. Constant due times were summed up, so that ten tenths fell short of one second and one request too many was sent; they are now worked out from the request's number. Quantiles were 0.002 ms whatever had been measured: a self-resizing hdrhistogram grows in record, while saturating_record caps at its first size; the histogram now has a bound of an hour.

--- a/crates/hyssopfork-cli/src/load/schedule.rs
+++ b/crates/hyssopfork-cli/src/load/schedule.rs
@@ -20,23 +20,22 @@
     duration: Duration,
     random: &mut impl RngExt,
 ) -> Vec<Duration> {
-    let mut due = Vec::new();
+    let limit = duration.as_secs_f64();
     let mut at = 0.0;
-    loop {
-        at += gap(arrivals, rate, random);
-        if at >= duration.as_secs_f64() {
-            return due;
-        }
-        due.push(Duration::from_secs_f64(at));
-    }
+    let next = |number: u32| {
+        at = match arrivals {
+            // From the number and not from the time before, so that rounding doesn't add up.
+            Arrivals::Constant => f64::from(number) / rate,
+            Arrivals::Poisson => at + exponential(rate, random),
+        };
+        at
+    };
+    let times = (1..).map(next).take_while(|&at| at < limit);
+    times.map(Duration::from_secs_f64).collect()
 }
 
-fn gap(arrivals: Arrivals, rate: f64, random: &mut impl RngExt) -> f64 {
-    match arrivals {
-        Arrivals::Constant => 1.0 / rate,
-        Arrivals::Poisson => {
-            let uniform: f64 = random.random();
-            -(1.0 - uniform).ln() / rate
-        }
-    }
+/// A gap whose mean is the inverse of the rate.
+fn exponential(rate: f64, random: &mut impl RngExt) -> f64 {
+    let uniform: f64 = random.random();
+    -(1.0 - uniform).ln() / rate
 }
--- a/crates/hyssopfork-cli/src/load/summary.rs
+++ b/crates/hyssopfork-cli/src/load/summary.rs
@@ -8,6 +8,8 @@
 
 /// Significant digits of the histograms.
 const DIGITS: u8 = 3;
+/// Longest time that the histograms tell, in microseconds: an hour, beyond any caller's patience.
+const LONGEST_US: u64 = 3_600_000_000;
 
 /// Latencies in milliseconds, measured from when requests were due.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
@@ -89,7 +91,10 @@
 }
 
 fn quantiles(times_us: impl Iterator<Item = u64>) -> Quantiles {
-    let mut histogram = Histogram::<u64>::new(DIGITS).expect("the digits are allowed");
+    // With a bound: one that resizes itself does so in `record` only, and `saturating_record`
+    // would cap every time at its first size.
+    let mut histogram =
+        Histogram::<u64>::new_with_max(LONGEST_US, DIGITS).expect("the bounds are allowed");
     times_us.for_each(|time| histogram.saturating_record(time));
     if histogram.is_empty() {
         return Quantiles::default();
--- /dev/null
+++ b/crates/hyssopfork-cli/tests/all/client.rs
@@ -0,0 +1,116 @@
+//! Failover between control instances, and what a lost answer means.
+
+use crate::support::{Control, run, status};
+use hyssopfork_cli::error;
+use hyssopfork_test_support::{http, relay};
+use hyssopfork_wire::{control, number, patch};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+
+fn answer(request: &control::Request) -> control::Response {
+    match request {
+        control::Request::Status => control::Response::Status(Box::new(status())),
+        control::Request::Submit(_) => {
+            control::Response::Submitted(patch::Outcome::Accepted(number::Configuration(2)))
+        }
+        _ => control::Response::Unavailable,
+    }
+}
+
+fn closed_port() -> SocketAddr {
+    let listener = http::free_listener().expect("a free port");
+    listener.local_addr().expect("it is bound")
+}
+
+fn identifiers(control: &Control) -> Vec<String> {
+    let identifier = |request: control::Request| match request {
+        control::Request::Submit(patch) => Some(patch.identifier.0),
+        _ => None,
+    };
+    control.asked().into_iter().filter_map(identifier).collect()
+}
+
+#[actix_rt::test]
+async fn instance_that_is_away_is_passed_over() {
+    let (leader, _) = Control::start(answer).await;
+
+    let report = run(&format!("group list --control {},{leader}", closed_port())).await;
+
+    assert!(report.expect("answered").text.contains("summaries-1"));
+}
+
+#[actix_rt::test]
+async fn leader_that_a_follower_names_is_asked() {
+    let (leader, _) = Control::start(answer).await;
+    let (follower, _) = Control::start(move |_| control::Response::NotLeader(Some(leader))).await;
+
+    let report = run(&format!("group list --control {follower}")).await;
+
+    assert!(report.expect("answered").text.contains("summaries-1"));
+}
+
+// The leader takes a patch and the connection breaks before its answer. The operator's program
+// must not give up or send another patch: the same identifier again is applied at most once.
+#[actix_rt::test]
+async fn patch_whose_answer_was_lost_is_sent_again_under_its_identifier() {
+    let relay: Arc<Mutex<Option<relay::Relay>>> = Arc::default();
+    let cut = relay.clone();
+    let calls = AtomicU32::new(0);
+    let (leader, control) = Control::start(move |request| {
+        if calls.fetch_add(1, Ordering::SeqCst) == 0 {
+            cut.lock().expect("no panic").as_ref().expect("started").cut();
+        }
+        answer(request)
+    })
+    .await;
+    let started = relay::Relay::start(leader).expect("the relay starts");
+    let address = started.address();
+    *relay.lock().expect("no panic") = Some(started);
+
+    let report = run(&format!("zone out lekki --base 1 --control {address}")).await;
+
+    assert!(report.expect("answered in the end").text.contains("configuration 2"));
+    let sent = identifiers(&control);
+    assert_eq!(sent.len(), 2);
+    assert_eq!(sent[0], sent[1]);
+}
+
+#[actix_rt::test]
+async fn patch_without_an_outcome_says_so_and_names_the_identifier() {
+    let (leader, _) = Control::start(|_| control::Response::Unknown).await;
+    let arguments =
+        format!("zone out lekki --base 1 --identifier p-1 --timeout-ms 300 --control {leader}");
+
+    let error = run(&arguments).await.expect_err("no outcome came");
+
+    assert_eq!(error.code(), 6);
+    assert!(error.to_string().contains("--identifier p-1"), "{error}");
+}
+
+#[actix_rt::test]
+async fn patch_that_reached_nobody_is_not_called_unknown() {
+    let arguments = format!("zone out lekki --base 1 --timeout-ms 300 --control {}", closed_port());
+
+    let error = run(&arguments).await.expect_err("nobody is there");
+
+    assert_eq!(error.code(), 5);
+    assert!(error.to_string().contains("check --control"), "{error}");
+}
+
+#[actix_rt::test]
+async fn other_protocol_version_is_named_at_once() {
+    let (leader, _) = Control::start(|_| control::Response::Protocol { speaks: 9 }).await;
+
+    let error = run(&format!("status --control {leader}")).await.expect_err("it differs");
+
+    assert!(matches!(error, error::Error::Protocol(9)), "{error}");
+}
+
+#[actix_rt::test]
+async fn command_without_control_instances_names_the_option() {
+    let error = run("status").await.expect_err("none is named");
+
+    assert_eq!(error.code(), 2);
+    assert!(error.to_string().contains("--control"), "{error}");
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/tests/all/commands.rs
@@ -0,0 +1,139 @@
+//! Commands against a control instance.
+
+use crate::support::{Control, run, status};
+use hyssopfork_wire::{control, number, patch};
+use std::net::SocketAddr;
+
+async fn with_outcome(outcome: patch::Outcome) -> (SocketAddr, Control) {
+    Control::start(move |request| match request {
+        control::Request::Status => control::Response::Status(Box::new(status())),
+        control::Request::Submit(_) => control::Response::Submitted(outcome.clone()),
+        control::Request::History(_) => control::Response::History(vec![record()]),
+        _ => control::Response::Unavailable,
+    })
+    .await
+}
+
+fn record() -> patch::Record {
+    patch::Record {
+        number: number::Configuration(5),
+        identifier: patch::Identifier("p-5".into()),
+        author: "bisi".into(),
+        summary: vec!["zone lekki out".into()],
+    }
+}
+
+fn accepted() -> patch::Outcome {
+    patch::Outcome::Accepted(number::Configuration(2))
+}
+
+fn submitted(control: &Control) -> patch::Patch {
+    let patch = control.asked().into_iter().find_map(|request| match request {
+        control::Request::Submit(patch) => Some(patch),
+        _ => None,
+    });
+    patch.expect("a patch was submitted")
+}
+
+#[actix_rt::test]
+async fn change_without_base_is_against_the_number_in_force() {
+    let (leader, control) = with_outcome(accepted()).await;
+
+    run(&format!("zone in lekki --operator ada --control {leader}")).await.expect("accepted");
+
+    let patch = submitted(&control);
+    assert_eq!(patch.base, number::Configuration(1));
+    assert_eq!(patch.author.as_str(), "ada");
+    assert_eq!(patch.operations, [patch::Operation::SetZoneOut("lekki".into(), false)]);
+}
+
+#[actix_rt::test]
+async fn stale_patch_tells_what_changed_and_by_whom_and_is_not_rebased() {
+    let since = vec![record()];
+    let (leader, control) =
+        with_outcome(patch::Outcome::Stale { current: number::Configuration(5), since }).await;
+    let arguments = format!("upstream drain runner-1 --base 4 --control {leader}");
+
+    let error = run(&arguments).await.expect_err("stale");
+
+    assert_eq!(error.code(), 3);
+    let text = error.to_string();
+    assert!(text.contains("5 by bisi: zone lekki out"), "{text}");
+    assert!(text.contains("--base 5"), "{text}");
+    assert_eq!(control.asked().len(), 1);
+}
+
+#[actix_rt::test]
+async fn refused_patch_names_every_fault() {
+    let faults = vec!["one fault".to_owned(), "another fault".to_owned()];
+    let (leader, _) = with_outcome(patch::Outcome::Invalid(faults)).await;
+    let arguments = format!("group remove summaries-1 --base 1 --control {leader}");
+
+    let error = run(&arguments).await.expect_err("refused");
+
+    assert_eq!(error.code(), 4);
+    assert!(error.to_string().contains("one fault\n  another fault"), "{error}");
+}
+
+#[actix_rt::test]
+async fn group_is_created_as_declared() {
+    let (leader, control) = with_outcome(accepted()).await;
+    let arguments = "group create g --pool hyssop-pool --model m --size 2 --priority 5";
+
+    run(&format!("{arguments} --control {leader}")).await.expect("accepted");
+
+    let group = hyssopfork_wire::configuration::Group {
+        pool: "hyssop-pool".into(),
+        model: "m".into(),
+        size: 2,
+        priority: 5,
+    };
+    let wanted = patch::Operation::PutGroup("g".into(), group);
+    assert_eq!(submitted(&control).operations, [wanted]);
+}
+
+#[actix_rt::test]
+async fn history_names_number_author_and_change() {
+    let (leader, _) = with_outcome(accepted()).await;
+
+    let report = run(&format!("config history --control {leader}")).await.expect("answered");
+
+    let line = report.text.lines().nth(1).expect("one record");
+    let cells: Vec<&str> = line.split("  ").map(str::trim).filter(|c| !c.is_empty()).collect();
+    assert_eq!(cells, ["5", "bisi", "p-5", "zone lekki out"]);
+}
+
+#[actix_rt::test]
+async fn status_shows_the_fleet_and_checks_out() {
+    let (leader, _) = with_outcome(accepted()).await;
+
+    let report = run(&format!("status --check --control {leader}")).await.expect("answered");
+
+    assert_eq!(report.code, 0);
+    for wanted in ["configuration 1  in force everywhere", "control-1", "serving", "leads"] {
+        assert!(report.text.contains(wanted), "{wanted} in {}", report.text);
+    }
+}
+
+#[actix_rt::test]
+async fn lists_are_given_as_json() {
+    let (leader, _) = with_outcome(accepted()).await;
+
+    for list in ["instance list", "upstream list --zone ikeja", "group list", "status"] {
+        let arguments = format!("{list} --output json --control {leader}");
+        let report = run(&arguments).await.expect("answered");
+
+        let value: serde_json::Value = serde_json::from_str(&report.text).expect("JSON");
+        assert!(value.is_array() || value.is_object(), "{list}");
+    }
+}
+
+#[actix_rt::test]
+async fn upstreams_of_another_zone_are_left_out() {
+    let (leader, _) = with_outcome(accepted()).await;
+    let arguments = format!("upstream list --zone lekki --control {leader}");
+
+    let report = run(&arguments).await.expect("answered");
+
+    assert!(!report.text.contains("runner-1"), "{}", report.text);
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/tests/all/history.rs
@@ -0,0 +1,123 @@
+//! The check of histories sees each thing that must not happen.
+
+use hyssopfork_cli::history;
+use hyssopfork_wire::configuration;
+use std::collections::BTreeMap;
+
+fn line(reference: &str, kind: history::Kind) -> history::Line {
+    history::Line {
+        request: reference.into(),
+        reference: reference.into(),
+        team: "tariff-desk".into(),
+        route: "lodgements".into(),
+        class: configuration::Class::Interactive,
+        repeatable: false,
+        key: Some(reference.into()),
+        intended_us: 0,
+        sent_us: 0,
+        first_us: Some(1),
+        answered_us: 2,
+        kind,
+        status: Some(201),
+        reason: None,
+        whole: true,
+        right: true,
+        digest: "d".into(),
+    }
+}
+
+fn ran(reference: &str, times: u64) -> Vec<history::Counts> {
+    let ran = BTreeMap::from([(reference.to_owned(), times)]);
+    vec![history::Counts { ran, falls: 0 }]
+}
+
+fn violations(lines: &[history::Line], counts: &[history::Counts]) -> Vec<String> {
+    history::check(lines, counts).violations
+}
+
+#[test]
+fn answered_once_and_ran_once_holds() {
+    let lines = [line("a", history::Kind::Answered)];
+
+    let verdict = history::check(&lines, &ran("a", 1));
+
+    assert!(verdict.held(), "{:?}", verdict.violations);
+    assert_eq!(verdict.compared, 1);
+}
+
+#[test]
+fn work_that_ran_twice_is_found_even_on_two_back_ends() {
+    let lines = [line("a", history::Kind::Answered)];
+    let counts = [ran("a", 1), ran("a", 1)].concat();
+
+    let found = violations(&lines, &counts);
+
+    assert_eq!(found, ["a: ran 2 times and may run once"]);
+}
+
+#[test]
+fn untrue_not_run_is_found() {
+    let lines = [line("a", history::Kind::RefusedNotRun)];
+
+    let found = violations(&lines, &ran("a", 1));
+
+    assert_eq!(found, ["a: refused as not run, and ran"]);
+}
+
+#[test]
+fn refusal_of_a_resend_whose_first_try_ran_is_true() {
+    let again =
+        history::Line { request: "a-again".into(), ..line("a", history::Kind::RefusedNotRun) };
+    let lines = [line("a", history::Kind::MayHaveRun), again];
+
+    let found = violations(&lines, &ran("a", 1));
+
+    assert_eq!(found, [""; 0]);
+}
+
+#[test]
+fn answer_to_work_that_nobody_ran_is_found() {
+    let lines = [line("a", history::Kind::Answered)];
+
+    let found = violations(&lines, &[]);
+
+    assert_eq!(found, ["a: answered, and no back end ran it"]);
+}
+
+#[test]
+fn different_answers_to_one_key_are_found() {
+    let other = history::Line { digest: "e".into(), ..line("a", history::Kind::Answered) };
+    let lines = [line("a", history::Kind::Answered), other];
+
+    let found = violations(&lines, &ran("a", 1));
+
+    assert_eq!(found, ["a: the same key got different answers"]);
+}
+
+#[test]
+fn answer_of_another_request_is_found_on_repeatable_routes_too() {
+    let wrong =
+        history::Line { right: false, repeatable: true, ..line("a", history::Kind::Answered) };
+
+    let found = violations(&[wrong], &[]);
+
+    assert_eq!(found, ["a on lodgements: got another answer than its own"]);
+}
+
+#[test]
+fn end_without_a_word_is_found() {
+    let cut = history::Line { reason: Some("cut".into()), ..line("a", history::Kind::Error) };
+
+    let found = violations(&[cut], &ran("a", 1));
+
+    assert_eq!(found, ["a on lodgements: neither answered nor refused honestly: cut"]);
+}
+
+#[test]
+fn overload_of_a_cold_back_end_is_found() {
+    let counts = [history::Counts { ran: BTreeMap::new(), falls: 2 }];
+
+    let found = violations(&[], &counts);
+
+    assert_eq!(found, ["cold back ends were overloaded 2 times"]);
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/tests/all/main.rs
@@ -0,0 +1,12 @@
+//! Tests of the operators' program.
+
+mod client;
+mod commands;
+mod declaration;
+mod examples;
+mod history;
+mod load;
+mod program;
+mod screen;
+mod support;
+mod watch;
--- /dev/null
+++ b/crates/hyssopfork-cli/tests/all/screen.rs
@@ -0,0 +1,97 @@
+//! What the screen makes of a status.
+
+use crate::support::{holding, report, status};
+use hyssopfork_cli::screen;
+use hyssopfork_test_support::fixture;
+use hyssopfork_wire::{fleet, name, number};
+use std::time::Duration;
+
+#[test]
+fn whole_fleet_is_well() {
+    let status = status();
+
+    let screen = screen::draw(&status);
+
+    assert!(screen.is_well());
+    assert_eq!(screen.groups[0].standing, screen::Standing::Serving);
+    assert_eq!(screen.stranded, 0);
+}
+
+#[test]
+fn group_with_a_silent_member_is_incomplete_and_strands_the_others() {
+    let mut status = status();
+    let second = name::Instance::from("runner-2");
+    status.view.members.get_mut(&second).expect("a member").present = false;
+
+    let screen = screen::draw(&status);
+
+    assert_eq!(screen.groups[0].standing, screen::Standing::Incomplete);
+    assert_eq!(screen.groups[0].missing, [second]);
+    assert_eq!(screen.stranded, 4);
+    assert!(!screen.is_well());
+}
+
+#[test]
+fn group_whose_first_member_serves_under_an_older_number_is_forming() {
+    let mut status = status();
+    let older = fleet::Report { joined: number::Fence(6), ..report(true) };
+    status.holdings[0] = holding("runner-1", Some(older));
+
+    let screen = screen::draw(&status);
+
+    assert_eq!(screen.groups[0].standing, screen::Standing::Forming);
+}
+
+#[test]
+fn declared_group_without_a_placement_is_unplaced() {
+    let mut status = status();
+    status.view.placements.clear();
+
+    let screen = screen::draw(&status);
+
+    assert_eq!(screen.groups[0].standing, screen::Standing::Unplaced);
+    assert_eq!(screen.stranded, 8);
+}
+
+#[test]
+fn engines_of_a_zone_that_is_out_are_not_stranded() {
+    let mut status = status();
+    status.view.placements.clear();
+    status.view.configuration.zones.get_mut(&"ikeja".into()).expect("declared").out = true;
+
+    let screen = screen::draw(&status);
+
+    assert_eq!(screen.stranded, 0);
+}
+
+#[test]
+fn process_on_an_older_view_or_without_a_lease_is_behind() {
+    let mut status = status();
+    status.holdings[2].age = Duration::from_secs(60);
+    status.holdings[1].version = number::Version(0);
+
+    let screen = screen::draw(&status);
+
+    let lapsed: Vec<(&str, bool)> =
+        screen.behind.iter().map(|behind| (behind.instance.as_str(), behind.lapsed)).collect();
+    assert_eq!(lapsed, [("runner-2", false), ("entry-1", true)]);
+}
+
+#[test]
+fn conditions_tell_what_is_the_matter() {
+    let mut status = status();
+    let cold = fleet::Report { warm: false, ..report(true) };
+    status.holdings[0] = holding("runner-1", Some(cold));
+    status.holdings[1] = holding("runner-2", Some(fleet::Report { alive: false, ..report(false) }));
+    let drained = fixture::member(fixture::announcement("lekki", "lekki-1", 3));
+    status.view.members.insert("runner-3".into(), drained);
+    status.view.configuration.drained.insert("runner-3".into());
+    status.holdings.push(holding("runner-3", Some(report(false))));
+
+    let screen = screen::draw(&status);
+
+    let conditions: Vec<screen::Condition> =
+        screen.instances.iter().map(|instance| instance.condition).collect();
+    let wanted = [screen::Condition::Cold, screen::Condition::Down, screen::Condition::Drained];
+    assert_eq!(conditions, wanted);
+}
--- /dev/null
+++ b/crates/hyssopfork-cli/tests/all/watch.rs
@@ -0,0 +1,68 @@
+//! Changes between looks, and what they cost.
+
+use crate::support::{Control, run, status};
+use hyssopfork_cli::command::watch::{change, tally};
+use hyssopfork_cli::screen;
+use hyssopfork_wire::{control, number};
+use std::time::Duration;
+
+fn broken() -> control::Status {
+    let mut status = status();
+    status.view.members.get_mut(&"runner-2".into()).expect("a member").present = false;
+    status.view.configuration.number = number::Configuration(2);
+    status.view.configuration.zones.get_mut(&"lekki".into()).expect("declared").out = true;
+    status
+}
+
+#[test]
+fn each_change_is_one_line() {
+    let (before, after) = (screen::draw(&status()), screen::draw(&broken()));
+
+    let lines = change::between(&before, &after);
+
+    let wanted = [
+        "configuration 2 is accepted",
+        "zone lekki: in service -> out",
+        "group summaries-1: serving (fence 7) -> incomplete (fence 7)",
+        "instance runner-2: ready -> missing",
+    ];
+    assert_eq!(lines, wanted);
+}
+
+#[test]
+fn nothing_changed_is_no_line() {
+    let screen = screen::draw(&status());
+
+    let lines = change::between(&screen, &screen);
+
+    assert_eq!(lines, [""; 0]);
+}
+
+#[test]
+fn downtime_and_stranded_accelerators_are_summed_over_looks() {
+    let (well, ill) = (screen::draw(&status()), screen::draw(&broken()));
+    let mut tally = tally::Tally::default();
+
+    tally.add(Duration::from_secs(1), &well);
+    tally.add(Duration::from_secs(2), &ill);
+    tally.add(Duration::from_secs(4), &ill);
+    tally.add(Duration::from_secs(5), &well);
+
+    let summary = tally.summary();
+    assert_eq!(summary.group_down_ms["summaries-1"], 3_000);
+    assert_eq!(summary.stranded_accelerator_seconds, 12.0);
+    assert_eq!(summary.most_stranded, 4);
+}
+
+#[actix_rt::test]
+async fn watch_ends_after_its_time_with_the_sums() {
+    let answer = |_: &control::Request| control::Response::Status(Box::new(status()));
+    let (leader, _) = Control::start(answer).await;
+    let arguments = format!("watch --duration-s 1 --every-ms 50 --output json --control {leader}");
+
+    let report = run(&arguments).await.expect("watched");
+
+    let value: serde_json::Value = serde_json::from_str(&report.text).expect("one JSON line");
+    assert_eq!(value["down_ms"], 0);
+    assert!(value["looks"].as_u64().expect("a number") > 1);
+}
