Add the watcher: lease, view and choice of control instance

Entries and agents need the same proof that their view is recent, so it stands once. The lease runs from when the renewal was sent; an update that leads back is dropped with its lease. Hints to another leader are followed only from the instance that is asked now, so that a late hint cannot lead away from a leader found since. View application is a stand-in until hyssopfork_state has it. Not tested yet.

--- /dev/null
+++ b/crates/hyssopfork-watch/src/notice.rs
@@ -0,0 +1,82 @@
+//! Numbered events of the watcher, for the log.
+
+use hyssopfork_wire::number;
+use std::{fmt, net};
+
+/// How much a numbered event matters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "lowercase")]
+pub enum Level {
+    /// For tracing one request or call.
+    Debug,
+    /// An ordinary change of state.
+    Info,
+    /// Service is at risk, or was refused.
+    Warn,
+    /// A rule of the protocol was broken.
+    Error,
+}
+
+/// A numbered event.
+#[derive(Clone, Debug, PartialEq, Eq, strum::EnumDiscriminants)]
+#[strum_discriminants(derive(strum::EnumIter), name(Kind), doc = "Kind of a numbered event.")]
+pub enum Notice {
+    /// The view moved on.
+    Advanced(number::Version),
+    /// A lease is held after a time without.
+    LeaseHeld,
+    /// The lease lapsed.
+    LeaseLapsed,
+    /// Another control instance is asked from now on.
+    TargetChanged(net::SocketAddr),
+    /// An update that leads back was dropped, and its lease with it.
+    UpdateBack(number::Version),
+    /// A control instance speaks another protocol version.
+    ProtocolDiffers(u16),
+}
+
+impl Notice {
+    /// Number in the catalogue.
+    pub fn number(&self) -> u16 {
+        match self {
+            Notice::Advanced(_) => 4000,
+            Notice::LeaseHeld => 4001,
+            Notice::LeaseLapsed => 4002,
+            Notice::TargetChanged(_) => 4003,
+            Notice::UpdateBack(_) => 4004,
+            Notice::ProtocolDiffers(_) => 4005,
+        }
+    }
+
+    /// How much it matters.
+    pub fn level(&self) -> Level {
+        match self {
+            Notice::Advanced(_) | Notice::TargetChanged(_) => Level::Debug,
+            Notice::LeaseHeld => Level::Info,
+            Notice::LeaseLapsed | Notice::UpdateBack(_) => Level::Warn,
+            Notice::ProtocolDiffers(_) => Level::Error,
+        }
+    }
+}
+
+impl fmt::Display for Notice {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Notice::Advanced(version) => write!(formatter, "view is at version {version}"),
+            Notice::LeaseHeld => write!(formatter, "a lease on the view is held"),
+            Notice::LeaseLapsed => write!(
+                formatter,
+                "the lease on the view lapsed; new work is refused until a control instance with \
+                 a quorum can be reached"
+            ),
+            Notice::TargetChanged(to) => write!(formatter, "asking control instance {to} now"),
+            Notice::UpdateBack(have) => {
+                write!(formatter, "dropped an update that leads back from version {have}")
+            }
+            Notice::ProtocolDiffers(speaks) => write!(
+                formatter,
+                "control speaks protocol version {speaks}; run compatible releases at both ends"
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hyssopfork-watch/src/watcher.rs
@@ -0,0 +1,282 @@
+//! Renewals and watches: keeps a view recent, as a step function.
+
+use crate::{lease, notice, target, view};
+use hyssopfork_wire::{change, clock, control, number, timing};
+use std::net;
+use std::time::Duration;
+
+/// Time beyond [`timing::WATCH_HOLD`] that an unanswered watch is given.
+const WATCH_MARGIN: Duration = Duration::from_millis(500);
+
+/// Least time between two watches, or between a failed renewal and the next.
+const RETRY: Duration = Duration::from_millis(50);
+
+/// A call to control.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Number of the call, unique in this process.
+    pub call: u64,
+    /// Control instance to ask.
+    pub to: net::SocketAddr,
+    /// Request.
+    pub request: control::Request,
+    /// Time after which the call has failed.
+    pub timeout: Duration,
+}
+
+/// What a step of the watcher asks for and tells.
+#[derive(Clone, Debug, Default)]
+pub struct Output {
+    /// Calls to make.
+    pub calls: Vec<Call>,
+    /// Numbered events.
+    pub notices: Vec<notice::Notice>,
+    /// Whether the view moved on.
+    pub moved: bool,
+    /// Whether a renewal that said that the holder is leaving was answered with a grant.
+    pub leave_heard: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Outstanding {
+    call: u64,
+    to: net::SocketAddr,
+    sent: clock::Instant,
+    leaving: bool,
+}
+
+/// The watcher.
+#[derive(Clone, Debug)]
+pub struct Watcher {
+    target: target::Target,
+    lease: lease::Lease,
+    held: bool,
+    view: change::View,
+    renewal: Option<Outstanding>,
+    renew_at: clock::Instant,
+    renewed_at: clock::Instant,
+    watch: Option<Outstanding>,
+    watch_at: clock::Instant,
+    calls: u64,
+}
+
+impl Watcher {
+    /// A watcher that asks the control instances at `addresses`, first the one `offset` picks.
+    pub fn new(addresses: Vec<net::SocketAddr>, offset: u64, now: clock::Instant) -> Watcher {
+        Watcher {
+            target: target::Target::new(addresses, offset),
+            lease: lease::Lease::default(),
+            held: false,
+            view: change::View::default(),
+            renewal: None,
+            renew_at: now,
+            renewed_at: now,
+            watch: None,
+            watch_at: now,
+            calls: 0,
+        }
+    }
+
+    /// The view; to be acted on only while [`Watcher::is_recent`].
+    pub fn view(&self) -> &change::View {
+        &self.view
+    }
+
+    /// Whether the view may be acted on: an unexpired lease says that it is recent.
+    pub fn is_recent(&self, now: clock::Instant) -> bool {
+        self.lease.is_valid(now)
+    }
+
+    /// When the lease lapses; `None` when none was ever held.
+    pub fn lease_until(&self) -> Option<clock::Instant> {
+        self.lease.until()
+    }
+
+    /// Control instance to ask now.
+    pub fn target(&self) -> Option<net::SocketAddr> {
+        self.target.current()
+    }
+
+    /// `from` did not answer a call in time.
+    pub fn fail(&mut self, from: net::SocketAddr) {
+        self.target.fail(from);
+    }
+
+    /// `from` answered that it doesn't lead.
+    pub fn redirect(&mut self, from: net::SocketAddr, hint: Option<net::SocketAddr>) {
+        self.target.redirect(from, hint);
+    }
+
+    /// Number for the next call to control.
+    pub fn next_call(&mut self) -> u64 {
+        self.calls += 1;
+        self.calls
+    }
+
+    /// Another process told of `version`: where that is newer, control is asked at once, but not
+    /// more often than every [`RETRY`], since many processes tell of the same version together.
+    pub fn hear(&mut self, version: number::Version) {
+        if version > self.view.version {
+            self.renew_at = self.renew_at.min(self.renewed_at + RETRY);
+        }
+    }
+
+    /// Renews and watches where that is due.
+    pub fn tick(&mut self, now: clock::Instant, holder: &control::Holder, leaving: bool) -> Output {
+        let mut output = Output::default();
+        self.note_lease(now, &mut output);
+        self.forget_overdue(now);
+        if self.renewal.is_none() && now >= self.renew_at {
+            self.renew(now, holder, leaving, &mut output);
+        }
+        self.follow(now, &mut output);
+        output
+    }
+
+    /// Takes the answer of a call; `None` when the call is none of the watcher's.
+    pub fn answered(
+        &mut self,
+        now: clock::Instant,
+        call: u64,
+        response: Option<&control::Response>,
+    ) -> Option<Output> {
+        let mut output = Output::default();
+        if let Some(renewal) = self.renewal.take_if(|renewal| renewal.call == call) {
+            self.renewed(now, renewal, response, &mut output);
+        } else if let Some(watch) = self.watch.take_if(|watch| watch.call == call) {
+            self.watched(now, response, &mut output);
+        } else {
+            return None;
+        }
+        self.note_lease(now, &mut output);
+        Some(output)
+    }
+
+    fn renew(
+        &mut self,
+        now: clock::Instant,
+        holder: &control::Holder,
+        leaving: bool,
+        output: &mut Output,
+    ) {
+        let Some(to) = self.target.current() else { return };
+        let have = self.view.version;
+        let renewal = control::Renewal { holder: holder.clone(), have, leaving };
+        let call = self.next_call();
+        self.renewal = Some(Outstanding { call, to, sent: now, leaving });
+        self.renewed_at = now;
+        self.renew_at = now + timing::RENEWAL;
+        let request = control::Request::Renew(renewal);
+        output.calls.push(Call { call, to, request, timeout: timing::RENEWAL });
+    }
+
+    /// Keeps one watch outstanding, at the instance that renewals go to: one left at an instance
+    /// that no longer leads would be told of nothing.
+    fn follow(&mut self, now: clock::Instant, output: &mut Output) {
+        let Some(to) = self.target.current() else { return };
+        if self.watch.is_some_and(|watch| watch.to != to) {
+            self.watch = None;
+        }
+        if self.watch.is_some() || now < self.watch_at || !self.lease.is_valid(now) {
+            return;
+        }
+        let call = self.next_call();
+        self.watch = Some(Outstanding { call, to, sent: now, leaving: false });
+        self.watch_at = now + RETRY;
+        let request = control::Request::Watch(self.view.version);
+        let timeout = timing::WATCH_HOLD + WATCH_MARGIN;
+        output.calls.push(Call { call, to, request, timeout });
+    }
+
+    /// A shell that loses a call must not stop the renewals: an overdue one counts as failed.
+    fn forget_overdue(&mut self, now: clock::Instant) {
+        let overdue = |sent: clock::Instant, limit: Duration| now.since(sent) > limit;
+        let limit = timing::RENEWAL + WATCH_MARGIN;
+        if let Some(renewal) = self.renewal.take_if(|renewal| overdue(renewal.sent, limit)) {
+            self.target.fail(renewal.to);
+        }
+        let limit = timing::WATCH_HOLD + WATCH_MARGIN + WATCH_MARGIN;
+        self.watch.take_if(|watch| overdue(watch.sent, limit));
+    }
+
+    fn renewed(
+        &mut self,
+        now: clock::Instant,
+        renewal: Outstanding,
+        response: Option<&control::Response>,
+        output: &mut Output,
+    ) {
+        match response {
+            Some(control::Response::Granted(grant)) => {
+                if self.lead(&grant.update, output) {
+                    self.lease.extend(renewal.sent, grant.term.min(timing::HOLDER_LEASE));
+                    output.leave_heard = renewal.leaving;
+                }
+            }
+            other => {
+                self.turn(renewal.to, other, output);
+                self.renew_at = now + RETRY;
+            }
+        }
+    }
+
+    fn watched(
+        &mut self,
+        now: clock::Instant,
+        response: Option<&control::Response>,
+        output: &mut Output,
+    ) {
+        match response {
+            Some(control::Response::Updated(update)) => {
+                self.lead(update, output);
+            }
+            _ => self.watch_at = now + timing::RENEWAL,
+        }
+    }
+
+    /// Turns to another control instance after an answer that was no grant.
+    fn turn(
+        &mut self,
+        from: net::SocketAddr,
+        response: Option<&control::Response>,
+        output: &mut Output,
+    ) {
+        match response {
+            Some(control::Response::NotLeader(hint)) => self.target.redirect(from, *hint),
+            Some(control::Response::Protocol { speaks }) => {
+                output.notices.push(notice::Notice::ProtocolDiffers(*speaks));
+                self.target.fail(from);
+            }
+            _ => self.target.fail(from),
+        }
+        if let Some(to) = self.target.current().filter(|to| *to != from) {
+            output.notices.push(notice::Notice::TargetChanged(to));
+        }
+    }
+
+    /// Leads the view on; `false` when the update would lead back, and then its lease proves
+    /// nothing either.
+    fn lead(&mut self, update: &change::Update, output: &mut Output) -> bool {
+        let before = self.view.version;
+        let Ok(moved) = view::lead(&mut self.view, update.clone()) else {
+            output.notices.push(notice::Notice::UpdateBack(before));
+            return false;
+        };
+        assert!(self.view.version >= before, "a view never goes back in version");
+        if moved {
+            output.moved = true;
+            output.notices.push(notice::Notice::Advanced(self.view.version));
+        }
+        true
+    }
+
+    fn note_lease(&mut self, now: clock::Instant, output: &mut Output) {
+        let held = self.lease.is_valid(now);
+        if held == self.held {
+            return;
+        }
+        self.held = held;
+        let notice = if held { notice::Notice::LeaseHeld } else { notice::Notice::LeaseLapsed };
+        output.notices.push(notice);
+    }
+}
