--- a/crates/hyssopfork-watch/src/watcher.rs
+++ b/crates/hyssopfork-watch/src/watcher.rs
@@ -143,7 +143,7 @@
         let mut output = Output::default();
         if let Some(renewal) = self.renewal.take_if(|renewal| renewal.call == call) {
             self.renewed(now, renewal, response, &mut output);
-        } else if let Some(watch) = self.watch.take_if(|watch| watch.call == call) {
+        } else if self.watch.take_if(|watch| watch.call == call).is_some() {
             self.watched(now, response, &mut output);
         } else {
             return None;
