--- /dev/null
+++ b/crates/hyssopfork-agent/src/engine.rs
@@ -0,0 +1,176 @@
+//! Back end as this agent knows it: alive, loaded, warm.
+
+use crate::{event, ramp};
+use hyssopfork_wire::{clock, fleet, number};
+use std::time::Duration;
+
+/// Time before an order that failed is given again.
+const ORDER_RETRY: Duration = Duration::from_millis(1_000);
+
+/// Time after an order was answered in which a probe may still tell of the time before it.
+const PROBE_LAG: Duration = Duration::from_millis(1_000);
+
+/// What a probe changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing that matters.
+    None,
+    /// It stopped answering.
+    Down,
+    /// It answers (again).
+    Up,
+    /// It is another process than before, or lost its model: cold, not loaded.
+    Turned,
+}
+
+/// The back end.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    alive: bool,
+    incarnation: Option<String>,
+    loaded: Option<number::Fence>,
+    loaded_at: clock::Instant,
+    order: Option<number::Fence>,
+    order_at: clock::Instant,
+    ramp: ramp::Ramp,
+}
+
+impl Engine {
+    /// A back end that hasn't been heard of yet: down and cold.
+    pub fn new(profile: &fleet::Profile, now: clock::Instant) -> Engine {
+        Engine {
+            alive: false,
+            incarnation: None,
+            loaded: None,
+            loaded_at: now,
+            order: None,
+            order_at: now,
+            ramp: ramp::Ramp::new(profile.concurrency),
+        }
+    }
+
+    /// Whether the last probe was answered.
+    pub fn is_alive(&self) -> bool {
+        self.alive
+    }
+
+    /// Fencing number that it is loaded under, while it is alive.
+    pub fn loaded(&self) -> Option<number::Fence> {
+        self.loaded.filter(|_| self.alive)
+    }
+
+    /// Limit on concurrent work.
+    pub fn ramp(&mut self) -> &mut ramp::Ramp {
+        &mut self.ramp
+    }
+
+    /// Attempts that it may bear at once now.
+    pub fn limit(&self) -> u32 {
+        self.ramp.limit()
+    }
+
+    /// Whether it counts as warm.
+    pub fn is_warm(&self) -> bool {
+        self.ramp.is_warm()
+    }
+
+    /// Takes a probe; `wanted` is the fencing number that this instance is placed under.
+    pub fn probe(
+        &mut self,
+        now: clock::Instant,
+        health: Option<event::Health>,
+        wanted: Option<number::Fence>,
+    ) -> Change {
+        let Some(health) = health else { return self.fall() };
+        let returned = !self.alive;
+        self.alive = true;
+        if self.is_another(&health, returned) {
+            self.incarnation = health.incarnation;
+            self.order = None;
+            self.turn();
+            self.adopt(now, health.loaded, wanted);
+            return Change::Turned;
+        }
+        if self.has_lost(now, health.loaded) {
+            self.turn();
+            return Change::Turned;
+        }
+        self.adopt(now, health.loaded, wanted);
+        if returned { Change::Up } else { Change::None }
+    }
+
+    /// Whether an order under `fence` is due.
+    ///
+    /// One order at a time: an engine that ignores fencing numbers might take two that overlap in
+    /// either order and end up with the older group's model under the newer group's number.
+    pub fn is_due(&self, fence: number::Fence, now: clock::Instant) -> bool {
+        self.alive && self.loaded != Some(fence) && self.order.is_none() && now >= self.order_at
+    }
+
+    /// Notes that an order is given. Whatever was loaded before counts no more.
+    pub fn order(&mut self, fence: number::Fence) {
+        self.order = Some(fence);
+        self.turn();
+    }
+
+    /// Takes the answer to an order; `false` when it isn't the one that is outstanding.
+    pub fn ordered(&mut self, fence: number::Fence, done: bool, now: clock::Instant) -> bool {
+        if self.order != Some(fence) {
+            return false;
+        }
+        self.order = None;
+        if done {
+            self.loaded = Some(fence);
+            self.loaded_at = now;
+        } else {
+            self.order_at = now + ORDER_RETRY;
+        }
+        true
+    }
+
+    fn fall(&mut self) -> Change {
+        let fell = self.alive;
+        self.alive = false;
+        if fell { Change::Down } else { Change::None }
+    }
+
+    /// A back end that tells no incarnation and fell silent is taken for a new process: nothing
+    /// shows that it isn't, and full load on a cold one would tip it over.
+    fn is_another(&self, health: &event::Health, returned: bool) -> bool {
+        match (&health.incarnation, &self.incarnation) {
+            (Some(now), Some(before)) => now != before,
+            (Some(_), None) => true,
+            (None, _) => returned,
+        }
+    }
+
+    /// Whether the engine says that it isn't loaded as its order's answer said, a late order of
+    /// another agent's process for example.
+    fn has_lost(&self, now: clock::Instant, told: Option<number::Fence>) -> bool {
+        let settled = now.since(self.loaded_at) >= PROBE_LAG;
+        settled && self.loaded.is_some() && told.is_some() && told != self.loaded
+    }
+
+    /// An engine that says that it is loaded as wanted needs no order: this agent's process may
+    /// be new, or the order's answer lost.
+    fn adopt(
+        &mut self,
+        now: clock::Instant,
+        told: Option<number::Fence>,
+        wanted: Option<number::Fence>,
+    ) {
+        if told.is_none() || told != wanted || self.loaded == wanted {
+            return;
+        }
+        self.order.take_if(|order| Some(*order) == wanted);
+        if self.order.is_none() {
+            self.loaded = wanted;
+            self.loaded_at = now;
+        }
+    }
+
+    fn turn(&mut self) {
+        self.loaded = None;
+        self.ramp.cool();
+    }
+}
--- a/crates/hyssopfork-watch/src/lib.rs
+++ b/crates/hyssopfork-watch/src/lib.rs
@@ -3,5 +3,4 @@
 pub mod lease;
 pub mod notice;
 pub mod target;
-pub mod view;
 pub mod watcher;
--- a/crates/hyssopfork-watch/src/watcher.rs
+++ b/crates/hyssopfork-watch/src/watcher.rs
@@ -1,6 +1,7 @@
 //! Renewals and watches: keeps a view recent, as a step function.
 
-use crate::{lease, notice, target, view};
+use crate::{lease, notice, target};
+use hyssopfork_state::view;
 use hyssopfork_wire::{change, clock, control, number, timing};
 use std::net;
 use std::time::Duration;
--- a/crates/hyssopfork-wire/src/member.rs
+++ b/crates/hyssopfork-wire/src/member.rs
@@ -15,6 +15,10 @@
     pub first: name::Instance,
     /// Version of the asker's view: a member that knows an older one asks control at once.
     pub version: number::Version,
+    /// Attempts that run at the asker: a member that is leaving stands by them until they ended.
+    pub running: u32,
+    /// Whether the asker takes no new work under this fencing number any more.
+    pub draining: bool,
 }
 
 /// Reply of a member.
@@ -26,6 +30,9 @@
         term: Duration,
         /// Version of the member's view.
         version: number::Version,
+        /// Whether the member is leaving: it stands by what runs, but the group may take no new
+        /// work.
+        leaving: bool,
     },
     /// The member doesn't stand by it: it knows another placement, its back end is gone, it is
     /// leaving, or it has no recent view.
