--- a/crates/hyssopfork-entry/src/event.rs
+++ b/crates/hyssopfork-entry/src/event.rs
@@ -71,6 +71,10 @@
     Headed(attempt::Identifier, frame::Head),
     /// The first part of the answer's body came.
     Begun(attempt::Identifier),
+    /// So many events of the stream were delivered to the caller whole. Comes before
+    /// [`Event::Ended`], and before a [`Event::Refused`] of an attempt that was being forwarded:
+    /// without it such a stream is not resumed elsewhere.
+    Delivered(attempt::Identifier, u64),
     /// The whole answer was forwarded to the caller, checked.
     Ended(attempt::Identifier),
     /// The whole answer of a collected attempt is here, checked.
