--- a/crates/hyssopfork-entry/src/attempt.rs
+++ b/crates/hyssopfork-entry/src/attempt.rs
@@ -87,7 +87,7 @@
     }
 
     /// A new identifier.
-    pub fn next(&mut self) -> attempt::Identifier {
+    pub fn draw(&mut self) -> attempt::Identifier {
         self.count += 1;
         attempt::Identifier { boot: self.boot, count: self.count }
     }
--- a/crates/hyssopfork-entry/src/claims.rs
+++ b/crates/hyssopfork-entry/src/claims.rs
@@ -22,7 +22,7 @@
 impl core::Core {
     /// Asks for a claim on a request that has just been accepted.
     pub(crate) fn claim(&mut self, now: clock::Instant, number: u64) {
-        let identifier = self.attempts.next();
+        let identifier = self.attempts.draw();
         let Some(request) = self.requests.get_mut(&number) else { return };
         let Some(text) = request.arrival.key.clone() else { return };
         let team = request.plan.team.clone();
--- a/crates/hyssopfork-entry/src/serve.rs
+++ b/crates/hyssopfork-entry/src/serve.rs
@@ -57,7 +57,7 @@
 
     fn offer(&mut self, now: clock::Instant, number: u64, place: attempt::Place) {
         let Some(request) = self.requests.get_mut(&number) else { return };
-        let identifier = request.next.take().unwrap_or_else(|| self.attempts.next());
+        let identifier = request.next.take().unwrap_or_else(|| self.attempts.draw());
         request.phase = request::Phase::Running;
         request.tries += 1;
         request.offered.get_or_insert(now);
