Let the entry queue, choose, retry and hedge by policy, and the agent ramp by it

A request that no upstream would take rests 50 to 400 ms before it waits its turn anew: without the rest it would run through its tries in the milliseconds for which a group is not whole. Refusals for want of room spend nothing of the retry budget, since they cost the upstream nothing. Severity is wire's level::Level now. Not tested yet.

--- a/crates/hyssopfork-agent/src/core.rs
+++ b/crates/hyssopfork-agent/src/core.rs
@@ -85,7 +85,7 @@
             }
             event::Event::Begun(_) => {}
             event::Event::Ended(attempt) => self.ended(now, attempt),
-            event::Event::Failed(attempt, fault) => self.failed(attempt, fault, &mut actions),
+            event::Event::Failed(attempt, fault) => self.failed(now, attempt, fault, &mut actions),
             event::Event::Probed(health) => self.probed(now, health, &mut actions),
             event::Event::Ordered { fence, done } => {
                 self.ordered(now, fence, done, &mut actions);
--- a/crates/hyssopfork-agent/src/engine.rs
+++ b/crates/hyssopfork-agent/src/engine.rs
@@ -1,6 +1,7 @@
 //! Back end as this agent knows it: alive, loaded, warm.
 
-use crate::{event, ramp};
+use crate::event;
+use hyssopfork_policy::ramp;
 use hyssopfork_wire::{clock, fleet, number};
 use std::time::Duration;
 
@@ -45,7 +46,7 @@
             loaded_at: now,
             order: None,
             order_at: now,
-            ramp: ramp::Ramp::new(profile.concurrency),
+            ramp: ramp::Ramp::new(now, profile.concurrency),
         }
     }
 
@@ -87,12 +88,12 @@
         if self.is_another(&health, returned) {
             self.incarnation = health.incarnation;
             self.order = None;
-            self.turn();
+            self.turn(now);
             self.adopt(now, health.loaded, wanted);
             return Change::Turned;
         }
         if self.has_lost(now, health.loaded) {
-            self.turn();
+            self.turn(now);
             return Change::Turned;
         }
         self.adopt(now, health.loaded, wanted);
@@ -108,9 +109,9 @@
     }
 
     /// Notes that an order is given. Whatever was loaded before counts no more.
-    pub fn order(&mut self, fence: number::Fence) {
+    pub fn order(&mut self, fence: number::Fence, now: clock::Instant) {
         self.order = Some(fence);
-        self.turn();
+        self.turn(now);
     }
 
     /// Takes the answer to an order; `false` when it isn't the one that is outstanding.
@@ -169,8 +170,8 @@
         }
     }
 
-    fn turn(&mut self) {
+    fn turn(&mut self, now: clock::Instant) {
         self.loaded = None;
-        self.ramp.cool();
+        self.ramp.cool(now);
     }
 }
--- a/crates/hyssopfork-agent/src/group.rs
+++ b/crates/hyssopfork-agent/src/group.rs
@@ -174,7 +174,7 @@
         }
         let Some(model) = self.model(&place.group) else { return };
         self.end_all(refusal::Reason::GroupIncomplete, actions);
-        self.engine.order(fence);
+        self.engine.order(fence, now);
         actions.push(action::Action::Order(action::Order {
             fence,
             group: place.group.clone(),
--- a/crates/hyssopfork-agent/src/lib.rs
+++ b/crates/hyssopfork-agent/src/lib.rs
@@ -14,5 +14,4 @@
 pub mod memory;
 pub mod notice;
 mod offers;
-pub mod ramp;
 pub mod standing;
--- a/crates/hyssopfork-agent/src/notice.rs
+++ b/crates/hyssopfork-agent/src/notice.rs
@@ -1,7 +1,7 @@
 //! Numbered events of this role, for the log.
 
 use hyssopfork_watch::notice as watch;
-use hyssopfork_wire::{attempt, name, number, refusal};
+use hyssopfork_wire::{attempt, level, name, number, refusal};
 use std::fmt;
 
 /// A numbered event.
@@ -63,22 +63,22 @@
     }
 
     /// How much it matters.
-    pub fn level(&self) -> watch::Level {
+    pub fn level(&self) -> level::Level {
         match self {
             Notice::Watch(notice) => notice.level(),
-            Notice::Refused(..) | Notice::Forwarded(_) => watch::Level::Debug,
+            Notice::Refused(..) | Notice::Forwarded(_) => level::Level::Debug,
             Notice::Aborted(..)
             | Notice::GroupLost(..)
             | Notice::LoadFailed(_)
             | Notice::BackEndDown
-            | Notice::LeaveOverdue(_) => watch::Level::Warn,
+            | Notice::LeaveOverdue(_) => level::Level::Warn,
             Notice::GroupWhole(_)
             | Notice::Ordered(_)
             | Notice::Loaded(_)
             | Notice::BackEndUp
             | Notice::BackEndCold
             | Notice::Leaving(_)
-            | Notice::Stopped => watch::Level::Info,
+            | Notice::Stopped => level::Level::Info,
         }
     }
 }
--- a/crates/hyssopfork-agent/src/offers.rs
+++ b/crates/hyssopfork-agent/src/offers.rs
@@ -1,6 +1,7 @@
 //! Attempts: offered, handed to the upstream, cancelled, ended.
 
 use crate::{action, attempts, core, event, memory, notice};
+use hyssopfork_policy::ramp;
 use hyssopfork_wire::{attempt, clock, refusal};
 
 impl core::Core {
@@ -75,8 +76,10 @@
         if live.state != attempts::State::Forwarded {
             return;
         }
-        self.engine.ramp().complete();
-        if live.cancelled {
+        let (begun, cost) = (live.forwarded, live.offer.cost);
+        let cancelled = live.cancelled;
+        self.engine.ramp().end(now, begun, cost, ramp::Outcome::Completed);
+        if cancelled {
             self.attempts.bury(attempt, memory::End::Finished);
         } else {
             self.attempts.finish(attempt, now);
@@ -86,6 +89,7 @@
     /// The upstream's answer will not be whole.
     pub(crate) fn failed(
         &mut self,
+        now: clock::Instant,
         attempt: attempt::Identifier,
         fault: event::Fault,
         actions: &mut Vec<action::Action>,
@@ -95,6 +99,10 @@
         if matches!(live.state, attempts::State::Finished(_)) {
             return;
         }
+        let (begun, cost) = (live.forwarded, live.offer.cost);
+        if started {
+            self.engine.ramp().end(now, begun, cost, ramp::Outcome::Failed);
+        }
         let reason = refusal::Reason::UpstreamFailed;
         let refusal = if started {
             refusal::Refusal::may_have_run(reason, None)
--- a/crates/hyssopfork-entry/src/claims.rs
+++ b/crates/hyssopfork-entry/src/claims.rs
@@ -54,7 +54,7 @@
         let Some(claim) = request.claim.as_mut() else { return };
         if over && claim.call.is_none() && now.since(deadline) >= RESOLVE_LIMIT {
             claim.hold = request::Hold::Settled;
-            self.clear(number);
+            self.clear(now, number);
             return;
         }
         if claim.call.is_some() || now < claim.ask_at {
@@ -155,8 +155,7 @@
             if renounced {
                 self.record(now, number, claim::Outcome::NotRun);
             } else {
-                request.phase = request::Phase::Waiting;
-                self.waiting.push_back(number);
+                self.enqueue(now, number);
             }
             return;
         }
@@ -164,7 +163,7 @@
         if request.caller != request::Caller::Done {
             self.answer_claim(now, number, reply);
         }
-        self.clear(number);
+        self.clear(now, number);
     }
 
     /// Answers a caller whose work is not this request's to do.
@@ -207,7 +206,7 @@
         {
             self.replay(now, number, answer.head, answer.body);
         }
-        self.clear(number);
+        self.clear(now, number);
     }
 
     fn replay(&mut self, now: clock::Instant, number: u64, head: frame::Head, body: Bytes) {
--- a/crates/hyssopfork-entry/src/core.rs
+++ b/crates/hyssopfork-entry/src/core.rs
@@ -1,10 +1,10 @@
 //! The entry as a step function: events in, actions out.
 
-use crate::{action, arrival, attempt, event, measure, notice, request, upstreams};
+use crate::{action, arrival, attempt, event, measure, notice, pool, request};
 use hyssopfork_watch::watcher;
 use hyssopfork_wire::{clock, control, name, refusal, timing};
 use rand::{RngExt, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net;
 use std::time::Duration;
 
@@ -39,13 +39,14 @@
     pub(crate) settings: Settings,
     pub(crate) watcher: watcher::Watcher,
     pub(crate) requests: BTreeMap<u64, request::Request>,
-    pub(crate) waiting: VecDeque<u64>,
+    pub(crate) pools: BTreeMap<name::Pool, pool::Pool>,
+    pub(crate) resting: BTreeSet<(clock::Instant, u64)>,
     pub(crate) claiming: BTreeSet<u64>,
     pub(crate) claim_calls: BTreeMap<u64, ClaimCall>,
     pub(crate) attempts: attempt::Attempts,
-    pub(crate) upstreams: upstreams::Upstreams,
     pub(crate) actions: Vec<action::Action>,
     stopping: Option<clock::Instant>,
+    random: rand_chacha::ChaCha8Rng,
     leave_heard: bool,
     stopped: bool,
 }
@@ -53,18 +54,20 @@
 impl Core {
     /// An entry whose process started at `now`.
     pub fn new(settings: Settings, seed: u64, now: clock::Instant) -> Core {
-        let offset = rand_chacha::ChaCha8Rng::seed_from_u64(seed).random();
+        let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+        let offset = random.random();
         Core {
             watcher: watcher::Watcher::new(settings.control.clone(), offset, now),
             attempts: attempt::Attempts::new(settings.boot),
             settings,
             requests: BTreeMap::new(),
-            waiting: VecDeque::new(),
+            pools: BTreeMap::new(),
+            resting: BTreeSet::new(),
             claiming: BTreeSet::new(),
             claim_calls: BTreeMap::new(),
-            upstreams: upstreams::Upstreams::default(),
             actions: Vec::new(),
             stopping: None,
+            random,
             leave_heard: false,
             stopped: false,
         }
@@ -90,16 +93,19 @@
 
     fn take(&mut self, now: clock::Instant, event: event::Event) {
         match event {
-            event::Event::Tick => self.expire(now),
+            event::Event::Tick => {
+                self.expire(now);
+                self.hedge(now);
+            }
             event::Event::Controlled { call, response } => self.controlled(now, call, response),
             event::Event::Arrived { request, arrival } => self.arrived(now, request, arrival),
             event::Event::Gone(request) => self.gone(now, request),
-            event::Event::Loaded(attempt, load) => self.loaded(attempt, load),
-            event::Event::Started(attempt) => self.started(attempt),
+            event::Event::Loaded(attempt, load) => self.loaded(now, attempt, load),
+            event::Event::Started(attempt) => self.started(now, attempt),
             event::Event::Refused(attempt, refusal) => self.refused(now, attempt, refusal),
             event::Event::Headed(attempt, head) => self.headed(now, attempt, &head),
             event::Event::Begun(attempt) => self.begun(now, attempt),
-            event::Event::Delivered(attempt, events) => self.delivered(attempt, events),
+            event::Event::Delivered(attempt, events) => self.delivered(now, attempt, events),
             event::Event::Ended(attempt) => self.ended(now, attempt),
             event::Event::Collected { attempt, head, body } => {
                 self.collected(now, attempt, head, body);
@@ -114,6 +120,10 @@
         }
     }
 
+    pub(crate) fn random(&mut self) -> u64 {
+        self.random.random()
+    }
+
     pub(crate) fn note(&mut self, notice: notice::Notice) {
         self.actions.push(action::Action::Notice(notice));
     }
@@ -153,7 +163,7 @@
         if claims {
             self.claim(now, number);
         } else {
-            self.waiting.push_back(number);
+            self.enqueue(now, number);
         }
     }
 
--- a/crates/hyssopfork-entry/src/ending.rs
+++ b/crates/hyssopfork-entry/src/ending.rs
@@ -1,6 +1,7 @@
 //! Endings: each caller gets exactly one final answer.
 
 use crate::{action, attempt, core, measure, notice, request};
+use hyssopfork_policy::choice;
 use hyssopfork_wire::{attempt as wire, clock, refusal};
 
 impl core::Core {
@@ -27,10 +28,10 @@
         let claimed = request.claim.is_some();
         self.conclude(now, number, measure::Outcome::Gone);
         if !claimed {
-            self.drop_attempts(number);
+            self.drop_attempts(now, number);
         }
         self.release(now, number);
-        self.clear(number);
+        self.clear(now, number);
     }
 
     /// Gives the request up with its final answer at once, and cancels what is in flight beside
@@ -42,16 +43,28 @@
             let refusal = self.final_refusal(request, reason, sent);
             self.refuse(now, number, refusal);
         }
-        self.abandon(number);
+        self.abandon(now, number);
         self.release(now, number);
-        self.clear(number);
+        self.clear(now, number);
+    }
+
+    /// Gives the request up before anything of it was sent, with a refusal that the queue gave.
+    pub(crate) fn turn_back(
+        &mut self,
+        now: clock::Instant,
+        number: u64,
+        refusal: refusal::Refusal,
+    ) {
+        let Some(request) = self.requests.get_mut(&number) else { return };
+        request.last = Some(refusal);
+        self.give_up(now, number, refusal.reason);
     }
 
     /// The whole answer went to the caller.
     pub(crate) fn answered(&mut self, now: clock::Instant, number: u64) {
         self.conclude(now, number, measure::Outcome::Answered);
-        self.drop_attempts(number);
-        self.clear(number);
+        self.drop_attempts(now, number);
+        self.clear(now, number);
     }
 
     /// Refuses, or cuts the answer where a part has gone out.
@@ -79,8 +92,12 @@
     }
 
     /// Forgets a request for which nothing is left to do.
-    pub(crate) fn clear(&mut self, number: u64) {
+    pub(crate) fn clear(&mut self, now: clock::Instant, number: u64) {
         if self.requests.get(&number).is_some_and(request::Request::is_over) {
+            if let Some(pool) = self.pool_of(number) {
+                pool.queue.remove(number);
+                pool.queue.complete(now, number);
+            }
             self.requests.remove(&number);
             self.claiming.remove(&number);
         }
@@ -99,10 +116,10 @@
     }
 
     /// Cancels an attempt and takes it out of flight.
-    pub(crate) fn cancel_and_drop(&mut self, identifier: wire::Identifier) {
+    pub(crate) fn cancel_and_drop(&mut self, now: clock::Instant, identifier: wire::Identifier) {
         self.cancel(identifier);
         self.actions.push(action::Action::Drop(identifier));
-        self.land(identifier);
+        self.land(now, identifier, choice::Outcome::Cancelled);
     }
 
     fn has_not_begun(&self, request: &request::Request) -> bool {
@@ -133,7 +150,7 @@
         if !sent {
             return refusal::Refusal::not_run(reason, after);
         }
-        let repeats = request.may_repeat() || request.claim.is_some();
+        let repeats = request.plan.repeatable || request.claim.is_some();
         let after = after.filter(|_| repeats);
         let reason = if request.claim.is_some() { refusal::Reason::OutcomeUnknown } else { reason };
         refusal::Refusal::may_have_run(reason, after)
@@ -142,10 +159,10 @@
     /// Stops caring for the attempts of a request that was given up. Claimed work is watched to
     /// its end, and cancelled only while it hasn't been heard to have started: a cancel that
     /// stops it halfway would leave an outcome that nobody knows.
-    fn abandon(&mut self, number: u64) {
+    fn abandon(&mut self, now: clock::Instant, number: u64) {
         let Some(request) = self.requests.get(&number) else { return };
         if request.claim.is_none() {
-            self.drop_attempts(number);
+            self.drop_attempts(now, number);
             return;
         }
         for identifier in request.attempts.clone() {
@@ -156,11 +173,11 @@
         }
     }
 
-    fn drop_attempts(&mut self, number: u64) {
+    fn drop_attempts(&mut self, now: clock::Instant, number: u64) {
         let Some(request) = self.requests.get_mut(&number) else { return };
         request.phase = request::Phase::Over;
         for identifier in request.attempts.clone() {
-            self.cancel_and_drop(identifier);
+            self.cancel_and_drop(now, identifier);
         }
     }
 }
--- a/crates/hyssopfork-entry/src/lib.rs
+++ b/crates/hyssopfork-entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod event;
 pub mod measure;
 pub mod notice;
+mod offer;
+pub mod pool;
 pub mod request;
 mod serve;
-pub mod upstreams;
--- a/crates/hyssopfork-entry/src/notice.rs
+++ b/crates/hyssopfork-entry/src/notice.rs
@@ -1,7 +1,7 @@
 //! Numbered events of this role, for the log.
 
 use hyssopfork_watch::notice as watch;
-use hyssopfork_wire::{attempt, name, refusal};
+use hyssopfork_wire::{attempt, level, name, refusal};
 use std::fmt;
 
 /// A numbered event.
@@ -57,19 +57,19 @@
     }
 
     /// How much it matters.
-    pub fn level(&self) -> watch::Level {
+    pub fn level(&self) -> level::Level {
         match self {
             Notice::Watch(notice) => notice.level(),
             Notice::Refused(..) | Notice::Offered(..) | Notice::AttemptRefused(..) => {
-                watch::Level::Debug
+                level::Level::Debug
             }
-            Notice::Resumed(..) | Notice::Leaving(_) | Notice::Stopped => watch::Level::Info,
+            Notice::Resumed(..) | Notice::Leaving(_) | Notice::Stopped => level::Level::Info,
             Notice::AttemptFailed(..)
             | Notice::Cut(_)
             | Notice::ClaimAgain(_)
             | Notice::RecordAgain(_)
             | Notice::OutcomeUnknown(_)
-            | Notice::LeaveOverdue(_) => watch::Level::Warn,
+            | Notice::LeaveOverdue(_) => level::Level::Warn,
         }
     }
 }
--- a/crates/hyssopfork-entry/src/request.rs
+++ b/crates/hyssopfork-entry/src/request.rs
@@ -3,7 +3,6 @@
 use crate::{arrival, event, measure};
 use bytes::Bytes;
 use hyssopfork_wire::{attempt, claim, clock, frame, name, refusal};
-use std::collections::BTreeSet;
 
 /// What the caller has got so far.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,8 +94,10 @@
     pub attempts: Vec<attempt::Identifier>,
     /// Attempts offered so far.
     pub tries: u32,
-    /// Instances that refused or failed it.
-    pub avoid: BTreeSet<name::Instance>,
+    /// Instances that it was offered to since it last waited in the queue.
+    pub excluded: Vec<name::Instance>,
+    /// Rests that it took because no upstream would take it.
+    pub rests: u32,
     /// Refusal of the attempt that ended last.
     pub last: Option<refusal::Refusal>,
     /// Whether an attempt that has ended may have run work.
@@ -127,7 +128,8 @@
             next: None,
             attempts: Vec::new(),
             tries: 0,
-            avoid: BTreeSet::new(),
+            excluded: Vec::new(),
+            rests: 0,
             last: None,
             may_have_run: false,
             streams: false,
@@ -138,11 +140,6 @@
         }
     }
 
-    /// Whether work for it may run again although some may have run.
-    pub fn may_repeat(&self) -> bool {
-        self.plan.repeatable
-    }
-
     /// Whether nothing is left to do, for the caller or for its claim.
     pub fn is_over(&self) -> bool {
         let settled = |claim: &Claim| claim.hold == Hold::Settled;
--- a/crates/hyssopfork-entry/src/serve.rs
+++ b/crates/hyssopfork-entry/src/serve.rs
@@ -1,9 +1,9 @@
-//! Attempts of a request: offered, answered, tried elsewhere, resumed.
+//! Attempts of a request: answered, refused, tried elsewhere, resumed.
 
-use crate::{action, arrival, attempt, core, event, notice, request};
+use crate::{action, attempt, core, event, notice, pool, request};
 use bytes::Bytes;
+use hyssopfork_policy::{choice, retry};
 use hyssopfork_wire::{attempt as wire, clock, frame, refusal};
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Attempts that one request may take, over all upstreams.
@@ -13,95 +13,26 @@
 const RESUME_LIMIT: Duration = Duration::from_millis(5_000);
 
 impl core::Core {
-    /// Offers waiting requests to upstreams, oldest first.
-    pub(crate) fn dispatch(&mut self, now: clock::Instant) {
-        for number in std::mem::take(&mut self.waiting) {
-            if !self.dispatch_one(now, number) {
-                self.waiting.push_back(number);
-            }
-        }
-    }
-
-    /// Whether the request no longer waits.
-    fn dispatch_one(&mut self, now: clock::Instant, number: u64) -> bool {
-        let Some(request) = self.requests.get(&number) else { return true };
-        if request.phase != request::Phase::Waiting {
-            return true;
-        }
-        if now >= request.deadline {
-            self.give_up(now, number, refusal::Reason::Deadline);
-            return true;
-        }
-        if !self.watcher.is_recent(now) {
-            self.give_up(now, number, refusal::Reason::Stale);
-            return true;
-        }
-        if !arrival::is_current(self.watcher.view(), &request.plan) {
-            self.give_up(now, number, refusal::Reason::NoRoute);
-            return true;
-        }
-        let Some(place) = self.choose(now, request) else { return false };
-        self.offer(now, number, place);
-        true
-    }
-
-    fn choose(&self, now: clock::Instant, request: &request::Request) -> Option<attempt::Place> {
-        let view = self.watcher.view();
-        let pool = &request.plan.pool;
-        let nobody = BTreeSet::new();
-        let choose = |avoid| self.upstreams.choose(now, view, pool, avoid);
-        let resumes =
-            |place: &attempt::Place| request.caller != request::Caller::Reading || place.resumes;
-        choose(&request.avoid).or_else(|| choose(&nobody)).filter(resumes)
-    }
-
-    fn offer(&mut self, now: clock::Instant, number: u64, place: attempt::Place) {
-        let Some(request) = self.requests.get_mut(&number) else { return };
-        let identifier = request.next.take().unwrap_or_else(|| self.attempts.draw());
-        request.phase = request::Phase::Running;
-        request.tries += 1;
-        request.offered.get_or_insert(now);
-        request.attempts.push(identifier);
-        let offer = wire::Offer {
-            attempt: identifier,
-            boot: place.boot,
-            version: self.watcher.view().version,
-            group: place.group.clone(),
-            team: request.plan.team.clone(),
-            class: request.plan.class,
-            cost: request.arrival.cost,
-            deadline: now.until(request.deadline),
-            resume_from: request.delivered.unwrap_or(0),
-            method: request.arrival.method.clone(),
-            path: request.arrival.path.clone(),
-            headers: request.arrival.headers.clone(),
-        };
-        let collect = request.claim.is_some();
-        let to = place.traffic;
-        self.upstreams.offer(&place);
-        self.note(notice::Notice::Offered(number, identifier, place.instance.clone()));
-        let attempt = attempt::Attempt {
-            request: number,
-            place,
-            state: attempt::State::Offered,
-            sent: now,
-            cancelled: false,
-        };
-        self.attempts.insert(identifier, attempt);
-        let offer = Box::new(offer);
-        self.actions.push(action::Action::Start { request: number, to, offer, collect });
-    }
-
     /// The agent told its load.
-    pub(crate) fn loaded(&mut self, identifier: wire::Identifier, load: frame::Load) {
+    pub(crate) fn loaded(
+        &mut self,
+        now: clock::Instant,
+        identifier: wire::Identifier,
+        load: frame::Load,
+    ) {
         self.watcher.hear(load.version);
-        if let Some(attempt) = self.attempts.get(identifier) {
-            self.upstreams.hear(&attempt.place, load);
+        let Some(attempt) = self.attempts.get(identifier) else { return };
+        let place = attempt.place.clone();
+        let Some(pool) = self.pool_of(attempt.request) else { return };
+        // A report of another process or placement says nothing of the one there now.
+        if pool.place(&place.instance) == Some(&place) {
+            pool.chooser.report(now, &place.instance, load);
         }
     }
 
     /// The agent handed the attempt to the upstream.
-    pub(crate) fn started(&mut self, identifier: wire::Identifier) {
+    pub(crate) fn started(&mut self, now: clock::Instant, identifier: wire::Identifier) {
+        self.heard(now, identifier);
         if let Some(attempt) = self.attempts.get_mut(identifier)
             && attempt.state == attempt::State::Offered
         {
@@ -116,6 +47,7 @@
         identifier: wire::Identifier,
         head: &frame::Head,
     ) {
+        self.heard(now, identifier);
         let Some(attempt) = self.attempts.get_mut(identifier) else { return };
         if !matches!(attempt.state, attempt::State::Offered | attempt::State::Started) {
             return;
@@ -135,10 +67,10 @@
         }
         request.streams = streams;
         request.caller = request::Caller::Reading;
-        self.forward(number, identifier);
+        self.forward(now, number, identifier);
     }
 
-    fn forward(&mut self, number: u64, identifier: wire::Identifier) {
+    fn forward(&mut self, now: clock::Instant, number: u64, identifier: wire::Identifier) {
         if let Some(attempt) = self.attempts.get_mut(identifier) {
             attempt.turn(attempt::State::Forwarding);
         }
@@ -150,19 +82,33 @@
             .flat_map(|request| request.attempts.iter().copied())
             .filter(|other| *other != identifier)
             .collect();
-        others.into_iter().for_each(|other| self.cancel_and_drop(other));
+        others.into_iter().for_each(|other| self.cancel_and_drop(now, other));
     }
 
     /// The first part of the answer's body came.
     pub(crate) fn begun(&mut self, now: clock::Instant, identifier: wire::Identifier) {
+        self.heard(now, identifier);
         let Some(attempt) = self.attempts.get(identifier) else { return };
-        if let Some(request) = self.requests.get_mut(&attempt.request) {
-            request.begun.get_or_insert(now);
+        let (number, elapsed) = (attempt.request, now.since(attempt.sent));
+        let Some(request) = self.requests.get_mut(&number) else { return };
+        if request.begun.is_some() {
+            return;
         }
+        request.begun = Some(now);
+        let class = request.plan.class;
+        let Some(pool) = self.pool_of(number) else { return };
+        pool.queue.begun(now, number);
+        pool.hedge(class).observe(elapsed);
     }
 
     /// Events of the stream were delivered.
-    pub(crate) fn delivered(&mut self, identifier: wire::Identifier, events: u64) {
+    pub(crate) fn delivered(
+        &mut self,
+        now: clock::Instant,
+        identifier: wire::Identifier,
+        events: u64,
+    ) {
+        self.heard(now, identifier);
         let Some(attempt) = self.attempts.get(identifier) else { return };
         if attempt.state != attempt::State::Forwarding {
             return;
@@ -178,7 +124,7 @@
         if attempt.state != attempt::State::Forwarding {
             return;
         }
-        if let Some(number) = self.land(identifier) {
+        if let Some(number) = self.land(now, identifier, choice::Outcome::Answered) {
             self.answered(now, number);
         }
     }
@@ -196,7 +142,7 @@
         if !self.requests.get(&attempt.request).is_some_and(collects) {
             return;
         }
-        if let Some(number) = self.land(identifier) {
+        if let Some(number) = self.land(now, identifier, choice::Outcome::Answered) {
             self.record_answer(now, number, head, body);
         }
     }
@@ -208,16 +154,12 @@
         identifier: wire::Identifier,
         refusal: refusal::Refusal,
     ) {
-        let Some(attempt) = self.attempts.get(identifier) else { return };
-        let place = attempt.place.clone();
-        let Some(number) = self.land(identifier) else { return };
-        self.upstreams.pause(&place, now);
+        let outcome = match refusal.ran {
+            refusal::Ran::NotRun => choice::Outcome::Refused(refusal.reason),
+            refusal::Ran::MayHaveRun => choice::Outcome::Failed,
+        };
+        let Some(number) = self.land(now, identifier, outcome) else { return };
         self.note(notice::Notice::AttemptRefused(identifier, refusal));
-        let Some(request) = self.requests.get_mut(&number) else { return };
-        let full = matches!(refusal.reason, refusal::Reason::Overloaded | refusal::Reason::Cold);
-        if !full {
-            request.avoid.insert(place.instance);
-        }
         self.lost(now, number, refusal);
     }
 
@@ -230,18 +172,16 @@
         delivered: u64,
     ) {
         let Some(attempt) = self.attempts.get(identifier) else { return };
-        let place = attempt.place.clone();
         let forwarding = attempt.state == attempt::State::Forwarding;
         let offered = attempt.state == attempt::State::Offered;
         self.note(notice::Notice::AttemptFailed(identifier, fault));
         let unsent = fault == event::Fault::Unreachable && offered;
         if !unsent {
+            // The work may still run where the answer can't be had from.
             self.cancel(identifier);
         }
-        let Some(number) = self.land(identifier) else { return };
-        self.upstreams.pause(&place, now);
+        let Some(number) = self.land(now, identifier, choice::Outcome::Failed) else { return };
         let Some(request) = self.requests.get_mut(&number) else { return };
-        request.avoid.insert(place.instance);
         if forwarding {
             request.delivered = request.delivered.max(Some(delivered));
         }
@@ -277,12 +217,32 @@
     }
 
     /// Takes an attempt out of flight; the request it was for.
-    pub(crate) fn land(&mut self, identifier: wire::Identifier) -> Option<u64> {
+    pub(crate) fn land(
+        &mut self,
+        now: clock::Instant,
+        identifier: wire::Identifier,
+        outcome: choice::Outcome,
+    ) -> Option<u64> {
         let attempt = self.attempts.remove(identifier)?;
-        self.upstreams.end(&attempt.place);
-        let request = self.requests.get_mut(&attempt.request)?;
+        let number = attempt.request;
+        if let Some(pool) = self.pool_of(number) {
+            pool.chooser.end(now, identifier, outcome);
+        }
+        let request = self.requests.get_mut(&number)?;
         request.attempts.retain(|other| *other != identifier);
-        Some(attempt.request)
+        Some(number)
+    }
+
+    fn heard(&mut self, now: clock::Instant, identifier: wire::Identifier) {
+        let Some(attempt) = self.attempts.get(identifier) else { return };
+        if let Some(pool) = self.pool_of(attempt.request) {
+            pool.chooser.heard(now, identifier);
+        }
+    }
+
+    pub(crate) fn pool_of(&mut self, number: u64) -> Option<&mut pool::Pool> {
+        let request = self.requests.get(&number)?;
+        self.pools.get_mut(&request.plan.pool)
     }
 
     /// An attempt came to nothing: the request is tried elsewhere, goes on with its other
@@ -294,7 +254,17 @@
         if !request.attempts.is_empty() {
             return;
         }
-        if may_try_again(request, refusal) {
+        let may = may_try_again(request, refusal) && now < limit(now, request);
+        let (repeatable, ran) = (request.plan.repeatable, ran(request));
+        // A refusal for want of room cost the upstream nothing, and the queue holds the request
+        // until there is room: it spends nothing from the budget.
+        let free = matches!(refusal.reason, refusal::Reason::Overloaded | refusal::Reason::Cold);
+        let allowed = may
+            && self.pool_of(number).is_some_and(|pool| match free {
+                true => retry::may_repeat(repeatable, ran),
+                false => pool.budget.again(repeatable, ran),
+            });
+        if allowed {
             self.try_again(now, number);
         } else {
             self.give_up(now, number, refusal.reason);
@@ -303,30 +273,40 @@
 
     fn try_again(&mut self, now: clock::Instant, number: u64) {
         let Some(request) = self.requests.get_mut(&number) else { return };
-        request.phase = request::Phase::Waiting;
         if request.caller == request::Caller::Reading {
             request.deadline = now + RESUME_LIMIT;
             let delivered = request.delivered.unwrap_or(0);
             self.note(notice::Notice::Resumed(number, delivered));
         }
-        self.waiting.push_front(number);
+        self.try_elsewhere(now, number);
+    }
+}
+
+/// When the request's answer must have begun, or gone on.
+fn limit(now: clock::Instant, request: &request::Request) -> clock::Instant {
+    match request.caller {
+        request::Caller::Reading => now + RESUME_LIMIT,
+        request::Caller::Waiting | request::Caller::Done => request.deadline,
     }
 }
 
+fn ran(request: &request::Request) -> refusal::Ran {
+    if request.may_have_run { refusal::Ran::MayHaveRun } else { refusal::Ran::NotRun }
+}
+
 /// Whether the work may be sent once more.
 ///
 /// Work that may not be repeated goes out again only while no attempt of it may have run. A
 /// caller that has a part of an answer can only be given the rest of a stream whose delivered
 /// events were counted.
 fn may_try_again(request: &request::Request, refusal: refusal::Refusal) -> bool {
-    let repeats = request.may_repeat() || !request.may_have_run;
     let permanent = refusal.reason == refusal::Reason::Malformed;
     let continues = match request.caller {
         request::Caller::Waiting => true,
         request::Caller::Reading => request.streams && request.delivered.is_some(),
         request::Caller::Done => false,
     };
-    repeats && continues && !permanent && request.tries < TRIES
+    continues && !permanent && request.tries < TRIES
 }
 
 fn is_stream(head: &frame::Head) -> bool {
--- a/crates/hyssopfork-watch/src/notice.rs
+++ b/crates/hyssopfork-watch/src/notice.rs
@@ -1,22 +1,8 @@
 //! Numbered events of the watcher, for the log.
 
-use hyssopfork_wire::number;
+use hyssopfork_wire::{level, number};
 use std::{fmt, net};
 
-/// How much a numbered event matters.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
-#[strum(serialize_all = "lowercase")]
-pub enum Level {
-    /// For tracing one request or call.
-    Debug,
-    /// An ordinary change of state.
-    Info,
-    /// Service is at risk, or was refused.
-    Warn,
-    /// A rule of the protocol was broken.
-    Error,
-}
-
 /// A numbered event.
 #[derive(Clone, Debug, PartialEq, Eq, strum::EnumDiscriminants)]
 #[strum_discriminants(derive(strum::EnumIter), name(Kind), doc = "Kind of a numbered event.")]
@@ -49,12 +35,12 @@
     }
 
     /// How much it matters.
-    pub fn level(&self) -> Level {
+    pub fn level(&self) -> level::Level {
         match self {
-            Notice::Advanced(_) | Notice::TargetChanged(_) => Level::Debug,
-            Notice::LeaseHeld => Level::Info,
-            Notice::LeaseLapsed | Notice::UpdateBack(_) => Level::Warn,
-            Notice::ProtocolDiffers(_) => Level::Error,
+            Notice::Advanced(_) | Notice::TargetChanged(_) => level::Level::Debug,
+            Notice::LeaseHeld => level::Level::Info,
+            Notice::LeaseLapsed | Notice::UpdateBack(_) => level::Level::Warn,
+            Notice::ProtocolDiffers(_) => level::Level::Error,
         }
     }
 }
