--- a/crates/hyssopfork-agent/src/gate.rs
+++ b/crates/hyssopfork-agent/src/gate.rs
@@ -34,7 +34,7 @@
     ///
     /// # Errors
     ///
-    /// The refusal; the work has not run.
+    /// The refusal; the work has not run, but for an offer to another process.
     pub fn check(
         &self,
         offer: &attempt::Offer,
@@ -74,7 +74,7 @@
 
     fn check_process(&self, offer: &attempt::Offer) -> Result<(), refusal::Refusal> {
         if offer.boot != self.announcement.boot {
-            return refuse(refusal::Reason::Stale, SOON);
+            return self.refuse_other_boot(offer);
         }
         if self.stopping {
             return refuse(refusal::Reason::Draining, LATER);
@@ -85,6 +85,15 @@
         Ok(())
     }
 
+    /// The process that was meant is gone. Of an offer that may have reached it on an earlier
+    /// connection nobody can say whether it ran.
+    fn refuse_other_boot(&self, offer: &attempt::Offer) -> Result<(), refusal::Refusal> {
+        if offer.first {
+            return refuse(refusal::Reason::Stale, SOON);
+        }
+        Err(refusal::Refusal::may_have_run(refusal::Reason::Stale, Some(SOON)))
+    }
+
     fn check_declared(&self) -> Result<(), refusal::Refusal> {
         let view = self.watcher.view();
         if !is_recorded(view, self.announcement) {
--- /dev/null
+++ b/crates/hyssopfork-entry/src/estimate.rs
@@ -0,0 +1,127 @@
+//! Estimate of what a request costs and which prompt prefix it shares, from its body alone.
+//!
+//! The estimate orders and balances work; nothing is refused for being estimated wrongly.
+
+use serde::Deserialize;
+use sha2::{Digest, Sha256};
+
+/// Bytes of text to a token; English prose has about four.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Tokens that an answer is taken to have when the request doesn't bound them.
+const ANSWER_DEFAULT: u32 = 256;
+
+/// Cost of a request that is no completion: what a short plain call takes, in tokens.
+const PLAIN_COST: u32 = 16;
+
+/// Longest prefix that is hashed, in bytes: engines cache whole blocks of tokens, and beyond a few
+/// blocks any prefix tells the same requests apart.
+const PREFIX_MOST: usize = 1_024;
+
+/// Shortest prefix worth staying with one upstream for: less is prefilled sooner than looked up.
+const PREFIX_LEAST: usize = 128;
+
+/// The estimate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Estimate {
+    /// Cost in tokens, of the prompt and the answer together; at least 1.
+    pub cost: u32,
+    /// Hash of the prompt's prefix; `None` where there is no prompt or it is short.
+    pub prefix: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Completion {
+    prompt: Option<Prompt>,
+    messages: Option<Vec<Message>>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    n: Option<u32>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Prompt {
+    Text(String),
+    Texts(Vec<String>),
+    Tokens(Vec<u32>),
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    content: Option<Content>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Content {
+    Text(String),
+    Parts(Vec<Part>),
+}
+
+#[derive(Debug, Deserialize)]
+struct Part {
+    text: Option<String>,
+}
+
+/// Estimate for the body of a completion request; any other body costs as a short plain call.
+pub fn completion(body: &[u8]) -> Estimate {
+    let plain = Estimate { cost: PLAIN_COST, prefix: None };
+    let Ok(completion) = serde_json::from_slice::<Completion>(body) else { return plain };
+    if completion.prompt.is_none() && completion.messages.is_none() {
+        return plain;
+    }
+    let answers = completion.n.unwrap_or(1).max(1);
+    let bound = completion.max_completion_tokens.or(completion.max_tokens);
+    let answer = bound.unwrap_or(ANSWER_DEFAULT).saturating_mul(answers);
+    let cost = prompt_tokens(&completion).saturating_add(answer).max(1);
+    Estimate { cost, prefix: first_text(&completion).and_then(hash) }
+}
+
+fn prompt_tokens(completion: &Completion) -> u32 {
+    let prompt = match &completion.prompt {
+        Some(Prompt::Text(text)) => text.len() / BYTES_PER_TOKEN,
+        Some(Prompt::Texts(texts)) => {
+            texts.iter().map(String::len).sum::<usize>() / BYTES_PER_TOKEN
+        }
+        Some(Prompt::Tokens(tokens)) => tokens.len(),
+        None => 0,
+    };
+    let messages = completion.messages.iter().flatten().map(length).sum::<usize>();
+    u32::try_from(prompt + messages / BYTES_PER_TOKEN).unwrap_or(u32::MAX)
+}
+
+fn length(message: &Message) -> usize {
+    match &message.content {
+        Some(Content::Text(text)) => text.len(),
+        Some(Content::Parts(parts)) => {
+            parts.iter().filter_map(|part| part.text.as_ref()).map(String::len).sum()
+        }
+        None => 0,
+    }
+}
+
+/// The text that requests of one kind begin with: the first message, or the prompt.
+fn first_text(completion: &Completion) -> Option<&str> {
+    match &completion.prompt {
+        Some(Prompt::Text(text)) => return Some(text),
+        Some(Prompt::Texts(texts)) => return texts.first().map(String::as_str),
+        Some(Prompt::Tokens(_)) | None => {}
+    }
+    match &completion.messages.as_ref()?.first()?.content {
+        Some(Content::Text(text)) => Some(text),
+        Some(Content::Parts(parts)) => parts.first()?.text.as_deref(),
+        None => None,
+    }
+}
+
+fn hash(text: &str) -> Option<u64> {
+    let prefix = &text.as_bytes()[..text.len().min(PREFIX_MOST)];
+    if prefix.len() < PREFIX_LEAST {
+        return None;
+    }
+    let digest = Sha256::digest(prefix);
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&digest[..8]);
+    Some(u64::from_be_bytes(bytes))
+}
--- a/crates/hyssopfork-entry/src/offer.rs
+++ b/crates/hyssopfork-entry/src/offer.rs
@@ -207,6 +207,7 @@
         let offer = Box::new(wire::Offer {
             attempt: identifier,
             boot: place.boot,
+            first: false,
             version: self.watcher.view().version,
             group: place.group.clone(),
             team: request.plan.team.clone(),
--- a/crates/hyssopfork-wire/src/attempt.rs
+++ b/crates/hyssopfork-wire/src/attempt.rs
@@ -54,6 +54,12 @@
     /// Boot of the agent's process that the entry means; another process at the same addresses
     /// refuses, since it cannot know what the one before it ran.
     pub boot: u64,
+    /// Whether this is the first time that the offer goes out, for certain: set by whoever sends
+    /// it, on the first connection only. Another process than the one meant can say "not run" of
+    /// a first offer alone; of one that was sent before, the process before it may have run the
+    /// work.
+    #[serde(default)]
+    pub first: bool,
     /// Version of the entry's view.
     pub version: number::Version,
     /// Group that is asked, with the fencing number that the entry knows; `None` for a plain
