--- a/crates/hyssopfork-policy/src/drain.rs
+++ b/crates/hyssopfork-policy/src/drain.rs
@@ -51,6 +51,13 @@
         }
     }
 
+    /// Takes back work that left the queue and was refused before any of it ran: counted once more
+    /// with each refusal, it would make a full pool look fast and admission let everybody in.
+    pub fn returned(&mut self, now: clock::Instant, cost: u32) {
+        self.advance(now);
+        self.cost = (self.cost - f64::from(cost)).max(0.0);
+    }
+
     /// Says whether somebody waits from now on.
     pub fn mark(&mut self, now: clock::Instant, backlogged: bool) {
         self.advance(now);
@@ -63,9 +70,14 @@
         self.service.add(elapsed.as_secs_f64());
     }
 
+    /// Whether enough busy time was seen for a measured rate.
+    pub fn is_measured(&self) -> bool {
+        self.busy >= BUSY_LEAST && self.cost > 0.0
+    }
+
     /// Tokens of cost a second with `room` pieces of work at once; `None` while nothing is known.
     pub fn rate(&self, room: u32) -> Option<f64> {
-        if self.busy >= BUSY_LEAST && self.cost > 0.0 {
+        if self.is_measured() {
             return Some(self.cost / self.busy);
         }
         let service = self.service.get().filter(|service| *service > 0.0)?;
