--- a/crates/hyssopfork-consensus/src/lib.rs
+++ b/crates/hyssopfork-consensus/src/lib.rs
@@ -10,9 +10,11 @@
 
 pub mod action;
 pub mod change;
+pub mod error;
 pub mod event;
 pub mod journal;
 mod log;
 pub mod node;
 pub mod notice;
+pub mod recovery;
 pub mod write;
