--- a/crates/hyssopfork-cli/tests/all/main.rs
+++ b/crates/hyssopfork-cli/tests/all/main.rs
@@ -8,5 +8,6 @@
 mod load;
 mod program;
 mod screen;
+mod shipped;
 mod support;
 mod watch;
--- /dev/null
+++ b/crates/hyssopfork-test-support/examples/lay_out.rs
@@ -0,0 +1,25 @@
+//! Writes the settings of every process of a trial: `lay_out LAYOUT FOLDER`.
+//!
+//! FOLDER gets one settings file a process, on free loopback ports, and the file `manifest` with
+//! one line a process.
+
+use clap::{Arg, Command};
+use hyssopfork_test_support::layout;
+use std::{fs, io, path};
+
+fn main() -> io::Result<()> {
+    let argument = |id: &'static str| {
+        Arg::new(id).required(true).value_parser(clap::value_parser!(path::PathBuf))
+    };
+    let matches = Command::new("lay_out")
+        .about("Write the settings of every process of a trial")
+        .arg(argument("layout").help("Layout file of an example"))
+        .arg(argument("folder").help("Folder for the settings, made if it is not there"))
+        .get_matches();
+    let path = |id| matches.get_one::<path::PathBuf>(id).expect("required by the parser");
+    let layout = layout::read(path("layout"))?;
+    fs::create_dir_all(path("folder"))?;
+    let folder = path("folder").canonicalize()?;
+    let processes = layout::draw(&layout, &folder)?;
+    layout::write(&processes, &folder)
+}
--- a/crates/hyssopfork-test-support/src/engine.rs
+++ b/crates/hyssopfork-test-support/src/engine.rs
@@ -64,6 +64,8 @@
 /// Counts for tests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
+    /// Requests that began to run.
+    pub started: u64,
     /// Requests completed.
     pub completed: u64,
     /// Requests whose caller went away before the end.
@@ -194,7 +196,7 @@
 fn counts(engine: &Engine) -> Response<BoxBody> {
     let counts = engine.counts();
     let value = json!({
-        "completed": counts.completed, "cancelled": counts.cancelled, "falls": counts.falls,
+        "started": counts.started, "completed": counts.completed, "cancelled": counts.cancelled, "falls": counts.falls,
         "misdirected": counts.misdirected, "old_orders": counts.old_orders,
         "loads": counts.loads, "ran": {},
     });
--- a/crates/hyssopfork-test-support/src/engine/generation.rs
+++ b/crates/hyssopfork-test-support/src/engine/generation.rs
@@ -82,6 +82,7 @@
         return Err(http::broken(request));
     }
     state.running += 1;
+    state.counts.started += 1;
     let incarnation = state.incarnation;
     let cut = state.disturbance.cut.take();
     drop(state);
--- /dev/null
+++ b/crates/hyssopfork-test-support/src/layout.rs
@@ -0,0 +1,221 @@
+//! Settings of every process of a trial on one machine, from an example's layout.
+
+use crate::ports;
+use hyssopfork_settings::plain;
+use hyssopfork_wire::fleet;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::{fs, io, net, path};
+
+/// A layout file.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Layout {
+    /// Zone of each control instance.
+    pub control_zones: Vec<String>,
+    /// Zone of each entry.
+    pub entry_zones: Vec<String>,
+    /// Model engines.
+    pub engines: Pool,
+    /// Plain services.
+    pub services: Pool,
+}
+
+/// A pool's upstreams.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// Its name.
+    pub pool: String,
+    /// Start of its instances' names.
+    pub prefix: String,
+    /// Where they stand.
+    pub domains: Vec<Domain>,
+    /// What each can do.
+    pub profile: fleet::Profile,
+}
+
+/// A fabric domain's instances.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Domain {
+    /// Its zone.
+    pub zone: String,
+    /// Its name.
+    pub domain: String,
+    /// Instances in it.
+    pub instances: u32,
+}
+
+/// One process of the trial.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Process {
+    /// Role in the manifest.
+    pub role: Role,
+    /// Instance that it stands on.
+    pub instance: String,
+    /// Zone of the instance.
+    pub zone: String,
+    /// Where others reach it: control's, entry's or upstream's address.
+    pub address: net::SocketAddr,
+    /// Where it tells its health and metrics.
+    pub metrics: net::SocketAddr,
+    /// Its settings.
+    pub settings: Value,
+}
+
+/// Role of a process, as the manifest writes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// A control instance.
+    Control,
+    /// An entry.
+    Entry,
+    /// An agent beside an engine.
+    Engine,
+    /// An agent beside a plain service.
+    Service,
+}
+
+impl Role {
+    /// The role's word in the manifest.
+    pub fn word(self) -> &'static str {
+        match self {
+            Role::Control => "control",
+            Role::Entry => "entry",
+            Role::Engine => "engine",
+            Role::Service => "service",
+        }
+    }
+}
+
+/// Reads a layout.
+pub fn read(path: &path::Path) -> io::Result<Layout> {
+    let text = fs::read_to_string(path)?;
+    let wrong = |text: String| io::Error::new(io::ErrorKind::InvalidData, text);
+    let plain = plain::json(&text).map_err(|faults| wrong(faults[0].to_string()))?;
+    serde_json::from_str(&plain).map_err(|cause| wrong(cause.to_string()))
+}
+
+/// Every process of the layout, on free ports, with data folders under `folder`.
+pub fn draw(layout: &Layout, folder: &path::Path) -> io::Result<Vec<Process>> {
+    let mut ports = ports::Ports::new();
+    let control = control(layout, folder, &mut ports)?;
+    let addresses: Vec<net::SocketAddr> = control.iter().map(|process| process.address).collect();
+    let mut processes = control;
+    for (place, zone) in layout.entry_zones.iter().enumerate() {
+        processes.push(entry(place, zone, &addresses, &mut ports)?);
+    }
+    for (role, pool) in [(Role::Engine, &layout.engines), (Role::Service, &layout.services)] {
+        processes.extend(agents(role, pool, &addresses, &mut ports)?);
+    }
+    Ok(processes)
+}
+
+/// Writes each process's settings, and the manifest: one line a process with role, instance, zone,
+/// address, metrics address and settings file, separated by tabs.
+pub fn write(processes: &[Process], folder: &path::Path) -> io::Result<()> {
+    let mut manifest = String::new();
+    for process in processes {
+        let file = folder.join(format!("{}.json", process.instance));
+        fs::write(&file, format!("{:#}\n", process.settings))?;
+        let fields = [
+            process.role.word().to_owned(),
+            process.instance.clone(),
+            process.zone.clone(),
+            process.address.to_string(),
+            process.metrics.to_string(),
+            file.display().to_string(),
+        ];
+        manifest.push_str(&fields.join("\t"));
+        manifest.push('\n');
+    }
+    fs::write(folder.join("manifest"), manifest)
+}
+
+fn control(
+    layout: &Layout,
+    folder: &path::Path,
+    ports: &mut ports::Ports,
+) -> io::Result<Vec<Process>> {
+    let named = layout.control_zones.iter().enumerate();
+    let placed: Vec<(String, &String, net::SocketAddr)> = named
+        .map(|(place, zone)| Ok((format!("control-{}", place + 1), zone, ports.take()?)))
+        .collect::<io::Result<_>>()?;
+    let voters: Vec<Value> = placed
+        .iter()
+        .map(|(instance, _, address)| json!({ "instance": instance, "address": address }))
+        .collect();
+    let process = |(instance, zone, address): &(String, &String, net::SocketAddr)| {
+        let metrics = ports.take()?;
+        let settings = json!({
+            "instance": instance, "zone": zone, "roles": ["control"],
+            "control": {
+                "listen": address, "data_folder": folder.join(format!("{instance}.data")),
+                "voters": voters,
+            },
+            "metrics_listen": metrics,
+        });
+        Ok(Process {
+            role: Role::Control,
+            instance: instance.clone(),
+            zone: (*zone).clone(),
+            address: *address,
+            metrics,
+            settings,
+        })
+    };
+    placed.iter().map(process).collect()
+}
+
+fn entry(
+    place: usize,
+    zone: &str,
+    control: &[net::SocketAddr],
+    ports: &mut ports::Ports,
+) -> io::Result<Process> {
+    let instance = format!("entry-{}", place + 1);
+    let (address, metrics) = (ports.take()?, ports.take()?);
+    let settings = json!({
+        "instance": instance, "zone": zone, "roles": ["entry"], "control_addresses": control,
+        "entry": { "listen": address }, "metrics_listen": metrics,
+    });
+    Ok(Process { role: Role::Entry, instance, zone: zone.into(), address, metrics, settings })
+}
+
+fn agents(
+    role: Role,
+    pool: &Pool,
+    control: &[net::SocketAddr],
+    ports: &mut ports::Ports,
+) -> io::Result<Vec<Process>> {
+    let mut processes = Vec::new();
+    for domain in &pool.domains {
+        for _ in 0..domain.instances {
+            let instance = format!("{}-{:02}", pool.prefix, processes.len() + 1);
+            processes.push(agent(role, pool, domain, instance, control, ports)?);
+        }
+    }
+    Ok(processes)
+}
+
+fn agent(
+    role: Role,
+    pool: &Pool,
+    domain: &Domain,
+    instance: String,
+    control: &[net::SocketAddr],
+    ports: &mut ports::Ports,
+) -> io::Result<Process> {
+    let (address, metrics) = (ports.take()?, ports.take()?);
+    let settings = json!({
+        "instance": instance, "zone": domain.zone, "roles": ["agent"],
+        "control_addresses": control,
+        "agent": {
+            "traffic_listen": ports.take()?, "peer_listen": ports.take()?, "pool": pool.pool,
+            "domain": domain.domain, "upstream": address, "profile": pool.profile,
+        },
+        "metrics_listen": metrics,
+    });
+    Ok(Process { role, instance, zone: domain.zone.clone(), address, metrics, settings })
+}
--- a/crates/hyssopfork-test-support/src/lib.rs
+++ b/crates/hyssopfork-test-support/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod engine;
 pub mod fixture;
 pub mod http;
+pub mod layout;
+pub mod ports;
 pub mod prefix;
 pub mod relay;
 pub mod service;
--- a/crates/hyssopfork-test-support/src/service.rs
+++ b/crates/hyssopfork-test-support/src/service.rs
@@ -31,6 +31,7 @@
     incarnation: u64,
     running: u32,
     completed: u32,
+    started: u64,
     falls: u64,
     ran: BTreeMap<String, u64>,
     disturbance: disturbance::Disturbance,
@@ -48,6 +49,7 @@
             incarnation: 1,
             running: 0,
             completed: 0,
+            started: 0,
             falls: 0,
             ran: BTreeMap::new(),
             disturbance: disturbance::Disturbance::default(),
@@ -125,7 +127,10 @@
 
 fn counts(service: &Service) -> Response<BoxBody> {
     let state = service.state();
-    http::json(StatusCode::OK, &json!({ "falls": state.falls, "ran": state.ran }))
+    http::json(
+        StatusCode::OK,
+        &json!({ "started": state.started, "falls": state.falls, "ran": state.ran }),
+    )
 }
 
 async fn run(service: &Service, request: &Request, body: &Bytes) -> Response<BoxBody> {
@@ -149,6 +154,7 @@
         return None;
     }
     state.running += 1;
+    state.started += 1;
     if request.method() != Method::GET {
         *state.ran.entry(reference.to_owned()).or_insert(0) += 1;
     }
