Count only holders of a lease as behind, and only takers of requests as cold

A process whose lease has lapsed serves nothing; it is shown as lapsed and no longer as one where the configuration isn't in force. The screen also called 19 instances cold that no request ever goes to.

Ruled out: waiting longer (the record of a killed agent stays until operators forget it).

--- a/crates/hyssopfork-cli/src/command/status.rs
+++ b/crates/hyssopfork-cli/src/command/status.rs
@@ -127,9 +127,11 @@
         ]);
     }
     for behind in &screen.behind {
-        let lapsed = if behind.lapsed { ", lease lapsed" } else { "" };
-        let why = format!("at view {} of {}{lapsed}", behind.version, screen.version);
+        let why = format!("acts on view {} of {}", behind.version, screen.version);
         table.row([behind.instance.to_string(), "-".into(), "-".into(), why]);
     }
+    for lapsed in &screen.lapsed {
+        table.row([lapsed.to_string(), "-".into(), "-".into(), "its lease has lapsed".into()]);
+    }
     table.render()
 }
--- a/crates/hyssopfork-cli/src/screen.rs
+++ b/crates/hyssopfork-cli/src/screen.rs
@@ -45,7 +45,8 @@
 pub enum Condition {
     /// All is well.
     Ready,
-    /// Its back end is new and bears little.
+    /// Its back end is new and bears little. Only said of those that requests go to: a spare and
+    /// a group's further members run none that could warm them.
     Cold,
     /// Operators have drained it.
     Drained,
@@ -97,15 +98,13 @@
     pub cold: usize,
 }
 
-/// A process that doesn't act on the newest view yet.
+/// A process that acts on an older view.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Behind {
     /// Its instance.
     pub instance: name::Instance,
     /// Version that it reported last.
     pub version: number::Version,
-    /// Whether its lease has lapsed, so that it serves nothing.
-    pub lapsed: bool,
 }
 
 /// The whole screen.
@@ -131,8 +130,10 @@
     pub entries: usize,
     /// Processes that hold a lease.
     pub holders: usize,
-    /// Processes that don't act on the newest view yet.
+    /// Holders of a lease that act on an older view.
     pub behind: Vec<Behind>,
+    /// Processes whose lease has lapsed: they serve nothing until they have another.
+    pub lapsed: Vec<name::Instance>,
     /// Accelerators that serve nothing: on present, undrained engines in zones that are in service,
     /// outside serving groups.
     pub stranded: u32,
@@ -156,6 +157,8 @@
     let zones = status.view.configuration.zones.iter();
     let zones = zones.map(|(name, zone)| draw_zone(name, zone, &groups, &instances)).collect();
     let stranded = stranded(status, &groups, &instances);
+    let live = || status.holdings.iter().filter(|holding| !is_lapsed(holding));
+    let lapsed = status.holdings.iter().filter(|holding| is_lapsed(holding));
     Screen {
         configuration: status.view.configuration.number,
         version: status.view.version,
@@ -165,9 +168,10 @@
         zones,
         groups,
         instances,
-        entries: status.holdings.iter().filter(|holding| !holding.agent).count(),
-        holders: status.holdings.len(),
-        behind: behind(status),
+        entries: live().filter(|holding| !holding.agent).count(),
+        holders: live().count(),
+        behind: live().filter_map(|holding| behind(status, holding)).collect(),
+        lapsed: lapsed.map(|holding| holding.instance.clone()).collect(),
         stranded,
     }
 }
@@ -239,13 +243,20 @@
             Condition::Drained
         } else if !report.alive {
             Condition::Down
-        } else if !report.warm {
+        } else if !report.warm && self.takes_requests(member) {
             Condition::Cold
         } else {
             Condition::Ready
         }
     }
 
+    fn takes_requests(&self, member: &fleet::Member) -> bool {
+        let instance = &member.announcement.instance;
+        let mut placements = self.status.view.placements.values();
+        member.announcement.profile.kind == configuration::Kind::Service
+            || placements.any(|placement| placement.members.first() == Some(instance))
+    }
+
     fn instance(&self, member: &fleet::Member) -> Instance {
         let announcement = &member.announcement;
         let report = self.by_instance.get(&announcement.instance);
@@ -299,16 +310,13 @@
     }
 }
 
-fn behind(status: &control::Status) -> Vec<Behind> {
-    let late = status.holdings.iter().filter(|holding| {
-        holding.version < status.view.version || holding.age > timing::HOLDER_LEASE
-    });
-    let drawn = late.map(|holding| Behind {
-        instance: holding.instance.clone(),
-        version: holding.version,
-        lapsed: holding.age > timing::HOLDER_LEASE,
-    });
-    drawn.collect()
+fn is_lapsed(holding: &control::Holding) -> bool {
+    holding.age > timing::HOLDER_LEASE
+}
+
+fn behind(status: &control::Status, holding: &control::Holding) -> Option<Behind> {
+    let (instance, version) = (holding.instance.clone(), holding.version);
+    (version < status.view.version).then_some(Behind { instance, version })
 }
 
 fn stranded(status: &control::Status, groups: &[Group], instances: &[Instance]) -> u32 {
--- a/crates/hyssopfork-telemetry/src/log.rs
+++ b/crates/hyssopfork-telemetry/src/log.rs
@@ -58,7 +58,7 @@
 }
 
 /// Writes a numbered event. `name` is its entry in the catalogue, `message` tells it to people,
-/// `fields` carries what scripts look for.
+/// `fields` carries what scripts look for, as `key=value` with blanks between.
 pub fn emit(
     number: u16,
     level: level::Level,
