--- /dev/null
+++ b/crates/hyssopfork-cli/tests/all/main.rs
@@ -0,0 +1,13 @@
+//! Tests of the operators' program.
+
+mod client;
+mod commands;
+mod declaration;
+mod examples;
+mod history;
+mod load;
+mod program;
+mod screen;
+mod shipped;
+mod support;
+mod watch;
