Use the shared levels of events, and sharpen one rule's test

Cause: the wire package has levels now, and the consensus package had its own. The test that no change is made before an entry of the term is committed passed with that check removed: the leader's own first entry, a list of voters, already forbade it. Ruled out: that the check isn't needed (a leader with a longer log has no such entry). The control package's notice passes the level on.

--- a/crates/hyssopfork-consensus/src/notice.rs
+++ b/crates/hyssopfork-consensus/src/notice.rs
@@ -1,17 +1,8 @@
 //! Numbered events of the replicated log, 1000 to 1199.
 
-use hyssopfork_wire::{consensus, name, number};
+use hyssopfork_wire::{consensus, level, name, number};
 use std::fmt;
 
-/// How urgent a notice is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Level {
-    /// Ordinary life.
-    Info,
-    /// Worth a look when it repeats.
-    Warn,
-}
-
 /// A numbered event.
 #[derive(Clone, Debug, PartialEq, Eq, strum::EnumDiscriminants)]
 #[strum_discriminants(name(Kind), derive(strum::EnumIter), doc = "Kind of a notice.")]
@@ -59,12 +50,12 @@
     }
 
     /// How urgent it is.
-    pub const fn level(&self) -> Level {
+    pub const fn level(&self) -> level::Level {
         match self {
             Notice::QuorumLost(..) | Notice::ListDiffers(..) | Notice::ChangeRejected(..) => {
-                Level::Warn
+                level::Level::Warn
             }
-            _ => Level::Info,
+            _ => level::Level::Info,
         }
     }
 }
--- a/crates/hyssopfork-consensus/tests/rules.rs
+++ b/crates/hyssopfork-consensus/tests/rules.rs
@@ -395,7 +395,7 @@
 /// has under way.
 #[test]
 fn no_change_is_made_before_an_entry_of_the_term_is_committed() {
-    let mut fixture = Fixture::leading(&[]);
+    let mut fixture = Fixture::leading(&[1]);
 
     let actions = fixture.change(change::Change::Remove(name::Instance::from("c")));
 
--- a/crates/hyssopfork-control/src/notice.rs
+++ b/crates/hyssopfork-control/src/notice.rs
@@ -83,10 +83,7 @@
     /// How much it matters.
     pub const fn level(&self) -> level::Level {
         match self {
-            Notice::Log(inner) => match inner.level() {
-                notice::Level::Info => level::Level::Info,
-                notice::Level::Warn => level::Level::Warn,
-            },
+            Notice::Log(inner) => inner.level(),
             Notice::Ahead(..) => level::Level::Error,
             Notice::Paused(_)
             | Notice::Absent(_)
