Bound what waits and what is kept in bytes as well

Cause: the bounds counted entries; recorded answers make some of them large, up to 4 GB uncommitted and 2 GB kept, where a daemon may spend 32 MB. Conclusion: both bounds hold beside the counts.

--- a/crates/hyssopfork-consensus/src/log.rs
+++ b/crates/hyssopfork-consensus/src/log.rs
@@ -5,6 +5,12 @@
 use std::collections;
 use std::sync;
 
+/// Bytes of entries kept in memory before a snapshot.
+const KEPT_BYTES: usize = 4 << 20;
+
+/// What an entry takes besides its command, roughly.
+const ENTRY_BYTES: usize = 32;
+
 /// An index and the term of its entry.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Position {
@@ -120,8 +126,9 @@
         start
     }
 
-    /// Takes a snapshot of the state after `index` and drops all but the last `kept` entries before
-    /// it; gives the snapshot, or `None` when there is a newer one or `index` is not known.
+    /// Takes a snapshot of the state after `index` and drops all but the last `kept` entries (and
+    /// [`KEPT_BYTES`]) before it; gives the snapshot, or `None` when there is a newer one or `index`
+    /// is not known.
     pub fn compact(
         &mut self,
         index: number::Index,
@@ -136,7 +143,7 @@
         let voters = self.voters_at(index).to_vec();
         let snapshot = sync::Arc::new(write::Snapshot { index, term, voters, data });
         self.snapshot = Some(sync::Arc::clone(&snapshot));
-        self.drop_before(number::Index(index.0.saturating_sub(kept)));
+        self.drop_before(self.kept_from(index, kept));
         Some(snapshot)
     }
 
@@ -159,6 +166,22 @@
         seats.map_or(&[], |seats| &seats.voters)
     }
 
+    /// Index after which entries stay when a snapshot covers `index`.
+    fn kept_from(&self, index: number::Index, kept: u64) -> number::Index {
+        let mut from = index;
+        let mut bytes = 0;
+        while let Some(entry) = self.get(from)
+            && index.0 - from.0 < kept
+        {
+            bytes += size(entry);
+            if bytes > KEPT_BYTES {
+                break;
+            }
+            from = number::Index(from.0 - 1);
+        }
+        from
+    }
+
     fn drop_before(&mut self, index: number::Index) {
         let Some(term) = self.term_at(index) else {
             return;
@@ -174,6 +197,16 @@
     }
 }
 
+/// Bytes that an entry takes, roughly.
+pub fn size(entry: &consensus::Entry) -> usize {
+    let payload = match &entry.payload {
+        consensus::Payload::Empty => 0,
+        consensus::Payload::Command(command) => command.len(),
+        consensus::Payload::Voters(voters) => voters.len() * ENTRY_BYTES,
+    };
+    ENTRY_BYTES + payload
+}
+
 /// Position that a snapshot covers.
 pub fn position(snapshot: &write::Snapshot) -> Position {
     Position { index: snapshot.index, term: snapshot.term }
--- a/crates/hyssopfork-consensus/src/node.rs
+++ b/crates/hyssopfork-consensus/src/node.rs
@@ -409,6 +409,17 @@
         self.log.voters().contains(&self.identity)
     }
 
+    fn note_committed(&mut self, entry: &consensus::Entry) {
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        if let consensus::Payload::Command(command) = &entry.payload
+            && entry.term == self.ballot.term
+        {
+            lead.waiting = lead.waiting.saturating_sub(command.len());
+        }
+    }
+
     /// Marks entries up to `index` as committed and hands them out.
     fn commit(&mut self, index: number::Index) {
         assert!(index >= self.committed, "the committed index never goes down");
@@ -417,6 +428,7 @@
             let entry = self.log.get(next).expect("committed entries are here").clone();
             assert_eq!(entry.index, next, "entries are applied in order");
             self.committed = next;
+            self.note_committed(&entry);
             if let consensus::Payload::Voters(voters) = &entry.payload {
                 self.notice(notice::Notice::Voters(next, voters.clone()));
             }
--- a/crates/hyssopfork-consensus/src/node/lead.rs
+++ b/crates/hyssopfork-consensus/src/node/lead.rs
@@ -13,9 +13,6 @@
 /// Bytes of one part of a snapshot.
 pub const PART_BYTES: usize = 64 << 10;
 
-/// What an entry takes in a message besides its command, roughly.
-const ENTRY_BYTES: usize = 32;
-
 /// Time after which an unanswered part of a snapshot is sent again.
 const PART_RETRY: Duration = Duration::from_millis(300);
 
@@ -77,6 +74,8 @@
     pub addition: Option<Addition>,
     /// When the next heartbeats are due.
     pub heartbeat_at: clock::Instant,
+    /// Bytes of this leader's commands that wait to be committed.
+    pub waiting: usize,
     /// Since when leadership is being handed over.
     pub resigning: Option<clock::Instant>,
     round: u64,
@@ -90,6 +89,7 @@
             joiners: collections::BTreeMap::new(),
             addition: None,
             heartbeat_at: context.now,
+            waiting: 0,
             resigning: None,
             round: 0,
         };
@@ -251,7 +251,7 @@
     let mut bytes = 0;
     let mut last = index;
     while let Some(entry) = context.log.get(last.next()) {
-        bytes += size(entry);
+        bytes += log::size(entry);
         if bytes > BATCH_BYTES && !entries.is_empty() {
             break;
         }
@@ -263,15 +263,6 @@
     append(context, round, log::Position { index, term }, entries)
 }
 
-fn size(entry: &consensus::Entry) -> usize {
-    let payload = match &entry.payload {
-        consensus::Payload::Empty => 0,
-        consensus::Payload::Command(command) => command.len(),
-        consensus::Payload::Voters(voters) => voters.len() * ENTRY_BYTES,
-    };
-    ENTRY_BYTES + payload
-}
-
 fn start_transfer(context: Context<'_>, progress: &mut progress::Progress) {
     let snapshot = context.log.snapshot().expect("entries are dropped only for a snapshot");
     progress.forget_flight();
--- a/crates/hyssopfork-consensus/src/node/leadership.rs
+++ b/crates/hyssopfork-consensus/src/node/leadership.rs
@@ -8,6 +8,9 @@
 /// from its quorum would otherwise gather them without bound.
 const UNCOMMITTED_LIMIT: u64 = 4_096;
 
+/// Bytes of commands that may wait to be committed.
+const UNCOMMITTED_BYTES: usize = 16 << 20;
+
 impl Node {
     pub(super) fn context(&self) -> lead::Context<'_> {
         lead::Context {
@@ -88,12 +91,18 @@
     }
 
     pub(super) fn propose(&mut self, ticket: u64, command: Vec<u8>) {
-        let waiting = self.log.last().index.0 - self.committed.0;
-        let full = waiting >= UNCOMMITTED_LIMIT || command.len() > node::COMMAND_LIMIT;
-        if !self.is_leader() || self.resigned || full {
+        let entries = self.log.last().index.0 - self.committed.0;
+        let node::Role::Leader(lead) = &mut self.role else {
+            self.reject(ticket);
+            return;
+        };
+        let bytes = lead.waiting + command.len();
+        let full = entries >= UNCOMMITTED_LIMIT || bytes > UNCOMMITTED_BYTES;
+        if self.resigned || full || command.len() > node::COMMAND_LIMIT {
             self.reject(ticket);
             return;
         }
+        lead.waiting = bytes;
         self.append_for(ticket, consensus::Payload::Command(command));
     }
 
--- a/crates/hyssopfork-consensus/tests/histories/random.rs
+++ b/crates/hyssopfork-consensus/tests/histories/random.rs
@@ -7,7 +7,7 @@
 use std::{env, panic, thread};
 
 /// Histories of an ordinary run; `HYSSOPFORK_HISTORIES` sets another number.
-const ORDINARY: u64 = 400;
+const ORDINARY: u64 = 1_000;
 
 /// Random happenings of one history.
 const HAPPENINGS: u32 = 250;
--- a/crates/hyssopfork-consensus/tests/rules/entries.rs
+++ b/crates/hyssopfork-consensus/tests/rules/entries.rs
@@ -1,7 +1,7 @@
 //! Entries and snapshots: acknowledging, replacing, committing.
 
 use crate::fixture;
-use hyssopfork_consensus::{action, event};
+use hyssopfork_consensus::{action, event, node};
 use hyssopfork_wire::{consensus, number};
 
 /// An entry that counts towards a quorum before it is on the disk is lost in a crash, and with it
@@ -127,6 +127,24 @@
     }
 }
 
+/// No quorum answers for a while. What waits stays bounded in bytes, and a proposal over it is
+/// rejected at once, until some are committed.
+#[test]
+fn what_waits_to_be_committed_is_bounded() {
+    let mut fixture = fixture::Fixture::settled();
+    let propose = || event::Event::Propose { ticket: 1, command: vec![1; node::COMMAND_LIMIT] };
+
+    let taken = (0..16).all(|_| !fixture::rejects(&fixture.step(propose())));
+    let full = fixture.step(propose());
+    fixture.persist();
+    fixture.receive("b", fixture::appended(2, 2));
+    let after = fixture.step(propose());
+
+    assert!(taken);
+    assert!(fixture::rejects(&full));
+    assert!(!fixture::rejects(&after));
+}
+
 /// A follower is silent while many commands are proposed. What is on its way to it stays bounded in
 /// messages, and what it then gets at once in bytes.
 #[test]
