Let a voter stand whose removal is not committed

Ruled out: refusing to remove oneself, which leaves the same hole for any removed voter. Conclusion: such a voter stands and leads without counting itself; a rule tests it. The harness loses a further disk only once the list that seats the last one is committed.

--- a/crates/hyssopfork-consensus/src/log.rs
+++ b/crates/hyssopfork-consensus/src/log.rs
@@ -92,6 +92,11 @@
         &self.newest().voters
     }
 
+    /// Voters before they last changed; none when that is not known here.
+    pub fn former_voters(&self) -> &[consensus::Voter] {
+        self.seats.iter().rev().nth(1).map_or(&[], |seats| &seats.voters)
+    }
+
     /// Index since which the voters are as they are.
     pub fn voters_since(&self) -> number::Index {
         self.newest().from
--- a/crates/hyssopfork-consensus/src/node.rs
+++ b/crates/hyssopfork-consensus/src/node.rs
@@ -245,7 +245,7 @@
             self.tick_leader();
             return;
         }
-        if self.is_voter() {
+        if self.may_stand() {
             self.tick_voter();
         } else {
             self.tick_outsider();
--- a/crates/hyssopfork-consensus/src/node/election.rs
+++ b/crates/hyssopfork-consensus/src/node/election.rs
@@ -29,6 +29,15 @@
         self.deadline = self.now + self.settings.election_timeout + extra;
     }
 
+    /// Whether this node may stand: it is a voter, or its own removal is not committed yet.
+    ///
+    /// The others may need its vote, which they can't get, as its log is longer by that removal. It
+    /// then leads without counting itself, until the removal is committed.
+    pub(super) fn may_stand(&self) -> bool {
+        let uncommitted = self.log.voters_since() > self.committed;
+        self.is_voter() || uncommitted && self.log.former_voters().contains(&self.identity)
+    }
+
     pub(super) fn tick_voter(&mut self) {
         if self.now < self.deadline || self.resigned {
             return;
--- a/crates/hyssopfork-consensus/tests/histories/random.rs
+++ b/crates/hyssopfork-consensus/tests/histories/random.rs
@@ -2,6 +2,7 @@
 
 use crate::world;
 use hyssopfork_consensus::{change, event};
+use hyssopfork_wire::consensus;
 use rand::RngExt;
 use std::time::Duration;
 use std::{env, panic, thread};
@@ -42,15 +43,17 @@
 /// Whether one more disk may be lost: a majority of the voters must keep theirs, or what they
 /// committed is lost with them.
 fn may_lose(world: &world::World, slot: usize) -> bool {
-    let running = || world.slots.iter().filter_map(|slot| slot.node.as_ref());
-    let Some(newest) = running().max_by_key(|node| node.committed()) else {
+    let listed = |(entry, _): &(consensus::Entry, u64)| match &entry.payload {
+        consensus::Payload::Voters(voters) => Some(voters.clone()),
+        _ => None,
+    };
+    let Some(voters) = world.history.values().rev().find_map(listed) else {
         return false;
     };
-    let voters = newest.voters();
     let views = (0..world.slots.len()).map(|slot| world.voters(slot));
     let agree = views.into_iter().all(|view| view == voters || view.is_empty());
     let also = usize::from(voters.contains(&world.identity(slot)));
-    newest.committed().0 > 0 && agree && (world.gone(voters) + also) * 2 < voters.len()
+    agree && (world.gone(&voters) + also) * 2 < voters.len()
 }
 
 fn happen(world: &mut world::World, ticket: u64) {
--- a/crates/hyssopfork-consensus/tests/rules/members.rs
+++ b/crates/hyssopfork-consensus/tests/rules/members.rs
@@ -162,3 +162,22 @@
     assert_eq!(fixture::sent(&first), [&join(true)]);
     assert!(fixture::sent(&second).is_empty());
 }
+
+/// A leader appended its own removal and crashed before anybody else had it. Another disk is lost:
+/// the rest need its vote, and it refuses, as its log is longer. Unless it stands itself, nobody
+/// ever leads again.
+#[test]
+fn a_voter_whose_removal_is_not_committed_still_stands() {
+    let others = vec![fixture::voter("b"), fixture::voter("c")];
+    let payload = consensus::Payload::Voters(others);
+    let removal = consensus::Entry { payload, ..fixture::entry(1, 1) };
+    let mut fixture = fixture::Fixture::new(&[]);
+    fixture.receive("b", fixture::append(1, (0, 0), vec![removal]));
+    fixture.persist();
+
+    fixture.now = 2 * fixture::QUIET;
+    let actions = fixture.step(event::Event::Tick);
+
+    let asks = |message: &&consensus::Message| matches!(message, consensus::Message::Vote { .. });
+    assert_eq!(fixture::sent(&actions).into_iter().filter(asks).count(), 2);
+}
