--- a/crates/hyssopfork-consensus/src/node.rs
+++ b/crates/hyssopfork-consensus/src/node.rs
@@ -63,8 +63,8 @@
 /// Settings of a node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
-    /// Instances of the first voters, the same list at each of them. A process that is not listed
-    /// asks these to be let in.
+    /// Instances of the first voters, the same list at each of them. An instance that is listed
+    /// later joins by itself; a process that isn't listed asks these, and an operator lets it in.
     pub voters: Vec<name::Instance>,
     /// Time between heartbeats.
     pub heartbeat: Duration,
--- a/crates/hyssopfork-consensus/src/node/membership.rs
+++ b/crates/hyssopfork-consensus/src/node/membership.rs
@@ -23,7 +23,7 @@
             self.relay_join(from, relayed);
             return;
         }
-        let wanted = self.seat(&from.instance).is_some();
+        let wanted = self.seat(&from.instance).is_some() || self.is_listed(&from.instance);
         let known = self.log.voters().contains(&from);
         let own = from.instance == self.identity.instance;
         let Some((lead, context)) = self.leading() else {
@@ -164,17 +164,24 @@
         self.set_voters(None, voters);
     }
 
+    /// Adds a seat for an instance that an operator adds, or that the settings list.
     fn add(&mut self, learner: consensus::Voter, mut voters: Vec<consensus::Voter>) {
+        let listed = self.is_listed(&learner.instance);
         let node::Role::Leader(lead) = &mut self.role else {
             return;
         };
-        let Some(addition) = lead.addition.take_if(|addition| addition.voter == learner) else {
+        let addition = lead.addition.take_if(|addition| addition.voter == learner);
+        if addition.is_none() && !listed {
             lead.progress.remove(&learner);
             return;
-        };
+        }
         voters.push(learner);
         voters.sort();
-        self.set_voters(Some(addition.ticket), voters);
+        self.set_voters(addition.map(|addition| addition.ticket), voters);
+    }
+
+    fn is_listed(&self, instance: &name::Instance) -> bool {
+        self.settings.voters.contains(instance)
     }
 
     fn set_voters(&mut self, ticket: Option<u64>, voters: Vec<consensus::Voter>) {
--- a/crates/hyssopfork-consensus/tests/histories/scenarios.rs
+++ b/crates/hyssopfork-consensus/tests/histories/scenarios.rs
@@ -149,8 +149,8 @@
     assert!(goes_on(&mut world, 1));
 }
 
-/// An operator adds an instance and then removes another. The new one is caught up from a snapshot
-/// of several parts before it counts.
+/// An operator adds an instance that isn't listed, and then removes one that is stopped. The new one
+/// is caught up from a snapshot of several parts before it counts.
 #[test]
 fn voters_are_added_and_removed_one_at_a_time() {
     let mut world = world::World::led(1, 3, 1);
@@ -162,6 +162,7 @@
     let added = world.is_seated(3);
     let gone = follower(&world);
     let instance = world.slots[gone].name.clone();
+    world.crash(gone);
     change(&mut world, 2, change::Change::Remove(instance));
 
     assert!(added && !world.is_seated(gone));
@@ -170,6 +171,26 @@
     assert!(world.slots[3].applied > number::Index(50));
 }
 
+/// A list of one instance grows to three, by settings alone: a deployment grows, or comes back from
+/// the recovery of a lost quorum. The instances join one after the other, nobody at hand.
+#[test]
+fn listed_instances_join_by_themselves() {
+    let mut world = world::World::led(1, 1, 2);
+    let names = world.slots.iter().map(|slot| slot.name.clone()).collect();
+    world.settings.voters = names;
+
+    for slot in 0..3 {
+        world.crash(slot);
+        world.start(slot);
+    }
+    world.run(Duration::from_secs(5));
+    world.crash(0);
+    world.run(Duration::from_secs(4));
+
+    assert!((0..3).all(|slot| world.is_seated(slot)), "{:?}", world.voters(1));
+    assert!(goes_on(&mut world, 1), "without the first");
+}
+
 /// Two of five disks were lost and an operator removes a voter that lives. The rest would be two
 /// of four: no quorum, for good. The leader refuses.
 #[test]
--- a/crates/hyssopfork-consensus/tests/rules/entries.rs
+++ b/crates/hyssopfork-consensus/tests/rules/entries.rs
@@ -145,6 +145,26 @@
     assert!(!fixture::rejects(&after));
 }
 
+/// Large commands were committed and are in a snapshot. They don't stay in memory just because they
+/// are few: a follower that lacks them gets the snapshot.
+#[test]
+fn what_is_kept_before_a_snapshot_is_bounded() {
+    let mut fixture = fixture::Fixture::settled();
+    for _ in 0..8 {
+        let command = vec![1; node::COMMAND_LIMIT];
+        fixture.step(event::Event::Propose { ticket: 1, command });
+    }
+    fixture.persist();
+    fixture.receive("b", fixture::appended(2, 9));
+
+    fixture.step(event::Event::Snapshotted { index: number::Index(9), data: vec![1] });
+    let answer = fixture.receive("c", fixture::refused(20, 1));
+
+    let parts =
+        |message: &&consensus::Message| matches!(message, consensus::Message::Snapshot { .. });
+    assert!(fixture::sent(&answer).iter().any(parts));
+}
+
 /// A follower is silent while many commands are proposed. What is on its way to it stays bounded in
 /// messages, and what it then gets at once in bytes.
 #[test]
