Tell once of lists that differ, and keep the seeds that showed faults

Conclusion: an asker is told of once; the seeds run with every ordinary run, though the harness has changed since most of them, so the faults' own tests are what guards against them.

--- a/crates/hyssopfork-consensus/src/node.rs
+++ b/crates/hyssopfork-consensus/src/node.rs
@@ -137,6 +137,8 @@
     ask_at: clock::Instant,
     /// Folders that answered to be blank.
     blank: collections::BTreeMap<name::Instance, consensus::Voter>,
+    /// Last asker whose list of first voters differs.
+    differing: Option<consensus::Voter>,
     /// Snapshot that is arriving.
     incoming: Option<follow::Incoming>,
     /// Whether the process is to stop.
@@ -175,6 +177,7 @@
             deadline: now,
             ask_at: now,
             blank: collections::BTreeMap::new(),
+            differing: None,
             incoming: None,
             resigned: false,
             write: write::Write::default(),
--- a/crates/hyssopfork-consensus/src/node/formation.rs
+++ b/crates/hyssopfork-consensus/src/node/formation.rs
@@ -77,12 +77,21 @@
             return;
         }
         if instances != self.first_instances() {
-            self.notice(notice::Notice::ListDiffers(from.instance));
+            self.list_differs(from);
             return;
         }
         self.send(&from.instance, consensus::Message::Blank { folder: from.folder });
     }
 
+    /// Tells it once of each asker, which asks several times a second.
+    fn list_differs(&mut self, asker: consensus::Voter) {
+        if self.differing.as_ref() == Some(&asker) {
+            return;
+        }
+        self.differing = Some(asker.clone());
+        self.notice(notice::Notice::ListDiffers(asker.instance));
+    }
+
     pub(super) fn found_blank(&mut self, from: consensus::Voter, folder: u64) {
         if folder != self.identity.folder || !self.may_form() {
             return;
--- a/crates/hyssopfork-consensus/tests/histories/random.rs
+++ b/crates/hyssopfork-consensus/tests/histories/random.rs
@@ -10,6 +10,11 @@
 /// Histories of an ordinary run; `HYSSOPFORK_HISTORIES` sets another number.
 const ORDINARY: u64 = 1_000;
 
+/// Seeds that showed a fault once, some in an earlier form of these histories. The faults have tests
+/// of their own by now.
+const FOUND: [u64; 15] =
+    [68, 137, 189, 204, 264, 281, 308, 314, 3_596, 5_582, 8_651, 16_796, 18_656, 39_115, 92_037];
+
 /// Random happenings of one history.
 const HAPPENINGS: u32 = 250;
 
@@ -173,7 +178,7 @@
     let workers = 4;
 
     let run = move |worker: u64| -> Vec<u64> {
-        let seeds = (0..count).filter(move |seed| seed % workers == worker);
+        let seeds = (0..count).chain(FOUND).filter(move |seed| seed % workers == worker);
         seeds.filter(|seed| panic::catch_unwind(|| history(*seed)).is_err()).collect()
     };
     let threads: Vec<_> = (0..workers).map(|worker| thread::spawn(move || run(worker))).collect();
--- a/crates/hyssopfork-consensus/tests/rules/entries.rs
+++ b/crates/hyssopfork-consensus/tests/rules/entries.rs
@@ -14,6 +14,8 @@
     let heartbeat = fixture.receive("b", fixture::append(2, (1, 1), Vec::new()));
     let after = fixture.persist();
 
+    assert!(fixture::acknowledges(&heartbeat, 0), "a slow disk doesn't end the leader's lease");
+
     assert!(
         !fixture::acknowledges(&before, 1) && !fixture::acknowledges(&heartbeat, 1),
         "not before the sync"
--- a/crates/hyssopfork-consensus/tests/rules/members.rs
+++ b/crates/hyssopfork-consensus/tests/rules/members.rs
@@ -1,7 +1,7 @@
 //! First start, lost folders and changes of the voters.
 
 use crate::fixture;
-use hyssopfork_consensus::{change, event};
+use hyssopfork_consensus::{action, change, event, notice};
 use hyssopfork_wire::{consensus, name, number};
 
 /// A leader that an operator removed goes once its removal is committed: it would else go on as a
@@ -91,6 +91,21 @@
     assert_eq!(fixture::sent(&voted), Vec::<&consensus::Message>::new());
 }
 
+/// Two instances list other first voters. Neither helps the other to form a log, and the operator is
+/// told once, though the other asks again and again.
+#[test]
+fn differing_lists_form_nothing_and_are_told_once() {
+    let mut fixture = fixture::Fixture::blank();
+    let instances = vec![name::Instance::from("a"), name::Instance::from("b")];
+
+    let first = fixture.receive("b", consensus::Message::Form { instances: instances.clone() });
+    let second = fixture.receive("b", consensus::Message::Form { instances });
+
+    let differs = notice::Notice::ListDiffers(name::Instance::from("b"));
+    assert_eq!(first, [action::Action::Notice(differs)]);
+    assert_eq!(second, []);
+}
+
 /// The forming instance lost its disk: answers to its former folder tell what was, and the former
 /// folder may have formed a log since.
 #[test]
