Check that rejected proposals stay away, and name one seed at will

Cause: the histories checked what was acknowledged, but not that a rejection is true or that nothing is applied twice. Conclusion: both are checked at each history's end; HYSSOPFORK_HISTORY=seed plays one.

--- a/crates/hyssopfork-consensus/tests/histories/random.rs
+++ b/crates/hyssopfork-consensus/tests/histories/random.rs
@@ -7,7 +7,11 @@
 use std::time::Duration;
 use std::{env, panic, thread};
 
-/// Histories of an ordinary run; `HYSSOPFORK_HISTORIES` sets another number.
+/// Threads.
+const WORKERS: usize = 4;
+
+/// Histories of an ordinary run; `HYSSOPFORK_HISTORIES` sets another number, `HYSSOPFORK_HISTORY` the
+/// seed of a single one.
 const ORDINARY: u64 = 1_000;
 
 /// Seeds that showed a fault once, some in an earlier form of these histories. The faults have tests
@@ -149,6 +153,7 @@
 
 /// Everybody that has a seat ends with the one history, and the log goes on.
 fn check_end(world: &mut world::World) {
+    check_proposals(world);
     let leader = world.leader().expect("a leader once the faults have stopped");
     let ticket = u64::MAX;
     world.step(leader, event::Event::Propose { ticket, command: b"last".to_vec() });
@@ -167,23 +172,49 @@
     }
 }
 
+/// Each proposal is in the history at most once, and one that was rejected never is.
+fn check_proposals(world: &world::World) {
+    let command = |(entry, _): &(consensus::Entry, u64)| match &entry.payload {
+        consensus::Payload::Command(command) => command.as_slice().try_into().ok(),
+        _ => None,
+    };
+    let mut tickets: Vec<u64> =
+        world.history.values().filter_map(command).map(u64::from_le_bytes).collect();
+    tickets.sort_unstable();
+    assert!(tickets.is_sorted_by(|left, right| left < right), "no proposal is applied twice");
+    let rejected = |ticket: &u64| tickets.binary_search(ticket).is_ok();
+    assert!(!world.rejected.iter().any(rejected), "what was rejected is never applied");
+}
+
+fn number(variable: &str) -> Option<u64> {
+    env::var(variable).ok().and_then(|text| text.parse().ok())
+}
+
+fn seeds() -> Vec<u64> {
+    match number("HYSSOPFORK_HISTORY") {
+        Some(seed) => vec![seed],
+        None => (0..number("HYSSOPFORK_HISTORIES").unwrap_or(ORDINARY)).chain(FOUND).collect(),
+    }
+}
+
 /// Callers see an accepted change vanish, or two leaders at once, if any order of lost, doubled,
 /// late and reordered messages, crashes, lost disks, pauses, drifting clocks and changes of voters
 /// leads to two entries at one index, a lost committed one, or two quorum leases. Each history
 /// throws these at three to five nodes; the world checks each step and the end.
 #[test]
 fn random_histories_are_safe_and_go_on() {
-    let set = env::var("HYSSOPFORK_HISTORIES").ok().and_then(|text| text.parse().ok());
-    let count: u64 = set.unwrap_or(ORDINARY);
-    let workers = 4;
+    let seeds = seeds();
+    let count = seeds.len();
 
-    let run = move |worker: u64| -> Vec<u64> {
-        let seeds = (0..count).chain(FOUND).filter(move |seed| seed % workers == worker);
-        seeds.filter(|seed| panic::catch_unwind(|| history(*seed)).is_err()).collect()
+    let run = |worker: usize| -> Vec<u64> {
+        let own = seeds.iter().skip(worker).step_by(WORKERS).copied();
+        own.filter(|seed| panic::catch_unwind(|| history(*seed)).is_err()).collect()
     };
-    let threads: Vec<_> = (0..workers).map(|worker| thread::spawn(move || run(worker))).collect();
-    let failed: Vec<u64> =
-        threads.into_iter().flat_map(|thread| thread.join().expect("a worker")).collect();
+    let failed: Vec<u64> = thread::scope(|scope| {
+        let workers = (0..WORKERS).map(|worker| scope.spawn(move || run(worker)));
+        let workers: Vec<_> = workers.collect();
+        workers.into_iter().flat_map(|worker| worker.join().expect("a worker")).collect()
+    });
 
     assert!(failed.is_empty(), "seeds {failed:?} of {count} failed");
 }
