--- a/crates/hyssopfork-consensus/src/journal.rs
+++ b/crates/hyssopfork-consensus/src/journal.rs
@@ -64,9 +64,10 @@
         let folder = folder::Folder::open(path)?;
         let number = identity(&folder)?;
         let log = Log::read(&folder)?;
-        let durable = recover(&folder, log.base, log.changes)?;
-        let file = folder.append_to(LOG, log.end)?;
-        let journal = Journal { folder, file, sequence: log.sequence, failed: false };
+        let (end, sequence) = (log.end, log.sequence);
+        let durable = recover(&folder, log)?;
+        let file = folder.append_to(LOG, end)?;
+        let journal = Journal { folder, file, sequence, failed: false };
         Ok((journal, durable, number))
     }
 
@@ -125,11 +126,10 @@
         snapshot: &write::Snapshot,
         write: &write::Write,
     ) -> Result<(), error::Error> {
-        let log = Log::read(&self.folder)?;
-        let mut durable = recover(&self.folder, log.base, log.changes)?;
         let mut bytes = Vec::new();
         record::encode(0, &body(snapshot), &mut bytes);
         self.folder.replace(SNAPSHOT, &bytes)?;
+        let mut durable = Log::read(&self.folder)?.fold();
         durable.apply(write);
         self.rewrite(snapshot, durable)
     }
@@ -183,20 +183,22 @@
         }
         Ok(Log { base, changes, end: scan.end as u64, sequence: scan.records.len() as u64 })
     }
+
+    /// What the log says, without a snapshot.
+    fn fold(self) -> node::Durable {
+        let mut durable = node::Durable { ballot: self.base.ballot, ..node::Durable::default() };
+        for Change { ballot, truncate, entries } in self.changes {
+            durable.apply(&write::Write { ballot, truncate, entries, ..write::Write::default() });
+        }
+        durable
+    }
 }
 
-/// Folds a log and the snapshot into what they say together.
-fn recover(
-    folder: &folder::Folder,
-    base: Base,
-    changes: Vec<Change>,
-) -> Result<node::Durable, error::Error> {
+/// What a log and the snapshot say together.
+fn recover(folder: &folder::Folder, log: Log) -> Result<node::Durable, error::Error> {
     let snapshot = snapshot(folder)?;
-    let mut durable = node::Durable { ballot: base.ballot, ..node::Durable::default() };
-    for Change { ballot, truncate, entries } in changes {
-        durable.apply(&write::Write { ballot, truncate, entries, ..write::Write::default() });
-    }
-    let follows = log::Position { index: base.index, term: base.term };
+    let follows = log::Position { index: log.base.index, term: log.base.term };
+    let mut durable = log.fold();
     let covered = snapshot.as_ref().map(log::position).unwrap_or_default();
     if covered.index < follows.index || covered.index == follows.index && covered != follows {
         return Err(error::Error::Damaged(folder.file(SNAPSHOT), 0));
--- a/crates/hyssopfork-consensus/tests/journal.rs
+++ b/crates/hyssopfork-consensus/tests/journal.rs
@@ -2,7 +2,7 @@
 
 use hyssopfork_consensus::{error, event, journal, node, recovery, write};
 use hyssopfork_wire::{clock, consensus, name, number};
-use proptest::prelude::{Strategy, any, prop, prop_assert_eq, proptest};
+use proptest::prelude::{ProptestConfig, Strategy, any, prop, prop_assert_eq, proptest};
 use std::fs;
 use std::path;
 
@@ -267,6 +267,9 @@
 }
 
 proptest! {
+    // Each case syncs up to 30 times, on a disk that other tests use as well.
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
     #[test]
     fn what_was_written_is_read_again(writes in writes(), at in 0..30_usize) {
         let path = folder("random");
