--- /dev/null
+++ b/crates/hyssopfork-agent/tests/agent/fixture.rs
@@ -0,0 +1,328 @@
+//! Fixtures: an agent with a view, a lease and a back end, and its offers.
+
+use hyssopfork_agent::{action, core, event};
+use hyssopfork_wire::{
+    attempt, change, clock, configuration, control, fleet, member, name, number, refusal, timing,
+};
+use std::net;
+use std::time::Duration;
+
+/// Boot of the agent under test.
+pub const BOOT: u64 = 7;
+
+/// Fencing number of the group's first placement.
+pub const FENCE: number::Fence = number::Fence(10);
+
+/// An agent and the time on its clock.
+pub struct Agent {
+    pub core: core::Core,
+    pub now: clock::Instant,
+    pub view: change::View,
+    renewal: Option<u64>,
+}
+
+/// First member of a group of two whose engine is loaded and whose other member has granted.
+pub fn first_member() -> Agent {
+    let mut agent = engine("i0");
+    agent.hold(Duration::ZERO);
+    agent.settle_guard();
+    agent.load(FENCE);
+    agent.grant();
+    agent
+}
+
+/// Second member of the same group, with its engine loaded.
+pub fn second_member() -> Agent {
+    let mut agent = engine("i1");
+    agent.hold(Duration::ZERO);
+    agent.settle_guard();
+    agent.load(FENCE);
+    agent
+}
+
+/// An agent of an engine that has started just now and knows nothing.
+pub fn engine(instance: &str) -> Agent {
+    agent(instance, configuration::Kind::Engine, true)
+}
+
+/// An agent of a plain service that can take work.
+pub fn service(cancels: bool) -> Agent {
+    let mut agent = agent("s0", configuration::Kind::Service, cancels);
+    agent.hold(Duration::ZERO);
+    agent.probe(Some(health("a", None)));
+    agent
+}
+
+fn agent(instance: &str, kind: configuration::Kind, cancels: bool) -> Agent {
+    let announcement = announcement(instance, kind, cancels);
+    let settings = core::Settings { announcement, control: vec![address(1), address(2)] };
+    let now = clock::Instant::from_millis(1_000);
+    Agent { core: core::Core::new(settings, 1, now), now, view: view(cancels), renewal: None }
+}
+
+pub fn health(incarnation: &str, loaded: Option<number::Fence>) -> event::Health {
+    event::Health { incarnation: Some(incarnation.into()), running: None, loaded }
+}
+
+/// An offer to the agent under test, the `count`th of one entry.
+pub fn offer(count: u64) -> attempt::Offer {
+    attempt::Offer {
+        attempt: identifier(count),
+        boot: BOOT,
+        first: false,
+        version: number::Version(1),
+        group: Some(("g1".into(), FENCE)),
+        team: "clerks".into(),
+        class: configuration::Class::Interactive,
+        cost: 100,
+        deadline: Duration::from_secs(4),
+        resume_from: 0,
+        method: "POST".into(),
+        path: "/write/1".into(),
+        headers: Vec::new(),
+    }
+}
+
+pub fn plain_offer(count: u64) -> attempt::Offer {
+    attempt::Offer { group: None, ..offer(count) }
+}
+
+pub fn identifier(count: u64) -> attempt::Identifier {
+    attempt::Identifier { boot: 99, count }
+}
+
+pub fn request(fence: number::Fence) -> member::Request {
+    member::Request {
+        group: "g1".into(),
+        fence,
+        first: "i0".into(),
+        version: number::Version(1),
+        running: 1,
+        draining: false,
+    }
+}
+
+impl Agent {
+    pub fn step(&mut self, event: event::Event) -> Vec<action::Action> {
+        let actions = self.core.step(self.now, event);
+        self.renewal = actions.iter().find_map(renewal).or(self.renewal);
+        actions
+    }
+
+    /// Time passes in ticks; nothing else happens, and no call is answered.
+    pub fn pass(&mut self, span: Duration) -> Vec<action::Action> {
+        let end = self.now + span;
+        let mut actions = Vec::new();
+        while self.now < end {
+            self.now = (self.now + action::TICK).min(end);
+            actions.extend(self.step(event::Event::Tick));
+        }
+        actions
+    }
+
+    /// Time passes while the process is paused: not a tick comes.
+    pub fn pause(&mut self, span: Duration) {
+        self.now = self.now + span;
+    }
+
+    /// Renews the lease with the fixture's view; the answer comes after `delay`.
+    pub fn hold(&mut self, delay: Duration) -> Vec<action::Action> {
+        if let Some(call) = self.renewal.take() {
+            self.step(event::Event::Controlled { call, response: None });
+        }
+        let call = loop {
+            self.step(event::Event::Tick);
+            if let Some(call) = self.renewal.take() {
+                break call;
+            }
+            self.now = self.now + action::TICK;
+        };
+        self.now = self.now + delay;
+        let update = change::Update::Whole(Box::new(self.view.clone()));
+        let grant = control::Grant { term: timing::HOLDER_LEASE, update, incarnation: None };
+        let response = Some(control::Response::Granted(grant));
+        self.step(event::Event::Controlled { call, response })
+    }
+
+    /// The view moves on to another one, with a new lease.
+    pub fn change(&mut self, change: impl FnOnce(&mut change::View)) -> Vec<action::Action> {
+        change(&mut self.view);
+        self.view.version = self.view.version.next();
+        self.hold(Duration::ZERO)
+    }
+
+    /// Time until the process may grant and order, with its lease and probes kept up.
+    pub fn settle_guard(&mut self) {
+        self.probe(Some(health("a", None)));
+        self.pass(timing::GROUP_GRANT_GUARD);
+        self.probe(Some(health("a", None)));
+        self.hold(Duration::ZERO);
+    }
+
+    /// The engine carries out the order that is outstanding.
+    pub fn load(&mut self, fence: number::Fence) {
+        self.step(event::Event::Ordered { fence, done: true });
+    }
+
+    pub fn probe(&mut self, health: Option<event::Health>) -> Vec<action::Action> {
+        self.step(event::Event::Probed(health))
+    }
+
+    /// The other member grants the newest request.
+    pub fn grant(&mut self) -> Vec<action::Action> {
+        self.answer_stand(member::Response::Granted {
+            term: timing::GROUP_GRANT,
+            version: self.view.version,
+            leaving: false,
+        })
+    }
+
+    /// The other member answers the newest request.
+    pub fn answer_stand(&mut self, response: member::Response) -> Vec<action::Action> {
+        let actions = self.pass(timing::GROUP_RENEWAL + action::TICK);
+        let asked = actions.iter().rev().find_map(stand).expect("the members are asked");
+        self.step(event::Event::Stood { call: asked.0, response: Some(response) })
+    }
+
+    /// An attempt is offered and handed to the upstream.
+    pub fn run(&mut self, offer: attempt::Offer) {
+        let attempt = offer.attempt;
+        let offered = self.step(event::Event::Offered(offer));
+        assert!(prepares(&offered), "the offer is admitted: {offered:?}");
+        let ready = self.step(event::Event::Ready(attempt));
+        assert!(forwards(&ready), "the attempt is forwarded: {ready:?}");
+    }
+
+    pub fn ask(&mut self, request: member::Request) -> member::Response {
+        let actions = self.step(event::Event::Asked { call: 5, request });
+        let reply = actions.into_iter().find_map(|action| match action {
+            action::Action::ReplyStand { call: 5, response } => Some(response),
+            _ => None,
+        });
+        reply.expect("a request is answered at once")
+    }
+
+    pub fn cancel(&mut self, count: u64) -> attempt::Cancelled {
+        let attempt = identifier(count);
+        let event = event::Event::Cancelled { call: 6, attempt, boot: BOOT };
+        let actions = self.step(event);
+        let reply = actions.into_iter().find_map(|action| match action {
+            action::Action::ReplyCancel { call: 6, outcome } => Some(outcome),
+            _ => None,
+        });
+        reply.expect("a cancel is answered at once")
+    }
+
+    /// What becomes of an offer: the refusal, or none when it is admitted.
+    pub fn refusal(&mut self, offer: attempt::Offer) -> Option<refusal::Refusal> {
+        let actions = self.step(event::Event::Offered(offer));
+        refused(&actions)
+    }
+}
+
+pub fn is_granted(response: &member::Response) -> bool {
+    matches!(response, member::Response::Granted { .. })
+}
+
+pub fn prepares(actions: &[action::Action]) -> bool {
+    actions.iter().any(|action| matches!(action, action::Action::Prepare { .. }))
+}
+
+pub fn forwards(actions: &[action::Action]) -> bool {
+    actions.iter().any(|action| matches!(action, action::Action::Forward(_)))
+}
+
+pub fn aborts(actions: &[action::Action]) -> bool {
+    actions.iter().any(|action| matches!(action, action::Action::Abort(_)))
+}
+
+pub fn stops(actions: &[action::Action]) -> bool {
+    actions.iter().any(|action| matches!(action, action::Action::Stopped))
+}
+
+pub fn orders(actions: &[action::Action]) -> Vec<number::Fence> {
+    let order = |action: &action::Action| match action {
+        action::Action::Order(order) => Some(order.fence),
+        _ => None,
+    };
+    actions.iter().filter_map(order).collect()
+}
+
+pub fn refused(actions: &[action::Action]) -> Option<refusal::Refusal> {
+    actions.iter().find_map(|action| match action {
+        action::Action::Refuse { refusal, .. } => Some(*refusal),
+        _ => None,
+    })
+}
+
+fn renewal(action: &action::Action) -> Option<u64> {
+    match action {
+        action::Action::Control { call, request, .. } => {
+            matches!(**request, control::Request::Renew(_)).then_some(*call)
+        }
+        _ => None,
+    }
+}
+
+pub fn stand(action: &action::Action) -> Option<(u64, member::Request)> {
+    match action {
+        action::Action::Stand { call, request, .. } => Some((*call, request.clone())),
+        _ => None,
+    }
+}
+
+fn address(port: u16) -> net::SocketAddr {
+    net::SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn announcement(instance: &str, kind: configuration::Kind, cancels: bool) -> fleet::Announcement {
+    let engine = kind == configuration::Kind::Engine;
+    fleet::Announcement {
+        instance: instance.into(),
+        zone: "zone-a".into(),
+        domain: "rack-1".into(),
+        pool: if engine { "engines".into() } else { "desk".into() },
+        traffic: address(3),
+        peer: address(4),
+        profile: fleet::Profile {
+            kind,
+            checks_fence: false,
+            resumes: engine,
+            cancels,
+            accelerators: 1,
+            concurrency: 8,
+        },
+        boot: BOOT,
+    }
+}
+
+fn view(cancels: bool) -> change::View {
+    let json = r#"{
+        "zones": {"zone-a": {}},
+        "pools": {"engines": {"kind": "engine"}, "desk": {"kind": "service"}},
+        "groups": {"g1": {"pool": "engines", "model": "m", "size": 2}}
+    }"#;
+    let mut view = change::View {
+        version: number::Version(1),
+        configuration: serde_json::from_str(json).expect("the declaration is well-formed"),
+        ..change::View::default()
+    };
+    for (name, kind) in [
+        ("i0", configuration::Kind::Engine),
+        ("i1", configuration::Kind::Engine),
+        ("i2", configuration::Kind::Engine),
+        ("s0", configuration::Kind::Service),
+    ] {
+        let announcement = announcement(name, kind, cancels);
+        let incarnation = number::Incarnation(1);
+        let member = fleet::Member { announcement, incarnation, present: true, leaving: false };
+        view.members.insert(name.into(), member);
+    }
+    place(&mut view, FENCE, &["i0", "i1"]);
+    view
+}
+
+pub fn place(view: &mut change::View, fence: number::Fence, members: &[&str]) {
+    let members = members.iter().map(|name| name::Instance::from(*name)).collect();
+    view.placements.insert("g1".into(), fleet::Placement { fence, members });
+}
--- /dev/null
+++ b/crates/hyssopfork-agent/tests/agent/gate.rs
@@ -0,0 +1,188 @@
+//! The gate: what must hold when work is handed to the back end.
+
+use crate::fixture;
+use hyssopfork_agent::{engine, event};
+use hyssopfork_wire::{number, refusal, timing};
+use std::time::Duration;
+
+const NOT_RUN: refusal::Ran = refusal::Ran::NotRun;
+
+#[test]
+fn whole_group_takes_work() {
+    let mut agent = fixture::first_member();
+
+    agent.run(fixture::offer(1));
+
+    assert!(agent.core.is_ready(agent.now));
+}
+
+// The caller is refused and tried elsewhere. The first member admits the attempt, its process is
+// paused for longer than its lease, and goes on just before the write: meanwhile the zone may have
+// been taken out or the group been moved.
+#[test]
+fn pause_between_check_and_write_is_found() {
+    let mut agent = fixture::first_member();
+    let offered = agent.step(event::Event::Offered(fixture::offer(1)));
+    assert!(fixture::prepares(&offered));
+
+    agent.pause(timing::HOLDER_LEASE);
+    let actions = agent.step(event::Event::Ready(fixture::identifier(1)));
+
+    assert!(!fixture::forwards(&actions));
+    assert_eq!(fixture::refused(&actions).map(|refusal| refusal.ran), Some(NOT_RUN));
+}
+
+// As above, but the pause outlasts the other member's grant only: that member may serve another
+// group by now.
+#[test]
+fn pause_past_a_grant_is_found() {
+    let mut agent = fixture::first_member();
+    agent.step(event::Event::Offered(fixture::offer(1)));
+
+    agent.pause(timing::GROUP_GRANT);
+    let actions = agent.step(event::Event::Ready(fixture::identifier(1)));
+
+    assert!(!fixture::forwards(&actions));
+    let reason = fixture::refused(&actions).map(|refusal| refusal.reason);
+    assert_eq!(reason, Some(refusal::Reason::GroupIncomplete));
+}
+
+// The agent is cut off from control in silence and its zone goes out: it can't hear of that, so it
+// stops by itself when its lease lapses, counted from when it asked for it.
+#[test]
+fn cut_from_control_takes_nothing_after_its_lease() {
+    let mut agent = fixture::service(true);
+    let slow = Duration::from_millis(400);
+    agent.hold(slow);
+
+    agent.pass(timing::HOLDER_LEASE - slow - Duration::from_millis(1));
+    agent.probe(Some(fixture::health("a", None)));
+    let before = agent.refusal(fixture::plain_offer(1));
+    agent.pause(Duration::from_millis(1));
+    let after = agent.refusal(fixture::plain_offer(2));
+
+    assert_eq!(before, None);
+    assert_eq!(after.map(|refusal| refusal.reason), Some(refusal::Reason::Stale));
+}
+
+#[test]
+fn zone_out_drained_and_superseded_take_nothing() {
+    let mut out = fixture::service(true);
+    out.change(|view| {
+        let zone = view.configuration.zones.get_mut(&"zone-a".into());
+        zone.expect("the zone is declared").out = true;
+    });
+    let mut drained = fixture::service(true);
+    drained.change(|view| {
+        view.configuration.drained.insert("s0".into());
+    });
+    let mut superseded = fixture::service(true);
+    superseded.change(|view| {
+        let member = view.members.get_mut(&"s0".into()).expect("it is recorded");
+        member.announcement.boot += 1;
+    });
+
+    let reasons = [&mut out, &mut drained, &mut superseded]
+        .map(|agent| agent.refusal(fixture::plain_offer(1)).map(|refusal| refusal.reason));
+
+    let expected =
+        [refusal::Reason::ZoneOut, refusal::Reason::Draining, refusal::Reason::Stale].map(Some);
+    assert_eq!(reasons, expected);
+}
+
+// A member elsewhere in the group is being drained: the group takes nothing new, or the work that
+// came would have to be cut off when the member goes.
+#[test]
+fn drained_member_closes_its_group() {
+    let mut agent = fixture::first_member();
+    agent.change(|view| {
+        view.configuration.drained.insert("i1".into());
+    });
+
+    let refusal = agent.refusal(fixture::offer(1));
+
+    assert_eq!(refusal.map(|refusal| refusal.reason), Some(refusal::Reason::Draining));
+}
+
+#[test]
+fn old_fencing_number_and_wrong_kind_are_refused() {
+    let mut first = fixture::first_member();
+    let mut old = fixture::offer(1);
+    old.group = Some(("g1".into(), number::Fence(9)));
+    let mut service = fixture::service(true);
+
+    let old = first.refusal(old);
+    let plain = first.refusal(fixture::plain_offer(2));
+    let grouped = service.refusal(fixture::offer(3));
+
+    let expected = [
+        Some(refusal::Reason::GroupIncomplete),
+        Some(refusal::Reason::GroupIncomplete),
+        Some(refusal::Reason::NoUpstream),
+    ];
+    assert_eq!([old, plain, grouped].map(|r| r.map(|refusal| refusal.reason)), expected);
+}
+
+// A cold back end falls over under full load. It gets little until work was completed, and little
+// again when it turns out to be a new process.
+#[test]
+fn cold_back_end_gets_little() {
+    let mut agent = fixture::service(true);
+    agent.run(fixture::plain_offer(1));
+    agent.run(fixture::plain_offer(2));
+    let third = agent.refusal(fixture::plain_offer(3));
+    for count in 1..=2 {
+        agent.step(event::Event::Ended(fixture::identifier(count)));
+    }
+    (4..=6).for_each(|count| agent.run(fixture::plain_offer(count)));
+
+    agent.probe(Some(fixture::health("b", None)));
+    let after = agent.refusal(fixture::plain_offer(7));
+
+    let cold = Some(refusal::Reason::Cold);
+    assert_eq!(third.map(|refusal| refusal.reason), cold);
+    assert_eq!(after.map(|refusal| refusal.reason), cold);
+}
+
+// Found by random histories: the agent was paused, its back end replaced by a cold one, and all
+// that waited for the pause's end was admitted by what the agent had known before.
+#[test]
+fn old_probe_says_nothing() {
+    let mut agent = fixture::service(true);
+    agent.pause(engine::PROBE_AGE);
+
+    let refusal = agent.refusal(fixture::plain_offer(1));
+
+    assert_eq!(refusal.map(|refusal| refusal.reason), Some(refusal::Reason::NoUpstream));
+}
+
+// Found by random histories: the agent's process was restarted, and gave a cold back end that can't
+// cancel its whole limit anew, beside what the process before had given it.
+#[test]
+fn work_of_the_process_before_takes_up_room() {
+    let mut agent = fixture::service(false);
+    let busy = event::Health { running: Some(2), ..fixture::health("a", None) };
+    agent.probe(Some(busy));
+
+    let refusal = agent.refusal(fixture::plain_offer(1));
+
+    assert_eq!(refusal.map(|refusal| refusal.reason), Some(refusal::Reason::Cold));
+}
+
+#[test]
+fn passed_deadline_is_refused_at_the_write() {
+    let mut agent = fixture::service(true);
+    let offer = fixture::plain_offer(1);
+    let deadline = offer.deadline;
+    agent.step(event::Event::Offered(offer));
+    for _ in 0..5 {
+        agent.pause(deadline / 5);
+        agent.probe(Some(fixture::health("a", None)));
+        agent.hold(Duration::ZERO);
+    }
+
+    let actions = agent.step(event::Event::Ready(fixture::identifier(1)));
+
+    let reason = fixture::refused(&actions).map(|refusal| refusal.reason);
+    assert_eq!(reason, Some(refusal::Reason::Deadline));
+}
--- /dev/null
+++ b/crates/hyssopfork-agent/tests/agent/group.rs
@@ -0,0 +1,207 @@
+//! Groups: a group serves only while each member stands by it, and an instance stands by one.
+
+use crate::fixture;
+use hyssopfork_agent::{action, event};
+use hyssopfork_wire::{attempt, member, number, refusal, timing};
+use std::time::Duration;
+
+const NEXT: number::Fence = number::Fence(11);
+
+// The other member is lost in silence (cut from the first member only, or dead): its grant lapses,
+// new work is refused, and what runs is ended with an honest error.
+#[test]
+fn silent_member_ends_what_runs() {
+    let mut agent = fixture::first_member();
+    agent.run(fixture::offer(1));
+
+    let actions = agent.pass(timing::GROUP_GRANT);
+    let refusal = agent.refusal(fixture::offer(2));
+
+    assert!(fixture::aborts(&actions));
+    assert_eq!(fixture::refused(&actions).map(|r| r.ran), Some(refusal::Ran::MayHaveRun));
+    assert_eq!(refusal.map(|r| r.reason), Some(refusal::Reason::GroupIncomplete));
+}
+
+// The grant counts from when it was asked for: its answer was held back by the network, while the
+// member's own guard ran on.
+#[test]
+fn grant_counts_from_when_it_was_asked_for() {
+    let mut agent = fixture::first_member();
+    agent.pass(timing::GROUP_GRANT);
+    let asked = agent.pass(timing::GROUP_RENEWAL + action::TICK);
+    let (call, _) = asked.iter().rev().find_map(fixture::stand).expect("the member is asked");
+    let term = timing::GROUP_GRANT;
+    let version = agent.view.version;
+
+    agent.pause(timing::GROUP_GRANT);
+    let granted = member::Response::Granted { term, version, leaving: false };
+    agent.step(event::Event::Stood { call, response: Some(granted) });
+
+    assert!(!agent.core.is_ready(agent.now));
+}
+
+#[test]
+fn refusal_of_a_member_ends_its_grant_but_a_late_one_does_not() {
+    let refused = member::Response::Refused { version: number::Version(1) };
+    let mut agent = fixture::first_member();
+    let asked = agent.pass(timing::GROUP_RENEWAL + action::TICK);
+    let (old, _) = asked.iter().find_map(fixture::stand).expect("the member is asked");
+    agent.grant();
+
+    agent.step(event::Event::Stood { call: old, response: Some(refused.clone()) });
+    let after_late = agent.core.is_ready(agent.now);
+    agent.answer_stand(refused);
+    let after_new = agent.core.is_ready(agent.now);
+
+    assert!(after_late);
+    assert!(!after_new);
+}
+
+// The engine dies and its agent lives. The member stops standing by the group at once; a first
+// member ends what runs. Back as another process, the engine is not loaded and cold.
+#[test]
+fn dead_engine_takes_its_group_down() {
+    let mut second = fixture::second_member();
+    let mut first = fixture::first_member();
+    first.run(fixture::offer(1));
+
+    let before = second.ask(fixture::request(fixture::FENCE));
+    second.probe(None);
+    let after = second.ask(fixture::request(fixture::FENCE));
+    second.probe(Some(fixture::health("b", None)));
+    let back = second.ask(fixture::request(fixture::FENCE));
+    let fell = first.probe(None);
+
+    assert!(fixture::is_granted(&before));
+    assert!(!fixture::is_granted(&after) && !fixture::is_granted(&back));
+    assert!(fixture::aborts(&fell));
+}
+
+#[test]
+fn missed_probe_of_the_same_engine_costs_no_load() {
+    let mut agent = fixture::second_member();
+
+    agent.probe(None);
+    let back = agent.probe(Some(fixture::health("a", None)));
+
+    assert_eq!(fixture::orders(&back), Vec::<number::Fence>::new());
+    assert!(fixture::is_granted(&agent.ask(fixture::request(fixture::FENCE))));
+}
+
+// The group is mended while its old first member is cut off and alive. The member that is kept has
+// granted to the old one a moment ago; until that grant has surely lapsed it neither stands by the
+// new placement nor lets its engine be loaded for it.
+#[test]
+fn member_waits_for_its_old_grant_to_lapse() {
+    let mut agent = fixture::second_member();
+    assert!(fixture::is_granted(&agent.ask(fixture::request(fixture::FENCE))));
+    let granted_at = agent.now;
+
+    let mut orders = agent.change(|view| fixture::place(view, NEXT, &["i2", "i1"]));
+    let old = agent.ask(fixture::request(fixture::FENCE));
+    while fixture::orders(&orders).is_empty() {
+        orders = agent.pass(action::TICK);
+        agent.probe(Some(fixture::health("a", None)));
+        assert!(agent.now.since(granted_at) < timing::HOLDER_LEASE, "it is ordered in the end");
+    }
+
+    assert!(!fixture::is_granted(&old));
+    assert_eq!(fixture::orders(&orders), vec![NEXT]);
+    assert!(agent.now.since(granted_at) >= timing::GROUP_GRANT_GUARD);
+}
+
+// The agent is restarted with no memory while its engine lives and is still loaded. The process
+// before may have granted a moment ago, to a placement that this one never heard of.
+#[test]
+fn restarted_agent_waits_before_it_stands_by_anything() {
+    let mut agent = fixture::engine("i1");
+    agent.probe(Some(fixture::health("a", Some(fixture::FENCE))));
+    agent.hold(Duration::ZERO);
+
+    let early = agent.ask(fixture::request(fixture::FENCE));
+    agent.pass(timing::GROUP_GRANT_GUARD);
+    agent.probe(Some(fixture::health("a", Some(fixture::FENCE))));
+    let late = agent.ask(fixture::request(fixture::FENCE));
+
+    assert!(!fixture::is_granted(&early));
+    assert!(fixture::is_granted(&late));
+}
+
+// Cut off from control, a member can't know that its instance was given to another group: it stops
+// standing by the old one when its lease lapses.
+#[test]
+fn member_cut_from_control_stops_granting() {
+    let mut agent = fixture::second_member();
+
+    agent.pass(timing::HOLDER_LEASE);
+    agent.probe(Some(fixture::health("a", None)));
+    let response = agent.ask(fixture::request(fixture::FENCE));
+
+    assert!(!fixture::is_granted(&response));
+}
+
+#[test]
+fn strangers_and_other_numbers_get_no_grant() {
+    let mut agent = fixture::second_member();
+    let stranger = member::Request { first: "i2".into(), ..fixture::request(fixture::FENCE) };
+
+    let responses = [
+        agent.ask(stranger),
+        agent.ask(fixture::request(number::Fence(9))),
+        agent.ask(fixture::request(NEXT)),
+    ];
+
+    assert!(!responses.iter().any(fixture::is_granted));
+}
+
+// An engine that ignores fencing numbers takes orders in whatever order they come. A second order
+// goes out only when the first has been answered, or the older might be carried out last.
+#[test]
+fn orders_go_out_one_at_a_time() {
+    let mut agent = fixture::engine("i1");
+    agent.hold(Duration::ZERO);
+    agent.settle_guard();
+
+    let mut moved = agent.change(|view| fixture::place(view, NEXT, &["i2", "i1"]));
+    moved.extend(agent.pass(Duration::from_millis(100)));
+    let before = fixture::orders(&moved);
+    let answered = agent.step(event::Event::Ordered { fence: fixture::FENCE, done: true });
+    let stale = agent.ask(fixture::request(fixture::FENCE));
+
+    assert_eq!(before, Vec::<number::Fence>::new());
+    assert_eq!(fixture::orders(&answered), vec![NEXT]);
+    assert!(!fixture::is_granted(&stale));
+}
+
+// A late order of the process before reaches the engine after this one's was carried out. The
+// probe shows it: the member stops standing by the group and orders anew.
+#[test]
+fn engine_that_took_a_late_order_is_ordered_anew() {
+    let mut agent = fixture::second_member();
+    agent.pass(Duration::from_millis(1_000));
+    agent.hold(Duration::ZERO);
+
+    let found = agent.probe(Some(fixture::health("a", Some(number::Fence(3)))));
+    let response = agent.ask(fixture::request(fixture::FENCE));
+
+    assert_eq!(fixture::orders(&found), vec![fixture::FENCE]);
+    assert!(!fixture::is_granted(&response));
+}
+
+// The first member's view moves on to another placement: what runs under the old one is ended at
+// once, before its engine is loaded anew.
+#[test]
+fn moved_first_member_ends_what_runs() {
+    let mut agent = fixture::first_member();
+    agent.run(fixture::offer(1));
+
+    let call = agent.pass(timing::RENEWAL);
+    assert!(!fixture::aborts(&call));
+    agent.grant();
+    agent.change(|view| fixture::place(view, NEXT, &["i2", "i0"]));
+    let cancelled = agent.cancel(1);
+
+    assert_eq!(cancelled, attempt::Cancelled::Started);
+    let again = agent.refusal(fixture::offer(2));
+    assert_eq!(again.map(|r| r.reason), Some(refusal::Reason::GroupIncomplete));
+}
--- /dev/null
+++ b/crates/hyssopfork-agent/tests/agent/stop.rs
@@ -0,0 +1,85 @@
+//! Graceful stop: nothing new, and nothing in flight is cut off.
+
+use crate::fixture;
+use hyssopfork_agent::event;
+use hyssopfork_wire::{member, refusal, timing};
+use std::time::Duration;
+
+// A long answer runs while the process is asked to stop: it ends in full, and only then the
+// process does.
+#[test]
+fn what_runs_is_finished() {
+    let mut agent = fixture::service(true);
+    agent.run(fixture::plain_offer(1));
+
+    agent.step(event::Event::Stop);
+    let refusal = agent.refusal(fixture::plain_offer(2));
+    let waiting = agent.pass(timing::HOLDER_LEASE * 2);
+    let ended = agent.step(event::Event::Ended(fixture::identifier(1)));
+
+    assert_eq!(refusal.map(|r| r.reason), Some(refusal::Reason::Draining));
+    assert!(!fixture::stops(&waiting) && !fixture::aborts(&waiting));
+    assert!(fixture::stops(&ended));
+}
+
+#[test]
+fn overdue_work_and_a_second_stop_end_with_an_error() {
+    let mut overdue = fixture::service(true);
+    overdue.run(fixture::plain_offer(1));
+    let mut twice = fixture::service(true);
+    twice.run(fixture::plain_offer(1));
+
+    overdue.step(event::Event::Stop);
+    let late = overdue.pass(timing::STOP_LIMIT);
+    twice.step(event::Event::Stop);
+    let second = twice.step(event::Event::Stop);
+
+    for actions in [late, second] {
+        assert!(fixture::stops(&actions));
+        assert_eq!(fixture::refused(&actions).map(|r| r.ran), Some(refusal::Ran::MayHaveRun));
+    }
+}
+
+// A member that isn't the first is asked to stop while its group answers a long request. It stands
+// by the group, even without a lease, until the first member takes nothing new and nothing runs.
+#[test]
+fn leaving_member_stands_by_what_runs() {
+    let mut agent = fixture::second_member();
+    let request = fixture::request(fixture::FENCE);
+    agent.ask(request.clone());
+    agent.step(event::Event::Stop);
+
+    let running = agent.ask(request.clone());
+    for _ in 0..20 {
+        let actions = agent.pass(timing::GROUP_RENEWAL);
+        agent.probe(Some(fixture::health("a", None)));
+        assert!(!fixture::stops(&actions));
+        assert!(fixture::is_granted(&agent.ask(request.clone())));
+    }
+    let idle = member::Request { running: 0, draining: true, ..request };
+    let done = agent.ask(idle);
+    let actions = agent.pass(timing::GROUP_GRANT_GUARD);
+
+    assert!(matches!(running, member::Response::Granted { leaving: true, .. }));
+    assert!(!fixture::is_granted(&done));
+    assert!(fixture::stops(&actions));
+}
+
+// The first member learns from a grant that its giver leaves: what runs goes on, nothing new is
+// taken, and its next request says so.
+#[test]
+fn first_member_of_a_leaving_one_drains() {
+    let mut agent = fixture::first_member();
+    agent.run(fixture::offer(1));
+    let term = timing::GROUP_GRANT;
+    let version = agent.view.version;
+
+    let answered = agent.answer_stand(member::Response::Granted { term, version, leaving: true });
+    let refusal = agent.refusal(fixture::offer(2));
+    let asked = agent.pass(timing::GROUP_RENEWAL + Duration::from_millis(25));
+
+    assert!(!fixture::aborts(&answered));
+    assert_eq!(refusal.map(|r| r.reason), Some(refusal::Reason::Draining));
+    let (_, request) = asked.iter().find_map(fixture::stand).expect("the member is asked");
+    assert!(request.draining && request.running == 1);
+}
