Test the entry's core and the watcher by the failures that they must bear

Found by them and mended: a claim's call that the shell lost was never made again; a request that waited in vain before an empty pool was told that its deadline had passed, in place of that there was no upstream.

--- a/crates/hyssopfork-entry/src/claims.rs
+++ b/crates/hyssopfork-entry/src/claims.rs
@@ -57,14 +57,18 @@
             self.clear(now, number);
             return;
         }
-        if claim.call.is_some() || now < claim.ask_at {
+        if now < claim.ask_at {
             return;
         }
         let digest = request.arrival.digest;
         let Some(body) = call_body(claim, digest) else { return };
         let Some(to) = self.watcher.target() else { return };
         let call = self.watcher.next_call();
-        claim.call = Some(call);
+        // A shell that loses a call must not stop the claim: an overdue one is made again.
+        if let Some(overdue) = claim.call.replace(call) {
+            self.claim_calls.remove(&overdue);
+        }
+        claim.ask_at = now + CALL_TIMEOUT * 2;
         self.claim_calls.insert(call, core::ClaimCall { request: number, to });
         let request = Box::new(body);
         let timeout = CALL_TIMEOUT;
--- a/crates/hyssopfork-entry/src/ending.rs
+++ b/crates/hyssopfork-entry/src/ending.rs
@@ -14,10 +14,18 @@
             .map(|(number, _)| *number)
             .collect();
         for number in overdue {
-            self.give_up(now, number, refusal::Reason::Deadline);
+            let reason = self.overdue_reason(number);
+            self.give_up(now, number, reason);
         }
     }
 
+    fn overdue_reason(&mut self, number: u64) -> refusal::Reason {
+        let waits = |request: &request::Request| request.phase == request::Phase::Waiting;
+        let waiting = self.requests.get(&number).is_some_and(waits);
+        let empty = self.pool_of(number).is_some_and(|pool| pool.is_empty());
+        if waiting && empty { refusal::Reason::NoUpstream } else { refusal::Reason::Deadline }
+    }
+
     /// The caller went away. Claimed work that was sent goes on, so that its outcome is known
     /// when the caller comes back with the same key.
     pub(crate) fn gone(&mut self, now: clock::Instant, number: u64) {
--- /dev/null
+++ b/crates/hyssopfork-entry/tests/entry/streams.rs
@@ -0,0 +1,70 @@
+//! Event streams told apart, and costs estimated.
+
+use hyssopfork_entry::{estimate, stream};
+
+const EVENTS: &[u8] =
+    b"data: one\n\n: comment\n\ndata: two\r\n\r\nevent: x\ndata: three\n\ndata: [DONE]\n\n";
+
+// An upstream breaks off in the middle of an event. The half must not reach the caller, wherever
+// the bytes were divided on their way.
+#[test]
+fn only_whole_events_come_out_however_the_bytes_are_divided() {
+    for size in 1..EVENTS.len() {
+        let mut splitter = stream::Splitter::default();
+        let mut out = Vec::new();
+        for chunk in EVENTS.chunks(size) {
+            let whole = splitter.feed(chunk);
+            assert!(whole.is_empty() || whole.ends_with(b"\n\n") || whole.ends_with(b"\n\r\n"));
+            out.extend_from_slice(&whole);
+        }
+
+        assert_eq!(out, EVENTS);
+        assert_eq!(splitter.delivered(), 4);
+        assert!(splitter.is_clean());
+    }
+}
+
+#[test]
+fn half_event_is_dropped_before_the_stream_goes_on() {
+    let mut splitter = stream::Splitter::default();
+    splitter.feed(b"data: one\n\ndata: tw");
+
+    splitter.discard_partial();
+    let rest = splitter.feed(b"data: two\n\n");
+
+    assert_eq!(&rest[..], b"data: two\n\n");
+    assert_eq!(splitter.delivered(), 2);
+}
+
+#[test]
+fn cost_is_prompt_and_answer_together() {
+    let prompt = estimate::completion(br#"{"prompt": "twelve bytes", "max_tokens": 50}"#);
+    let chat =
+        br#"{"messages": [{"role": "user", "content": "eight by"}], "max_tokens": 5, "n": 2}"#;
+    let chat = estimate::completion(chat);
+    let tokens = estimate::completion(br#"{"prompt": [1, 2, 3], "max_tokens": 4}"#);
+    let plain = estimate::completion(br#"{"plant": 7}"#);
+    let other = estimate::completion(b"\xff not json");
+
+    assert_eq!([prompt.cost, chat.cost, tokens.cost], [53, 12, 7]);
+    assert_eq!(plain, other);
+    assert!(plain.cost > 0 && plain.prefix.is_none());
+}
+
+#[test]
+fn requests_with_the_same_beginning_share_a_prefix() {
+    let body = |tail: &str| {
+        let system = "s".repeat(2_000);
+        let messages = format!(
+            r#"{{"messages": [{{"role": "system", "content": "{system}{tail}"}},
+               {{"role": "user", "content": "{tail}"}}]}}"#
+        );
+        estimate::completion(messages.as_bytes()).prefix
+    };
+
+    let short = estimate::completion(br#"{"prompt": "short"}"#).prefix;
+
+    assert!(body("a").is_some());
+    assert_eq!(body("a"), body("b"));
+    assert_eq!(short, None);
+}
