Let a member that came back, or has let go, end a group's draining

The fleet of the histories has ten instances in two fabric domains now: with seven, control's stand-in could hardly ever move a group (its placements were refused), so moves were not tried.

--- a/crates/hyssopfork-agent/src/core.rs
+++ b/crates/hyssopfork-agent/src/core.rs
@@ -29,6 +29,7 @@
     pub(crate) calls: u64,
     pub(crate) serving: bool,
     pub(crate) stopping: Option<clock::Instant>,
+    pub(crate) released: bool,
     leave_heard: bool,
     stopped: bool,
 }
@@ -48,6 +49,7 @@
             calls: 0,
             serving: false,
             stopping: None,
+            released: false,
             leave_heard: false,
             stopped: false,
         }
--- a/crates/hyssopfork-agent/src/group.rs
+++ b/crates/hyssopfork-agent/src/group.rs
@@ -192,12 +192,14 @@
 
     /// A member that is leaving goes on standing by what runs, also without a lease, until the
     /// first member takes no new work and nothing runs: a graceful stop cuts nothing off.
-    fn may_grant(&self, now: clock::Instant, request: &member::Request) -> bool {
+    fn may_grant(&mut self, now: clock::Instant, request: &member::Request) -> bool {
         let leaving = self.stopping.is_some();
-        let done = leaving && request.draining && request.running == 0;
+        // For good: the asker drains because of the grant that this refusal ends, and would not
+        // say so in its next request.
+        self.released |= leaving && request.draining && request.running == 0;
         let recent = self.watcher.is_recent(now) || leaving;
         recent
-            && !done
+            && !self.released
             && is_placed(self.watcher.view(), &self.announcement, request)
             && self.engine.loaded(now) == Some(request.fence)
             && self.grants.may_give(request.fence, now)
--- a/crates/hyssopfork-agent/src/standing.rs
+++ b/crates/hyssopfork-agent/src/standing.rs
@@ -1,7 +1,7 @@
 //! Grants that this agent holds as a group's first member.
 
 use hyssopfork_wire::{clock, name, number, timing};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Time after which an unanswered request for a grant is given up; a grant asked for earlier
@@ -18,6 +18,7 @@
 struct Held {
     sent: clock::Instant,
     until: clock::Instant,
+    leaving: bool,
 }
 
 /// Grants held under one fencing number.
@@ -25,7 +26,6 @@
 pub struct Standing {
     fence: number::Fence,
     held: BTreeMap<name::Instance, Held>,
-    leaving: BTreeSet<name::Instance>,
     asked: BTreeMap<u64, Asked>,
     ask_at: clock::Instant,
 }
@@ -60,15 +60,16 @@
 
     /// Takes a grant. Its term runs from when it was asked for: the member's own guard runs from
     /// a later moment, and so outlasts it.
+    ///
+    /// Whether the member is leaving is told by its newest grant: one that isn't leaving any more
+    /// is another process, and a group that went on draining for the one before would never
+    /// serve again.
     pub fn grant(&mut self, call: u64, term: Duration, leaving: bool) {
         let Some(asked) = self.asked.remove(&call) else { return };
-        if leaving {
-            self.leaving.insert(asked.member.clone());
-        }
-        let term = term.min(timing::GROUP_GRANT);
-        let held = Held { sent: asked.sent, until: asked.sent + term };
+        let until = asked.sent + term.min(timing::GROUP_GRANT);
+        let held = Held { sent: asked.sent, until, leaving };
         let known = self.held.entry(asked.member).or_insert(held);
-        if held.until > known.until {
+        if held.sent >= known.sent {
             *known = held;
         }
     }
@@ -89,7 +90,7 @@
 
     /// Whether some member that stands by the group has said that it is leaving.
     pub fn is_draining(&self) -> bool {
-        !self.leaving.is_empty()
+        self.held.values().any(|held| held.leaving)
     }
 
     /// First of `others` from which no unexpired grant is held; `None` when the group is whole.
--- a/crates/hyssopfork-agent/tests/agent/stop.rs
+++ b/crates/hyssopfork-agent/tests/agent/stop.rs
@@ -41,7 +41,9 @@
 }
 
 // A member that isn't the first is asked to stop while its group answers a long request. It stands
-// by the group, even without a lease, until the first member takes nothing new and nothing runs.
+// by the group, even without a lease, until the first member takes nothing new and nothing runs; from
+// then on it never does again. (Seeds 230, 235 and 349 of the histories found one that did: refused,
+// the first member no longer drained, asked again and got a grant, so that the process never ended.)
 #[test]
 fn leaving_member_stands_by_what_runs() {
     let mut agent = fixture::second_member();
@@ -57,11 +59,12 @@
         assert!(fixture::is_granted(&agent.ask(request.clone())));
     }
     let idle = member::Request { running: 0, draining: true, ..request };
-    let done = agent.ask(idle);
+    let done = agent.ask(idle.clone());
+    let again = agent.ask(member::Request { draining: false, ..idle });
     let actions = agent.pass(timing::GROUP_GRANT_GUARD);
 
     assert!(matches!(running, member::Response::Granted { leaving: true, .. }));
-    assert!(!fixture::is_granted(&done));
+    assert!(!fixture::is_granted(&done) && !fixture::is_granted(&again));
     assert!(fixture::stops(&actions));
 }
 
@@ -83,3 +86,18 @@
     let (_, request) = asked.iter().find_map(fixture::stand).expect("the member is asked");
     assert!(request.draining && request.running == 1);
 }
+
+// Found by random histories: a member left and came back as another process before control
+// had moved the group. Its first member went on draining for the process that had left, for good.
+#[test]
+fn member_that_came_back_ends_the_draining() {
+    let mut agent = fixture::first_member();
+    let term = timing::GROUP_GRANT;
+    let version = agent.view.version;
+    agent.answer_stand(member::Response::Granted { term, version, leaving: true });
+
+    agent.grant();
+    let refusal = agent.refusal(fixture::offer(1));
+
+    assert_eq!(refusal, None);
+}
--- a/crates/hyssopfork-entry/tests/history.rs
+++ b/crates/hyssopfork-entry/tests/history.rs
@@ -36,11 +36,20 @@
     let mut world = world::World::new(seed);
     world.run(SPAN);
     world.calm();
-    world.run(QUIET);
+    world.run(QUIET / 2);
+    let last: Vec<u64> = (0..world::ENTRIES)
+        .flat_map(|entry| ["/write", "/once", "/lodge"].map(|route| (entry, route)))
+        .map(|(entry, route)| world.ask(entry, route, None))
+        .collect();
+    world.run(QUIET / 2);
     world.callers.check();
     for (request, caller) in &world.callers.all {
         assert!(caller.end.is_some(), "request {request} never got an answer: {caller:?}");
     }
+    for request in last {
+        let end = &world.callers.all[&request].end;
+        assert_eq!(*end, Some(callers::Final::Answered), "service is back after the faults");
+    }
     (world.callers.answered(), world.callers.all.len())
 }
 
--- a/crates/hyssopfork-entry/tests/history/control.rs
+++ b/crates/hyssopfork-entry/tests/history/control.rs
@@ -112,9 +112,20 @@
         };
         let mut members: Vec<_> = view.members.keys().filter(usable).cloned().collect();
         members.shuffle(random);
+        // One fabric domain lies within a zone.
+        let zone = |member: &name::Instance| &view.members[member].announcement.zone;
+        let enough = |first: &name::Instance| {
+            let inside = members.iter().filter(|member| zone(member) == zone(first));
+            inside.count() >= group.size as usize
+        };
+        let Some(chosen) = members.iter().find(|member| enough(member)).map(zone).cloned() else {
+            return;
+        };
+        members.retain(|member| *zone(member) == chosen);
         members.truncate(group.size as usize);
         let over = placed.map(|placed| placed.fence);
-        self.apply(&command::Command::Place { group: name.clone(), members, over });
+        let reply = self.apply(&command::Command::Place { group: name.clone(), members, over });
+        assert!(matches!(reply, machine::Reply::Placed(_)), "the group is placed: {reply:?}");
     }
 
     fn renew(&mut self, now: u64, renewal: &control::Renewal) -> control::Response {
--- a/crates/hyssopfork-entry/tests/history/shell.rs
+++ b/crates/hyssopfork-entry/tests/history/shell.rs
@@ -65,8 +65,8 @@
     };
     fleet::Announcement {
         instance: format!("i{index}").as_str().into(),
-        zone: if index % 5 == 4 || index == 6 { "zone-b".into() } else { "zone-a".into() },
-        domain: "d".into(),
+        zone: if index % 6 < 3 { "zone-a".into() } else { "zone-b".into() },
+        domain: if index % 6 < 3 { "rack-a".into() } else { "rack-b".into() },
         pool: if upstream.engine { "engines".into() } else { "desk".into() },
         traffic: address(1_000 + index as u16),
         peer: address(2_000 + index as u16),
--- a/crates/hyssopfork-entry/tests/history/world.rs
+++ b/crates/hyssopfork-entry/tests/history/world.rs
@@ -9,8 +9,8 @@
 use std::collections::BTreeMap;
 
 pub const MILLI: u64 = 1_000;
-pub const ENGINES: usize = 5;
-pub const AGENTS: usize = 7;
+pub const ENGINES: usize = 6;
+pub const AGENTS: usize = 10;
 pub const ENTRIES: usize = 2;
 
 /// Repeated, the hash of the team's only token.
