Keep for short work the room that it needs, and test load by what callers receive

Cause, seen by the test of long jobs on its first run: an entry's room counted the slots that other entries hold, so that no share of it ever bound; and long work was let into three quarters of the room while short work needed half.

--- a/crates/hyssopfork-policy/model/src/report.rs
+++ b/crates/hyssopfork-policy/model/src/report.rs
@@ -237,6 +237,12 @@
         most * self.upstreams.len() as f64 / all.max(1) as f64
     }
 
+    /// Share of all attempts that ran on one upstream.
+    pub fn share_of(&self, upstream: usize) -> f64 {
+        let all: u64 = self.upstreams.iter().sum();
+        self.upstreams[upstream] as f64 / all.max(1) as f64
+    }
+
     /// First second of the run from `from` on after which every second's median wait is within
     /// `limit` and nothing is refused or late; `None` when that never is.
     pub fn recovered(&self, from: f64, limit: Duration) -> Option<f64> {
--- a/crates/hyssopfork-policy/src/choice.rs
+++ b/crates/hyssopfork-policy/src/choice.rs
@@ -137,15 +137,18 @@
         self.holders.forget(instance);
     }
 
-    /// Work that the upstreams have room for.
+    /// Work that the upstreams have room for. What other entries hold, and their part of what is
+    /// free, is no room of this one: shares of a total that counted it would never bind.
     pub fn room(&self, now: clock::Instant) -> classes::Room {
-        let mut room = classes::Room::default();
+        let (mut own, mut others, mut free) = (0, 0.0, 0);
         for entry in &self.entries {
             let bound = self.bound(now, entry);
-            room.total += bound;
-            room.free += entry.load.free(now, bound);
+            own += entry.load.own;
+            others += entry.load.others(now);
+            free += entry.load.free(now, bound);
         }
-        room
+        let part = f64::from(own + 1) / (f64::from(own + 1) + others);
+        classes::Room { free, total: own + (f64::from(free) * part).ceil() as u32 }
     }
 
     /// Chooses an upstream with room; `None` when there is none.
--- a/crates/hyssopfork-policy/src/classes.rs
+++ b/crates/hyssopfork-policy/src/classes.rs
@@ -7,22 +7,29 @@
 //! minutes, however fairly teams take turns.
 //!
 //! *Rule.* Work is sorted into three lanes by its route's class and its cost. Status goes first.
-//! Long work never holds more than [`LONG_MOST`] of the room while short work has been about, and
-//! is sure of [`LONG_LEAST`]; so each lane always moves.
+//! Long work leaves free what short work needs by its arrivals and time in service, since what it
+//! holds it holds for minutes; it is sure of [`LONG_LEAST`] of the room, so that each lane always
+//! moves.
 
 use crate::average;
-use hyssopfork_wire::configuration;
+use crate::demand;
+use hyssopfork_wire::{clock, configuration};
+use std::time::Duration;
 
-/// Most of the room that long work may hold. With continuous batching an upstream at three
-/// quarters of its batch still gives about nine tenths of its tokens a second.
-pub const LONG_MOST: f64 = 0.75;
+/// Most of the room that long work may hold, however little short work has come of late: what
+/// comes next finds a slot.
+pub const LONG_MOST: f64 = 0.9;
+
+/// Room kept for short work as a multiple of what it needs on average: the rest is for its swings,
+/// three standard deviations of a need of a hundred slots.
+pub const HEADROOM: f64 = 1.3;
 
 /// Share of the room that waiting long work is sure of before short work.
 pub const LONG_LEAST: f64 = 0.1;
 
-/// Share of the room that only status checks may use: they are short, so that one slot in twenty
-/// answers them all.
-pub const STATUS_ONLY: f64 = 0.05;
+/// Most of the room that only status checks may use; as much of it as they need is kept for them,
+/// and nothing when none come.
+pub const STATUS_MOST: f64 = 0.05;
 
 /// Multiple of the typical interactive cost from which a request counts as long, whatever its
 /// class says.
@@ -66,11 +73,18 @@
 pub struct Classes {
     running: [u32; LANES],
     typical: average::Average,
+    status: demand::Demand,
+    short: demand::Demand,
 }
 
 impl Default for Classes {
     fn default() -> Self {
-        Classes { running: [0; LANES], typical: average::Average::new(TYPICAL_SPAN) }
+        Classes {
+            running: [0; LANES],
+            typical: average::Average::new(TYPICAL_SPAN),
+            status: demand::Demand::default(),
+            short: demand::Demand::default(),
+        }
     }
 }
 
@@ -85,7 +99,7 @@
     }
 
     /// The lane to serve next, among those that wait; `None` when there is no room for any.
-    pub fn choose(&self, room: Room, waiting: [bool; LANES]) -> Option<Lane> {
+    pub fn choose(&self, now: clock::Instant, room: Room, waiting: [bool; LANES]) -> Option<Lane> {
         if room.free == 0 {
             return None;
         }
@@ -95,7 +109,7 @@
         let total = f64::from(room.total);
         let long = self.running[Lane::Long.index()];
         let both = f64::from(self.running[Lane::Short.index()] + long);
-        if both >= total - (total * STATUS_ONLY).floor() {
+        if both >= total - self.status_only(now, total) {
             return None;
         }
         let long = f64::from(long);
@@ -106,7 +120,16 @@
         if waiting[Lane::Short.index()] {
             return Some(Lane::Short);
         }
-        (long_waits && long < (total * LONG_MOST).floor().max(1.0)).then_some(Lane::Long)
+        (long_waits && long < self.long_most(now, total)).then_some(Lane::Long)
+    }
+
+    /// Counts work of a lane that arrives.
+    pub fn arrive(&mut self, now: clock::Instant, lane: Lane) {
+        match lane {
+            Lane::Status => self.status.arrive(now),
+            Lane::Short => self.short.arrive(now),
+            Lane::Long => {}
+        }
     }
 
     /// Counts work of a lane that starts.
@@ -114,12 +137,34 @@
         self.running[lane.index()] += 1;
     }
 
-    /// Counts work of a lane that ends.
-    pub fn end(&mut self, lane: Lane) {
+    /// Counts work of a lane that ends after `elapsed`.
+    pub fn end(&mut self, lane: Lane, elapsed: Duration) {
+        self.put_back(lane);
+        match lane {
+            Lane::Status => self.status.serve(elapsed),
+            Lane::Short => self.short.serve(elapsed),
+            Lane::Long => {}
+        }
+    }
+
+    /// Takes back the start of work that was refused before it ran.
+    pub fn put_back(&mut self, lane: Lane) {
         let running = &mut self.running[lane.index()];
         *running = running.saturating_sub(1);
     }
 
+    /// Slots that are kept for status checks.
+    fn status_only(&self, now: clock::Instant, total: f64) -> f64 {
+        let needed = (self.status.slots(now) * HEADROOM).ceil();
+        needed.min((total * STATUS_MOST).floor())
+    }
+
+    /// Slots that long work may hold.
+    fn long_most(&self, now: clock::Instant, total: f64) -> f64 {
+        let left = total - self.short.slots(now) * HEADROOM;
+        left.clamp(total * LONG_LEAST, total * LONG_MOST).floor().max(1.0)
+    }
+
     fn interactive(&mut self, cost: f64) -> Lane {
         let bound = self.typical.get().map(|typical| typical * LONG_FACTOR);
         let long = bound.is_some_and(|bound| cost > bound);
--- a/crates/hyssopfork-policy/src/drain.rs
+++ b/crates/hyssopfork-policy/src/drain.rs
@@ -8,10 +8,21 @@
 use hyssopfork_wire::clock;
 use std::time::Duration;
 
-/// Time over which the rate forgets: long enough for some tens of requests, short enough that a
-/// lost zone shows in the estimates within its length.
+/// Least time over which the rate forgets: short enough that a lost zone shows in the estimates
+/// within its length.
 pub const MEMORY: Duration = Duration::from_secs(2);
 
+/// Longest time over which the rate forgets.
+const MEMORY_MOST: Duration = Duration::from_secs(60);
+
+/// Pieces of work that the rate rests on, where [`MEMORY_MOST`] allows: a lane of few long jobs
+/// remembers longer.
+const PIECES: f64 = 8.0;
+
+/// Pieces of work needed before the measured rate is trusted. Fewer say more of a single wait than
+/// of the rate: a status check that waited for 300 ms had the next ones refused.
+const PIECES_LEAST: f64 = 4.0;
+
 /// Busy time needed before the measured rate is trusted.
 const BUSY_LEAST: f64 = 0.3;
 
@@ -22,6 +33,7 @@
 #[derive(Clone, Debug)]
 pub struct Drain {
     cost: f64,
+    pieces: f64,
     busy: f64,
     backlogged: bool,
     last: clock::Instant,
@@ -33,6 +45,7 @@
     fn default() -> Self {
         Drain {
             cost: 0.0,
+            pieces: 0.0,
             busy: 0.0,
             backlogged: false,
             last: clock::Instant::ORIGIN,
@@ -48,6 +61,7 @@
         self.advance(now);
         if self.backlogged {
             self.cost += f64::from(cost);
+            self.pieces += 1.0;
         }
     }
 
@@ -56,6 +70,7 @@
     pub fn returned(&mut self, now: clock::Instant, cost: u32) {
         self.advance(now);
         self.cost = (self.cost - f64::from(cost)).max(0.0);
+        self.pieces = (self.pieces - 1.0).max(0.0);
     }
 
     /// Says whether somebody waits from now on.
@@ -72,7 +87,7 @@
 
     /// Whether enough busy time was seen for a measured rate.
     pub fn is_measured(&self) -> bool {
-        self.busy >= BUSY_LEAST && self.cost > 0.0
+        self.busy >= BUSY_LEAST && self.pieces >= PIECES_LEAST && self.cost > 0.0
     }
 
     /// Tokens of cost a second with `room` pieces of work at once; `None` while nothing is known.
@@ -91,14 +106,21 @@
         Some(Duration::from_secs_f64(seconds))
     }
 
+    /// Seconds over which the rate forgets now.
+    fn memory(&self) -> f64 {
+        let wanted = PIECES * self.busy / self.pieces.max(1.0);
+        wanted.clamp(MEMORY.as_secs_f64(), MEMORY_MOST.as_secs_f64())
+    }
+
     fn advance(&mut self, now: clock::Instant) {
         let passed = now.since(self.last).as_secs_f64();
         self.last = now;
         if !self.backlogged {
             return;
         }
-        let kept = (-passed / MEMORY.as_secs_f64()).exp();
+        let kept = (-passed / self.memory()).exp();
         self.cost *= kept;
+        self.pieces *= kept;
         self.busy = self.busy * kept + passed;
     }
 }
--- a/crates/hyssopfork-policy/src/lib.rs
+++ b/crates/hyssopfork-policy/src/lib.rs
@@ -131,6 +131,7 @@
 pub mod balance;
 pub mod choice;
 pub mod classes;
+pub mod demand;
 pub mod drain;
 pub mod ejection;
 pub mod evacuation;
--- a/crates/hyssopfork-policy/src/queue.rs
+++ b/crates/hyssopfork-policy/src/queue.rs
@@ -138,6 +138,7 @@
     /// still waits then counts as a backlog.
     pub fn enqueue(&mut self, now: clock::Instant, item: Item, random: u64) -> Entered {
         let lane = self.classes.lane(item.class, item.cost);
+        self.classes.arrive(now, lane);
         let line = &self.lines[lane.index()];
         let wait = line.wait(&item.team, item.cost, self.total);
         if !admission::fits(now, item.deadline, wait, line.begin()) {
@@ -151,7 +152,7 @@
     /// refused it before any of it ran. It is not judged again, but expires as before.
     pub fn restore(&mut self, now: clock::Instant, item: Item) {
         if let Some(running) = self.running.remove(&item.request) {
-            self.classes.end(running.lane);
+            self.classes.put_back(running.lane);
             self.lines[running.lane.index()].returned(now, &item.team, running.cost);
         }
         let lane = self.classes.lane(item.class, item.cost);
@@ -164,7 +165,7 @@
         let expired = self.expire(now, random);
         let mut ready = Vec::new();
         let mut room = room;
-        while let Some(lane) = self.classes.choose(room, self.lanes_waiting()) {
+        while let Some(lane) = self.classes.choose(now, room, self.lanes_waiting()) {
             let Some(item) = self.take(now, lane) else { break };
             room.free -= 1;
             ready.push(item);
@@ -184,8 +185,8 @@
     /// Takes in that a started request has ended, whichever way.
     pub fn complete(&mut self, now: clock::Instant, request: u64) {
         if let Some(running) = self.running.remove(&request) {
-            self.classes.end(running.lane);
             let elapsed = now.since(running.started);
+            self.classes.end(running.lane, elapsed);
             self.lines[running.lane.index()].drain.completed(running.cost, elapsed);
         }
     }
