Forget how long answers took to begin when none has begun for a while

The estimate is corrected only by answers to what is admitted, so nothing ever corrected it. Ruled out: admitting whenever the class has nothing running, which needs a count by class and admits only one at a time. Forgotten after drain::MEMORY without an answer.

--- a/crates/hyssopfork-policy/src/queue.rs
+++ b/crates/hyssopfork-policy/src/queue.rs
@@ -12,6 +12,13 @@
 /// Samples over which the time until an answer begins is averaged.
 const BEGIN_SPAN: f64 = 64.0;
 
+/// Time after which the average says nothing any more.
+///
+/// It can refuse everybody, and is corrected only by answers to what was admitted: a few answers
+/// that began late, through a pause of the process say, would refuse a class for good. So it is
+/// forgotten when no answer has begun for this long, and what comes then tries anew.
+const BEGIN_MEMORY: Duration = drain::MEMORY;
+
 /// A request that waits.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Item {
@@ -68,6 +75,7 @@
     /// Rates of the teams, each measured while that team waits.
     teams: BTreeMap<name::Team, drain::Drain>,
     begin: average::Average,
+    begun: clock::Instant,
 }
 
 impl Default for Line {
@@ -77,15 +85,27 @@
             drain: drain::Drain::default(),
             teams: BTreeMap::new(),
             begin: average::Average::new(BEGIN_SPAN),
+            begun: clock::Instant::ORIGIN,
         }
     }
 }
 
 impl Line {
-    fn begin(&self) -> Duration {
+    fn begin(&self, now: clock::Instant) -> Duration {
+        if now.since(self.begun) >= BEGIN_MEMORY {
+            return Duration::ZERO;
+        }
         Duration::from_secs_f64(self.begin.get().unwrap_or_default())
     }
 
+    fn note_begin(&mut self, now: clock::Instant, elapsed: Duration) {
+        if now.since(self.begun) >= BEGIN_MEMORY {
+            self.begin = average::Average::new(BEGIN_SPAN);
+        }
+        self.begin.add(elapsed.as_secs_f64());
+        self.begun = now;
+    }
+
     /// Estimated wait of an item of `cost` that the team adds now. What waits ahead of it says too
     /// little while other teams, never waiting long, keep taking their turns; then the team's own
     /// rate says more.
@@ -141,7 +161,7 @@
         self.classes.arrive(now, lane);
         let line = &self.lines[lane.index()];
         let wait = line.wait(&item.team, item.cost, self.total);
-        if !admission::fits(now, item.deadline, wait, line.begin()) {
+        if !admission::fits(now, item.deadline, wait, line.begin(now)) {
             return Entered::Refused(self.refuse(lane, &item, wait, random));
         }
         self.insert(lane, item, false);
@@ -177,8 +197,8 @@
     /// Takes in that a started request's answer has begun.
     pub fn begun(&mut self, now: clock::Instant, request: u64) {
         if let Some(running) = self.running.get(&request) {
-            let elapsed = now.since(running.started).as_secs_f64();
-            self.lines[running.lane.index()].begin.add(elapsed);
+            let elapsed = now.since(running.started);
+            self.lines[running.lane.index()].note_begin(now, elapsed);
         }
     }
 
@@ -262,13 +282,13 @@
 
     fn expire(&mut self, now: clock::Instant, random: u64) -> Vec<Expired> {
         let mut late = BTreeSet::new();
-        let most = self.lines.iter().map(Line::begin).max().unwrap_or_default();
+        let most = self.lines.iter().map(|line| line.begin(now)).max().unwrap_or_default();
         for &(deadline, request) in &self.deadlines {
             if deadline > now + most {
                 break;
             }
             let Some((lane, _)) = self.waiting.get(&request) else { continue };
-            if deadline <= now + self.lines[lane.index()].begin() {
+            if deadline <= now + self.lines[lane.index()].begin(now) {
                 late.insert(request);
             }
         }
