--- a/crates/hyssopfork-entry/tests/entry/requests.rs
+++ b/crates/hyssopfork-entry/tests/entry/requests.rs
@@ -148,3 +148,20 @@
     assert!(fixture::starts(&actions).is_empty());
     assert_eq!(fixture::refused(&actions).map(|r| r.ran), Some(refusal::Ran::NotRun));
 }
+
+// Found by random histories (seed 48): one answer began late, as the entry's process had been
+// paused. The estimate of the time until answers begin then refused every later request of the
+// class, and, since none was admitted, was never corrected.
+#[test]
+fn one_late_answer_does_not_lock_a_class_out() {
+    let mut entry = fixture::entry();
+    let (_, start) = entry.offered(fixture::arrival("/lodge"));
+    entry.live(Duration::from_millis(2_900));
+    entry.begin(start.offer.attempt, false);
+    entry.step(event::Event::Ended(start.offer.attempt));
+
+    entry.live(Duration::from_millis(2_500));
+    let (_, start) = entry.offered(fixture::arrival("/lodge"));
+
+    assert_eq!(start.offer.path, "/lodge");
+}
