--- a/crates/hyssopfork-policy/src/balance.rs
+++ b/crates/hyssopfork-policy/src/balance.rs
@@ -10,7 +10,7 @@
 //! work from the last report, which fades with age. Two candidates are drawn at random and the
 //! less loaded is taken. One in the entry's own zone wins unless it costs more than it saves.
 
-use crate::random;
+use crate::{ramp, random};
 use hyssopfork_wire::{clock, frame};
 use std::time::Duration;
 
@@ -25,7 +25,7 @@
 pub const ZONE_WORTH: f64 = 0.1;
 
 /// What is known of an upstream's load.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Load {
     /// Work of this process in flight.
     pub own: u32,
@@ -34,10 +34,16 @@
     limit: u32,
 }
 
+impl Default for Load {
+    fn default() -> Self {
+        Load { own: 0, others: 0.0, reported: clock::Instant::ORIGIN, limit: ramp::INITIAL }
+    }
+}
+
 impl Load {
-    /// Load of an upstream that bears `limit` pieces of work at once.
-    pub fn new(limit: u32) -> Load {
-        Load { limit, ..Load::default() }
+    /// Forgets what was reported: the upstream is trusted with what a cold one bears.
+    pub fn distrust(&mut self) {
+        *self = Load { own: self.own, ..Load::default() };
     }
 
     /// Takes in a report. What it counts beyond this process's own work is others'.
--- a/crates/hyssopfork-policy/src/choice.rs
+++ b/crates/hyssopfork-policy/src/choice.rs
@@ -86,7 +86,7 @@
         }
         self.index.insert(upstream.instance.clone(), self.entries.len());
         self.entries.push(Entry {
-            load: balance::Load::new(ramp::INITIAL.min(upstream.concurrency.max(1))),
+            load: balance::Load::default(),
             limit: limit::Limit::new(upstream.concurrency),
             record: ejection::Record::new(now),
             ramp: None,
@@ -111,7 +111,12 @@
 
     /// Takes in whether a zone is out.
     pub fn set_zone(&mut self, zone: &name::Zone, out: bool) {
-        self.evacuation.set(zone, out);
+        if !self.evacuation.set(zone, out) {
+            return;
+        }
+        for entry in self.entries.iter_mut().filter(|entry| entry.upstream.zone == *zone) {
+            entry.load.distrust();
+        }
     }
 
     /// Takes in a load report of an agent.
@@ -194,12 +199,8 @@
     /// Takes in how an attempt ended.
     pub fn end(&mut self, now: clock::Instant, attempt: attempt::Identifier, outcome: Outcome) {
         let Some(running) = self.attempts.remove(&attempt) else { return };
-        let Some(&index) = self.index.get(&running.instance) else { return };
-        self.entries[index].end(now, &running, outcome);
-        if outcome == Outcome::Answered {
-            let zone = self.entries[index].upstream.zone.clone();
-            let total = self.concurrency_of(&zone);
-            self.evacuation.completed(&zone, total);
+        if let Some(entry) = self.entry(&running.instance) {
+            entry.end(now, &running, outcome);
         }
     }
 
@@ -214,9 +215,7 @@
             return 0;
         }
         let ramp = entry.ramp.as_ref().map_or(u32::MAX, ramp::Ramp::limit);
-        let bound = entry.load.limit().min(entry.limit.get()).min(ramp);
-        let share = self.evacuation.share(&entry.upstream.zone);
-        (f64::from(bound) * share).ceil() as u32
+        entry.load.limit().min(entry.limit.get()).min(ramp)
     }
 
     fn candidates(&self, now: clock::Instant, want: Want<'_>) -> Vec<balance::Candidate> {
@@ -257,11 +256,6 @@
         first.find(|candidate| affinity::within(candidate.share, mean)).copied()
     }
 
-    fn concurrency_of(&self, zone: &name::Zone) -> u32 {
-        let inside = self.entries.iter().filter(|entry| entry.upstream.zone == *zone);
-        inside.map(|entry| entry.load.limit()).sum()
-    }
-
     fn judge(&mut self, now: clock::Instant) {
         if now.since(self.judged) < JUDGEMENT {
             return;
