--- a/crates/hyssopfork-policy/src/balance.rs
+++ b/crates/hyssopfork-policy/src/balance.rs
@@ -20,6 +20,11 @@
 /// was refused eight times in overload, at 5 s one in five once (docs/BENCHMARK.md).
 pub const HALF_LIFE: Duration = Duration::from_millis(5_000);
 
+/// Others' work from which it counts at all. What fades never ends by itself: of an upstream that
+/// bears one piece of work, the last trace of another's would keep this process away for good, and
+/// a new report comes only with an answer to work that was sent.
+const OTHERS_LEAST: f64 = 0.5;
+
 /// Load, as a share of an upstream's limit, that staying in the own zone may cost. Crossing zones
 /// costs about a millisecond on requests of a tenth of a second and more, so little.
 pub const ZONE_WORTH: f64 = 0.1;
@@ -56,7 +61,8 @@
     /// Others' work, as far as the last report still says.
     pub fn others(&self, now: clock::Instant) -> f64 {
         let age = now.since(self.reported).as_secs_f64();
-        self.others * (-age / HALF_LIFE.as_secs_f64() * std::f64::consts::LN_2).exp()
+        let others = self.others * (-age / HALF_LIFE.as_secs_f64() * std::f64::consts::LN_2).exp();
+        if others < OTHERS_LEAST { 0.0 } else { others }
     }
 
     /// Work that the upstream bears at once, as last reported.
