--- a/crates/hyssopfork-entry/tests/entry/requests.rs
+++ b/crates/hyssopfork-entry/tests/entry/requests.rs
@@ -2,7 +2,7 @@
 
 use crate::fixture;
 use hyssopfork_entry::{action, event, measure};
-use hyssopfork_wire::{attempt, refusal, timing};
+use hyssopfork_wire::{attempt, frame, refusal, timing};
 use std::time::Duration;
 
 #[test]
@@ -165,3 +165,24 @@
 
     assert_eq!(start.offer.path, "/lodge");
 }
+
+// Found by random histories (seeds 181, 1097 and 1142): each upstream bore one piece of work and had
+// last said that another entry's ran there. The trace of it never faded to nothing, so that the
+// entry sent no more and heard no more, for good.
+#[test]
+fn upstream_that_bears_one_is_tried_again() {
+    let mut entry = fixture::entry();
+    entry.change(|view| {
+        view.members.remove(&"s1".into());
+    });
+    let (_, start) = entry.offered(fixture::arrival("/lodge"));
+    let load = frame::Load { running: 2, limit: 1, ..frame::Load::default() };
+    entry.step(event::Event::Loaded(start.offer.attempt, load));
+    entry.begin(start.offer.attempt, false);
+    entry.step(event::Event::Ended(start.offer.attempt));
+
+    entry.live(Duration::from_secs(20));
+    let (_, start) = entry.offered(fixture::arrival("/lodge"));
+
+    assert_eq!(start.offer.path, "/lodge");
+}
