--- a/crates/hyssopfork-entry/tests/entry/requests.rs
+++ b/crates/hyssopfork-entry/tests/entry/requests.rs
@@ -118,6 +118,20 @@
     assert!(fixture::refused(&actions).is_none());
 }
 
+// The end of an answer that isn't being forwarded, a crossed one, ends nothing: the caller would be
+// left with a clean end to an answer that it never got.
+#[test]
+fn end_of_an_unforwarded_answer_ends_nothing() {
+    let mut entry = fixture::entry();
+    let (_, start) = entry.offered(fixture::arrival("/write"));
+
+    let crossed = entry.step(event::Event::Ended(start.offer.attempt));
+    let headed = entry.begin(start.offer.attempt, false);
+
+    assert!(!crossed.iter().any(|action| matches!(action, action::Action::Measure(_))));
+    assert_eq!(fixture::forwards(&headed), vec![start.offer.attempt]);
+}
+
 #[test]
 fn caller_that_went_away_cancels_its_work() {
     let mut entry = fixture::entry();
