--- a/crates/hyssopfork-policy/src/limit.rs
+++ b/crates/hyssopfork-policy/src/limit.rs
@@ -124,7 +124,7 @@
     /// Lowers the limit, unless the attempt began before the last decrease: what it says was
     /// answered by that one.
     fn lower(&mut self, now: clock::Instant, begun: clock::Instant) {
-        if begun < self.lowered {
+        if begun <= self.lowered {
             return;
         }
         self.limit = (self.limit * DECREASE).max(LEAST);
--- /dev/null
+++ b/crates/hyssopfork-policy/tests/choice.rs
@@ -0,0 +1,212 @@
+//! The choice of an upstream, and the budget for trying again.
+
+use hyssopfork_policy::{choice, ejection, hedge, ramp, retry};
+use hyssopfork_wire::{attempt, clock, frame, name, number, refusal};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+const UPSTREAMS: usize = 6;
+const LIMIT: u32 = 16;
+
+fn at(millis: u64) -> clock::Instant {
+    clock::Instant::from_millis(millis)
+}
+
+fn instance(index: usize) -> name::Instance {
+    name::Instance::new(format!("runner-{index}"))
+}
+
+fn load(running: u32, limit: u32) -> frame::Load {
+    frame::Load { version: number::Version(1), running, limit, warm: true }
+}
+
+fn identifier(count: u64) -> attempt::Identifier {
+    attempt::Identifier { boot: 1, count }
+}
+
+/// Upstreams in two zones by turns, whose agents have reported.
+fn chooser() -> choice::Chooser {
+    let mut chooser = choice::Chooser::default();
+    for index in 0..UPSTREAMS {
+        let zone = name::Zone::new(format!("zone-{}", index % 2));
+        let upstream = choice::Upstream { instance: instance(index), zone, concurrency: LIMIT };
+        chooser.insert(at(0), upstream);
+        chooser.report(at(0), &instance(index), load(0, LIMIT));
+    }
+    chooser
+}
+
+fn pick(chooser: &mut choice::Chooser, now: u64, prefix: Option<u64>) -> Option<name::Instance> {
+    let zone = "zone-0".into();
+    let want = choice::Want { zone: &zone, prefix, excluded: &[] };
+    chooser.pick(at(now), want, now.wrapping_mul(0x9e37_79b9))
+}
+
+/// Sends `count` attempts with a prefix, none of which ends; returns where they went.
+fn send(chooser: &mut choice::Chooser, count: u64, prefix: Option<u64>) -> Vec<name::Instance> {
+    let mut sent = Vec::new();
+    for number in 0..count {
+        let Some(chosen) = pick(chooser, number, prefix) else { break };
+        chooser.begin(at(number), &chosen, identifier(number), 50);
+        sent.push(chosen);
+    }
+    sent
+}
+
+#[test]
+fn upstream_is_trusted_with_little_until_its_agent_reports() {
+    let mut chooser = choice::Chooser::default();
+    let upstream =
+        choice::Upstream { instance: instance(0), zone: "zone-0".into(), concurrency: LIMIT };
+    chooser.insert(at(0), upstream);
+
+    let sent = send(&mut chooser, 10, None);
+
+    assert_eq!(sent.len(), ramp::INITIAL as usize);
+}
+
+#[test]
+fn hot_prefix_spreads_before_it_overruns_its_upstream() {
+    // Half of all requests share one prompt prefix. Sent to where it is cached whatever the load,
+    // they fill one upstream while five stand idle.
+    let mut chooser = chooser();
+
+    let sent = send(&mut chooser, 24, Some(7));
+
+    let most = (0..UPSTREAMS).map(|index| sent.iter().filter(|it| **it == instance(index)).count());
+    let used: BTreeSet<_> = sent.iter().collect();
+    assert!(most.max().unwrap_or_default() <= 9, "{sent:?}");
+    assert!(used.len() >= 3, "{used:?}");
+}
+
+#[test]
+fn prefix_stays_with_its_upstream_and_moves_with_cache_events() {
+    let mut chooser = chooser();
+    let first = pick(&mut chooser, 1, Some(7)).expect("all upstreams are free");
+    let other = (0..UPSTREAMS).map(instance).find(|it| *it != first).expect("there are six");
+
+    let again = pick(&mut chooser, 2, Some(7));
+    chooser.cached(at(2), &other, 7, true);
+    let told = pick(&mut chooser, 3, Some(7));
+    chooser.uncached(&other);
+    let forgotten = pick(&mut chooser, 4, Some(7));
+
+    assert_eq!(again.as_ref(), Some(&first));
+    assert_eq!(told, Some(other));
+    assert_eq!(forgotten, Some(first));
+}
+
+#[test]
+fn zone_that_is_out_gets_nothing() {
+    let mut chooser = chooser();
+    chooser.set_zone(&"zone-0".into(), true);
+
+    let sent = send(&mut chooser, 100, None);
+
+    assert_eq!(sent.len(), UPSTREAMS / 2 * LIMIT as usize);
+    assert!(sent.iter().all(|it| *it != instance(0)));
+}
+
+#[test]
+fn own_zone_is_preferred_until_it_costs_more_than_it_saves() {
+    let mut chooser = chooser();
+
+    let sent = send(&mut chooser, 60, None);
+
+    let local = |sent: &[name::Instance]| {
+        sent.iter()
+            .filter(|it| (0..UPSTREAMS).step_by(2).any(|index| **it == instance(index)))
+            .count()
+    };
+    assert!(local(&sent[..6]) >= 4, "{sent:?}");
+    assert!((30..=42).contains(&local(&sent)), "{}", local(&sent));
+}
+
+#[test]
+fn tried_upstreams_are_not_chosen_again() {
+    let mut chooser = chooser();
+    let zone = "zone-0".into();
+    let excluded: Vec<_> = (0..UPSTREAMS - 1).map(instance).collect();
+    let want = choice::Want { zone: &zone, prefix: None, excluded: &excluded };
+
+    let chosen = chooser.pick(at(1), want, 1);
+
+    assert_eq!(chosen, Some(instance(UPSTREAMS - 1)));
+}
+
+#[test]
+fn failing_upstreams_are_ejected_within_the_bound_and_return_through_the_ramp() {
+    // Five of six upstreams fail everything: the fault is common, and taking them all out would
+    // leave one for all the work.
+    let mut chooser = chooser();
+    let mut number = 0;
+    for index in 0..UPSTREAMS - 1 {
+        for _ in 0..ejection::FAILURE_RUN {
+            chooser.begin(at(1), &instance(index), identifier(number), 50);
+            chooser.end(at(1), identifier(number), choice::Outcome::Failed);
+            number += 1;
+        }
+    }
+    pick(&mut chooser, 200, None);
+
+    let before = chooser.room(at(200)).free;
+    let after = chooser.room(at(200) + ejection::FIRST).free;
+
+    // One of six is out; of the others four were lowered once by their failures.
+    assert!(before >= 4 * LIMIT, "{before}");
+    assert!(before < UPSTREAMS as u32 * LIMIT, "{before}");
+    assert_eq!(after, before + ramp::INITIAL);
+}
+
+#[test]
+fn attempts_of_a_removed_upstream_still_end() {
+    let mut chooser = chooser();
+    chooser.begin(at(1), &instance(0), identifier(1), 50);
+
+    chooser.remove(&instance(0));
+    chooser.end(at(2), identifier(1), choice::Outcome::Failed);
+
+    assert_eq!(chooser.instances().count(), UPSTREAMS - 1);
+    assert_eq!(chooser.room(at(2)).free, (UPSTREAMS as u32 - 1) * LIMIT);
+}
+
+#[test]
+fn work_that_may_have_run_and_may_not_repeat_is_never_tried_again() {
+    let mut budget = retry::Budget::default();
+
+    assert!(!budget.again(false, refusal::Ran::MayHaveRun));
+    assert!(budget.again(false, refusal::Ran::NotRun));
+    assert!(budget.again(true, refusal::Ran::MayHaveRun));
+}
+
+#[test]
+fn retries_are_a_share_of_first_tries() {
+    let mut budget = retry::Budget::default();
+    while budget.spend() {}
+
+    let mut retried = 0;
+    for _ in 0..1_000 {
+        budget.first();
+        retried += u32::from(budget.again(true, refusal::Ran::MayHaveRun));
+    }
+
+    let share = f64::from(retried) / 1_000.0;
+    assert!((share - retry::SHARE).abs() <= 0.005, "{share}");
+}
+
+#[test]
+fn hedge_waits_for_the_tail_and_spares_non_repeatable_requests() {
+    let mut hedge = hedge::Hedge::default();
+    let mut budget = retry::Budget::default();
+    for millis in 1..=200 {
+        hedge.observe(Duration::from_millis(millis));
+    }
+    let delay = hedge.delay().expect("enough was seen");
+
+    let early = hedge.again(true, delay / 2, &mut budget);
+    let twice = hedge.again(false, delay * 2, &mut budget);
+    let due = hedge.again(true, delay, &mut budget);
+
+    assert!(delay >= Duration::from_millis(190), "{delay:?}");
+    assert!(!early && !twice && due);
+}
