Print the benchmark as tables

For docs/BENCHMARK.md: the plain proxy and ours side by side in one row for each figure, with the waits of each team and class. A policy that refuses nobody no longer shows a share of refusals.

--- a/crates/hyssopfork-policy/benches/policy.rs
+++ b/crates/hyssopfork-policy/benches/policy.rs
@@ -1,7 +1,9 @@
-//! Prints every scenario with the plain proxy beside the policy package. The same seed prints the
-//! same figures. `scripts/benchmark [SEED] [WORD OF A SCENARIO'S NAME]`.
+//! Prints every scenario with the plain proxy beside the policy package, as tables for
+//! docs/BENCHMARK.md. The same seed prints the same figures.
+//! `scripts/benchmark [SEED] [WORD OF A SCENARIO'S NAME]`.
 
 use hyssopfork_policy_model::{entry, repair, report, scenario, simulation};
+use std::collections::BTreeSet;
 use std::env;
 use std::time::Duration;
 
@@ -14,72 +16,118 @@
 /// Median wait up to which a second counts as normal: nobody waits in a queue.
 const NORMAL: Duration = Duration::from_millis(200);
 
+/// Second from which on goodput is counted, so that the start of a run is left out.
+const STEADY: f64 = 5.0;
+
 fn main() {
     let arguments: Vec<String> = env::args().skip(1).filter(|it| !it.starts_with("--")).collect();
     let seed = arguments.first().and_then(|text| text.parse().ok()).unwrap_or(SEED);
     let word = arguments.iter().find(|text| text.parse::<u64>().is_err());
-    println!("seed {seed}");
-    println!("full limit of a cold upstream by the ramp alone: {:?}", simulation::ramp_alone());
-    for scenario in scenario::all() {
-        if word.is_some_and(|word| !scenario.name.contains(word.as_str())) {
-            continue;
-        }
-        println!("\n## {}", scenario.name);
-        print(&scenario, "baseline", &simulation::run(&scenario, entry::Kind::Baseline, seed));
-        print(&scenario, "ours", &simulation::run(&scenario, entry::Kind::Ours, seed));
+    let asked = |name: &str| word.is_none_or(|word| name.contains(word.as_str()));
+    println!("Seed {seed}.");
+    for scenario in scenario::all().iter().filter(|scenario| asked(scenario.name)) {
+        let baseline = simulation::run(scenario, entry::Kind::Baseline, seed);
+        let ours = simulation::run(scenario, entry::Kind::Ours, seed);
+        print_scenario(scenario, &baseline, &ours);
     }
-    if word.is_none_or(|word| "repair".contains(word.as_str())) {
+    if asked("repair") {
         print_repairs();
     }
 }
 
-/// Prints the loss and repair of groups.
-fn print_repairs() {
-    for case in repair::cases() {
-        println!("\n## repair: {}", case.name);
-        println!("bound: {:?}", repair::bound(&case));
-        for kind in [entry::Kind::Baseline, entry::Kind::Ours] {
-            println!("{kind:?}: {:?}", repair::run(&case, kind));
-        }
+fn print_scenario(scenario: &scenario::Scenario, baseline: &report::Report, ours: &report::Report) {
+    println!("\n### {}\n\n| | plain proxy | ours |\n|---|---|---|", scenario.name);
+    let row = |name: &str, value: &dyn Fn(&report::Report) -> String| {
+        println!("| {name} | {} | {} |", value(baseline), value(ours));
+    };
+    let end = scenario.length.as_secs_f64();
+    row("answers", &answers);
+    row("goodput, share of capacity", &|it| format!("{:.3}", it.goodput(STEADY, end)));
+    row("callers served", &|it| format!("{:.3}", it.callers_served()));
+    row("requests for each caller", &|it| format!("{:.2}", it.sends()));
+    row("refusals within 50 ms", &at_once);
+    row("work wasted", &|it| format!("{:.4}", it.wasted()));
+    row("Jain's index over teams", &|it| format!("{:.4}", it.jain()));
+    row("attempts run for each request", &|it| format!("{:.3}", it.amplification()));
+    row("attempts refused by agents", &|it| it.bounced.to_string());
+    row("non-repeatable run twice", &|it| it.ran_twice().to_string());
+    row("upstreams crashed", &|it| it.crashes.to_string());
+    row("most attempts on one upstream, of the mean", &|it| format!("{:.2}", it.spread()));
+    if ours.hits.1 > 0 {
+        row("cache hits", &|it| format!("{:.3}", it.hits.0 as f64 / it.hits.1 as f64));
+    }
+    if let Some(from) = scenario.recovery {
+        row("normal again, seconds", &|it| recovery(it, from));
     }
-    println!("\n## repair: six members at random, sums over {RANDOM_LOSSES} seeds");
-    for kind in [entry::Kind::Baseline, entry::Kind::Ours] {
-        let mut sum = repair::Cost::default();
-        for seed in 1..=RANDOM_LOSSES {
-            sum.add(repair::run(&repair::random_losses(seed), kind));
-        }
-        println!("{kind:?}: {sum:?}");
+    if !scenario.warm {
+        let alone = simulation::ramp_alone().as_secs_f64();
+        println!("| full limit by the ramp alone, seconds | | {alone:.1} |");
     }
+    print_waits(baseline, ours);
 }
 
-fn print(scenario: &scenario::Scenario, who: &str, report: &report::Report) {
-    let end = scenario.length.as_secs_f64();
-    println!("{who}: {:?}", report.answers());
-    println!(
-        "  goodput {:.3} (from second 5), served {:.3}, refused at once {:.4}, wasted {:.4}",
-        report.goodput(5.0, end),
-        report.served(0.0, end),
-        report.refused_at_once(),
-        report.wasted()
-    );
+fn print_waits(baseline: &report::Report, ours: &report::Report) {
+    let (plain, own) = (baseline.waits(), ours.waits());
+    let keys: BTreeSet<_> = plain.keys().chain(own.keys()).collect();
+    let cell = |waits: Option<&report::Waits>| {
+        waits.map_or("none".to_owned(), |it| {
+            format!("{} / {} ({})", it.p50.as_millis(), it.p99.as_millis(), it.count)
+        })
+    };
+    println!("| *wait, ms: p50 / p99 (good answers)* | | |");
+    for key in keys {
+        println!("| {} {} | {} | {} |", key.0, key.1, cell(plain.get(key)), cell(own.get(key)));
+    }
+}
+
+fn answers(report: &report::Report) -> String {
+    let parts = report.answers().into_iter();
+    let parts: Vec<_> = parts.map(|(kind, count)| format!("{kind:?} {count}")).collect();
+    parts.join(", ").to_lowercase()
+}
+
+fn at_once(report: &report::Report) -> String {
+    match report.answers().contains_key(&report::Answer::Refused) {
+        true => format!("{:.4}", report.refused_at_once()),
+        false => "no refusals".to_owned(),
+    }
+}
+
+fn recovery(report: &report::Report, from: f64) -> String {
+    let second = report.recovered(from, NORMAL);
+    second.map_or("never".to_owned(), |second| format!("{:.0} after", second - from))
+}
+
+/// Prints the loss and repair of groups.
+fn print_repairs() {
+    println!("\n### Loss and repair of groups\n");
     println!(
-        "  Jain {:.4}, crashes {}, ran twice {}, attempts a request {:.3}, bounced {}, spread {:.2}",
-        report.jain(),
-        report.crashes,
-        report.ran_twice(),
-        report.amplification(),
-        report.bounced,
-        report.spread()
+        "| case | repair | downtime, s | with priority, s | stranded, accelerator s | loads |"
     );
-    if let Some(from) = scenario.recovery {
-        let normal = report.recovered(from, NORMAL);
-        println!("  normal again from second {normal:?}, of interest from second {from}");
-    }
-    if report.hits.1 > 0 {
-        println!("  cache hits {:.3}", report.hits.0 as f64 / report.hits.1 as f64);
+    println!("|---|---|---|---|---|---|");
+    for case in repair::cases() {
+        let bound = repair::bound(&case);
+        println!(
+            "| {} | bound | {} | | {} | {} |",
+            case.name, bound.downtime, bound.stranded, bound.loads
+        );
+        print_cost("plain", repair::run(&case, entry::Kind::Baseline));
+        print_cost("ours", repair::run(&case, entry::Kind::Ours));
     }
-    for ((team, class), waits) in report.waits() {
-        let (p50, p99) = (waits.p50.as_millis(), waits.p99.as_millis());
-        println!("  {team} {class}: {} good, p50 {p50} ms, p99 {p99} ms", waits.count);
+    println!("| six members at random, sums over {RANDOM_LOSSES} runs | | | | | |");
+    print_cost("plain", random_losses(entry::Kind::Baseline));
+    print_cost("ours", random_losses(entry::Kind::Ours));
+}
+
+fn random_losses(kind: entry::Kind) -> repair::Cost {
+    let mut sum = repair::Cost::default();
+    for seed in 1..=RANDOM_LOSSES {
+        sum.add(repair::run(&repair::random_losses(seed), kind));
     }
+    sum
+}
+
+fn print_cost(who: &str, cost: repair::Cost) {
+    let repair::Cost { downtime, priority_downtime, stranded, loads } = cost;
+    println!("| | {who} | {downtime} | {priority_downtime} | {stranded} | {loads} |");
 }
