--- a/crates/hyssopfork-control/tests/control.rs
+++ b/crates/hyssopfork-control/tests/control.rs
@@ -1,6 +1,7 @@
 //! Tests of the control role.
 
 mod histories;
+mod solo;
 
 use crate::histories::{check, world};
 use std::env;
--- /dev/null
+++ b/crates/hyssopfork-control/tests/solo/answering.rs
@@ -0,0 +1,196 @@
+//! Who is answered what, and when.
+
+use crate::solo::fixture;
+use hyssopfork_control::{calls, event, notice, steps};
+use hyssopfork_state::claims;
+use hyssopfork_wire::{attempt, change, claim, clock, control, level, number, patch, timing};
+use std::collections::BTreeSet;
+use std::time::Duration;
+use strum::IntoEnumIterator;
+
+fn zone_out(out: bool) -> Vec<patch::Operation> {
+    vec![patch::Operation::SetZoneOut("zone-a".into(), out)]
+}
+
+fn entry(have: u64) -> control::Request {
+    let holder = control::Holder::Entry("entry".into());
+    let have = number::Version(have);
+    control::Request::Renew(control::Renewal { holder, have, leaving: false })
+}
+
+fn claim(attempt: u64) -> control::Request {
+    let key = claim::Key { team: "t".into(), route: "r".into(), text: "k".into() };
+    let attempt = attempt::Identifier { boot: 1, count: attempt };
+    control::Request::Claim(claim::Claim { key, digest: [0; 32], attempt })
+}
+
+// A leader restarts and is elected again. It has the accepted patch on its disk but has not applied
+// it yet; a lease now would be one on the view before the patch, and a zone that was taken out
+// would receive work for as long as that lease runs.
+#[test]
+fn a_new_leader_gives_no_lease_before_it_has_applied_an_entry_of_its_own_term() {
+    let durable = fixture::Solo::leading().durable;
+    let mut solo = fixture::Solo::start(durable);
+    solo.pass(Duration::from_millis(20));
+    solo.syncs = false;
+    solo.pass(Duration::from_secs(2));
+    let ballot = solo.held.pop().expect("stands for election");
+    solo.step(event::Event::Persisted(ballot.mark));
+    solo.pass(Duration::from_millis(200));
+
+    let early = solo.ask(entry(0));
+    let mark = solo.held.last().expect("appends an entry of its term").mark;
+    solo.step(event::Event::Persisted(mark));
+    let later = solo.ask(entry(0));
+
+    assert_eq!(early, Some(control::Response::NotLeader(None)));
+    let Some(control::Response::Granted(grant)) = later else { panic!("{later:?}") };
+    let change::Update::Whole(view) = grant.update else { panic!("{:?}", grant.update) };
+    assert_eq!(view.configuration.number, number::Configuration(1));
+}
+
+// The caller's patch was appended by a leader that lost it; another leader's entry stands at the
+// same index. Its reply must not be told as the caller's.
+#[test]
+fn an_entry_of_another_term_answers_nobody() {
+    let mut calls = calls::Calls::default();
+    let now = clock::Instant::ORIGIN;
+    let ticket = calls.wait(now, calls::Purpose::Call(1));
+    calls.append(ticket, number::Index(5), number::Term(1));
+
+    let purpose = calls.apply(number::Index(5), number::Term(2));
+
+    assert!(purpose.is_none());
+    assert_eq!(calls.due(now + calls::PATIENCE), [1]);
+}
+
+#[test]
+fn a_watcher_too_old_for_steps_gets_the_whole_view_and_one_ahead_gets_nothing() {
+    let mut steps = steps::Steps::new(number::Version(10));
+    let version = number::Version(12);
+    let view = change::View { version, ..Default::default() };
+    steps.push(change::Step { version, changes: Vec::new() });
+
+    let update = |have| steps.update(&view, number::Version(have));
+
+    assert_eq!(update(12), Some(change::Update::Current));
+    assert!(matches!(update(10), Some(change::Update::Steps(steps)) if steps.len() == 1));
+    assert!(matches!(update(9), Some(change::Update::Whole(_))));
+    assert!(matches!(update(0), Some(change::Update::Whole(_))));
+    assert_eq!(update(13), None);
+}
+
+#[test]
+fn kept_steps_are_bounded_by_count() {
+    let mut steps = steps::Steps::new(number::Version(0));
+    let newest = steps::COUNT_LIMIT as u64 + 5;
+    let view = change::View { version: number::Version(newest), ..Default::default() };
+
+    for version in 1..=newest {
+        let version = number::Version(version);
+        steps.push(change::Step { version, changes: Vec::new() });
+    }
+
+    assert!(matches!(steps.update(&view, number::Version(5)), Some(change::Update::Steps(_))));
+    assert!(matches!(steps.update(&view, number::Version(4)), Some(change::Update::Whole(_))));
+}
+
+#[test]
+fn a_watch_is_held_until_the_view_moves_or_its_time_is_up() {
+    let mut solo = fixture::Solo::leading();
+    let have = solo.view().version;
+    let moved = solo.call(control::Request::Watch(have));
+    let abandoned = solo.call(control::Request::Watch(have));
+    solo.step(event::Event::Abandoned(abandoned));
+    let held = !solo.replies.contains_key(&moved);
+
+    solo.submit("out", zone_out(true));
+    let have = solo.view().version;
+    let quiet = solo.call(control::Request::Watch(have));
+    solo.pass(timing::WATCH_HOLD);
+
+    assert!(held);
+    assert!(matches!(
+        &solo.replies[&moved],
+        control::Response::Updated(change::Update::Steps(steps)) if steps.len() == 1
+    ));
+    assert_eq!(solo.replies[&quiet], control::Response::Updated(change::Update::Current));
+    assert!(!solo.replies.contains_key(&abandoned));
+}
+
+// A leader loses its quorum while a patch is pending. It may be committed by the next leader or
+// not, so the operator is told neither "accepted" nor "refused".
+#[test]
+fn a_call_whose_end_is_not_known_in_time_is_told_so() {
+    let mut solo = fixture::Solo::leading();
+    solo.syncs = false;
+
+    let call = solo.submit("out", zone_out(true));
+    solo.pass(calls::PATIENCE);
+
+    assert_eq!(call, None);
+    assert_eq!(solo.replies.values().collect::<Vec<_>>(), [&control::Response::Unknown]);
+}
+
+#[test]
+fn a_claim_whose_holder_fell_silent_becomes_unknown_by_the_leader_s_clock() {
+    let mut solo = fixture::Solo::leading();
+    let granted = solo.ask(claim(1));
+
+    solo.pass(claims::PROGRESS_LIMIT - claims::GRAIN);
+    let early = solo.ask(claim(2));
+    solo.pass(claims::GRAIN * 3);
+    let late = solo.ask(claim(3));
+
+    let claimed = |reply| Some(control::Response::Claimed(reply));
+    assert_eq!(granted, claimed(claim::Reply::Granted));
+    assert_eq!(early, claimed(claim::Reply::InProgress));
+    assert_eq!(late, claimed(claim::Reply::Done(claim::Outcome::Unknown)));
+    assert!(solo.notices.contains(&notice::Notice::Expired(1)));
+}
+
+#[test]
+fn a_leader_that_stops_answers_held_calls_and_takes_no_more() {
+    let mut solo = fixture::Solo::leading();
+    let have = solo.view().version;
+    let watch = solo.call(control::Request::Watch(have));
+
+    solo.step(event::Event::Stop);
+    let refused = solo.ask(entry(0));
+    solo.pass(Duration::from_secs(3));
+
+    assert!(matches!(refused, Some(control::Response::NotLeader(_)) | None));
+    assert!(matches!(solo.replies[&watch], control::Response::NotLeader(_)));
+    assert!(solo.stopped);
+}
+
+#[test]
+fn a_patch_too_long_for_the_log_is_refused_with_its_remedy() {
+    let mut solo = fixture::Solo::leading();
+    let put = |count: u32| {
+        patch::Operation::PutGroup(
+            format!("{}-{count}", "g".repeat(57)).as_str().into(),
+            fixture::group(1),
+        )
+    };
+
+    let reply = solo.submit("long", (0..9_999).map(put).collect());
+
+    let Some(control::Response::Submitted(patch::Outcome::Invalid(faults))) = reply else {
+        panic!("{reply:?}")
+    };
+    assert!(faults[0].contains("split it"), "{faults:?}");
+}
+
+#[test]
+fn notices_have_numbers_of_their_own() {
+    let mut solo = fixture::Solo::leading();
+    solo.live(Duration::from_secs(2));
+
+    let own = solo.notices.iter().filter(|it| !matches!(it, notice::Notice::Log(_)));
+    let numbers: BTreeSet<u16> = own.clone().map(notice::Notice::number).collect();
+
+    assert!(numbers.iter().all(|number| (1200..2000).contains(number)), "{numbers:?}");
+    assert!(own.clone().all(|notice| notice.level() == level::Level::Info));
+    assert!(notice::Kind::iter().count() > numbers.len());
+}
