--- a/crates/hyssopfork-control/tests/solo/leases.rs
+++ b/crates/hyssopfork-control/tests/solo/leases.rs
@@ -37,6 +37,7 @@
 
     let first = renew(&mut solo, 1);
     let second = renew(&mut solo, 2);
+    let entries = solo.durable.entries.len();
     let older = renew(&mut solo, 1);
     let newer = renew(&mut solo, 2);
 
@@ -45,6 +46,7 @@
     assert_eq!(older, None);
     assert_eq!(newer, Some(number::Incarnation(2)));
     assert!(solo.notices.contains(&notice::Notice::Superseded("e1".into(), 1)));
+    assert_eq!(solo.durable.entries.len(), entries, "its renewals fill no log");
 }
 
 #[test]
