--- a/crates/hyssopfork-control/tests/histories/world.rs
+++ b/crates/hyssopfork-control/tests/histories/world.rs
@@ -168,7 +168,8 @@
                 }
             }
             action::Action::Fail(reason) => panic!("{reason}"),
-            action::Action::Notice(_) | action::Action::Stopped => {}
+            action::Action::Stopped => self.crash(slot),
+            action::Action::Notice(_) => {}
         }
     }
 
@@ -218,7 +219,7 @@
             return;
         }
         let slot = self.random.random_range(0..3);
-        match self.random.random_range(0..12) {
+        match self.random.random_range(0..13) {
             0..4 => {
                 let other = (slot + 1) % 3;
                 self.cut.insert((slot.min(other), slot.max(other)));
@@ -233,6 +234,9 @@
                     self.now + self.random.random_range(100_000..2_500_000);
             }
             9..11 => self.crash(slot),
+            11 if self.slots[slot].paused_until <= self.now => {
+                self.step(slot, event::Event::Stop, Happening::Fault);
+            }
             _ => {
                 let holders = self.clients.len() - 6;
                 let client = holders + self.random.random_range(0..6);
