--- a/crates/hyssopfork-consensus/tests/histories/scenarios.rs
+++ b/crates/hyssopfork-consensus/tests/histories/scenarios.rs
@@ -122,6 +122,41 @@
     assert_eq!((world.leader(), world.node(cut).term()), (leader, term));
 }
 
+/// One voter can't reach the leader, but the third voter, which hears it. That one must give no vote
+/// while the leader relies on it, or two leaders hold leases (the world checks that) and an entry acts
+/// on what the other has replaced.
+#[test]
+fn a_voter_that_misses_only_the_leader_does_not_depose_it() {
+    let mut world = world::World::led(1, 3, 0);
+    let leader = world.leader().expect("someone leads");
+    let cut = follower(&world);
+
+    world.faults.blocked = [(leader, cut), (cut, leader)].into();
+    world.run(Duration::from_secs(20));
+
+    assert_eq!(world.leader(), Some(leader));
+    assert!(goes_on(&mut world, 1));
+}
+
+/// The same, while the third voter restarts again and again. It has forgotten each time that the
+/// leader relies on it, so it must give no vote for as long as it might be bound.
+#[test]
+fn a_voter_that_restarts_often_does_not_depose_the_leader() {
+    let mut world = world::World::led(1, 3, 0);
+    let leader = world.leader().expect("someone leads");
+    let (cut, restarts) = (follower(&world), (leader + 2) % 3);
+    world.faults.blocked = [(leader, cut), (cut, leader)].into();
+
+    for _ in 0..400 {
+        world.crash(restarts);
+        world.start(restarts);
+        world.run(Duration::from_millis(37));
+    }
+
+    assert_eq!(world.leader(), Some(leader));
+    assert!(goes_on(&mut world, 1));
+}
+
 /// A leader is cut off: it stops leading by itself and the others go on.
 #[test]
 fn a_leader_that_is_cut_off_steps_down() {
