Run work once when a back end closes before its head; refuse cut answers

Cause: a trial by hand (one service of the fake, POST /fake/cut) ran a lodgement twice, with and without a key, and answered 201. The agent's side to the back end was awc, which reports a connection closed before the answer's head as Connect(Disconnected), as if it could not be made. The agent took that for unreachable, said not run, and the entry sent the work once more. With bytes of the body out, awc ended a body cut before its length like a whole one: the caller got {"pat with status 201 as a whole answer and the log kept it as the outcome.

Ruled out: the entry (it retries rightly on not run); the fake (curl sees an empty reply, code 52, and the exchange's tests see the cut).

The agent now reaches its back end by hyssopfork-exchange, which tells apart unreachable (nothing sent), cut, malformed and unframed. The tests' caller uses the exchange too, since whole said by awc proves nothing.

Not changed: the probe of a back end's health and the order to load still use awc; neither sends callers' work.

--- a/crates/hyssopfork-daemon/src/agent/mod.rs
+++ b/crates/hyssopfork-daemon/src/agent/mod.rs
@@ -1,7 +1,6 @@
 //! Shell of the agent role.
 
 pub mod answer;
-pub mod connection;
 pub mod engine;
 pub mod gate;
 pub mod member;
--- a/crates/hyssopfork-daemon/src/agent/upstream.rs
+++ b/crates/hyssopfork-daemon/src/agent/upstream.rs
@@ -1,16 +1,19 @@
 //! The upstream's side of one attempt.
 
-use crate::agent::{answer, connection, role};
+use crate::agent::{answer, role};
 use crate::{http, mailbox};
-use actix_http::header::{HeaderName, HeaderValue};
-use actix_http::{Method, RequestHead};
 use bytes::Bytes;
 use hyssopfork_agent::event;
+use hyssopfork_exchange::{connection, error};
 use hyssopfork_wire::{attempt, frame};
 use std::net;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc;
 
+/// Time in which the upstream's connection must be there.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
 /// Header that tells the engine the fencing number of the group that serves.
 const FENCE_HEADER: &str = "hyssopfork-fence";
 
@@ -58,15 +61,15 @@
 impl Work {
     /// Carries the attempt through under the core's orders.
     ///
-    /// The core is asked a second time after the connection is open, so that nothing that takes
+    /// The core is asked a second time once the connection is open, so that nothing that takes
     /// time lies between its last look at the clock and the first byte.
     pub async fn run(self, mut orders: mpsc::UnboundedReceiver<Order>) {
         if orders.recv().await != Some(Order::Prepare) {
             return;
         }
-        let connection = match connection::Connection::open(self.upstream).await {
+        let connection = match self.connect().await {
             Ok(connection) => connection,
-            Err(error) => return self.fail(&error),
+            Err(fault) => return self.post(event::Event::Failed(self.offer.attempt, fault)),
         };
         self.post(event::Event::Ready(self.offer.attempt));
         if orders.recv().await != Some(Order::Forward) {
@@ -82,7 +85,7 @@
                 self.answer.end();
                 self.post(event::Event::Ended(self.offer.attempt));
             }
-            Err(error) => self.fail(&error),
+            Err(fault) => self.post(event::Event::Failed(self.offer.attempt, fault)),
         }
     }
 
@@ -90,61 +93,51 @@
         self.mailbox.post(role::Input::Event(event));
     }
 
-    /// Whether any byte may have reached the upstream decides what the core may say.
-    fn fail(&self, error: &connection::Error) {
-        let fault = match error {
-            connection::Error::Unreachable => event::Fault::Unreachable,
-            connection::Error::Broken => event::Fault::Broken,
-        };
-        self.post(event::Event::Failed(self.offer.attempt, fault));
-    }
-
-    async fn exchange(&self, connection: connection::Connection) -> Result<(), connection::Error> {
-        let mut incoming = connection.send(self.head(), self.body.clone()).await?;
-        let head = frame::Head {
-            status: incoming.head.status.as_u16(),
-            headers: http::travelling(&incoming.head.headers),
+    /// Not by awc: it reports a connection that was closed before the answer's head as one that
+    /// could not be made, and ends a cut body like a whole one. The first runs work twice, the
+    /// second gives half an answer as a whole one.
+    async fn exchange(&self, mut connection: connection::Connection) -> Result<(), event::Fault> {
+        let headers = self.headers();
+        let request = connection::Request {
+            method: &self.offer.method,
+            path: &self.offer.path,
+            headers: &headers,
         };
+        connection.send(&request, self.body.clone()).await.map_err(fault)?;
+        let head = connection.head().await.map_err(fault)?;
+        let head = frame::Head { status: head.status, headers: travelling(head.headers) };
         let marked = is_event_stream(&head) && self.offer.group.is_some();
         self.answer.head(head);
         self.post(event::Event::Begun(self.offer.attempt));
         let mut tail = Vec::new();
-        while let Some(part) = incoming.next().await? {
+        while let Some(part) = connection.part().await.map_err(fault)? {
             if !self.answer.data(&part) {
-                return Err(connection::Error::Broken);
+                return Err(event::Fault::Broken);
             }
             keep_tail(&mut tail, &part);
         }
         if marked && !tail.windows(END_MARK.len()).any(|window| window == END_MARK) {
-            return Err(connection::Error::Broken);
+            return Err(event::Fault::Broken);
         }
         Ok(())
     }
 
-    fn head(&self) -> RequestHead {
-        let mut head = RequestHead::default();
-        head.method = Method::from_bytes(self.offer.method.as_bytes()).unwrap_or(Method::POST);
-        head.uri = self.offer.path.parse().unwrap_or_default();
-        for (name, value) in &self.offer.headers {
-            append(&mut head, name, value);
-        }
-        append(&mut head, "host", &self.upstream.to_string());
-        append(&mut head, ATTEMPT_HEADER, &self.offer.attempt.to_string());
+    async fn connect(&self) -> Result<connection::Connection, event::Fault> {
+        let opened = connection::Connection::open(self.upstream);
+        let opened = tokio::time::timeout(CONNECT_LIMIT, opened).await;
+        opened.map_err(|_| event::Fault::Unreachable)?.map_err(fault)
+    }
+
+    fn headers(&self) -> Vec<(String, String)> {
+        let mut headers = self.offer.headers.clone();
+        headers.push((ATTEMPT_HEADER.to_owned(), self.offer.attempt.to_string()));
         if let Some((_, fence)) = &self.offer.group {
-            append(&mut head, FENCE_HEADER, &fence.to_string());
+            headers.push((FENCE_HEADER.to_owned(), fence.to_string()));
         }
         if self.offer.resume_from > 0 {
-            append(&mut head, RESUME_HEADER, &self.offer.resume_from.to_string());
+            headers.push((RESUME_HEADER.to_owned(), self.offer.resume_from.to_string()));
         }
-        head
-    }
-}
-
-/// Adds a header; one that HTTP doesn't allow is left out, since the entry has read it as HTTP.
-fn append(head: &mut RequestHead, name: &str, value: &str) {
-    let name = HeaderName::from_bytes(name.as_bytes());
-    if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
-        head.headers.append(name, value);
+        headers
     }
 }
 
@@ -157,6 +150,20 @@
     std::future::pending().await
 }
 
+/// Whether any byte may have reached the upstream decides what the core may say.
+fn fault(error: error::Error) -> event::Fault {
+    match error {
+        error::Error::Unreachable(..) | error::Error::Unsendable(_) => event::Fault::Unreachable,
+        error::Error::Cut | error::Error::Malformed(_) | error::Error::Unframed => {
+            event::Fault::Broken
+        }
+    }
+}
+
+fn travelling(headers: Vec<(String, String)>) -> Vec<(String, String)> {
+    headers.into_iter().filter(|(name, _)| http::travels(name)).collect()
+}
+
 fn is_event_stream(head: &frame::Head) -> bool {
     let is_type = |(name, value): &(String, String)| {
         name == "content-type" && value.starts_with(EVENT_STREAM)
--- /dev/null
+++ b/crates/hyssopfork-daemon/tests/processes/cut_answers.rs
@@ -0,0 +1,73 @@
+//! Back ends that break off: before their answer's head, and within its body.
+
+use crate::support::{caller, fleet, operator};
+use hyssopfork_test_support::disturbance;
+use hyssopfork_wire::patch;
+
+async fn served(engines: usize) -> fleet::Fleet {
+    let plan = fleet::Plan { engines, services: 1, ..fleet::Plan::default() };
+    let fleet = fleet::Fleet::start(plan);
+    let operator = fleet.operator();
+    let declare = patch::Operation::Declare(Box::new(fleet::declaration()));
+    operator.submit("declare", 0, vec![declare]).await;
+    operator.wait("everybody present", |status| operator::all_hold(status, engines + 3)).await;
+    if engines > 0 {
+        operator.wait("a serving group", |status| operator::serves(status, "group-1")).await;
+    }
+    fleet
+}
+
+async fn lodge(fleet: &fleet::Fleet, key: Option<&str>) -> caller::Got {
+    caller::post(fleet.entry_addresses[0], "/lodge", key, "{\"reference\":\"r\"}").await
+}
+
+// The service does the work and its connection closes before the head of the answer. What came
+// back is nothing at all, just as when nobody had been there: an agent that takes the one for the
+// other says "not run", the entry sends the work once more, and it has run twice.
+#[actix_rt::test]
+async fn a_connection_closed_before_the_head_is_work_that_may_have_run() {
+    for key in [Some("k"), None] {
+        let fleet = served(0).await;
+        fleet.services[0].fake.disturb(disturbance::Order::Cut(0));
+
+        let got = lodge(&fleet, key).await;
+
+        assert_eq!(fleet.services[0].fake.ran()["r"], 1, "{got:?}");
+        assert!(got.says_may_have_run(), "{got:?}");
+    }
+}
+
+// The service promises a length and its connection closes after five bytes. An agent that takes
+// the connection's end for the answer's end hands half a receipt on as a whole one, and the log
+// keeps it as the outcome for good.
+#[actix_rt::test]
+async fn an_answer_cut_before_its_length_is_not_given_as_whole() {
+    for key in [Some("k"), None] {
+        let fleet = served(0).await;
+        fleet.services[0].fake.disturb(disturbance::Order::Cut(5));
+
+        let got = lodge(&fleet, key).await;
+
+        assert_eq!(fleet.services[0].fake.ran()["r"], 1, "{got:?}");
+        assert!(!got.is_answer(), "{got:?}");
+    }
+}
+
+// The only group's engine breaks off within a stream. The caller has its first events; the rest
+// is resumed, or the stream ends in a mark and never cleanly.
+#[actix_rt::test]
+async fn a_stream_cut_within_is_whole_in_the_end_or_marked() {
+    let fleet = served(2).await;
+    for engine in &fleet.engines {
+        engine.fake.disturb(disturbance::Order::Cut(3));
+    }
+
+    let got =
+        caller::post(fleet.entry_addresses[0], "/v1/completions", None, &caller::completion(12))
+            .await;
+
+    let text = got.text();
+    let whole = got.is_answer() && text.trim_end().ends_with("data: [DONE]");
+    assert!(whole || text.contains("event: error"), "{got:?}");
+    assert_eq!(whole, text.matches("text_completion").count() == 12, "{got:?}");
+}
--- a/crates/hyssopfork-daemon/tests/processes/support/caller.rs
+++ b/crates/hyssopfork-daemon/tests/processes/support/caller.rs
@@ -2,7 +2,8 @@
 
 use super::fleet;
 use actix_http::StatusCode;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use hyssopfork_exchange::{connection, error};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -46,65 +47,46 @@
 
 /// Sends a request as the one team, with a key where one is given.
 pub async fn post(entry: SocketAddr, path: &str, key: Option<&str>, body: &str) -> Got {
-    let client = awc::Client::builder().disable_timeout().finish();
-    let mut request = client
-        .post(format!("http://{entry}{path}"))
-        .timeout(TIMEOUT)
-        .insert_header(("authorization", format!("Bearer {}", fleet::TOKEN)))
-        .insert_header(("content-type", "application/json"));
-    if let Some(key) = key {
-        request = request.insert_header(("idempotency-key", key));
-    }
-    receive(request.send_body(body.to_owned()).await).await
+    let mut headers = vec![
+        ("authorization".to_owned(), format!("Bearer {}", fleet::TOKEN)),
+        ("content-type".to_owned(), "application/json".to_owned()),
+    ];
+    headers.extend(key.map(|key| ("idempotency-key".to_owned(), key.to_owned())));
+    receive(entry, &connection::Request { method: "POST", path, headers: &headers }, body).await
 }
 
 /// Asks with GET as the one team.
 pub async fn get(entry: SocketAddr, path: &str) -> Got {
-    let client = awc::Client::builder().disable_timeout().finish();
-    let request = client
-        .get(format!("http://{entry}{path}"))
-        .timeout(TIMEOUT)
-        .insert_header(("authorization", format!("Bearer {}", fleet::TOKEN)));
-    receive(request.send().await).await
+    let headers = [("authorization".to_owned(), format!("Bearer {}", fleet::TOKEN))];
+    receive(entry, &connection::Request { method: "GET", path, headers: &headers }, "").await
 }
 
-async fn receive<S>(sent: Result<awc::ClientResponse<S>, awc::error::SendRequestError>) -> Got
-where
-    S: futures::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
-{
-    use futures::StreamExt;
-    let Ok(mut response) = sent else {
-        return Got { status: None, body: Bytes::new(), whole: false, retry_after: None };
-    };
-    let status = Some(response.status());
-    let retry_after = response
-        .headers()
-        .get("retry-after")
-        .and_then(|value| value.to_str().ok())
-        .map(str::to_owned);
-    let mut body = Vec::new();
-    let mut whole = true;
-    while let Some(part) = response.next().await {
-        match part {
-            Ok(part) => body.extend_from_slice(&part),
-            Err(_) => {
-                whole = false;
-                break;
-            }
-        }
-    }
-    let whole = whole && is_whole(&body);
-    Got { status, body: Bytes::from(body), whole, retry_after }
+async fn receive(entry: SocketAddr, request: &connection::Request<'_>, body: &str) -> Got {
+    let mut got = Got { status: None, body: Bytes::new(), whole: false, retry_after: None };
+    let exchange = exchange(entry, request, body, &mut got);
+    let ended = actix_rt::time::timeout(TIMEOUT, exchange).await;
+    got.whole = matches!(ended, Ok(Ok(())));
+    got
 }
 
-/// Whether a body's own form shows that nothing is missing: the client library takes a connection
-/// that broke in the middle for a clean end.
-fn is_whole(body: &[u8]) -> bool {
-    let text = String::from_utf8_lossy(body);
-    if text.starts_with("data:") || text.starts_with("event:") {
-        return text.ends_with("data: [DONE]\n\n");
+/// Not by awc, which takes a cut answer for a whole one.
+async fn exchange(
+    entry: SocketAddr,
+    request: &connection::Request<'_>,
+    body: &str,
+    got: &mut Got,
+) -> Result<(), error::Error> {
+    let mut connection = connection::Connection::open(entry).await?;
+    connection.send(request, Bytes::from(body.to_owned())).await?;
+    let head = connection.head().await?;
+    got.status = StatusCode::from_u16(head.status).ok();
+    got.retry_after = head.header("retry-after").map(str::to_owned);
+    let mut whole = BytesMut::new();
+    while let Some(part) = connection.part().await? {
+        whole.extend_from_slice(&part);
+        got.body = whole.clone().freeze();
     }
-    serde_json::from_str::<serde_json::Value>(&text).is_ok()
+    Ok(())
 }
 
 /// A streamed completion's request body.
--- a/crates/hyssopfork-test-support/src/http.rs
+++ b/crates/hyssopfork-test-support/src/http.rs
@@ -9,6 +9,7 @@
 use std::future::Future;
 use std::os::fd::AsFd;
 use std::sync::mpsc;
+use std::time::Duration;
 use std::{io, net, thread};
 use tokio::net::TcpStream;
 
@@ -17,6 +18,9 @@
 /// Media type of server-sent events.
 pub const EVENTS: &str = "text/event-stream";
 
+/// Time in which what was written goes out before a connection is broken.
+const FLUSH: Duration = Duration::from_millis(20);
+
 /// The connection that a request came on.
 struct Connection(net::TcpStream);
 
@@ -130,7 +134,7 @@
     let mut response = Response::build(status);
     response.insert_header((header::CONTENT_TYPE, JSON));
     let length = whole.len() as u64;
-    let body = SizedStream::new(length, parts(whole, keep));
+    let body = SizedStream::new(length, Box::pin(parts(whole, keep)));
     response.message_body(body).expect("the head is well formed").map_into_boxed_body()
 }
 
@@ -156,11 +160,18 @@
 fn parts(
     whole: Bytes,
     keep: Option<usize>,
-) -> impl stream::Stream<Item = Result<Bytes, io::Error>> + Unpin {
+) -> impl stream::Stream<Item = Result<Bytes, io::Error>> + 'static {
     let kept = keep.map_or(whole.len(), |keep| keep.min(whole.len()));
-    let mut items = vec![Ok(whole.slice(..kept))];
-    if kept < whole.len() {
-        items.push(Err(io::Error::other("cut by a test")));
+    let first = whole.slice(..kept);
+    let cut = kept < whole.len();
+    let head = stream::iter((kept > 0).then_some(Ok(first)));
+    head.chain(stream::iter(cut.then_some(())).then(move |()| break_off(kept)))
+}
+
+/// Breaks off; after a part, only when that part has surely gone out.
+async fn break_off(kept: usize) -> Result<Bytes, io::Error> {
+    if kept > 0 {
+        actix_rt::time::sleep(FLUSH).await;
     }
-    stream::iter(items)
+    Err(io::Error::other("cut by a test"))
 }
