Put the entry's limits of its settings into force

Cause: head_timeout_ms, keep_alive_ms and connection_limit were read and documented but the daemon served with constants of its own (5 s, 75 s, none), and the body's time was fixed at 15 s. A setting that does nothing is worse than none.

Seen failing with the safeguard off (process.rs passing Limits::default(), the default body timeout and a fixed body limit): all five tests of limits fail (no answer within 4 s for head, body and idle connection; the second connection served at once; 503 in place of 413). With it: 5 pass.

Left: a stopped back end's connections and the agent's port keep their defaults.

--- a/crates/hyssopfork-daemon/src/entry/caller.rs
+++ b/crates/hyssopfork-daemon/src/entry/caller.rs
@@ -14,9 +14,6 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 
-/// Time that a caller may take to send a request's body.
-const BODY_TIME: Duration = Duration::from_secs(15);
-
 /// Longest Idempotency-Key, in bytes.
 const KEY_LIMIT: usize = 255;
 
@@ -30,6 +27,8 @@
     pub mailbox: mailbox::Mailbox<role::Input>,
     /// Longest body, in bytes.
     pub body_limit: usize,
+    /// Time that a caller may take to send a request's body.
+    pub body_timeout: Duration,
     /// Counts requests.
     pub count: Arc<AtomicU64>,
     /// Answers the balancer's checks on the same port.
@@ -49,7 +48,7 @@
         let number = self.count.fetch_add(1, Ordering::Relaxed);
         let identifier = format!("{:016x}-{number:x}", self.boot);
         let reading = http::read_body(&mut request, self.body_limit);
-        let body = match actix_rt::time::timeout(BODY_TIME, reading).await {
+        let body = match actix_rt::time::timeout(self.body_timeout, reading).await {
             Ok(Ok(body)) => body,
             Ok(Err(http::Error::TooLarge(_))) => {
                 return malformed(&identifier, StatusCode::PAYLOAD_TOO_LARGE);
--- a/crates/hyssopfork-daemon/src/http.rs
+++ b/crates/hyssopfork-daemon/src/http.rs
@@ -27,8 +27,26 @@
     }
 }
 
-/// Time that a caller may take to send a request's head.
-pub const HEAD_LIMIT: Duration = Duration::from_secs(5);
+/// What a server takes from its callers' connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Time that a caller may take to send a request's head.
+    pub head_timeout: Duration,
+    /// Time that an idle connection is kept open.
+    pub keep_alive: Duration,
+    /// Most connections at once; more wait to be accepted.
+    pub connections: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            head_timeout: Duration::from_secs(5),
+            keep_alive: Duration::from_secs(75),
+            connections: 25_600,
+        }
+    }
+}
 
 /// A response ready to be sent.
 pub type Answer = Response<BoxBody>;
@@ -38,6 +56,7 @@
     name: &'static str,
     listener: net::TcpListener,
     threads: usize,
+    limits: Limits,
     handle: Handle,
 ) -> io::Result<ServerHandle>
 where
@@ -46,13 +65,14 @@
 {
     let server = Server::build()
         .workers(threads)
+        .max_concurrent_connections(limits.connections.div_ceil(threads))
         .disable_signals()
         .shutdown_timeout(1)
         .listen(name, listener, move || {
             let handle = handle.clone();
             HttpService::build()
-                .client_request_timeout(HEAD_LIMIT)
-                .keep_alive(Duration::from_secs(75))
+                .client_request_timeout(limits.head_timeout)
+                .keep_alive(limits.keep_alive)
                 .finish(move |request: Request| {
                     let answered = handle(request);
                     async move { Ok::<_, Infallible>(answered.await) }
--- a/crates/hyssopfork-daemon/src/monitor.rs
+++ b/crates/hyssopfork-daemon/src/monitor.rs
@@ -30,7 +30,7 @@
     readiness: Vec<Arc<Readiness>>,
     encode: impl Fn() -> String + Clone + Send + 'static,
 ) -> io::Result<()> {
-    http::serve("monitor", listener, 1, move |request| {
+    http::serve("monitor", listener, 1, http::Limits::default(), move |request| {
         let answer = match request.path() {
             "/healthz" => http::text(StatusCode::OK, "alive\n"),
             "/readyz" => ready(readiness.iter().all(|role| role.get())),
--- a/crates/hyssopfork-daemon/src/process.rs
+++ b/crates/hyssopfork-daemon/src/process.rs
@@ -208,7 +208,9 @@
         let gate = agent::gate::Gate { mailbox: mailbox.clone(), upstream: section.upstream };
         let listener = listener::bind("entries", section.traffic_listen)?;
         let threads = self.settings.threads as usize;
-        http::serve("gate", listener, threads, move |request| gate.clone().handle(request))?;
+        let limits = http::Limits::default();
+        let answer = move |request| gate.clone().handle(request);
+        http::serve("gate", listener, threads, limits, answer)?;
         let (done, stopped) = oneshot::channel();
         let inbox = mailbox.clone();
         let upstream = section.upstream;
@@ -241,14 +243,20 @@
         let door = entry::caller::Door {
             mailbox: mailbox.clone(),
             body_limit: section.body_limit_bytes as usize,
+            body_timeout: section.body_timeout,
             count: Arc::new(AtomicU64::new(1)),
             readiness: readiness.clone(),
             boot: self.boot,
         };
         let listener = listener::bind("callers", section.listen)?;
         let threads = self.settings.threads as usize;
-        let server =
-            http::serve("callers", listener, threads, move |request| door.clone().handle(request))?;
+        let limits = http::Limits {
+            head_timeout: section.head_timeout,
+            keep_alive: section.keep_alive,
+            connections: section.connection_limit as usize,
+        };
+        let answer = move |request| door.clone().handle(request);
+        let server = http::serve("callers", listener, threads, limits, answer)?;
         let (done, stopped) = oneshot::channel();
         let inbox = mailbox.clone();
         let registry = self.registry.clone();
--- /dev/null
+++ b/crates/hyssopfork-daemon/tests/processes/limits.rs
@@ -0,0 +1,110 @@
+//! Limits of an entry towards its callers, as its settings give them.
+
+use crate::support::{daemon, layout};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// Longest time that a test waits for a process to listen or to answer. Shorter than every default
+/// of the limits, so that an entry which left its settings unread would not pass.
+const PATIENCE: Duration = Duration::from_secs(4);
+
+/// An entry alone, with short limits; it has no control instance and needs none to refuse.
+fn entry(layout: &layout::Layout, limits: &str) -> (daemon::Daemon, SocketAddr) {
+    let listen = layout.address();
+    let text = format!(
+        r#"{{ "instance": "entry-1", "zone": "zone-a", "roles": ["entry"],
+              "control_addresses": ["{}"], "metrics_listen": "{}",
+              "entry": {{ "listen": "{listen}", {limits} }} }}"#,
+        layout.address(),
+        layout.address(),
+    );
+    let daemon = daemon::Daemon::start(&layout.folder, "entry-1", &text);
+    (daemon, listen)
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let start = Instant::now();
+    loop {
+        match TcpStream::connect(address) {
+            Ok(stream) => {
+                stream.set_read_timeout(Some(PATIENCE)).unwrap();
+                return stream;
+            }
+            Err(error) => assert!(start.elapsed() < PATIENCE, "{error}"),
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn send(address: SocketAddr, bytes: &str) -> String {
+    let mut stream = connect(address);
+    stream.write_all(bytes.as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+#[test]
+fn a_head_that_does_not_come_in_time_is_refused() {
+    let layout = layout::Layout::new();
+    let (_entry, address) = entry(&layout, r#""head_timeout_ms": 200"#);
+
+    let answer = send(address, "POST /lodge HTTP/1.1\r\nhost: a\r\n");
+
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+}
+
+#[test]
+fn a_body_that_does_not_come_in_time_is_refused_as_not_run() {
+    let layout = layout::Layout::new();
+    let (_entry, address) = entry(&layout, r#""body_timeout_ms": 200"#);
+    let head = "POST /lodge HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 9\r\n\r\n";
+
+    let answer = send(address, &format!("{head}part"));
+
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("not_run"), "{answer}");
+}
+
+#[test]
+fn a_body_over_the_limit_is_refused_as_not_run() {
+    let layout = layout::Layout::new();
+    let (_entry, address) = entry(&layout, r#""body_limit_bytes": 8"#);
+    let head = "POST /lodge HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 9\r\n\r\n";
+
+    let answer = send(address, &format!("{head}123456789"));
+
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    assert!(answer.contains("not_run"), "{answer}");
+}
+
+#[test]
+fn an_idle_connection_is_closed_after_its_time() {
+    let layout = layout::Layout::new();
+    let (_entry, address) = entry(&layout, r#""keep_alive_ms": 200"#);
+
+    let answer = send(address, "GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n");
+
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+#[test]
+fn connections_over_the_limit_wait_until_others_end() {
+    let layout = layout::Layout::new();
+    let (_entry, address) = entry(&layout, r#""connection_limit": 1"#);
+    let first = connect(address);
+    std::thread::sleep(Duration::from_millis(100));
+    let mut second = connect(address);
+    second.write_all(b"GET /healthz HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n").unwrap();
+
+    second.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+    let early = second.read(&mut [0; 16]);
+    drop(first);
+    second.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut answer = String::new();
+    second.read_to_string(&mut answer).unwrap();
+
+    assert!(early.is_err(), "{early:?}");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
--- a/crates/hyssopfork-daemon/tests/processes/main.rs
+++ b/crates/hyssopfork-daemon/tests/processes/main.rs
@@ -3,6 +3,7 @@
 mod at_most_once;
 mod cut_answers;
 mod groups;
+mod limits;
 mod soak;
 mod stop;
 mod support;
