--- a/crates/hyssopfork-cli/src/client.rs
+++ b/crates/hyssopfork-cli/src/client.rs
@@ -163,5 +163,13 @@
     let mut context = context::current();
     context.deadline = Instant::now() + limit;
     let answer = client.call(context, envelope::Envelope::new(request.clone())).await;
-    answer.map_err(|cause| Fault { text: format!("the call failed: {cause}"), sent: true })
+    answer.map_err(|cause| Fault { text: describe(&cause), sent: true })
+}
+
+fn describe(cause: &client::RpcError) -> String {
+    match cause {
+        client::RpcError::DeadlineExceeded => "no answer in time".into(),
+        client::RpcError::Server(error) => format!("it failed: {error}"),
+        _ => "the connection broke off, or this is no control instance's `control.listen`".into(),
+    }
 }
--- a/crates/hyssopfork-cli/src/command/status.rs
+++ b/crates/hyssopfork-cli/src/command/status.rs
@@ -1,7 +1,7 @@
 //! `status`: one screen for a control room.
 
 use super::group;
-use crate::{client, context, error, output, screen};
+use crate::{client, context, error, output, screen, traffic};
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use serde::Serialize;
 use std::net;
@@ -10,6 +10,7 @@
 pub const EXAMPLES: &[&str] = &[
     "hyssopfork status --control 127.0.0.1:7100,127.0.0.1:7110,127.0.0.1:7120",
     "hyssopfork status --check --output json --control 127.0.0.1:7100",
+    "hyssopfork status --entry-metrics 127.0.0.1:7300,127.0.0.1:7301 --control 127.0.0.1:7100",
 ];
 
 /// The command.
@@ -18,12 +19,22 @@
         .long("check")
         .action(ArgAction::SetTrue)
         .help("Exit code 1 unless every group serves and the configuration is in force everywhere");
-    super::described("status", "Show the whole fleet on one screen", EXAMPLES).arg(check)
+    let metrics = Arg::new("entry-metrics")
+        .long("entry-metrics")
+        .value_name("IP:PORT")
+        .action(ArgAction::Append)
+        .value_delimiter(',')
+        .value_parser(clap::value_parser!(net::SocketAddr))
+        .help("`metrics_listen` of entries, to show queues and refusals of each team");
+    super::described("status", "Show the whole fleet on one screen", EXAMPLES)
+        .arg(check)
+        .arg(metrics)
 }
 
 #[derive(Serialize)]
 struct Shown<'a> {
     control: Vec<Row>,
+    traffic: Option<&'a traffic::Traffic>,
     #[serde(flatten)]
     screen: &'a screen::Screen,
 }
@@ -43,9 +54,17 @@
     let client = context.client()?;
     let screen = screen::draw(&client.status().await?);
     let standings = client.standings().await;
+    let traffic = match matches.get_many::<net::SocketAddr>("entry-metrics") {
+        Some(addresses) => Some(traffic::ask(&addresses.copied().collect::<Vec<_>>()).await),
+        None => None,
+    };
     let text = match output {
-        output::Output::Json => output::json(&Shown { control: rows(&standings), screen: &screen }),
-        output::Output::Table => render(&screen, &standings),
+        output::Output::Json => output::json(&Shown {
+            control: rows(&standings),
+            traffic: traffic.as_ref(),
+            screen: &screen,
+        }),
+        output::Output::Table => render(&screen, &standings, traffic.as_ref()),
     };
     let unwell = matches.get_flag("check") && !screen.is_well();
     Ok(output::Report { text, code: if unwell { error::FOUND } else { 0 } })
@@ -59,14 +78,19 @@
     standings.iter().map(row).collect()
 }
 
-fn render(screen: &screen::Screen, standings: &[(net::SocketAddr, client::Standing)]) -> String {
-    let parts = [
+fn render(
+    screen: &screen::Screen,
+    standings: &[(net::SocketAddr, client::Standing)],
+    traffic: Option<&traffic::Traffic>,
+) -> String {
+    let mut parts = vec![
         head(screen),
         control(standings),
         zones(&screen.zones),
         group::list::render(&screen.groups),
         troubles(screen),
     ];
+    parts.extend(traffic.map(traffic::Traffic::render));
     parts.join("\n")
 }
 
@@ -75,7 +99,7 @@
         format!("in force everywhere ({} processes, {} entries)", screen.holders, screen.entries)
     } else {
         let behind = screen.behind.len();
-        format!("NOT YET in force on {behind} of {} processes (below)", screen.holders)
+        format!("NOT YET reported in force by {behind} of {} processes (below)", screen.holders)
     };
     format!(
         "configuration {}  {force}\nleader {}  term {}  committed {}  view {}  stranded \
--- a/crates/hyssopfork-cli/src/lib.rs
+++ b/crates/hyssopfork-cli/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod program;
 pub mod screen;
 pub mod submission;
+pub mod traffic;
--- /dev/null
+++ b/crates/hyssopfork-cli/src/traffic.rs
@@ -0,0 +1,134 @@
+//! What entries say of their traffic, read from their metrics.
+
+use crate::output;
+use bytes::Bytes;
+use hyssopfork_exchange::{connection, error};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::net;
+use std::time::Duration;
+
+/// Time that an entry has to tell its metrics.
+const LIMIT: Duration = Duration::from_secs(2);
+
+/// What one team received since the entries started.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Team {
+    /// Requests answered whole.
+    pub answered: u64,
+    /// Requests refused whose work did not run.
+    pub not_run: u64,
+    /// Requests refused whose work may have run.
+    pub may_have_run: u64,
+    /// Answers that were cut.
+    pub cut: u64,
+    /// Refusals by reason.
+    pub reasons: BTreeMap<String, u64>,
+}
+
+/// What all asked entries say together.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Traffic {
+    /// Requests that wait.
+    pub queued: u64,
+    /// Requests being answered.
+    pub in_flight: u64,
+    /// By team; requests without a team's token stand under the empty name.
+    pub teams: BTreeMap<String, Team>,
+    /// Entries that gave no metrics.
+    pub silent: Vec<net::SocketAddr>,
+}
+
+/// Asks the entries' `metrics_listen` addresses.
+pub async fn ask(addresses: &[net::SocketAddr]) -> Traffic {
+    let mut traffic = Traffic::default();
+    for &address in addresses {
+        match actix_rt::time::timeout(LIMIT, fetch(address)).await {
+            Ok(Ok(body)) => traffic.add(&String::from_utf8_lossy(&body)),
+            _ => traffic.silent.push(address),
+        }
+    }
+    traffic
+}
+
+async fn fetch(address: net::SocketAddr) -> Result<Bytes, error::Error> {
+    let mut connection = connection::Connection::open(address).await?;
+    let request = connection::Request { method: "GET", path: "/metrics", headers: &[] };
+    connection.send(&request, Bytes::new()).await?;
+    connection.head().await?;
+    connection.rest().await
+}
+
+impl Traffic {
+    /// Adds one entry's metrics.
+    pub fn add(&mut self, text: &str) {
+        for line in text.lines().filter(|line| !line.starts_with('#')) {
+            let Some((series, value)) = line.rsplit_once(' ') else { continue };
+            let Ok(value) = value.parse::<f64>() else { continue };
+            self.add_series(series, value as u64);
+        }
+    }
+
+    fn add_series(&mut self, series: &str, value: u64) {
+        let (name, labels) = series.split_once('{').unwrap_or((series, ""));
+        let team = || label(labels, "team").unwrap_or_default().to_owned();
+        match name {
+            "hyssopfork_queued" => self.queued += value,
+            "hyssopfork_in_flight" => self.in_flight += value,
+            "hyssopfork_answers_total" => self.teams.entry(team()).or_default().answered += value,
+            "hyssopfork_cut_answers_total" => self.teams.entry(team()).or_default().cut += value,
+            "hyssopfork_refusals_total" => self.refused(labels, value),
+            _ => {}
+        }
+    }
+
+    fn refused(&mut self, labels: &str, value: u64) {
+        let team = label(labels, "team").unwrap_or_default().to_owned();
+        let team = self.teams.entry(team).or_default();
+        match label(labels, "ran") {
+            Some("not_run") => team.not_run += value,
+            _ => team.may_have_run += value,
+        }
+        let reason = label(labels, "reason").unwrap_or_default().to_owned();
+        *team.reasons.entry(reason).or_default() += value;
+    }
+
+    /// As a table.
+    pub fn render(&self) -> String {
+        let mut table = output::Table::new(&[
+            "TEAM",
+            "ANSWERED",
+            "NOT RUN",
+            "MAY HAVE RUN",
+            "CUT",
+            "REFUSED BECAUSE",
+        ]);
+        for (name, team) in &self.teams {
+            let reasons = team.reasons.iter().map(|(reason, count)| format!("{reason} {count}"));
+            table.row([
+                if name.is_empty() { "(none)".into() } else { name.clone() },
+                team.answered.to_string(),
+                team.not_run.to_string(),
+                team.may_have_run.to_string(),
+                team.cut.to_string(),
+                reasons.collect::<Vec<_>>().join(", "),
+            ]);
+        }
+        let silent: Vec<String> =
+            self.silent.iter().map(|address| format!("no metrics from {address}\n")).collect();
+        format!(
+            "queued {}  in flight {}\n{}{}",
+            self.queued,
+            self.in_flight,
+            table.render(),
+            silent.concat()
+        )
+    }
+}
+
+/// A label's value; teams and reasons hold no quotes.
+fn label<'a>(labels: &'a str, name: &str) -> Option<&'a str> {
+    let pairs = labels.trim_end_matches('}').split(',');
+    let value = pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name)?.1;
+    Some(value.trim_matches('"'))
+}
--- a/crates/hyssopfork-cli/tests/all/main.rs
+++ b/crates/hyssopfork-cli/tests/all/main.rs
@@ -10,4 +10,5 @@
 mod screen;
 mod shipped;
 mod support;
+mod traffic;
 mod watch;
--- a/crates/hyssopfork-daemon/src/log.rs
+++ b/crates/hyssopfork-daemon/src/log.rs
@@ -2,6 +2,7 @@
 
 use crate::notice;
 use hyssopfork_agent::notice as agent;
+use hyssopfork_consensus::notice as consensus;
 use hyssopfork_control::notice as control;
 use hyssopfork_entry::{measure, notice as entry};
 use hyssopfork_telemetry::{log, metrics};
@@ -40,7 +41,24 @@
     )*};
 }
 
-numbered!(notice {}, agent { Watch }, entry { Watch }, watch {}, control {});
+numbered!(notice {}, agent { Watch }, entry { Watch }, watch {}, control { Log });
+
+impl Numbered for consensus::Notice {
+    fn number(&self) -> u16 {
+        consensus::Notice::number(self)
+    }
+
+    fn level(&self) -> level::Level {
+        match consensus::Notice::level(self) {
+            consensus::Level::Info => level::Level::Info,
+            consensus::Level::Warn => level::Level::Warn,
+        }
+    }
+
+    fn name(&self) -> String {
+        format!("{:?}", consensus::Kind::from(self))
+    }
+}
 
 /// Writes a numbered event.
 pub fn notice(notice: &impl Numbered) {
