--- a/crates/hyssopfork-agent/src/core.rs
+++ b/crates/hyssopfork-agent/src/core.rs
@@ -65,6 +65,11 @@
             && (!grouped || self.gate(now).is_whole())
     }
 
+    /// The view and the lease on it, for metrics.
+    pub fn watcher(&self) -> &watcher::Watcher {
+        &self.watcher
+    }
+
     /// Takes in an event and says what is to be done, in order.
     pub fn step(&mut self, now: clock::Instant, event: event::Event) -> Vec<action::Action> {
         let mut actions = Vec::new();
--- a/crates/hyssopfork-control/src/core.rs
+++ b/crates/hyssopfork-control/src/core.rs
@@ -150,6 +150,11 @@
         mem::take(&mut self.actions)
     }
 
+    /// Term and committed index of the replicated log, for metrics.
+    pub fn progress(&self) -> (number::Term, number::Index) {
+        (self.node.term(), self.node.committed())
+    }
+
     /// The state, for tests and status pages.
     pub fn machine(&self) -> &machine::Machine {
         &self.machine
--- a/crates/hyssopfork-daemon/src/agent/role.rs
+++ b/crates/hyssopfork-daemon/src/agent/role.rs
@@ -3,6 +3,7 @@
 use crate::agent::{answer, engine, upstream};
 use crate::{clock, link, mailbox, monitor};
 use hyssopfork_agent::{action, core, event};
+use hyssopfork_telemetry::metrics;
 use hyssopfork_wire::{attempt, clock as wire_clock, member, timing};
 use std::collections::HashMap;
 use std::net;
@@ -55,6 +56,7 @@
     mailbox: mailbox::Mailbox<Input>,
     links: Rc<link::Links>,
     readiness: Arc<monitor::Readiness>,
+    registry: Arc<metrics::Registry>,
     upstream: net::SocketAddr,
     slots: HashMap<attempt::Identifier, Slot>,
     cancels: HashMap<u64, oneshot::Sender<attempt::Cancelled>>,
@@ -69,6 +71,7 @@
         core: core::Core,
         mailbox: mailbox::Mailbox<Input>,
         readiness: Arc<monitor::Readiness>,
+        registry: Arc<metrics::Registry>,
         upstream: net::SocketAddr,
     ) -> Role {
         Role {
@@ -76,6 +79,7 @@
             mailbox,
             links: Rc::default(),
             readiness,
+            registry,
             upstream,
             slots: HashMap::new(),
             cancels: HashMap::new(),
@@ -103,6 +107,7 @@
     fn tick(&mut self) {
         self.step(event::Event::Tick);
         self.readiness.set(self.core.is_ready(clock::now()));
+        crate::log::watched(&self.registry, self.core.watcher());
         let oldest = clock::now() - timing::ANSWER_LINGER;
         self.slots.retain(|_, slot| {
             if slot.ended.is_none() && slot.answer.has_ended() {
--- a/crates/hyssopfork-daemon/src/control/role.rs
+++ b/crates/hyssopfork-daemon/src/control/role.rs
@@ -3,6 +3,7 @@
 use crate::control::{journal, peers};
 use crate::{clock, monitor};
 use hyssopfork_control::{action, core, event};
+use hyssopfork_telemetry::metrics;
 use hyssopfork_wire::control;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -26,6 +27,7 @@
     peers: peers::Peers,
     journal: journal::Writer,
     readiness: Arc<monitor::Readiness>,
+    registry: Arc<metrics::Registry>,
     calls: HashMap<u64, oneshot::Sender<control::Response>>,
     count: u64,
     stopped: bool,
@@ -38,8 +40,10 @@
         peers: peers::Peers,
         journal: journal::Writer,
         readiness: Arc<monitor::Readiness>,
+        registry: Arc<metrics::Registry>,
     ) -> Role {
-        Role { core, peers, journal, readiness, calls: HashMap::new(), count: 0, stopped: false }
+        let calls = HashMap::new();
+        Role { core, peers, journal, readiness, registry, calls, count: 0, stopped: false }
     }
 
     /// Runs until the core says that it has stopped.
@@ -59,6 +63,10 @@
     fn tick(&mut self) {
         self.step(event::Event::Tick);
         self.readiness.set(self.core.is_ready());
+        let (term, committed) = self.core.progress();
+        self.registry.consensus(term, committed, self.core.leads());
+        let view = self.core.machine().view();
+        self.registry.in_force(view.configuration.number, view.version);
         let closed: Vec<u64> = self
             .calls
             .iter()
--- a/crates/hyssopfork-daemon/src/log.rs
+++ b/crates/hyssopfork-daemon/src/log.rs
@@ -1,14 +1,15 @@
 //! Writes the cores' numbered events and measurements.
 
-use crate::notice;
+use crate::{clock, notice};
 use hyssopfork_agent::notice as agent;
 use hyssopfork_consensus::notice as consensus;
 use hyssopfork_control::notice as control;
 use hyssopfork_entry::{measure, notice as entry};
 use hyssopfork_telemetry::{log, metrics};
-use hyssopfork_watch::notice as watch;
+use hyssopfork_watch::{notice as watch, watcher};
 use hyssopfork_wire::{level, refusal};
 use std::fmt;
+use std::time::Duration;
 
 /// A numbered event of any role.
 pub trait Numbered: fmt::Display {
@@ -88,3 +89,12 @@
         measure::Outcome::Refused(..) | measure::Outcome::Gone => {}
     }
 }
+
+/// Tells what a watcher acts on.
+pub fn watched(registry: &metrics::Registry, watcher: &watcher::Watcher) {
+    let now = clock::now();
+    let left = watcher.lease_until().map_or(Duration::ZERO, |until| now.until(until));
+    registry.lease_left(left);
+    let view = watcher.view();
+    registry.in_force(view.configuration.number, view.version);
+}
--- a/crates/hyssopfork-daemon/src/process.rs
+++ b/crates/hyssopfork-daemon/src/process.rs
@@ -170,9 +170,10 @@
         self.serve(section.listen, mailbox.clone(), control::server::serve).await?;
         let (done, stopped) = oneshot::channel();
         let inbox = mailbox.clone();
+        let registry = self.registry.clone();
         self.state.spawn_fn(move || {
             let peers = control::peers::Peers::new(addresses);
-            let role = control::role::Role::new(core, peers, writer, readiness);
+            let role = control::role::Role::new(core, peers, writer, readiness, registry);
             actix_rt::spawn(async move {
                 role.run(inputs).await;
                 let _process_gone = done.send(());
@@ -214,8 +215,9 @@
         let (done, stopped) = oneshot::channel();
         let inbox = mailbox.clone();
         let upstream = section.upstream;
+        let registry = self.registry.clone();
         self.state.spawn_fn(move || {
-            let role = agent::role::Role::new(core, mailbox, readiness, upstream);
+            let role = agent::role::Role::new(core, mailbox, readiness, registry, upstream);
             actix_rt::spawn(async move {
                 role.run(inputs).await;
                 let _process_gone = done.send(());
--- a/crates/hyssopfork-daemon/tests/processes/main.rs
+++ b/crates/hyssopfork-daemon/tests/processes/main.rs
@@ -4,7 +4,11 @@
 mod cut_answers;
 mod groups;
 mod limits;
+<<<<<<< HEAD
 mod soak;
+=======
+mod metrics;
+>>>>>>> 62eb60b (Feed the gauges of lease, configuration, consensus and queue)
 mod stop;
 mod support;
 mod whole_path;
--- /dev/null
+++ b/crates/hyssopfork-daemon/tests/processes/metrics.rs
@@ -0,0 +1,48 @@
+//! What a process tells of itself at its metrics address.
+
+use crate::support::{daemon, fleet, layout, operator};
+use bytes::Bytes;
+use hyssopfork_exchange::connection;
+use hyssopfork_wire::patch;
+use std::net::SocketAddr;
+
+async fn metrics(address: SocketAddr) -> String {
+    let mut connection = connection::Connection::open(address).await.unwrap();
+    let request = connection::Request { method: "GET", path: "/metrics", headers: &[] };
+    connection.send(&request, Bytes::new()).await.unwrap();
+    connection.head().await.unwrap();
+    String::from_utf8(connection.rest().await.unwrap().to_vec()).unwrap()
+}
+
+fn gauge(metrics: &str, name: &str) -> f64 {
+    let line = metrics.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    line.unwrap_or_else(|| panic!("{name} in {metrics}")).parse().unwrap()
+}
+
+#[actix_rt::test]
+async fn gauges_tell_lease_configuration_and_consensus() {
+    let layout = layout::Layout::new();
+    let (control, monitor) = (layout.address(), layout.address());
+    let voters = layout::voters(&[("control-1".to_owned(), control)]);
+    let text = format!(
+        r#"{{ "instance": "control-1", "zone": "zone-a", "roles": ["control", "entry"],
+              "control_addresses": ["{control}"], "metrics_listen": "{monitor}",
+              "entry": {{ "listen": "{}" }},
+              "control": {{ "listen": "{control}", "data_folder": "{}", {voters} }} }}"#,
+        layout.address(),
+        layout.folder.join("data").display(),
+    );
+    let _daemon = daemon::Daemon::start(&layout.folder, "control-1", &text);
+    let operator = operator::Operator::new(vec![control]);
+    let declare = patch::Operation::Declare(Box::new(fleet::declaration()));
+    operator.submit("declare", 0, vec![declare]).await;
+    operator.wait("the entry holds", |status| operator::all_hold(status, 1)).await;
+
+    let metrics = metrics(monitor).await;
+
+    assert_eq!(gauge(&metrics, "hyssopfork_configuration_number"), 1.0);
+    assert_eq!(gauge(&metrics, "hyssopfork_consensus_leads"), 1.0);
+    assert!(gauge(&metrics, "hyssopfork_consensus_committed") >= 2.0, "{metrics}");
+    let left = gauge(&metrics, "hyssopfork_lease_left_seconds");
+    assert!(left > 0.0 && left <= 2.5, "{left}");
+}
--- a/crates/hyssopfork-entry/src/core.rs
+++ b/crates/hyssopfork-entry/src/core.rs
@@ -78,6 +78,17 @@
         self.stopping.is_none() && self.watcher.is_recent(now)
     }
 
+    /// The view and the lease on it, for metrics.
+    pub fn watcher(&self) -> &watcher::Watcher {
+        &self.watcher
+    }
+
+    /// Requests that wait, and all that are not over, for metrics.
+    pub fn occupancy(&self) -> (usize, usize) {
+        let queued = self.pools.values().map(|pool| pool.queue.len()).sum();
+        (queued, self.requests.len())
+    }
+
     /// Takes in an event and says what is to be done, in order.
     pub fn step(&mut self, now: clock::Instant, event: event::Event) -> Vec<action::Action> {
         if self.stopped {
--- a/crates/hyssopfork-telemetry/src/metrics.rs
+++ b/crates/hyssopfork-telemetry/src/metrics.rs
@@ -35,7 +35,7 @@
     cut: Counters<label::Share>,
     queued: gauge::Gauge,
     in_flight: gauge::Gauge,
-    lease_age: Seconds,
+    lease_left: Seconds,
     configuration: gauge::Gauge,
     version: gauge::Gauge,
     term: gauge::Gauge,
@@ -65,7 +65,11 @@
             cut: counted(into, "cut_answers", "Answers that ended with an error mark"),
             queued: level(into, "queued", "Requests that wait"),
             in_flight: level(into, "in_flight", "Requests being answered"),
-            lease_age: seconds(into, "lease_age_seconds", "Time since the lease was asked for"),
+            lease_left: seconds(
+                into,
+                "lease_left_seconds",
+                "Time until the lease lapses; 0 without one",
+            ),
             configuration: level(into, "configuration_number", "Configuration number in force"),
             version: level(into, "view_version", "Version of the view in force"),
             term: level(into, "consensus_term", "Term of the replicated log"),
@@ -119,9 +123,9 @@
         self.in_flight.set(in_flight as i64);
     }
 
-    /// Time since the lease in force was asked for.
-    pub fn lease_age(&self, age: Duration) {
-        self.lease_age.set(age.as_secs_f64());
+    /// Time until the lease on the view lapses.
+    pub fn lease_left(&self, left: Duration) {
+        self.lease_left.set(left.as_secs_f64());
     }
 
     /// Configuration number and view version in force.
--- a/crates/hyssopfork-telemetry/tests/metrics.rs
+++ b/crates/hyssopfork-telemetry/tests/metrics.rs
@@ -42,12 +42,12 @@
     let registry = metrics::Registry::new();
 
     registry.in_force(number::Configuration(7), number::Version(41));
-    registry.lease_age(Duration::from_millis(1_500));
+    registry.lease_left(Duration::from_millis(1_500));
     registry.consensus(number::Term(3), number::Index(99), true);
 
     let text = registry.encode();
     assert!(text.contains("hyssopfork_configuration_number 7\n"), "{text}");
-    assert!(text.contains("hyssopfork_lease_age_seconds 1.5\n"), "{text}");
+    assert!(text.contains("hyssopfork_lease_left_seconds 1.5\n"), "{text}");
     assert!(text.contains("hyssopfork_consensus_leads 1\n"), "{text}");
 }
 
