Let the mark of a cut stream go out before its connection breaks

The entry hands the error event and the break to the server one right after the other; actix-http drops what it has not written when a body breaks off, so the mark never left.

Seen failing with the safeguard off: the new test, every engine dying while a stream runs, got a token's event as the last one. With the wait: 23 process tests pass.

--- a/crates/hyssopfork-daemon/src/entry/conversation.rs
+++ b/crates/hyssopfork-daemon/src/entry/conversation.rs
@@ -10,11 +10,18 @@
 use hyssopfork_wire::{attempt as wire_attempt, frame, refusal};
 use std::collections::HashMap;
 use std::io;
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
 /// Parts of an answer that wait for a slow caller; then the reading from the agent waits too.
 const PARTS_LIMIT: usize = 16;
 
+/// Time in which the server writes a part that it has taken.
+const MARK_WAIT: Duration = Duration::from_millis(20);
+
+/// Waits for a slow caller to take its last parts; 2 s in all.
+const MARK_WAITS: u32 = 100;
+
 /// Header that carries the request's identifier to the caller.
 const REQUEST_HEADER: &str = "hyssopfork-request";
 
@@ -251,11 +258,25 @@
             let json = serde_json::to_string(&document).expect("documents are plain data");
             let event = format!("event: error\ndata: {json}\n\n");
             let _caller_gone = outlet.send(Ok(Bytes::from(event))).await;
+            taken(&outlet).await;
         }
         let _caller_gone = outlet.send(Err(io::Error::other("the answer was cut"))).await;
     }
 }
 
+/// Waits until the server has taken all parts and had time to write them.
+///
+/// It drops what it has not written when a body breaks off: without the wait the mark would be lost
+/// with the connection and the caller told nothing. A caller that reads nothing is not waited for.
+async fn taken(outlet: &Outlet) {
+    for _ in 0..MARK_WAITS {
+        actix_rt::time::sleep(MARK_WAIT).await;
+        if outlet.capacity() == PARTS_LIMIT || outlet.is_closed() {
+            return;
+        }
+    }
+}
+
 async fn next(
     forwarded: &mut Option<(wire_attempt::Identifier, mpsc::Receiver<attempt::Part>)>,
 ) -> Option<attempt::Part> {
--- a/crates/hyssopfork-daemon/tests/processes/cut_answers.rs
+++ b/crates/hyssopfork-daemon/tests/processes/cut_answers.rs
@@ -3,6 +3,7 @@
 use crate::support::{caller, fleet, operator};
 use hyssopfork_test_support::disturbance;
 use hyssopfork_wire::patch;
+use std::time::Duration;
 
 async fn served(engines: usize) -> fleet::Fleet {
     let plan = fleet::Plan { engines, services: 1, ..fleet::Plan::default() };
@@ -71,3 +72,26 @@
     assert!(whole || text.contains("event: error"), "{got:?}");
     assert_eq!(whole, text.matches("text_completion").count() == 12, "{got:?}");
 }
+
+// Every engine dies while a stream runs, and nothing is left to resume on. The caller has a part
+// and the entry breaks the connection so that it doesn't look whole; the mark that says why is
+// written just before, and must have gone out before the connection is gone.
+#[actix_rt::test]
+async fn a_stream_that_nobody_can_go_on_with_ends_in_its_mark() {
+    let fleet = served(2).await;
+    let entry = fleet.entry_addresses[0];
+    let streamed = actix_rt::spawn(async move {
+        caller::post(entry, "/v1/completions", None, &caller::completion(1_000)).await
+    });
+
+    actix_rt::time::sleep(Duration::from_millis(400)).await;
+    for engine in &fleet.engines {
+        engine.fake.disturb(disturbance::Order::Die(Duration::from_secs(60)));
+    }
+    let got = streamed.await.unwrap();
+
+    assert!(!got.is_answer(), "{got:?}");
+    let text = got.text();
+    let mark = text.rsplit("\n\n").find(|event| !event.is_empty()).unwrap_or_default();
+    assert!(mark.starts_with("event: error") && got.says_may_have_run(), "{mark:?}");
+}
