Count a probe's age from when it was sent, and build holders only for renewals

Additive: event::Event::ProbedAt carries when the probe was sent; Probed stays and counts as sent now. The daemon's shell should send ProbedAt with the clock read before it asks. The holder of a renewal (an agent's whole announcement) was built at each step; it is built only when a renewal goes out now. The test of a restarted agent passed without the guard after the start (grants::is_clear without lapsed(self.started)), as the engine wasn't taken for loaded yet; it is now, and fails without.

--- a/crates/hyssopfork-agent/src/core.rs
+++ b/crates/hyssopfork-agent/src/core.rs
@@ -88,7 +88,10 @@
             event::Event::Begun(_) => {}
             event::Event::Ended(attempt) => self.ended(now, attempt),
             event::Event::Failed(attempt, fault) => self.failed(now, attempt, fault, &mut actions),
-            event::Event::Probed(health) => self.probed(now, health, &mut actions),
+            event::Event::Probed(health) => self.probed(now, now, health, &mut actions),
+            event::Event::ProbedAt { sent, health } => {
+                self.probed(now, sent, health, &mut actions);
+            }
             event::Event::Ordered { fence, done } => {
                 self.ordered(now, fence, done, &mut actions);
             }
@@ -131,8 +134,9 @@
 
     fn renew(&mut self, now: clock::Instant, actions: &mut Vec<action::Action>) {
         let report = self.report(now);
-        let holder = control::Holder::Agent(Box::new(self.announcement.clone()), report);
-        let output = self.watcher.tick(now, &holder, self.stopping.is_some());
+        let announcement = &self.announcement;
+        let holder = || control::Holder::Agent(Box::new(announcement.clone()), report);
+        let output = self.watcher.tick(now, holder, self.stopping.is_some());
         self.take_output(output, actions);
     }
 
@@ -174,12 +178,13 @@
     fn probed(
         &mut self,
         now: clock::Instant,
+        sent: clock::Instant,
         health: Option<event::Health>,
         actions: &mut Vec<action::Action>,
     ) {
         let own = self.attempts.running();
         let wanted = self.placed_fence();
-        let notice = match self.engine.probe(now, health, own, wanted) {
+        let notice = match self.engine.probe(now, sent, health, own, wanted) {
             engine::Change::None => return,
             engine::Change::Down => notice::Notice::BackEndDown,
             engine::Change::Up => notice::Notice::BackEndUp,
--- a/crates/hyssopfork-agent/src/engine.rs
+++ b/crates/hyssopfork-agent/src/engine.rs
@@ -91,11 +91,12 @@
         self.ramp.is_warm()
     }
 
-    /// Takes a probe. `own` attempts of this process run, and `wanted` is the fencing number that
+    /// Takes a probe that was sent at `sent`. `own` attempts of this process run, and `wanted` is the fencing number that
     /// this instance is placed under.
     pub fn probe(
         &mut self,
         now: clock::Instant,
+        sent: clock::Instant,
         health: Option<event::Health>,
         own: u32,
         wanted: Option<number::Fence>,
@@ -103,7 +104,7 @@
         let Some(health) = health else { return self.fall() };
         let returned = !self.alive;
         self.alive = true;
-        self.probed = now;
+        self.probed = self.probed.max(sent);
         self.count_foreign(health.running, own);
         if self.is_another(&health, returned) {
             self.incarnation = health.incarnation;
--- a/crates/hyssopfork-agent/src/event.rs
+++ b/crates/hyssopfork-agent/src/event.rs
@@ -1,6 +1,6 @@
 //! What happens to an agent.
 
-use hyssopfork_wire::{attempt, control, member, number};
+use hyssopfork_wire::{attempt, clock, control, member, number};
 
 /// State of the back end as a probe found it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -72,8 +72,17 @@
     Ended(attempt::Identifier),
     /// The upstream's answer will not be whole.
     Failed(attempt::Identifier, Fault),
-    /// A probe of the back end came back; `None` when it doesn't answer.
+    /// A probe of the back end came back; `None` when it doesn't answer. Counts as sent now: use
+    /// [`Event::ProbedAt`] where the answer may have waited.
     Probed(Option<Health>),
+    /// A probe of the back end that was sent at `sent` came back. Its answer says what was true
+    /// then: one that was read only after a pause of the process may be long out of date.
+    ProbedAt {
+        /// When the probe was sent, on the clock that steps are given.
+        sent: clock::Instant,
+        /// What it found; `None` when the back end doesn't answer.
+        health: Option<Health>,
+    },
     /// The engine answered an order to load; `false` when it refused or failed.
     Ordered {
         /// Fencing number of the order.
--- a/crates/hyssopfork-agent/tests/agent/gate.rs
+++ b/crates/hyssopfork-agent/tests/agent/gate.rs
@@ -156,6 +156,20 @@
     assert_eq!(refusal.map(|refusal| refusal.reason), Some(refusal::Reason::NoUpstream));
 }
 
+// Found by random histories: the answer to a probe waited, while the process was paused, to be read.
+// It says what was true when the probe was sent.
+#[test]
+fn probes_answer_that_waited_is_as_old_as_the_probe() {
+    let mut agent = fixture::service(true);
+    let sent = agent.now;
+    agent.pause(engine::PROBE_AGE);
+    agent.step(event::Event::ProbedAt { sent, health: Some(fixture::health("a", None)) });
+
+    let refusal = agent.refusal(fixture::plain_offer(1));
+
+    assert_eq!(refusal.map(|refusal| refusal.reason), Some(refusal::Reason::NoUpstream));
+}
+
 // Found by random histories: the agent's process was restarted, and gave a cold back end that can't
 // cancel its whole limit anew, beside what the process before had given it.
 #[test]
--- a/crates/hyssopfork-agent/tests/agent/group.rs
+++ b/crates/hyssopfork-agent/tests/agent/group.rs
@@ -115,8 +115,8 @@
 #[test]
 fn restarted_agent_waits_before_it_stands_by_anything() {
     let mut agent = fixture::engine("i1");
-    agent.probe(Some(fixture::health("a", Some(fixture::FENCE))));
     agent.hold(Duration::ZERO);
+    agent.probe(Some(fixture::health("a", Some(fixture::FENCE))));
 
     let early = agent.ask(fixture::request(fixture::FENCE));
     agent.pass(timing::GROUP_GRANT_GUARD);
--- a/crates/hyssopfork-entry/src/core.rs
+++ b/crates/hyssopfork-entry/src/core.rs
@@ -194,8 +194,9 @@
     }
 
     fn renew(&mut self, now: clock::Instant) {
-        let holder = control::Holder::Entry(self.settings.instance.clone());
-        let output = self.watcher.tick(now, &holder, self.stopping.is_some());
+        let instance = &self.settings.instance;
+        let holder = || control::Holder::Entry(instance.clone());
+        let output = self.watcher.tick(now, holder, self.stopping.is_some());
         self.take_output(output);
     }
 
--- a/crates/hyssopfork-entry/tests/history/carry.rs
+++ b/crates/hyssopfork-entry/tests/history/carry.rs
@@ -127,7 +127,8 @@
             loaded: upstream.loaded,
         });
         let node = Node::Agent(index);
-        let event = agent::event::Event::Probed(health);
+        let sent = self.clock(node);
+        let event = agent::event::Event::ProbedAt { sent, health };
         self.at_node(node, 500, Happening::Agent(index, event));
         self.at_node(node, timing::PROBE.as_micros() as u64, Happening::Probe(index));
     }
--- a/crates/hyssopfork-watch/src/watcher.rs
+++ b/crates/hyssopfork-watch/src/watcher.rs
@@ -122,13 +122,18 @@
         }
     }
 
-    /// Renews and watches where that is due.
-    pub fn tick(&mut self, now: clock::Instant, holder: &control::Holder, leaving: bool) -> Output {
+    /// Renews and watches where that is due. `holder` is asked for only when a renewal goes out.
+    pub fn tick(
+        &mut self,
+        now: clock::Instant,
+        holder: impl FnOnce() -> control::Holder,
+        leaving: bool,
+    ) -> Output {
         let mut output = Output::default();
         self.note_lease(now, &mut output);
         self.forget_overdue(now);
         if self.renewal.is_none() && now >= self.renew_at {
-            self.renew(now, holder, leaving, &mut output);
+            self.renew(now, holder(), leaving, &mut output);
         }
         self.follow(now, &mut output);
         output
@@ -156,13 +161,13 @@
     fn renew(
         &mut self,
         now: clock::Instant,
-        holder: &control::Holder,
+        holder: control::Holder,
         leaving: bool,
         output: &mut Output,
     ) {
         let Some(to) = self.target.current() else { return };
         let have = self.view.version;
-        let renewal = control::Renewal { holder: holder.clone(), have, leaving };
+        let renewal = control::Renewal { holder, have, leaving };
         let call = self.next_call();
         self.renewal = Some(Outstanding { call, to, sent: now, leaving });
         self.renewed_at = now;
--- a/crates/hyssopfork-watch/tests/watcher.rs
+++ b/crates/hyssopfork-watch/tests/watcher.rs
@@ -31,7 +31,7 @@
 
 /// Ticks, and gives the renewal that went out.
 fn renewal(watcher: &mut watcher::Watcher, now: clock::Instant) -> watcher::Call {
-    let output = watcher.tick(now, &holder(), false);
+    let output = watcher.tick(now, holder, false);
     let renews = |call: &watcher::Call| matches!(call.request, control::Request::Renew(_));
     output.calls.into_iter().find(renews).expect("a renewal is due")
 }
@@ -76,7 +76,7 @@
     let mut watcher = new_watcher();
     let call = renewal(&mut watcher, START);
     watcher.answered(START, call.call, Some(&granted(whole(1))));
-    let watch = watcher.tick(START, &holder(), false).calls.pop().expect("a watch goes out");
+    let watch = watcher.tick(START, holder, false).calls.pop().expect("a watch goes out");
     let later = START + timing::RENEWAL;
     let call = renewal(&mut watcher, later);
     let step = |version| change::Step { version: number::Version(version), changes: Vec::new() };
@@ -114,7 +114,7 @@
 
     let second = loop {
         now = now + Duration::from_millis(25);
-        let output = watcher.tick(now, &holder(), false);
+        let output = watcher.tick(now, holder, false);
         if let Some(call) = output.calls.into_iter().next() {
             break call;
         }
@@ -134,14 +134,14 @@
         let watch = |call: &&watcher::Call| matches!(call.request, control::Request::Watch(_));
         output.calls.iter().filter(watch).map(|call| call.to).collect::<Vec<_>>()
     };
-    let first = watches(&watcher.tick(START, &holder(), false));
+    let first = watches(&watcher.tick(START, holder, false));
     let later = START + timing::RENEWAL;
     let call = renewal(&mut watcher, later);
     let hint = control::Response::NotLeader(Some(address(3)));
 
     watcher.answered(later, call.call, Some(&hint));
-    let moved = watches(&watcher.tick(later + timing::RENEWAL, &holder(), false));
-    let again = watches(&watcher.tick(later + timing::RENEWAL, &holder(), false));
+    let moved = watches(&watcher.tick(later + timing::RENEWAL, holder, false));
+    let again = watches(&watcher.tick(later + timing::RENEWAL, holder, false));
 
     assert_eq!(first, vec![address(1)]);
     assert_eq!(moved, vec![address(3)]);
@@ -175,7 +175,7 @@
     for milli in 0..40 {
         watcher.hear(number::Version(2));
         let now = START + Duration::from_millis(milli * 5);
-        let output = watcher.tick(now, &holder(), false);
+        let output = watcher.tick(now, holder, false);
         for call in output.calls {
             if matches!(call.request, control::Request::Renew(_)) {
                 renewals += 1;
