--- a/crates/hyssopfork-entry/tests/history/shell.rs
+++ b/crates/hyssopfork-entry/tests/history/shell.rs
@@ -122,7 +122,10 @@
             }
             agent::action::Action::Prepare { attempt, load } => {
                 self.frame(index, attempt, Frame::Load(load));
-                let delay = self.random.random_range(10..2 * MILLI);
+                // Opening the upstream's connection may take as long as it likes.
+                let slow = !self.quiet && self.random.random_ratio(1, 20);
+                let most = if slow { 3_000 * MILLI } else { 2 * MILLI };
+                let delay = self.random.random_range(10..most);
                 let ready = agent::event::Event::Ready(attempt);
                 self.at_node(node, delay, Happening::Agent(index, ready));
             }
