--- a/crates/hyssopfork-consensus/src/node.rs
+++ b/crates/hyssopfork-consensus/src/node.rs
@@ -187,6 +187,7 @@
     /// Takes an event and gives the actions that answer it.
     pub fn step(&mut self, now: clock::Instant, event: event::Event) -> Vec<action::Action> {
         self.now = self.now.max(now);
+        self.check_quorum();
         match event {
             event::Event::Tick => self.tick(),
             event::Event::Received(packet) => self.received(packet),
@@ -296,7 +297,7 @@
             consensus::Message::Release { term, successor } => {
                 self.released(from, term, successor);
             }
-            consensus::Message::Join => self.asked_to_join(from),
+            consensus::Message::Join { relayed } => self.asked_to_join(from, relayed),
             consensus::Message::Form { instances } => self.asked_to_form(from, instances),
             consensus::Message::Blank { folder } => self.found_blank(from, folder),
         }
