Tell the agent's core when a probe was sent

One line in the daemon's shell, so that an answer that waited while the process was paused isn't taken for fresh (see ProbedAt). Compiled and linted here; not run with real processes.

--- a/crates/hyssopfork-daemon/src/agent/engine.rs
+++ b/crates/hyssopfork-daemon/src/agent/engine.rs
@@ -1,7 +1,7 @@
 //! Probes of the back end and orders to the engine.
 
 use crate::agent::role;
-use crate::{http, mailbox};
+use crate::{clock, http, mailbox};
 use hyssopfork_agent::{action, event};
 use hyssopfork_wire::{number, timing};
 use serde::{Deserialize, Serialize};
@@ -37,8 +37,9 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let found = look(upstream).await;
-        mailbox.post(role::Input::Event(event::Event::Probed(found)));
+        let sent = clock::now();
+        let health = look(upstream).await;
+        mailbox.post(role::Input::Event(event::Event::ProbedAt { sent, health }));
     }
 }
 
