--- a/crates/hyssopfork-daemon/tests/processes/main.rs
+++ b/crates/hyssopfork-daemon/tests/processes/main.rs
@@ -4,11 +4,8 @@
 mod cut_answers;
 mod groups;
 mod limits;
-<<<<<<< HEAD
-mod soak;
-=======
 mod metrics;
->>>>>>> 62eb60b (Feed the gauges of lease, configuration, consensus and queue)
+mod soak;
 mod stop;
 mod support;
 mod whole_path;
