Eject an upstream whose answers are overdue to begin

Cause: a stall was seen only by silence of four times the usual time to a whole answer (about 8 s), so new requests went to the stalled upstream until then. Time to begin, for each unit of cost, says it within half a second, also for long jobs, whose prompts take seconds. Tests: the bounds for the stall (30 -> 16 lost) and for the small teams' wait beside a hot one (1200 -> 600 ms) are tighter, as the figures allow.

--- a/crates/hyssopfork-policy/model/src/ours.rs
+++ b/crates/hyssopfork-policy/model/src/ours.rs
@@ -191,7 +191,7 @@
     }
 
     fn begun(&mut self, now: clock::Instant, attempt: u64, request: usize) -> Vec<Effect> {
-        self.chooser.heard(now, identifier(attempt));
+        self.chooser.begun(now, identifier(attempt));
         let Some(live) = self.live.get_mut(&request) else { return Vec::new() };
         live.begun = true;
         if let Some(sent) = live.sent {
--- a/crates/hyssopfork-policy/src/choice.rs
+++ b/crates/hyssopfork-policy/src/choice.rs
@@ -54,6 +54,8 @@
     load: balance::Load,
     limit: limit::Limit,
     record: ejection::Record,
+    /// Attempts whose answers have not begun: when each was sent, and its cost.
+    unbegun: BTreeMap<attempt::Identifier, (clock::Instant, u32)>,
     /// Present while the upstream returns from an ejection.
     ramp: Option<ramp::Ramp>,
 }
@@ -89,6 +91,7 @@
             load: balance::Load::default(),
             limit: limit::Limit::new(upstream.concurrency),
             record: ejection::Record::new(now),
+            unbegun: BTreeMap::new(),
             ramp: None,
             upstream,
         });
@@ -185,6 +188,17 @@
             entry.record.heard(now);
         }
         entry.load.own += 1;
+        entry.unbegun.insert(attempt, (now, cost));
+    }
+
+    /// Takes in that an attempt's answer has begun.
+    pub fn begun(&mut self, now: clock::Instant, attempt: attempt::Identifier) {
+        let Some(running) = self.attempts.get(&attempt) else { return };
+        let (instance, begun, cost) = (running.instance.clone(), running.begun, running.cost);
+        let Some(entry) = self.entry(&instance) else { return };
+        if entry.unbegun.remove(&attempt).is_some() {
+            entry.record.begun(now, now.since(begun), cost);
+        }
     }
 
     /// Takes in that something of an attempt's answer came.
@@ -200,6 +214,7 @@
     pub fn end(&mut self, now: clock::Instant, attempt: attempt::Identifier, outcome: Outcome) {
         let Some(running) = self.attempts.remove(&attempt) else { return };
         if let Some(entry) = self.entry(&running.instance) {
+            entry.unbegun.remove(&attempt);
             entry.end(now, &running, outcome);
         }
     }
@@ -261,8 +276,11 @@
             return;
         }
         self.judged = now;
-        let mut records: Vec<_> =
-            self.entries.iter_mut().map(|entry| (&mut entry.record, entry.load.own > 0)).collect();
+        let peers = self.entries.iter_mut().map(|entry| {
+            let work = entry.work(now);
+            (&mut entry.record, work)
+        });
+        let mut records: Vec<_> = peers.collect();
         for index in ejection::judge(now, &mut records) {
             let entry = &mut self.entries[index];
             entry.ramp = Some(ramp::Ramp::new(now, entry.upstream.concurrency));
@@ -271,6 +289,15 @@
 }
 
 impl Entry {
+    fn work(&self, now: clock::Instant) -> ejection::Work {
+        let waits = self.unbegun.values().filter_map(|(sent, cost)| {
+            let waited = now.since(*sent);
+            let long = waited >= ejection::SILENCE_LEAST;
+            long.then(|| waited.as_secs_f64() / f64::from((*cost).max(1)))
+        });
+        ejection::Work { busy: self.load.own > 0, overdue: waits.fold(0.0, f64::max) }
+    }
+
     fn end(&mut self, now: clock::Instant, running: &Running, outcome: Outcome) {
         self.load.own = self.load.own.saturating_sub(1);
         let elapsed = now.since(running.begun);
--- a/crates/hyssopfork-policy/src/ejection.rs
+++ b/crates/hyssopfork-policy/src/ejection.rs
@@ -6,7 +6,8 @@
 //! that hangs holds each request until its deadline.
 //!
 //! *Rule.* An upstream is judged against its peers: a pace of [`SLOW_FACTOR`] times their median,
-//! a run of [`FAILURE_RUN`] failures, or silence with work in flight while peers answer. It is
+//! a run of [`FAILURE_RUN`] failures, an answer that is overdue to begin, or silence with work in
+//! flight while peers answer. It is
 //! ejected for a time that doubles with each repetition, and returns through the ramp. At most
 //! [`MOST`] of the upstreams are out: beyond that the fault is common to all, and ejection would
 //! only take capacity away.
@@ -25,6 +26,10 @@
 /// Silence with work in flight, as a multiple of the peers' longest usual time to an answer.
 pub const SILENCE_FACTOR: f64 = 4.0;
 
+/// Time until an answer begins, for each unit of cost and as a multiple of the peers' median, from
+/// which it is overdue. A cold upstream takes two to three times as long.
+pub const OVERDUE_FACTOR: f64 = 5.0;
+
 /// Least silence that counts: a pause of a garbage collector or a checkpoint is shorter.
 pub const SILENCE_LEAST: Duration = Duration::from_millis(500);
 
@@ -51,6 +56,7 @@
 pub struct Record {
     pace: average::Average,
     elapsed: average::Average,
+    begin: average::Average,
     failures: u32,
     heard: clock::Instant,
     until: Option<clock::Instant>,
@@ -63,6 +69,7 @@
         Record {
             pace: average::Average::new(PACE_SPAN),
             elapsed: average::Average::new(PACE_SPAN),
+            begin: average::Average::new(PACE_SPAN),
             failures: 0,
             heard: now,
             until: None,
@@ -79,6 +86,12 @@
         self.forgive(now);
     }
 
+    /// Takes in that an answer to work of `cost` began after `elapsed`.
+    pub fn begun(&mut self, now: clock::Instant, elapsed: Duration, cost: u32) {
+        self.heard = now;
+        self.begin.add(elapsed.as_secs_f64() / f64::from(cost.max(1)));
+    }
+
     /// Takes in that the upstream failed a piece of work.
     pub fn failed(&mut self, now: clock::Instant) {
         self.heard = now;
@@ -116,23 +129,42 @@
         }
     }
 
-    fn is_outlier(&self, now: clock::Instant, busy: bool, usual: &Usual) -> bool {
+    fn begin(&self) -> Option<f64> {
+        self.begin.get().filter(|_| self.begin.weight() >= JUDGED)
+    }
+
+    fn is_outlier(&self, now: clock::Instant, work: Work, usual: &Usual) -> bool {
         if self.failures >= FAILURE_RUN {
             return true;
         }
+        if usual.begin.is_some_and(|begin| work.overdue > begin * OVERDUE_FACTOR) {
+            return true;
+        }
         let slow = usual.pace.zip(self.pace());
         if slow.is_some_and(|(usual, own)| own > usual * SLOW_FACTOR) {
             return true;
         }
-        busy && usual.elapsed.is_some_and(|elapsed| {
-            let bound = elapsed.mul_f64(SILENCE_FACTOR).max(SILENCE_LEAST);
-            now.since(self.heard) > bound
-        })
+        work.busy
+            && usual.elapsed.is_some_and(|elapsed| {
+                let bound = elapsed.mul_f64(SILENCE_FACTOR).max(SILENCE_LEAST);
+                now.since(self.heard) > bound
+            })
     }
 }
 
+/// What an upstream has in flight.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Whether it has any.
+    pub busy: bool,
+    /// Longest wait of an answer that has not begun, in seconds for each unit of its cost; 0 when
+    /// none has waited for [`SILENCE_LEAST`].
+    pub overdue: f64,
+}
+
 struct Usual {
     pace: Option<f64>,
+    begin: Option<f64>,
     elapsed: Option<Duration>,
 }
 
@@ -141,16 +173,16 @@
     median(records.filter_map(Record::pace).collect())
 }
 
-/// Ejects the outliers among `records` (each with whether it has work in flight), within the bound
-/// on how many may be out. Returns the places of those newly ejected.
-pub fn judge(now: clock::Instant, records: &mut [(&mut Record, bool)]) -> Vec<usize> {
+/// Ejects the outliers among `records` (each with what is in flight), within the bound on how many
+/// may be out. Returns the places of those newly ejected.
+pub fn judge(now: clock::Instant, records: &mut [(&mut Record, Work)]) -> Vec<usize> {
     let most = (records.len() as f64 * MOST) as usize;
     let mut out = records.iter().filter(|(record, _)| record.is_ejected(now)).count();
     let usual = usual(records);
     let mut ejected = Vec::new();
-    for (index, (record, busy)) in records.iter_mut().enumerate() {
+    for (index, (record, work)) in records.iter_mut().enumerate() {
         let judged = !record.is_ejected(now) && out < most;
-        if judged && record.is_outlier(now, *busy, &usual) {
+        if judged && record.is_outlier(now, *work, &usual) {
             record.eject(now);
             out += 1;
             ejected.push(index);
@@ -159,10 +191,15 @@
     ejected
 }
 
-fn usual(records: &[(&mut Record, bool)]) -> Usual {
+fn usual(records: &[(&mut Record, Work)]) -> Usual {
     let paces = records.iter().filter_map(|(record, _)| record.pace()).collect();
     let elapsed = records.iter().filter_map(|(record, _)| record.elapsed.get()).collect();
-    Usual { pace: median(paces), elapsed: median(elapsed).map(Duration::from_secs_f64) }
+    let begins = records.iter().filter_map(|(record, _)| record.begin()).collect();
+    Usual {
+        pace: median(paces),
+        begin: median(begins),
+        elapsed: median(elapsed).map(Duration::from_secs_f64),
+    }
 }
 
 fn median(mut values: Vec<f64>) -> Option<f64> {
--- a/crates/hyssopfork-policy/src/lib.rs
+++ b/crates/hyssopfork-policy/src/lib.rs
@@ -51,6 +51,7 @@
 //!     let load = frame::Load { version: number::Version(3), running: 1, limit: 16, warm: true };
 //!     chooser.report(now, &instance, load);
 //!     chooser.heard(now, attempt);
+//!     chooser.begun(now, attempt);
 //!     queue.begun(now, item.request);
 //!     chooser.end(now, attempt, choice::Outcome::Answered);
 //!     queue.complete(now, item.request);
--- a/crates/hyssopfork-policy/tests/load.rs
+++ b/crates/hyssopfork-policy/tests/load.rs
@@ -47,7 +47,7 @@
     let (alone, waits) = (others(&alone), others(&beside));
 
     assert!(waits.count * 1000 >= alone.count * 995, "{waits:?} of {alone:?}");
-    assert!(waits.p99 <= Duration::from_millis(1_200), "{waits:?}");
+    assert!(waits.p99 <= Duration::from_millis(600), "{waits:?}");
     assert!(beside.jain() >= 0.995, "{}", beside.jain());
 }
 
@@ -83,7 +83,7 @@
     let report = run(&scenario::bad_upstream("stalls", Fault::Stalled));
     let lost = count(&report, Answer::Failed) + count(&report, Answer::Refused);
 
-    assert!(lost <= 30, "{:?}", report.answers());
+    assert!(lost <= 16, "{:?}", report.answers());
     assert_eq!(report.ran_twice(), 0);
 }
 
