--- a/crates/hyssopfork-agent/src/core.rs
+++ b/crates/hyssopfork-agent/src/core.rs
@@ -29,6 +29,7 @@
     pub(crate) calls: u64,
     pub(crate) serving: bool,
     pub(crate) stopping: Option<clock::Instant>,
+    pub(crate) released: bool,
     leave_heard: bool,
     stopped: bool,
 }
@@ -48,6 +49,7 @@
             calls: 0,
             serving: false,
             stopping: None,
+            released: false,
             leave_heard: false,
             stopped: false,
         }
@@ -63,6 +65,11 @@
             && (!grouped || self.gate(now).is_whole())
     }
 
+    /// The view and the lease on it, for metrics.
+    pub fn watcher(&self) -> &watcher::Watcher {
+        &self.watcher
+    }
+
     /// Takes in an event and says what is to be done, in order.
     pub fn step(&mut self, now: clock::Instant, event: event::Event) -> Vec<action::Action> {
         let mut actions = Vec::new();
--- a/crates/hyssopfork-daemon/src/agent/upstream.rs
+++ b/crates/hyssopfork-daemon/src/agent/upstream.rs
@@ -2,16 +2,18 @@
 
 use crate::agent::{answer, role};
 use crate::{http, mailbox};
-use actix_http::Method;
 use bytes::Bytes;
-use futures::StreamExt;
 use hyssopfork_agent::event;
+use hyssopfork_exchange::{connection, error};
 use hyssopfork_wire::{attempt, frame};
 use std::net;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 
+/// Time in which the upstream's connection must be there.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
 /// Header that tells the engine the fencing number of the group that serves.
 const FENCE_HEADER: &str = "hyssopfork-fence";
 
@@ -58,17 +60,24 @@
 
 impl Work {
     /// Carries the attempt through under the core's orders.
+    ///
+    /// The core is asked a second time once the connection is open, so that nothing that takes
+    /// time lies between its last look at the clock and the first byte.
     pub async fn run(self, mut orders: mpsc::UnboundedReceiver<Order>) {
         if orders.recv().await != Some(Order::Prepare) {
             return;
         }
+        let connection = match self.connect().await {
+            Ok(connection) => connection,
+            Err(fault) => return self.post(event::Event::Failed(self.offer.attempt, fault)),
+        };
         self.post(event::Event::Ready(self.offer.attempt));
         if orders.recv().await != Some(Order::Forward) {
             return;
         }
         self.answer.started();
         let result = tokio::select! {
-            result = self.exchange() => result,
+            result = self.exchange(connection) => result,
             () = aborted(&mut orders) => return,
         };
         match result {
@@ -84,21 +93,24 @@
         self.mailbox.post(role::Input::Event(event));
     }
 
-    async fn exchange(&self) -> Result<(), event::Fault> {
-        let mut response = self.request().send_body(self.body.clone()).await.map_err(fault)?;
-        let head = frame::Head {
-            status: response.status().as_u16(),
-            headers: http::travelling(response.headers()),
+    /// Not by awc: it reports a connection that was closed before the answer's head as one that
+    /// could not be made, and ends a cut body like a whole one. The first runs work twice, the
+    /// second gives half an answer as a whole one.
+    async fn exchange(&self, mut connection: connection::Connection) -> Result<(), event::Fault> {
+        let headers = self.headers();
+        let request = connection::Request {
+            method: &self.offer.method,
+            path: &self.offer.path,
+            headers: &headers,
         };
-        if !is_delimited(&response) {
-            return Err(event::Fault::Broken);
-        }
+        connection.send(&request, self.body.clone()).await.map_err(fault)?;
+        let head = connection.head().await.map_err(fault)?;
+        let head = frame::Head { status: head.status, headers: travelling(head.headers) };
         let marked = is_event_stream(&head) && self.offer.group.is_some();
         self.answer.head(head);
         self.post(event::Event::Begun(self.offer.attempt));
         let mut tail = Vec::new();
-        while let Some(part) = response.next().await {
-            let part = part.map_err(|_| event::Fault::Broken)?;
+        while let Some(part) = connection.part().await.map_err(fault)? {
             if !self.answer.data(&part) {
                 return Err(event::Fault::Broken);
             }
@@ -110,21 +122,22 @@
         Ok(())
     }
 
-    fn request(&self) -> awc::ClientRequest {
-        let url = format!("http://{}{}", self.upstream, self.offer.path);
-        let method = Method::from_bytes(self.offer.method.as_bytes()).unwrap_or(Method::POST);
-        let mut request = http::clients().fresh.request(method, url).no_decompress();
-        for (name, value) in &self.offer.headers {
-            request = request.insert_header((name.as_str(), value.as_str()));
-        }
-        request = request.insert_header((ATTEMPT_HEADER, self.offer.attempt.to_string()));
+    async fn connect(&self) -> Result<connection::Connection, event::Fault> {
+        let opened = connection::Connection::open(self.upstream);
+        let opened = tokio::time::timeout(CONNECT_LIMIT, opened).await;
+        opened.map_err(|_| event::Fault::Unreachable)?.map_err(fault)
+    }
+
+    fn headers(&self) -> Vec<(String, String)> {
+        let mut headers = self.offer.headers.clone();
+        headers.push((ATTEMPT_HEADER.to_owned(), self.offer.attempt.to_string()));
         if let Some((_, fence)) = &self.offer.group {
-            request = request.insert_header((FENCE_HEADER, fence.to_string()));
+            headers.push((FENCE_HEADER.to_owned(), fence.to_string()));
         }
         if self.offer.resume_from > 0 {
-            request = request.insert_header((RESUME_HEADER, self.offer.resume_from.to_string()));
+            headers.push((RESUME_HEADER.to_owned(), self.offer.resume_from.to_string()));
         }
-        request.timeout(Duration::from_secs(3_600))
+        headers
     }
 }
 
@@ -138,21 +151,17 @@
 }
 
 /// Whether any byte may have reached the upstream decides what the core may say.
-fn fault(error: awc::error::SendRequestError) -> event::Fault {
+fn fault(error: error::Error) -> event::Fault {
     match error {
-        awc::error::SendRequestError::Connect(_) | awc::error::SendRequestError::Url(_) => {
-            event::Fault::Unreachable
+        error::Error::Unreachable(..) | error::Error::Unsendable(_) => event::Fault::Unreachable,
+        error::Error::Cut | error::Error::Malformed(_) | error::Error::Unframed => {
+            event::Fault::Broken
         }
-        _ => event::Fault::Broken,
     }
 }
 
-/// Whether the answer's own framing shows its end. A body that ends with its connection could be
-/// cut anywhere and look whole.
-fn is_delimited<S>(response: &awc::ClientResponse<S>) -> bool {
-    let bodiless = matches!(response.status().as_u16(), 204 | 304);
-    let headers = response.headers();
-    bodiless || headers.contains_key("content-length") || headers.contains_key("transfer-encoding")
+fn travelling(headers: Vec<(String, String)>) -> Vec<(String, String)> {
+    headers.into_iter().filter(|(name, _)| http::travels(name)).collect()
 }
 
 fn is_event_stream(head: &frame::Head) -> bool {
