--- a/crates/hyssopfork-agent/src/engine.rs
+++ b/crates/hyssopfork-agent/src/engine.rs
@@ -18,10 +18,6 @@
 /// lost the model that a grant vouches for. Five probes: an answer may take half a second.
 pub const PROBE_AGE: Duration = Duration::from_millis(1_000);
 
-/// Probes that must be answered after work broke off before the limit is what it was. The first may
-/// have been answered before the back end died.
-const PROBES_TO_TRUST: u32 = 2;
-
 /// What a probe changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -47,8 +43,9 @@
     order: Option<number::Fence>,
     order_at: clock::Instant,
     ramp: ramp::Ramp,
-    /// Probes still to be answered before the ramp's limit holds.
-    suspected: u32,
+    /// When work last broke off; until a probe that was sent later has told, the ramp's limit
+    /// doesn't hold.
+    suspected: Option<clock::Instant>,
 }
 
 impl Engine {
@@ -64,7 +61,7 @@
             order: None,
             order_at: now,
             ramp: ramp::Ramp::new(now, profile.concurrency),
-            suspected: 0,
+            suspected: None,
         }
     }
 
@@ -91,13 +88,13 @@
     /// Attempts that it may bear at once now.
     pub fn limit(&self) -> u32 {
         let limit = self.ramp.limit();
-        if self.suspected > 0 { limit.min(ramp::INITIAL) } else { limit }
+        if self.suspected.is_some() { limit.min(ramp::INITIAL) } else { limit }
     }
 
     /// Notes that work broke off. The back end may have died and come back cold within the time
     /// between two probes; until they tell, it gets no more than a cold one bears.
-    pub fn suspect(&mut self) {
-        self.suspected = PROBES_TO_TRUST;
+    pub fn suspect(&mut self, now: clock::Instant) {
+        self.suspected = Some(now);
     }
 
     /// Whether it counts as warm.
@@ -105,11 +102,12 @@
         self.ramp.is_warm()
     }
 
-    /// Takes a probe. `own` attempts of this process run, and `wanted` is the fencing number that
+    /// Takes a probe that was sent at `sent`. `own` attempts of this process run, and `wanted` is the fencing number that
     /// this instance is placed under.
     pub fn probe(
         &mut self,
         now: clock::Instant,
+        sent: clock::Instant,
         health: Option<event::Health>,
         own: u32,
         wanted: Option<number::Fence>,
@@ -117,8 +115,8 @@
         let Some(health) = health else { return self.fall() };
         let returned = !self.alive;
         self.alive = true;
-        self.probed = now;
-        self.suspected = self.suspected.saturating_sub(1);
+        self.probed = self.probed.max(sent);
+        self.suspected.take_if(|since| sent > *since);
         self.count_foreign(health.running, own);
         if self.is_another(&health, returned) {
             self.incarnation = health.incarnation;
--- a/crates/hyssopfork-agent/src/offers.rs
+++ b/crates/hyssopfork-agent/src/offers.rs
@@ -100,7 +100,7 @@
             return;
         }
         let (begun, cost) = (live.forwarded, live.offer.cost);
-        self.engine.suspect();
+        self.engine.suspect(now);
         if started {
             self.engine.ramp().end(now, begun, cost, ramp::Outcome::Failed);
         }
--- a/crates/hyssopfork-control/src/groups.rs
+++ b/crates/hyssopfork-control/src/groups.rs
@@ -5,6 +5,7 @@
 use hyssopfork_policy::{loads, placement};
 use hyssopfork_state::{command, upstream};
 use hyssopfork_wire::{change, clock, configuration, fleet, name, number, timing};
+use std::cmp;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -15,6 +16,15 @@
 /// Time between two looks at the groups when nothing has changed.
 pub const PERIOD: Duration = Duration::from_millis(500);
 
+/// Least time between two looks at the groups for each instance on record. When a zone goes dark
+/// or a fleet starts, every report is a reason to look again; a look at 4,800 instances costs tens
+/// of milliseconds, and without a pause control would do nothing else.
+pub const PAUSE_EACH: Duration = Duration::from_micros(50);
+
+/// Most groups without a placement that one plan looks at. The weight store bears a few loads at
+/// once, so no more could be placed now; a plan's cost grows with the groups times the domains.
+pub const UNPLACED_LIMIT: usize = 16;
+
 /// A placement as this leader has seen it.
 #[derive(Clone, Copy, Debug)]
 struct Seen {
@@ -48,6 +58,9 @@
         loads: u32,
     ) -> Vec<command::Command> {
         self.observe(now, view, holders);
+        if self.is_settled(now, view, holders) {
+            return Vec::new();
+        }
         let fleet = placement::Fleet {
             instances: self.instances(now, view, holders),
             groups: groups(view),
@@ -58,6 +71,26 @@
         decisions.into_iter().filter_map(|decision| command(view, decision)).collect()
     }
 
+    /// Whether every declared group stands on usable members: there is nothing to plan. The whole
+    /// plan costs milliseconds in a large fleet and runs twice a second.
+    fn is_settled(
+        &self,
+        now: clock::Instant,
+        view: &change::View,
+        holders: &holders::Holders,
+    ) -> bool {
+        let usable = |instance: &name::Instance| {
+            let member = view.members.get(instance);
+            member.is_some_and(|member| {
+                self.standing(now, view, holders, member) == placement::Standing::Usable
+            })
+        };
+        view.configuration.groups.keys().all(|group| {
+            let placed = view.placements.get(group);
+            placed.is_some_and(|placed| placed.members.iter().all(usable))
+        })
+    }
+
     fn observe(&mut self, now: clock::Instant, view: &change::View, holders: &holders::Holders) {
         self.seen.retain(|group, _| view.placements.contains_key(group));
         self.holds.retain(|instance, (boot, _)| {
@@ -225,7 +258,12 @@
     }
 }
 
+/// Declared groups, but of those that stand nowhere only the first in order of priority.
 fn groups(view: &change::View) -> Vec<placement::Group> {
+    let (placed, mut unplaced): (Vec<_>, Vec<_>) =
+        view.configuration.groups.iter().partition(|(name, _)| view.placements.contains_key(*name));
+    unplaced.sort_by_key(|(_, declared)| cmp::Reverse(declared.priority));
+    unplaced.truncate(UNPLACED_LIMIT);
     let group = |(name, declared): (&name::Group, &configuration::Group)| placement::Group {
         name: name.clone(),
         pool: declared.pool.clone(),
@@ -233,7 +271,7 @@
         size: declared.size,
         priority: declared.priority,
     };
-    view.configuration.groups.iter().map(group).collect()
+    placed.into_iter().chain(unplaced).map(group).collect()
 }
 
 /// What the recorded agent of an instance last reported.
--- a/crates/hyssopfork-daemon/src/log.rs
+++ b/crates/hyssopfork-daemon/src/log.rs
@@ -1,13 +1,15 @@
 //! Writes the cores' numbered events and measurements.
 
-use crate::notice;
+use crate::{clock, notice};
 use hyssopfork_agent::notice as agent;
+use hyssopfork_consensus::notice as consensus;
 use hyssopfork_control::notice as control;
 use hyssopfork_entry::{measure, notice as entry};
 use hyssopfork_telemetry::{log, metrics};
-use hyssopfork_watch::notice as watch;
+use hyssopfork_watch::{notice as watch, watcher};
 use hyssopfork_wire::{level, refusal};
 use std::fmt;
+use std::time::Duration;
 
 /// A numbered event of any role.
 pub trait Numbered: fmt::Display {
@@ -40,7 +42,7 @@
     )*};
 }
 
-numbered!(notice {}, agent { Watch }, entry { Watch }, watch {}, control {});
+numbered!(notice {}, agent { Watch }, entry { Watch }, watch {}, control { Log }, consensus {});
 
 /// Writes a numbered event.
 pub fn notice(notice: &impl Numbered) {
@@ -70,3 +72,12 @@
         measure::Outcome::Refused(..) | measure::Outcome::Gone => {}
     }
 }
+
+/// Tells what a watcher acts on.
+pub fn watched(registry: &metrics::Registry, watcher: &watcher::Watcher) {
+    let now = clock::now();
+    let left = watcher.lease_until().map_or(Duration::ZERO, |until| now.until(until));
+    registry.lease_left(left);
+    let view = watcher.view();
+    registry.in_force(view.configuration.number, view.version);
+}
