--- a/crates/hyssopfork-policy/src/choice.rs
+++ b/crates/hyssopfork-policy/src/choice.rs
@@ -307,7 +307,7 @@
                 (limit::Feedback::Answered, ramp::Outcome::Completed)
             }
             Outcome::Failed => {
-                self.record.failed(now);
+                self.record.failed(now, running.begun);
                 (limit::Feedback::Overloaded, ramp::Outcome::Failed)
             }
             Outcome::Refused(_) | Outcome::Cancelled => {
--- a/crates/hyssopfork-policy/src/ejection.rs
+++ b/crates/hyssopfork-policy/src/ejection.rs
@@ -21,7 +21,7 @@
 pub const SLOW_FACTOR: f64 = 4.0;
 
 /// Failures in a row that are an outlier.
-pub const FAILURE_RUN: u32 = 5;
+pub const FAILURE_RUN: u32 = 3;
 
 /// Silence with work in flight, as a multiple of the peers' longest usual time to an answer.
 pub const SILENCE_FACTOR: f64 = 4.0;
@@ -58,6 +58,7 @@
     elapsed: average::Average,
     begin: average::Average,
     failures: u32,
+    failed: clock::Instant,
     heard: clock::Instant,
     until: Option<clock::Instant>,
     times: u32,
@@ -71,6 +72,7 @@
             elapsed: average::Average::new(PACE_SPAN),
             begin: average::Average::new(PACE_SPAN),
             failures: 0,
+            failed: now,
             heard: now,
             until: None,
             times: 0,
@@ -92,10 +94,16 @@
         self.begin.add(elapsed.as_secs_f64() / f64::from(cost.max(1)));
     }
 
-    /// Takes in that the upstream failed a piece of work.
-    pub fn failed(&mut self, now: clock::Instant) {
+    /// Takes in that the upstream failed a piece of work that began at `begun`. Work that had begun
+    /// when it last failed one fell to the same cause, a crash perhaps, and counts with it: what a
+    /// crashed upstream does next is the ramp's to find out.
+    pub fn failed(&mut self, now: clock::Instant, begun: clock::Instant) {
         self.heard = now;
+        if self.failures > 0 && begun <= self.failed {
+            return;
+        }
         self.failures += 1;
+        self.failed = now;
     }
 
     /// Takes in that the upstream said something, or that its first piece of work began.
