Judge the slow upstream by its callers' answers, and close gaps that mutation showed

Each safeguard was turned off by hand, one at a time, and the tests run. The test of the slow upstream passed with ejection, pace and limit all off: its share of attempts falls anyway, as it is full. It counts slow answers now: 13 with ejection, 21 without (bound 16). What is left is what it held.

--- a/crates/hyssopfork-policy/model/src/report.rs
+++ b/crates/hyssopfork-policy/model/src/report.rs
@@ -237,10 +237,10 @@
         most * self.upstreams.len() as f64 / all.max(1) as f64
     }
 
-    /// Share of all attempts that ran on one upstream.
-    pub fn share_of(&self, upstream: usize) -> f64 {
-        let all: u64 = self.upstreams.iter().sum();
-        self.upstreams[upstream] as f64 / all.max(1) as f64
+    /// Answers that took longer than `limit` from the caller's sending to their end.
+    pub fn longer_than(&self, limit: Duration) -> usize {
+        let took = |line: &Line| Some(line.ended?.since(line.at) > limit);
+        self.lines.iter().filter(|line| took(line) == Some(true)).count()
     }
 
     /// First second of the run from `from` on after which every second's median wait is within
--- a/crates/hyssopfork-policy/tests/choice.rs
+++ b/crates/hyssopfork-policy/tests/choice.rs
@@ -107,6 +107,22 @@
     assert!(sent.iter().all(|it| *it != instance(0)));
 }
 
+#[test]
+fn returning_zone_is_trusted_with_little_until_its_agents_report() {
+    // The zone's upstreams may have been restarted while it was out; what they bore before says
+    // nothing of what they bear now.
+    let mut chooser = chooser();
+    chooser.set_zone(&"zone-0".into(), true);
+    chooser.set_zone(&"zone-0".into(), false);
+
+    let back = chooser.room(at(1)).free;
+    chooser.report(at(2), &instance(0), load(0, LIMIT));
+    let reported = chooser.room(at(2)).free;
+
+    assert_eq!(back, 3 * LIMIT + 3 * ramp::INITIAL);
+    assert_eq!(reported, 4 * LIMIT + 2 * ramp::INITIAL);
+}
+
 #[test]
 fn own_zone_is_preferred_until_it_costs_more_than_it_saves() {
     let mut chooser = chooser();
@@ -200,7 +216,9 @@
 #[test]
 fn retries_are_a_share_of_first_tries() {
     let mut budget = retry::Budget::default();
-    while budget.spend() {}
+    for _ in 0..1_000 {
+        budget.spend();
+    }
 
     let mut retried = 0;
     for _ in 0..1_000 {
--- a/crates/hyssopfork-policy/tests/load.rs
+++ b/crates/hyssopfork-policy/tests/load.rs
@@ -12,6 +12,10 @@
 /// Median wait up to which nobody waits in a queue.
 const NORMAL: Duration = Duration::from_millis(200);
 
+/// Answers from a slow upstream that callers may get: what it held when it became slow, and what
+/// it is tried with.
+const SLOW: usize = 16;
+
 fn run(scenario: &scenario::Scenario) -> Report {
     simulation::run(scenario, Kind::Ours, SEED)
 }
@@ -66,13 +70,15 @@
 
 #[test]
 fn slow_upstream_is_left_by_its_callers() {
-    // One upstream of thirty becomes ten times slower. It stays alive and takes its share, so that
-    // one caller in thirty waits ten times as long for the whole answer; judged against its peers
-    // it gets little beside its usual share of the first ten seconds.
+    // One upstream of thirty becomes ten times slower. It stays alive and always has room again,
+    // so that callers sent to it wait ten times as long for the whole answer, for as long as the
+    // fault lasts. Judged against its peers it gets a little work now and then.
     let report = run(&scenario::bad_upstream("slow", Fault::Slow(10.0)));
 
+    let slow = report.longer_than(Duration::from_secs(6));
+
     assert_eq!(count(&report, Answer::Good), report.answers().values().sum::<usize>());
-    assert!(report.share_of(7) <= 0.5 / 30.0, "{}", report.share_of(7));
+    assert!(slow <= SLOW, "{slow}");
 }
 
 #[test]
