--- /dev/null
+++ b/crates/hyssopfork-daemon/tests/processes/main.rs
@@ -0,0 +1,12 @@
+//! Tests with real processes on loopback, under kills, freezes and connections that go silent.
+
+mod at_most_once;
+mod cut_answers;
+mod groups;
+mod limits;
+mod metrics;
+mod soak;
+mod stop;
+mod support;
+mod whole_path;
+mod zones;
--- /dev/null
+++ b/crates/hyssopfork-daemon/tests/processes/support/caller.rs
@@ -0,0 +1,97 @@
+//! A caller of an entry.
+
+use super::fleet;
+use actix_http::StatusCode;
+use bytes::{Bytes, BytesMut};
+use hyssopfork_exchange::{connection, error};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest time that a caller waits.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What a caller got.
+#[derive(Debug)]
+pub struct Got {
+    /// HTTP status; `None` when no head came.
+    pub status: Option<StatusCode>,
+    /// The body as far as it came.
+    pub body: Bytes,
+    /// Whether the answer's own framing says that it is whole.
+    pub whole: bool,
+    /// The Retry-After header.
+    pub retry_after: Option<String>,
+}
+
+impl Got {
+    /// Whether the caller has a whole good answer.
+    pub fn is_answer(&self) -> bool {
+        self.whole && self.status.is_some_and(|status| status.is_success())
+    }
+
+    /// Whether the refusal says that the work did not run.
+    pub fn says_not_run(&self) -> bool {
+        self.text().contains("\"ran\":\"not_run\"")
+    }
+
+    /// Whether the refusal says that the work may have run.
+    pub fn says_may_have_run(&self) -> bool {
+        self.text().contains("\"ran\":\"may_have_run\"")
+    }
+
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Sends a request as the one team, with a key where one is given.
+pub async fn post(entry: SocketAddr, path: &str, key: Option<&str>, body: &str) -> Got {
+    let mut headers = vec![
+        ("authorization".to_owned(), format!("Bearer {}", fleet::TOKEN)),
+        ("content-type".to_owned(), "application/json".to_owned()),
+    ];
+    headers.extend(key.map(|key| ("idempotency-key".to_owned(), key.to_owned())));
+    receive(entry, &connection::Request { method: "POST", path, headers: &headers }, body).await
+}
+
+/// Asks with GET as the one team.
+pub async fn get(entry: SocketAddr, path: &str) -> Got {
+    let headers = [("authorization".to_owned(), format!("Bearer {}", fleet::TOKEN))];
+    receive(entry, &connection::Request { method: "GET", path, headers: &headers }, "").await
+}
+
+async fn receive(entry: SocketAddr, request: &connection::Request<'_>, body: &str) -> Got {
+    let mut got = Got { status: None, body: Bytes::new(), whole: false, retry_after: None };
+    let exchange = exchange(entry, request, body, &mut got);
+    let ended = actix_rt::time::timeout(TIMEOUT, exchange).await;
+    got.whole = matches!(ended, Ok(Ok(())));
+    got
+}
+
+/// Not by awc, which takes a cut answer for a whole one.
+async fn exchange(
+    entry: SocketAddr,
+    request: &connection::Request<'_>,
+    body: &str,
+    got: &mut Got,
+) -> Result<(), error::Error> {
+    let mut connection = connection::Connection::open(entry).await?;
+    connection.send(request, Bytes::from(body.to_owned())).await?;
+    let head = connection.head().await?;
+    got.status = StatusCode::from_u16(head.status).ok();
+    got.retry_after = head.header("retry-after").map(str::to_owned);
+    let mut whole = BytesMut::new();
+    while let Some(part) = connection.part().await? {
+        whole.extend_from_slice(&part);
+        got.body = whole.clone().freeze();
+    }
+    Ok(())
+}
+
+/// A streamed completion's request body.
+pub fn completion(tokens: u32) -> String {
+    format!(
+        r#"{{"model":"model-1","prompt":"emissions of plant 7","max_tokens":{tokens},"stream":true}}"#
+    )
+}
