--- a/crates/hyssopfork-entry/src/serve.rs
+++ b/crates/hyssopfork-entry/src/serve.rs
@@ -90,6 +90,9 @@
         self.heard(now, identifier);
         let Some(attempt) = self.attempts.get(identifier) else { return };
         let (number, elapsed) = (attempt.request, now.since(attempt.sent));
+        if let Some(pool) = self.pool_of(number) {
+            pool.chooser.begun(now, identifier);
+        }
         let Some(request) = self.requests.get_mut(&number) else { return };
         if request.begun.is_some() {
             return;
