Don't take an upstream that runs long jobs for a silent one

Cause: silence was measured against the usual time to an answer, mostly short ones. Silence now counts only while an answer is late for its own cost.

--- a/crates/hyssopfork-policy/src/balance.rs
+++ b/crates/hyssopfork-policy/src/balance.rs
@@ -20,9 +20,11 @@
 /// was refused eight times in overload, at 5 s one in five once (docs/BENCHMARK.md).
 pub const HALF_LIFE: Duration = Duration::from_millis(5_000);
 
-/// Others' work from which it counts at all. What fades never ends by itself: of an upstream that
-/// bears one piece of work, the last trace of another's would keep this process away for good, and
-/// a new report comes only with an answer to work that was sent.
+/// Others' work below which it no longer keeps this process away from an upstream where it has no
+/// work itself. What fades never ends by itself: of an upstream that bears one piece of work, the
+/// last trace of another's would keep this process away for good, and a new report comes only with
+/// an answer to work that was sent. Where work is in flight that isn't needed, and dropping the
+/// trace there let long jobs of other entries be forgotten while they ran.
 const OTHERS_LEAST: f64 = 0.5;
 
 /// Load, as a share of an upstream's limit, that staying in the own zone may cost. Crossing zones
@@ -61,8 +63,7 @@
     /// Others' work, as far as the last report still says.
     pub fn others(&self, now: clock::Instant) -> f64 {
         let age = now.since(self.reported).as_secs_f64();
-        let others = self.others * (-age / HALF_LIFE.as_secs_f64() * std::f64::consts::LN_2).exp();
-        if others < OTHERS_LEAST { 0.0 } else { others }
+        self.others * (-age / HALF_LIFE.as_secs_f64() * std::f64::consts::LN_2).exp()
     }
 
     /// Work that the upstream bears at once, as last reported.
@@ -72,8 +73,11 @@
 
     /// More work that it has room for, within `limit`.
     pub fn free(&self, now: clock::Instant, limit: u32) -> u32 {
-        let taken = f64::from(self.own) + self.others(now);
-        (f64::from(limit) - taken).max(0.0).floor() as u32
+        let others = self.others(now);
+        let taken = f64::from(self.own) + others;
+        let free = (f64::from(limit) - taken).max(0.0).floor() as u32;
+        let forgotten = self.own == 0 && others < OTHERS_LEAST;
+        if forgotten { free.max(limit.min(1)) } else { free }
     }
 }
 
--- a/crates/hyssopfork-policy/src/choice.rs
+++ b/crates/hyssopfork-policy/src/choice.rs
@@ -54,12 +54,20 @@
     load: balance::Load,
     limit: limit::Limit,
     record: ejection::Record,
-    /// Attempts whose answers have not begun: when each was sent, and its cost.
-    unbegun: BTreeMap<attempt::Identifier, (clock::Instant, u32)>,
+    /// Attempts in flight.
+    flying: BTreeMap<attempt::Identifier, Flying>,
     /// Present while the upstream returns from an ejection.
     ramp: Option<ramp::Ramp>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Flying {
+    sent: clock::Instant,
+    cost: u32,
+    /// Whether its answer has begun.
+    begun: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Running {
     instance: name::Instance,
@@ -91,7 +99,7 @@
             load: balance::Load::default(),
             limit: limit::Limit::new(upstream.concurrency),
             record: ejection::Record::new(now),
-            unbegun: BTreeMap::new(),
+            flying: BTreeMap::new(),
             ramp: None,
             upstream,
         });
@@ -188,17 +196,18 @@
             entry.record.heard(now);
         }
         entry.load.own += 1;
-        entry.unbegun.insert(attempt, (now, cost));
+        entry.flying.insert(attempt, Flying { sent: now, cost, begun: false });
     }
 
     /// Takes in that an attempt's answer has begun.
     pub fn begun(&mut self, now: clock::Instant, attempt: attempt::Identifier) {
         let Some(running) = self.attempts.get(&attempt) else { return };
-        let (instance, begun, cost) = (running.instance.clone(), running.begun, running.cost);
+        let instance = running.instance.clone();
         let Some(entry) = self.entry(&instance) else { return };
-        if entry.unbegun.remove(&attempt).is_some() {
-            entry.record.begun(now, now.since(begun), cost);
-        }
+        let flying = entry.flying.get_mut(&attempt).filter(|flying| !flying.begun);
+        let Some(flying) = flying else { return };
+        flying.begun = true;
+        entry.record.begun(now, now.since(flying.sent), flying.cost);
     }
 
     /// Takes in that something of an attempt's answer came.
@@ -214,7 +223,7 @@
     pub fn end(&mut self, now: clock::Instant, attempt: attempt::Identifier, outcome: Outcome) {
         let Some(running) = self.attempts.remove(&attempt) else { return };
         if let Some(entry) = self.entry(&running.instance) {
-            entry.unbegun.remove(&attempt);
+            entry.flying.remove(&attempt);
             entry.end(now, &running, outcome);
         }
     }
@@ -290,12 +299,16 @@
 
 impl Entry {
     fn work(&self, now: clock::Instant) -> ejection::Work {
-        let waits = self.unbegun.values().filter_map(|(sent, cost)| {
-            let waited = now.since(*sent);
-            let long = waited >= ejection::SILENCE_LEAST;
-            long.then(|| waited.as_secs_f64() / f64::from((*cost).max(1)))
-        });
-        ejection::Work { busy: self.load.own > 0, overdue: waits.fold(0.0, f64::max) }
+        let mut work = ejection::Work::default();
+        for flying in self.flying.values() {
+            let waited = now.since(flying.sent);
+            let each = waited.as_secs_f64() / f64::from(flying.cost.max(1));
+            work.late = work.late.max(each);
+            if !flying.begun && waited >= ejection::SILENCE_LEAST {
+                work.overdue = work.overdue.max(each);
+            }
+        }
+        work
     }
 
     fn end(&mut self, now: clock::Instant, running: &Running, outcome: Outcome) {
--- a/crates/hyssopfork-policy/src/ejection.rs
+++ b/crates/hyssopfork-policy/src/ejection.rs
@@ -6,8 +6,8 @@
 //! that hangs holds each request until its deadline.
 //!
 //! *Rule.* An upstream is judged against its peers: a pace of [`SLOW_FACTOR`] times their median,
-//! a run of [`FAILURE_RUN`] failures, an answer that is overdue to begin, or silence with work in
-//! flight while peers answer. It is
+//! a run of [`FAILURE_RUN`] failures, an answer that is overdue to begin, or silence while one is
+//! overdue to end. It is
 //! ejected for a time that doubles with each repetition, and returns through the ramp. At most
 //! [`MOST`] of the upstreams are out: beyond that the fault is common to all, and ejection would
 //! only take capacity away.
@@ -23,8 +23,11 @@
 /// Failures in a row that are an outlier.
 pub const FAILURE_RUN: u32 = 3;
 
-/// Silence with work in flight, as a multiple of the peers' longest usual time to an answer.
-pub const SILENCE_FACTOR: f64 = 4.0;
+/// Time to a whole answer, for each unit of cost and as a multiple of the peers' median, from which
+/// it is overdue. Costs are estimates that may be wrong by two, and a full batch takes twice the
+/// time of an empty one. Silence alone says nothing: an upstream that runs one long job is silent
+/// for minutes where its answer isn't streamed.
+pub const LATE_FACTOR: f64 = 6.0;
 
 /// Time until an answer begins, for each unit of cost and as a multiple of the peers' median, from
 /// which it is overdue. A cold upstream takes two to three times as long.
@@ -55,7 +58,6 @@
 #[derive(Clone, Debug)]
 pub struct Record {
     pace: average::Average,
-    elapsed: average::Average,
     begin: average::Average,
     failures: u32,
     failed: clock::Instant,
@@ -69,7 +71,6 @@
     pub fn new(now: clock::Instant) -> Record {
         Record {
             pace: average::Average::new(PACE_SPAN),
-            elapsed: average::Average::new(PACE_SPAN),
             begin: average::Average::new(PACE_SPAN),
             failures: 0,
             failed: now,
@@ -84,7 +85,6 @@
         self.heard = now;
         self.failures = 0;
         self.pace.add(elapsed.as_secs_f64() / f64::from(cost.max(1)));
-        self.elapsed.add(elapsed.as_secs_f64());
         self.forgive(now);
     }
 
@@ -152,19 +152,16 @@
         if slow.is_some_and(|(usual, own)| own > usual * SLOW_FACTOR) {
             return true;
         }
-        work.busy
-            && usual.elapsed.is_some_and(|elapsed| {
-                let bound = elapsed.mul_f64(SILENCE_FACTOR).max(SILENCE_LEAST);
-                now.since(self.heard) > bound
-            })
+        let silent = now.since(self.heard) > SILENCE_LEAST;
+        silent && usual.pace.is_some_and(|pace| work.late > pace * LATE_FACTOR)
     }
 }
 
 /// What an upstream has in flight.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Work {
-    /// Whether it has any.
-    pub busy: bool,
+    /// Longest time of an answer so far, in seconds for each unit of its cost.
+    pub late: f64,
     /// Longest wait of an answer that has not begun, in seconds for each unit of its cost; 0 when
     /// none has waited for [`SILENCE_LEAST`].
     pub overdue: f64,
@@ -173,7 +170,6 @@
 struct Usual {
     pace: Option<f64>,
     begin: Option<f64>,
-    elapsed: Option<Duration>,
 }
 
 /// Median pace of all upstreams that have one; `None` with too few for a comparison.
@@ -201,13 +197,8 @@
 
 fn usual(records: &[(&mut Record, Work)]) -> Usual {
     let paces = records.iter().filter_map(|(record, _)| record.pace()).collect();
-    let elapsed = records.iter().filter_map(|(record, _)| record.elapsed.get()).collect();
     let begins = records.iter().filter_map(|(record, _)| record.begin()).collect();
-    Usual {
-        pace: median(paces),
-        begin: median(begins),
-        elapsed: median(elapsed).map(Duration::from_secs_f64),
-    }
+    Usual { pace: median(paces), begin: median(begins) }
 }
 
 fn median(mut values: Vec<f64>) -> Option<f64> {
--- a/crates/hyssopfork-policy/src/queue.rs
+++ b/crates/hyssopfork-policy/src/queue.rs
@@ -12,13 +12,18 @@
 /// Samples over which the time until an answer begins is averaged.
 const BEGIN_SPAN: f64 = 64.0;
 
-/// Time after which the average says nothing any more.
+/// Time, beside the average itself, after which the average says nothing any more.
 ///
 /// It can refuse everybody, and is corrected only by answers to what was admitted: a few answers
 /// that began late, through a pause of the process say, would refuse a class for good. So it is
-/// forgotten when no answer has begun for this long, and what comes then tries anew.
+/// forgotten when no answer has begun for this long, and what comes then tries anew. Long jobs
+/// begin seconds apart in any case; an average over [`BEGIN_LEAST`] of them and more lasts longer
+/// by itself.
 const BEGIN_MEMORY: Duration = drain::MEMORY;
 
+/// Answers after which the average is no accident.
+const BEGIN_LEAST: f64 = 8.0;
+
 /// A request that waits.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Item {
@@ -92,14 +97,15 @@
 
 impl Line {
     fn begin(&self, now: clock::Instant) -> Duration {
-        if now.since(self.begun) >= BEGIN_MEMORY {
-            return Duration::ZERO;
-        }
-        Duration::from_secs_f64(self.begin.get().unwrap_or_default())
+        let begin = Duration::from_secs_f64(self.begin.get().unwrap_or_default());
+        let sound = self.begin.weight() >= BEGIN_LEAST;
+        let memory = if sound { BEGIN_MEMORY + begin } else { BEGIN_MEMORY };
+        let forgotten = now.since(self.begun) >= memory;
+        if forgotten { Duration::ZERO } else { begin }
     }
 
     fn note_begin(&mut self, now: clock::Instant, elapsed: Duration) {
-        if now.since(self.begun) >= BEGIN_MEMORY {
+        if self.begin(now).is_zero() {
             self.begin = average::Average::new(BEGIN_SPAN);
         }
         self.begin.add(elapsed.as_secs_f64());
