--- a/crates/hyssopfork-control/tests/solo/answering.rs
+++ b/crates/hyssopfork-control/tests/solo/answering.rs
@@ -3,7 +3,9 @@
 use crate::solo::fixture;
 use hyssopfork_control::{calls, event, notice, steps};
 use hyssopfork_state::claims;
-use hyssopfork_wire::{attempt, change, claim, clock, control, level, number, patch, timing};
+use hyssopfork_wire::{
+    attempt, change, claim, clock, consensus, control, level, number, patch, timing,
+};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use strum::IntoEnumIterator;
@@ -95,6 +97,38 @@
     assert!(matches!(steps.update(&view, number::Version(4)), Some(change::Update::Whole(_))));
 }
 
+#[test]
+fn kept_steps_are_bounded_by_weight() {
+    let mut steps = steps::Steps::new(number::Version(0));
+    let view = change::View { version: number::Version(20), ..Default::default() };
+    let forgotten = change::Change::Forgotten("x".repeat(1_000).as_str().into());
+
+    for version in 1..=20 {
+        let version = number::Version(version);
+        steps.push(change::Step { version, changes: vec![forgotten.clone(); 1_000] });
+    }
+
+    assert!(matches!(steps.update(&view, number::Version(12)), Some(change::Update::Steps(_))));
+    assert!(matches!(steps.update(&view, number::Version(11)), Some(change::Update::Whole(_))));
+}
+
+// The log holds a command of another release. An instance that passed over it would hold another
+// state than the others from then on, and nobody would notice.
+#[test]
+#[should_panic(expected = "a command of encoding 9 is in the log")]
+fn a_command_that_cannot_be_read_ends_the_process() {
+    let mut durable = fixture::Solo::leading().durable;
+    let unreadable = |entry: &mut consensus::Entry| {
+        if let consensus::Payload::Command(bytes) = &mut entry.payload {
+            bytes[0] = 9;
+        }
+    };
+    durable.entries.iter_mut().for_each(unreadable);
+
+    let mut solo = fixture::Solo::start(durable);
+    solo.pass(Duration::from_secs(3));
+}
+
 #[test]
 fn a_watch_is_held_until_the_view_moves_or_its_time_is_up() {
     let mut solo = fixture::Solo::leading();
