--- a/crates/hyssopfork-control/tests/histories/holder.rs
+++ b/crates/hyssopfork-control/tests/histories/holder.rs
@@ -1,10 +1,10 @@
 //! Agents and entries that renew leases, watch, restart and check what they are told.
 
 use crate::histories::{client, slot};
+use crate::solo::fixture;
 use hyssopfork_state::{upstream, view};
-use hyssopfork_wire::{change, clock, configuration, control, fleet, name, number, timing};
+use hyssopfork_wire::{change, clock, control, fleet, name, number, timing};
 use rand::RngExt;
-use std::net;
 
 pub struct Holder {
     pub instance: name::Instance,
@@ -128,23 +128,6 @@
     }
 
     fn announcement(&self) -> fleet::Announcement {
-        let address = net::SocketAddr::from(([127, 0, 0, 1], 1));
-        fleet::Announcement {
-            instance: self.instance.clone(),
-            zone: "zone-a".into(),
-            domain: "d1".into(),
-            pool: "engines".into(),
-            traffic: address,
-            peer: address,
-            profile: fleet::Profile {
-                kind: configuration::Kind::Engine,
-                checks_fence: true,
-                resumes: true,
-                cancels: true,
-                accelerators: 8,
-                concurrency: 4,
-            },
-            boot: self.boot,
-        }
+        fixture::announcement(self.instance.as_str(), "d1", self.boot)
     }
 }
--- a/crates/hyssopfork-control/tests/histories/operator.rs
+++ b/crates/hyssopfork-control/tests/histories/operator.rs
@@ -1,7 +1,8 @@
 //! Operators who race with equal base numbers and resend after lost answers.
 
 use crate::histories::{client, world};
-use hyssopfork_wire::{configuration, control, fleet, number, patch};
+use crate::solo::fixture;
+use hyssopfork_wire::{control, fleet, number, patch};
 use rand::RngExt;
 
 /// A patch and every outcome that was told.
@@ -64,7 +65,7 @@
     fn write(&mut self, now: u64, random: &mut rand_chacha::ChaCha8Rng) -> usize {
         let count = self.stories.len();
         let operations = if self.known.0 == 0 || now >= world::HEALED {
-            vec![patch::Operation::Declare(Box::new(declaration()))]
+            vec![patch::Operation::Declare(Box::new(fixture::declaration()))]
         } else {
             vec![operation(random)]
         };
@@ -86,25 +87,12 @@
         0 => patch::Operation::SetZoneOut("zone-a".into(), flag),
         1 => patch::Operation::SetZoneOut("nowhere".into(), flag),
         2 => patch::Operation::SetDrained("a1".into(), flag),
-        3 => patch::Operation::PutGroup("g1".into(), group(1 + u32::from(flag))),
+        3 => patch::Operation::PutGroup("g1".into(), fixture::group(1 + u32::from(flag))),
         4 if flag => patch::Operation::RemoveGroup("g1".into()),
-        _ => patch::Operation::PutGroup("g2".into(), group(1)),
+        _ => patch::Operation::PutGroup("g2".into(), fixture::group(1)),
     }
 }
 
-fn group(size: u32) -> configuration::Group {
-    configuration::Group { pool: "engines".into(), model: "m".into(), size, priority: 0 }
-}
-
-fn declaration() -> configuration::Configuration {
-    let mut declared = configuration::Configuration::default();
-    declared.zones.insert("zone-a".into(), configuration::Zone::default());
-    let pool = configuration::Pool { kind: configuration::Kind::Engine, zones: Default::default() };
-    declared.pools.insert("engines".into(), pool);
-    declared.groups.insert("g1".into(), group(2));
-    declared
-}
-
 /// Whether a placement is of the final declaration.
 pub fn is_final(placement: &fleet::Placement) -> bool {
     placement.members.len() == 2
--- a/crates/hyssopfork-control/tests/solo/fixture.rs
+++ b/crates/hyssopfork-control/tests/solo/fixture.rs
@@ -209,7 +209,7 @@
     }
 }
 
-fn declaration() -> configuration::Configuration {
+pub fn declaration() -> configuration::Configuration {
     let mut declared = configuration::Configuration::default();
     for zone in ["zone-a", "zone-b"] {
         declared.zones.insert(zone.into(), configuration::Zone::default());
--- a/crates/hyssopfork-control/tests/solo/mod.rs
+++ b/crates/hyssopfork-control/tests/solo/mod.rs
@@ -1,6 +1,6 @@
 //! One control instance that is a quorum by itself, with its disk and clock in the test's hands.
 
 mod answering;
-mod fixture;
+pub mod fixture;
 mod groups;
 mod leases;
