Believe that nothing runs on a closing group only from a fresh report

Cause: found while reading groups.rs against the promise that a graceful shutdown cuts off no request in flight. A drained or leaving member makes its group movable once the first member reports that nothing runs; the last report may be older than the last request that began, and entries offer work until their views show the drain.

Reports now count only from IN_FORCE_BOUND after the member was drained or began to leave. Ruled out: comparing the first member's version alone, since an entry with an older view still offers work, and the gate looks at its own instance's drain.

--- a/crates/hyssopfork-control/src/groups.rs
+++ b/crates/hyssopfork-control/src/groups.rs
@@ -39,6 +39,9 @@
     seen: BTreeMap<name::Group, Seen>,
     /// Model that an engine last said it holds, with the boot of its agent.
     holds: BTreeMap<name::Instance, (u64, name::Model)>,
+    /// Groups with a drained or leaving member, and since when: by the bound after that no entry
+    /// offers them work any more.
+    closing: BTreeMap<name::Group, clock::Instant>,
     /// Until when instances that did not load in time are passed over.
     shunned: BTreeMap<name::Instance, clock::Instant>,
 }
@@ -93,6 +96,9 @@
 
     fn observe(&mut self, now: clock::Instant, view: &change::View, holders: &holders::Holders) {
         self.seen.retain(|group, _| view.placements.contains_key(group));
+        self.closing.retain(|group, _| {
+            view.placements.get(group).is_some_and(|placed| is_closing(view, placed))
+        });
         self.holds.retain(|instance, (boot, _)| {
             holders.agent(instance, *boot).is_some_and(|agent| agent.report.alive)
         });
@@ -104,6 +110,9 @@
                 *seen = Seen { fence, since: now };
             }
             let since = seen.since;
+            if is_closing(view, placed) {
+                self.closing.entry(group.clone()).or_insert(now);
+            }
             self.observe_members(now, view, holders, group, placed, since);
         }
     }
@@ -212,13 +221,34 @@
         let loading = self.is_loading(now, group)
             && placed.members.iter().any(|member| !loaded(view, holders, member, placed.fence));
         let kept = placed.members.iter().any(|member| is_kept(view, holders, member));
-        if loading || kept {
+        if loading || kept || !self.is_settled_report(view, holders, group, placed) {
             return 1;
         }
         let first = placed.members.first().and_then(|first| agent(view, holders, first));
         first.map_or(1, |agent| agent.report.running)
     }
 
+    /// Whether the first member's report tells what will still run on a closing group.
+    ///
+    /// Entries offer it work until their views show that a member is drained or leaving, and a
+    /// report may be older than the last request that began. Moved on an old report that nothing
+    /// runs, the group would cut that request. After the bound nothing new begins, so a report
+    /// from then on can only go down.
+    fn is_settled_report(
+        &self,
+        view: &change::View,
+        holders: &holders::Holders,
+        group: &name::Group,
+        placed: &fleet::Placement,
+    ) -> bool {
+        let Some(since) = self.closing.get(group) else { return true };
+        let heard = placed.members.first().and_then(|first| {
+            let boot = view.members.get(first)?.announcement.boot;
+            holders.heard(first, boot)
+        });
+        heard.is_some_and(|heard| heard >= *since + timing::IN_FORCE_BOUND)
+    }
+
     fn is_loading(&self, now: clock::Instant, group: &name::Group) -> bool {
         self.seen.get(group).is_some_and(|seen| now.since(seen.since) < LOADING_LIMIT)
     }
@@ -303,6 +333,16 @@
     }
 }
 
+/// Whether a member of a placement is drained or leaving.
+fn is_closing(view: &change::View, placed: &fleet::Placement) -> bool {
+    placed.members.iter().any(|member| {
+        matches!(
+            upstream::obstacle(view, member),
+            Some(upstream::Obstacle::Drained | upstream::Obstacle::Leaving)
+        )
+    })
+}
+
 /// Whether a member keeps its group where it stands although it takes no work: its zone is out
 /// (it comes back with its weights), or nothing is known of it yet.
 fn is_kept(view: &change::View, holders: &holders::Holders, instance: &name::Instance) -> bool {
--- a/crates/hyssopfork-control/tests/solo/groups.rs
+++ b/crates/hyssopfork-control/tests/solo/groups.rs
@@ -97,6 +97,25 @@
     assert_eq!(solo.placed("g1"), Some((vec!["e1".into(), "e3".into()], number::Fence(2))));
 }
 
+// A member is drained while a request has just begun on its group; the first member's last report
+// is older than that and says that nothing runs. Moved at once, the group would cut the request.
+#[test]
+fn a_group_that_looks_idle_by_an_old_report_stays_until_its_request_has_ended() {
+    let mut solo = placed();
+
+    solo.submit("drain", vec![patch::Operation::SetDrained("e2".into(), true)]);
+    solo.pass(Duration::from_millis(400));
+    let early = solo.placed("g1").expect("stands").1;
+    solo.report("e1").running = 1;
+    solo.live(timing::IN_FORCE_BOUND + SECOND);
+    let busy = solo.placed("g1").expect("stands").1;
+    solo.report("e1").running = 0;
+    solo.live(SECOND);
+
+    assert_eq!((early, busy), (number::Fence(1), number::Fence(1)));
+    assert_eq!(solo.placed("g1"), Some((vec!["e1".into(), "e3".into()], number::Fence(2))));
+}
+
 // An engine answers probes but never finishes to load. Without a limit its group would wait for
 // it for good; without passing it over it would be the first spare for the next repair.
 #[test]
