--- a/crates/hyssopfork-consensus/src/node.rs
+++ b/crates/hyssopfork-consensus/src/node.rs
@@ -63,8 +63,8 @@
 /// Settings of a node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
-    /// Instances of the first voters, the same list at each of them. A process that is not listed
-    /// asks these to be let in.
+    /// Instances of the first voters, the same list at each of them. An instance that is listed
+    /// later joins by itself; a process that isn't listed asks these, and an operator lets it in.
     pub voters: Vec<name::Instance>,
     /// Time between heartbeats.
     pub heartbeat: Duration,
@@ -137,6 +137,8 @@
     ask_at: clock::Instant,
     /// Folders that answered to be blank.
     blank: collections::BTreeMap<name::Instance, consensus::Voter>,
+    /// Last asker whose list of first voters differs.
+    differing: Option<consensus::Voter>,
     /// Snapshot that is arriving.
     incoming: Option<follow::Incoming>,
     /// Whether the process is to stop.
@@ -175,6 +177,7 @@
             deadline: now,
             ask_at: now,
             blank: collections::BTreeMap::new(),
+            differing: None,
             incoming: None,
             resigned: false,
             write: write::Write::default(),
--- a/crates/hyssopfork-daemon/src/log.rs
+++ b/crates/hyssopfork-daemon/src/log.rs
@@ -42,24 +42,7 @@
     )*};
 }
 
-numbered!(notice {}, agent { Watch }, entry { Watch }, watch {}, control { Log });
-
-impl Numbered for consensus::Notice {
-    fn number(&self) -> u16 {
-        consensus::Notice::number(self)
-    }
-
-    fn level(&self) -> level::Level {
-        match consensus::Notice::level(self) {
-            consensus::Level::Info => level::Level::Info,
-            consensus::Level::Warn => level::Level::Warn,
-        }
-    }
-
-    fn name(&self) -> String {
-        format!("{:?}", consensus::Kind::from(self))
-    }
-}
+numbered!(notice {}, agent { Watch }, entry { Watch }, watch {}, control { Log }, consensus {});
 
 /// Writes a numbered event.
 pub fn notice(notice: &impl Numbered) {
