Take an engine for dead only by two reports in a row

Cause: an agent reports its engine as dead when its last probe is a second old, as after a pause of its process, and control moved the group on that one report: minutes of loading weights in place of half a second. The new test one_report_of_a_dead_engine_moves_no_group fails with DEAD_REPORTS left out (groups.rs, dead()). Cost: a dead engine is found up to 0.5 s later.

--- a/crates/hyssopfork-control/src/groups.rs
+++ b/crates/hyssopfork-control/src/groups.rs
@@ -13,6 +13,9 @@
 /// over for as long again. Weights of a large model at a shared store take minutes.
 pub const LOADING_LIMIT: Duration = Duration::from_secs(300);
 
+/// Reports in a row after which an engine that was alive counts as dead.
+pub const DEAD_REPORTS: u32 = 2;
+
 /// Time between two looks at the groups when nothing has changed.
 pub const PERIOD: Duration = Duration::from_millis(500);
 
@@ -323,10 +326,15 @@
     agent(view, holders, instance).is_some_and(|agent| agent.report.joined >= fence)
 }
 
-/// An engine that was alive and is not is lost. One that has not answered yet is given time: its
-/// agent has only just started and has probed nothing.
+/// An engine that was alive and by two reports in a row is not is lost. One that has not answered
+/// yet is given time: its agent has only just started and has probed nothing.
+///
+/// One report is not enough. An agent that was paused for a second reports an engine that it has
+/// not probed lately as dead, and alive again half a second later; moved at once, its group would
+/// wait minutes for weights in place of that half second.
 fn dead(now: clock::Instant, agent: &holders::Agent) -> placement::Standing {
-    if agent.was_alive || now.since(agent.since) >= timing::PRESENCE_LIMIT {
+    let confirmed = agent.was_alive && agent.dead >= DEAD_REPORTS;
+    if confirmed || !agent.was_alive && now.since(agent.since) >= timing::PRESENCE_LIMIT {
         placement::Standing::Missing
     } else {
         placement::Standing::Closed
--- a/crates/hyssopfork-control/src/holders.rs
+++ b/crates/hyssopfork-control/src/holders.rs
@@ -27,6 +27,8 @@
     pub since: clock::Instant,
     /// Whether its back end has answered since then.
     pub was_alive: bool,
+    /// Reports in a row that the back end doesn't answer.
+    pub dead: u32,
     /// Its newest report.
     pub report: fleet::Report,
 }
@@ -39,7 +41,7 @@
 }
 
 impl Holders {
-    /// Notes a renewal; returns whether a back end's life changed.
+    /// Notes a renewal; returns whether a back end's life may look different now.
     pub fn note(&mut self, now: clock::Instant, renewal: &control::Renewal) -> bool {
         match &renewal.holder {
             control::Holder::Entry(instance) => {
@@ -51,11 +53,12 @@
                 let instance = &announcement.instance;
                 let old = self.agents.get(instance).and_then(|holder| holder.agent.as_ref());
                 let same = old.filter(|agent| agent.boot == announcement.boot);
-                let changed = same.is_none_or(|agent| agent.report.alive != report.alive);
+                let changed = same.is_none_or(|agent| !agent.report.alive || !report.alive);
                 let agent = Agent {
                     boot: announcement.boot,
                     since: same.map_or(now, |agent| agent.since),
                     was_alive: report.alive || same.is_some_and(|agent| agent.was_alive),
+                    dead: if report.alive { 0 } else { same.map_or(0, |agent| agent.dead) + 1 },
                     report: report.clone(),
                 };
                 let holder = Holder { version: renewal.have, heard: now, agent: Some(agent) };
