Look at few unplaced groups in one plan, in turn, and measure a dark zone

And a bound in order of priority alone starves: groups that fit nowhere would keep all lesser ones waiting.

--- a/crates/hyssopfork-control/benches/control.rs
+++ b/crates/hyssopfork-control/benches/control.rs
@@ -14,6 +14,9 @@
 /// Members of a group, as at the size foreseen.
 const SIZE: u32 = 8;
 
+/// Weight loads at once: eight groups in each round of renewals.
+const LOADS: u32 = 64;
+
 /// Most rounds of renewals while groups are placed, so that the run ends.
 const ROUNDS: u32 = 40;
 
@@ -32,7 +35,8 @@
         let identity = consensus::Voter { instance: instance.clone(), folder: 1 };
         let settings = node::Settings { voters: vec![instance.clone()], ..Default::default() };
         let node = node::Node::new(identity, node::Durable::default(), settings, 1, now);
-        let settings = core::Settings::new(instance, BTreeMap::new());
+        let mut settings = core::Settings::new(instance, BTreeMap::new());
+        settings.loads = LOADS;
         let core = core::Core::new(settings, node, machine::Machine::new(), now);
         let mut leader = Leader { core, now, calls: 0, replies: Vec::new() };
         leader.pass(Duration::from_secs(3));
@@ -79,12 +83,12 @@
     }
 
     /// Every agent renews; engines have loaded what they were placed for by then.
-    fn renew(&mut self, agents: u32) {
+    fn renew(&mut self, agents: impl IntoIterator<Item = u32>) {
         let mut joined: BTreeMap<name::Instance, number::Fence> = BTreeMap::new();
         for placement in self.core.machine().view().placements.values() {
             joined.extend(placement.members.iter().map(|it| (it.clone(), placement.fence)));
         }
-        for count in 0..agents {
+        for count in agents {
             let announcement = announcement(count);
             let joined = joined.get(&announcement.instance).copied().unwrap_or_default();
             let report = fleet::Report { alive: true, joined, ..Default::default() };
@@ -106,12 +110,12 @@
     let mut leader = Leader::new();
     leader.submit(vec![patch::Operation::Declare(Box::new(declaration(agents)))]);
     let start = Instant::now();
-    leader.renew(agents);
+    leader.renew(0..agents);
     report("announce and first lease, each", start.elapsed(), agents);
 
     let mut planning = Duration::ZERO;
     for _ in 0..(agents / 16).min(ROUNDS) + 4 {
-        leader.renew(agents);
+        leader.renew(0..agents);
         planning = planning.max(leader.pass(timing::RENEWAL));
     }
     let placed = leader.core.machine().view().placements.len();
@@ -120,7 +124,7 @@
 
     leader.replies.clear();
     let start = Instant::now();
-    leader.renew(agents);
+    leader.renew(0..agents);
     report("renewal, each", start.elapsed(), agents);
     let bytes = |response: &control::Response| bincode::serialized_size(response).unwrap_or(0);
     println!("  lease without news             {:>10} bytes", bytes(&leader.replies[0]));
@@ -130,6 +134,13 @@
     println!("  renewal asked for              {asked:>10} bytes");
     report("longest tick when nothing changes", leader.pass(timing::RENEWAL), 1);
 
+    let mut mending = Duration::ZERO;
+    for _ in 0..8 {
+        leader.renew((0..agents).filter(|count| count / 16 % 15 != 0));
+        mending = mending.max(leader.pass(timing::RENEWAL));
+    }
+    report("longest tick with a zone dark", mending, 1);
+
     let have = leader.version();
     (0..agents).for_each(|_| leader.call(control::Request::Watch(have)));
     leader.replies.clear();
--- a/crates/hyssopfork-control/src/groups.rs
+++ b/crates/hyssopfork-control/src/groups.rs
@@ -24,9 +24,14 @@
 /// of milliseconds, and without a pause control would do nothing else.
 pub const PAUSE_EACH: Duration = Duration::from_micros(50);
 
-/// Most groups without a placement that one plan looks at. The weight store bears a few loads at
-/// once, so no more could be placed now; a plan's cost grows with the groups times the domains.
-pub const UNPLACED_LIMIT: usize = 16;
+/// Groups without a placement that every plan looks at: the first in order of priority. The weight
+/// store bears a few loads at once, so few could be placed now, and a plan's cost grows with the
+/// groups times the domains.
+pub const FIRST_UNPLACED: usize = 2;
+
+/// Groups without a placement that a plan looks at besides, in turn. Without them groups that fit
+/// nowhere would keep all lesser ones waiting for good.
+pub const UNPLACED_IN_TURN: usize = 2;
 
 /// A placement as this leader has seen it.
 #[derive(Clone, Copy, Debug)]
@@ -45,6 +50,8 @@
     /// Groups with a drained or leaving member, and since when: by the bound after that no entry
     /// offers them work any more.
     closing: BTreeMap<name::Group, clock::Instant>,
+    /// Where the next plan's turn through the groups without a placement begins.
+    turn: usize,
     /// Until when instances that did not load in time are passed over.
     shunned: BTreeMap<name::Instance, clock::Instant>,
 }
@@ -69,7 +76,7 @@
         }
         let fleet = placement::Fleet {
             instances: self.instances(now, view, holders),
-            groups: groups(view),
+            groups: self.candidates(view),
             placements: self.placements(now, view, holders),
             budget: loads::Budget { limit: loads, running: self.loading(now, view, holders) },
         };
@@ -77,6 +84,24 @@
         decisions.into_iter().filter_map(|decision| command(view, decision)).collect()
     }
 
+    /// Declared groups that the plan looks at: all that stand somewhere, and few of the others.
+    fn candidates(&mut self, view: &change::View) -> Vec<placement::Group> {
+        let (placed, mut unplaced): (Vec<_>, Vec<_>) = view
+            .configuration
+            .groups
+            .iter()
+            .partition(|(name, _)| view.placements.contains_key(*name));
+        unplaced.sort_by_key(|(_, declared)| cmp::Reverse(declared.priority));
+        let rest = unplaced.split_off(FIRST_UNPLACED.min(unplaced.len()));
+        if !rest.is_empty() {
+            let count = UNPLACED_IN_TURN.min(rest.len());
+            let start = self.turn % rest.len();
+            unplaced.extend(rest.iter().cycle().skip(start).take(count));
+            self.turn = start + count;
+        }
+        placed.into_iter().chain(unplaced).map(group).collect()
+    }
+
     /// Whether every declared group stands on usable members: there is nothing to plan. The whole
     /// plan costs milliseconds in a large fleet and runs twice a second.
     fn is_settled(
@@ -291,20 +316,14 @@
     }
 }
 
-/// Declared groups, but of those that stand nowhere only the first in order of priority.
-fn groups(view: &change::View) -> Vec<placement::Group> {
-    let (placed, mut unplaced): (Vec<_>, Vec<_>) =
-        view.configuration.groups.iter().partition(|(name, _)| view.placements.contains_key(*name));
-    unplaced.sort_by_key(|(_, declared)| cmp::Reverse(declared.priority));
-    unplaced.truncate(UNPLACED_LIMIT);
-    let group = |(name, declared): (&name::Group, &configuration::Group)| placement::Group {
+fn group((name, declared): (&name::Group, &configuration::Group)) -> placement::Group {
+    placement::Group {
         name: name.clone(),
         pool: declared.pool.clone(),
         model: declared.model.clone(),
         size: declared.size,
         priority: declared.priority,
-    };
-    placed.into_iter().chain(unplaced).map(group).collect()
+    }
 }
 
 /// What the recorded agent of an instance last reported.
--- a/crates/hyssopfork-control/tests/solo/groups.rs
+++ b/crates/hyssopfork-control/tests/solo/groups.rs
@@ -2,7 +2,7 @@
 
 use crate::solo::fixture;
 use hyssopfork_control::groups;
-use hyssopfork_wire::{number, patch, timing};
+use hyssopfork_wire::{configuration, number, patch, timing};
 use std::time::Duration;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -130,6 +130,23 @@
     assert_eq!(solo.placed("g1"), Some((vec!["e1".into(), "e3".into()], number::Fence(2))));
 }
 
+// Groups of great priority are declared larger than any fabric domain. They can stand nowhere; the
+// lesser group behind them can and must.
+#[test]
+fn groups_that_fit_nowhere_keep_no_lesser_one_waiting() {
+    let mut solo = placed();
+    let huge = |count| {
+        let declared = configuration::Group { priority: 9, ..fixture::group(5) };
+        patch::Operation::PutGroup(format!("huge-{count}").as_str().into(), declared)
+    };
+
+    solo.submit("huge", (0..9).map(huge).collect());
+    solo.submit("small", vec![patch::Operation::PutGroup("small".into(), fixture::group(2))]);
+    solo.live(SECOND * 6);
+
+    assert!(solo.placed("small").is_some());
+}
+
 // An engine answers probes but never finishes to load. Without a limit its group would wait for
 // it for good; without passing it over it would be the first spare for the next repair.
 #[test]
