Compare the catalogue of events with control's notices

Cause: docs/events.md lists them by hand. Kind::number gives each its number, so a test walks them all; taking the row of 1250 out of a copy of the page makes it fail (trial).

--- a/crates/hyssopfork-control/src/notice.rs
+++ b/crates/hyssopfork-control/src/notice.rs
@@ -53,30 +53,41 @@
     Crowded,
 }
 
+impl Kind {
+    /// Number in the catalogue of events; `None` for one of the replicated log, which has its own.
+    pub const fn number(self) -> Option<u16> {
+        let number = match self {
+            Kind::Log => return None,
+            Kind::Serving => 1200,
+            Kind::Ceased => 1201,
+            Kind::Paused => 1202,
+            Kind::Snapshot => 1203,
+            Kind::Restored => 1204,
+            Kind::Accepted => 1210,
+            Kind::Refused => 1211,
+            Kind::Joined => 1220,
+            Kind::Absent => 1221,
+            Kind::Leaving => 1222,
+            Kind::Forgotten => 1223,
+            Kind::Superseded => 1224,
+            Kind::Ahead => 1225,
+            Kind::Placed => 1230,
+            Kind::Unplaced => 1231,
+            Kind::Unplaceable => 1232,
+            Kind::Expired => 1240,
+            Kind::ClaimsFull => 1241,
+            Kind::Crowded => 1250,
+        };
+        Some(number)
+    }
+}
+
 impl Notice {
     /// Number in the catalogue of events.
-    pub const fn number(&self) -> u16 {
+    pub fn number(&self) -> u16 {
         match self {
             Notice::Log(inner) => inner.number(),
-            Notice::Serving(_) => 1200,
-            Notice::Ceased(..) => 1201,
-            Notice::Paused(_) => 1202,
-            Notice::Snapshot(..) => 1203,
-            Notice::Restored(_) => 1204,
-            Notice::Accepted(..) => 1210,
-            Notice::Refused(..) => 1211,
-            Notice::Joined(..) => 1220,
-            Notice::Absent(_) => 1221,
-            Notice::Leaving(_) => 1222,
-            Notice::Forgotten(_) => 1223,
-            Notice::Superseded(..) => 1224,
-            Notice::Ahead(..) => 1225,
-            Notice::Placed(..) => 1230,
-            Notice::Unplaced(_) => 1231,
-            Notice::Unplaceable(..) => 1232,
-            Notice::Expired(_) => 1240,
-            Notice::ClaimsFull => 1241,
-            Notice::Crowded => 1250,
+            own => Kind::from(own).number().unwrap_or_default(),
         }
     }
 
--- a/crates/hyssopfork-control/tests/solo/answering.rs
+++ b/crates/hyssopfork-control/tests/solo/answering.rs
@@ -7,6 +7,7 @@
     attempt, change, claim, clock, consensus, control, level, number, patch, timing,
 };
 use std::collections::BTreeSet;
+use std::fs;
 use std::time::Duration;
 use strum::IntoEnumIterator;
 
@@ -223,8 +224,23 @@
 
     let own = solo.notices.iter().filter(|it| !matches!(it, notice::Notice::Log(_)));
     let numbers: BTreeSet<u16> = own.clone().map(notice::Notice::number).collect();
+    let kinds: BTreeSet<u16> = notice::Kind::iter().filter_map(notice::Kind::number).collect();
 
-    assert!(numbers.iter().all(|number| (1200..2000).contains(number)), "{numbers:?}");
+    assert!(kinds.is_superset(&numbers), "{numbers:?}");
+    assert!(kinds.iter().all(|number| (1200..2000).contains(number)), "{kinds:?}");
+    assert_eq!(kinds.len() + 1, notice::Kind::iter().count(), "each has its own");
     assert!(own.clone().all(|notice| notice.level() == level::Level::Info));
-    assert!(notice::Kind::iter().count() > numbers.len());
+}
+
+#[test]
+fn the_catalogue_of_events_has_every_notice() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/events.md");
+    let catalogue = fs::read_to_string(path).expect("the catalogue is in the tree");
+
+    for kind in notice::Kind::iter() {
+        let Some(number) = kind.number() else { continue };
+        let row = format!("| {number} | {kind:?} |");
+
+        assert!(catalogue.contains(&row), "{row} is in docs/events.md");
+    }
 }
