Test that a watcher which is behind when it asks is told at once

Turned off by hand: watches.rs pause, changes_that_follow_at_once_are_told_in_one _answer fails; requests.rs fall_behind for a late asker, not seen before this test, which fails without it.

--- a/crates/hyssopfork-control/tests/solo/answering.rs
+++ b/crates/hyssopfork-control/tests/solo/answering.rs
@@ -130,6 +130,21 @@
     solo.pass(Duration::from_secs(3));
 }
 
+#[test]
+fn a_watcher_that_is_behind_when_it_asks_is_told_without_waiting() {
+    let mut solo = fixture::Solo::leading();
+    let have = solo.view().version;
+    solo.submit("out", zone_out(true));
+
+    let watch = solo.call(control::Request::Watch(have));
+    solo.pass(Duration::from_millis(20));
+
+    assert!(matches!(
+        solo.replies.get(&watch),
+        Some(control::Response::Updated(change::Update::Steps(_)))
+    ));
+}
+
 #[test]
 fn a_watch_is_held_until_the_view_moves_or_its_time_is_up() {
     let mut solo = fixture::Solo::leading();
