Listen for a second before a new leader plans groups

Cause: found by reading. Right after an election only some agents have reported; a group that was broken by then was rebuilt in the domain that was heard first, with a load of weights for every member in place of one. The new test a_new_leader_hears_everyone_before_it_mends_a_group fails without the line in duties.rs plan() (placed on e5 and e6). Cost: up to a second of repair after an election or a pause of the leader.

--- a/crates/hyssopfork-control/src/core/duties.rs
+++ b/crates/hyssopfork-control/src/core/duties.rs
@@ -4,9 +4,16 @@
 use crate::{action, calls, groups, notice};
 use hyssopfork_consensus::event as log_event;
 use hyssopfork_state::{claims, command};
-use hyssopfork_wire::{clock, control};
+use hyssopfork_wire::{clock, control, timing};
 use std::time::Duration;
 
+/// Time that a leader listens before it plans groups: each agent that runs has renewed with it by
+/// then, also when its first try went elsewhere.
+///
+/// Planned on the first reports alone, a broken group would be rebuilt from nothing in whatever
+/// domain was heard first, while the spare beside its survivors had not spoken yet.
+const LISTENING: Duration = timing::RENEWAL.saturating_mul(2);
+
 /// Time between two surveys of presence.
 const SURVEY: Duration = Duration::from_millis(100);
 
@@ -157,6 +164,9 @@
     }
 
     fn plan(&mut self, leadership: &mut Leadership) {
+        if self.now.since(leadership.listening) < LISTENING {
+            return;
+        }
         let waited = self.now.since(leadership.planned);
         let pause = groups::PAUSE_EACH * self.machine.view().members.len() as u32;
         let due = waited >= groups::PERIOD || leadership.dirty && waited >= pause;
--- a/crates/hyssopfork-control/tests/solo/groups.rs
+++ b/crates/hyssopfork-control/tests/solo/groups.rs
@@ -1,7 +1,7 @@
 //! Groups through losses, orders and engines that do not load.
 
 use crate::solo::fixture;
-use hyssopfork_control::groups;
+use hyssopfork_control::{groups, notice};
 use hyssopfork_wire::{configuration, number, patch, timing};
 use std::time::Duration;
 
@@ -147,6 +147,29 @@
     assert!(solo.placed("small").is_some());
 }
 
+// A group is broken when its leader restarts. Spares of another domain are heard first, the survivor
+// and the spare beside it half a second later. Placed on what is heard first, every member would
+// have to load weights in place of one.
+#[test]
+fn a_new_leader_hears_everyone_before_it_mends_a_group() {
+    let mut old = fixture::Solo::leading();
+    old.agents.retain(|name, _| ["e1", "e2"].contains(&name.as_str()));
+    old.live(SECOND * 2);
+    old.agents.remove("e2");
+    old.live(timing::PRESENCE_LIMIT + SECOND);
+    let mut solo = fixture::Solo::start(old.durable);
+    while !solo.notices.iter().any(|it| matches!(it, notice::Notice::Serving(_))) {
+        solo.pass(Duration::from_millis(20));
+    }
+
+    ["e5", "e6"].into_iter().for_each(|name| solo.add(name, "d2", 1));
+    solo.live(Duration::from_millis(500));
+    ["e1", "e3"].into_iter().for_each(|name| solo.add(name, "d1", 1));
+    solo.live(SECOND * 2);
+
+    assert_eq!(solo.placed("g1"), Some((vec!["e1".into(), "e3".into()], number::Fence(2))));
+}
+
 // An engine answers probes but never finishes to load. Without a limit its group would wait for
 // it for good; without passing it over it would be the first spare for the next repair.
 #[test]
