--- a/crates/hyssopfork-wire/src/control.rs
+++ b/crates/hyssopfork-wire/src/control.rs
@@ -21,7 +21,8 @@
     pub holder: Holder,
     /// Version of the holder's view.
     pub have: number::Version,
-    /// Whether the holder is leaving: no new work for it, and no lease after this one.
+    /// Whether the holder is leaving: no new work for it. An agent's leaving is recorded before this
+    /// is granted, so the lease is on a view that says so.
     pub leaving: bool,
 }
 
