--- a/crates/hyssopfork-agent/src/engine.rs
+++ b/crates/hyssopfork-agent/src/engine.rs
@@ -18,6 +18,10 @@
 /// lost the model that a grant vouches for. Five probes: an answer may take half a second.
 pub const PROBE_AGE: Duration = Duration::from_millis(1_000);
 
+/// Probes that must be answered after work broke off before the limit is what it was. The first may
+/// have been answered before the back end died.
+const PROBES_TO_TRUST: u32 = 2;
+
 /// What a probe changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -43,6 +47,8 @@
     order: Option<number::Fence>,
     order_at: clock::Instant,
     ramp: ramp::Ramp,
+    /// Probes still to be answered before the ramp's limit holds.
+    suspected: u32,
 }
 
 impl Engine {
@@ -58,6 +64,7 @@
             order: None,
             order_at: now,
             ramp: ramp::Ramp::new(now, profile.concurrency),
+            suspected: 0,
         }
     }
 
@@ -83,7 +90,14 @@
 
     /// Attempts that it may bear at once now.
     pub fn limit(&self) -> u32 {
-        self.ramp.limit()
+        let limit = self.ramp.limit();
+        if self.suspected > 0 { limit.min(ramp::INITIAL) } else { limit }
+    }
+
+    /// Notes that work broke off. The back end may have died and come back cold within the time
+    /// between two probes; until they tell, it gets no more than a cold one bears.
+    pub fn suspect(&mut self) {
+        self.suspected = PROBES_TO_TRUST;
     }
 
     /// Whether it counts as warm.
@@ -91,8 +105,8 @@
         self.ramp.is_warm()
     }
 
-    /// Takes a probe that was sent at `sent`. `own` attempts of this process run, and `wanted` is the fencing number that
-    /// this instance is placed under.
+    /// Takes a probe that was sent at `sent`. `own` attempts of this process run, and `wanted` is
+    /// the fencing number that this instance is placed under.
     pub fn probe(
         &mut self,
         now: clock::Instant,
@@ -105,6 +119,7 @@
         let returned = !self.alive;
         self.alive = true;
         self.probed = self.probed.max(sent);
+        self.suspected = self.suspected.saturating_sub(1);
         self.count_foreign(health.running, own);
         if self.is_another(&health, returned) {
             self.incarnation = health.incarnation;
@@ -126,7 +141,10 @@
     /// One order at a time: an engine that ignores fencing numbers might take two that overlap in
     /// either order and end up with the older group's model under the newer group's number.
     pub fn is_due(&self, fence: number::Fence, now: clock::Instant) -> bool {
-        self.alive && self.loaded != Some(fence) && self.order.is_none() && now >= self.order_at
+        self.is_alive(now)
+            && self.loaded != Some(fence)
+            && self.order.is_none()
+            && now >= self.order_at
     }
 
     /// Notes that an order is given. Whatever was loaded before counts no more.
--- a/crates/hyssopfork-control/tests/histories/world.rs
+++ b/crates/hyssopfork-control/tests/histories/world.rs
@@ -131,7 +131,9 @@
     fn step(&mut self, slot: usize, event: event::Event, again: Happening) {
         let paused = self.slots[slot].paused_until;
         if paused > self.now {
-            return self.at(paused - self.now, again);
+            // What came meanwhile is taken in any order, also before the first tick.
+            let order = self.random.random_range(0..2_000);
+            return self.at(paused - self.now + order, again);
         }
         if matches!(again, Happening::Tick(_)) {
             self.at(20_000, again);
@@ -155,7 +157,8 @@
             action::Action::Persist(write) => {
                 let (boot, mark) = (self.slots[slot].boot, write.mark);
                 self.slots[slot].write(write);
-                let delay = self.random.random_range(100..3_000);
+                let slow = self.now < HEALED && self.random.random_range(0..100) < 4;
+                let delay = self.random.random_range(if slow { 0..900_000 } else { 100..3_000 });
                 self.at(delay, Happening::Synced { slot, boot, mark });
             }
             action::Action::Reply { call, response } => {
@@ -165,7 +168,8 @@
                 }
             }
             action::Action::Fail(reason) => panic!("{reason}"),
-            action::Action::Notice(_) | action::Action::Stopped => {}
+            action::Action::Stopped => self.crash(slot),
+            action::Action::Notice(_) => {}
         }
     }
 
@@ -215,7 +219,7 @@
             return;
         }
         let slot = self.random.random_range(0..3);
-        match self.random.random_range(0..12) {
+        match self.random.random_range(0..13) {
             0..4 => {
                 let other = (slot + 1) % 3;
                 self.cut.insert((slot.min(other), slot.max(other)));
@@ -230,6 +234,9 @@
                     self.now + self.random.random_range(100_000..2_500_000);
             }
             9..11 => self.crash(slot),
+            11 if self.slots[slot].paused_until <= self.now => {
+                self.step(slot, event::Event::Stop, Happening::Fault);
+            }
             _ => {
                 let holders = self.clients.len() - 6;
                 let client = holders + self.random.random_range(0..6);
--- a/crates/hyssopfork-entry/tests/history/world.rs
+++ b/crates/hyssopfork-entry/tests/history/world.rs
@@ -61,6 +61,7 @@
     Restart(Node),
     Manage,
     Fault,
+    ZoneIn(name::Zone),
     Arrive,
     Gone { entry: usize, request: u64 },
 }
