Take an engine that is loaded as wanted for loaded before it is ordered

Ruled out: a late order of the process before (its time had passed). Without adopt() before is_due() the new test fails: an order for the fencing number that the engine already holds goes out.

--- a/crates/hyssopfork-agent/src/engine.rs
+++ b/crates/hyssopfork-agent/src/engine.rs
@@ -42,6 +42,8 @@
     probed: clock::Instant,
     foreign: Option<u32>,
     incarnation: Option<String>,
+    /// What the last probe told.
+    told: Option<number::Fence>,
     loaded: Option<number::Fence>,
     loaded_at: clock::Instant,
     order: Option<number::Fence>,
@@ -59,6 +61,7 @@
             probed: now,
             foreign: None,
             incarnation: None,
+            told: None,
             loaded: None,
             loaded_at: now,
             order: None,
@@ -121,18 +124,19 @@
         self.probed = self.probed.max(sent);
         self.suspected = self.suspected.saturating_sub(1);
         self.count_foreign(health.running, own);
+        self.told = health.loaded;
         if self.is_another(&health, returned) {
             self.incarnation = health.incarnation;
             self.order = None;
             self.turn(now);
-            self.adopt(now, health.loaded, wanted);
+            self.adopt(now, wanted);
             return Change::Turned;
         }
         if self.has_lost(now, health.loaded) {
             self.turn(now);
             return Change::Turned;
         }
-        self.adopt(now, health.loaded, wanted);
+        self.adopt(now, wanted);
         if returned { Change::Up } else { Change::None }
     }
 
@@ -201,14 +205,10 @@
     }
 
     /// An engine that says that it is loaded as wanted needs no order: this agent's process may
-    /// be new, or the order's answer lost.
-    fn adopt(
-        &mut self,
-        now: clock::Instant,
-        told: Option<number::Fence>,
-        wanted: Option<number::Fence>,
-    ) {
-        if told.is_none() || told != wanted || self.loaded == wanted {
+    /// be new, or the order's answer lost. Asked before an order is given too, or the order would
+    /// be carried out, and the engine turn cold by it, after it was taken for loaded.
+    pub fn adopt(&mut self, now: clock::Instant, wanted: Option<number::Fence>) {
+        if self.told.is_none() || self.told != wanted || self.loaded == wanted {
             return;
         }
         self.order.take_if(|order| Some(*order) == wanted);
--- a/crates/hyssopfork-agent/src/group.rs
+++ b/crates/hyssopfork-agent/src/group.rs
@@ -169,7 +169,11 @@
             && self.grants.is_clear(fence, now)
             && fence > self.grants.ended()
             && self.stopping.is_none();
-        if !may || !self.engine.is_due(fence, now) {
+        if !may {
+            return;
+        }
+        self.engine.adopt(now, Some(fence));
+        if !self.engine.is_due(fence, now) {
             return;
         }
         let Some(model) = self.model(&place.group) else { return };
--- a/crates/hyssopfork-agent/tests/agent/group.rs
+++ b/crates/hyssopfork-agent/tests/agent/group.rs
@@ -127,6 +127,22 @@
     assert!(fixture::is_granted(&late));
 }
 
+// Found by random histories (seed 24605): a restarted agent had probed its engine, which was still
+// loaded, before it knew where the engine is placed. It ordered it to load, took it for loaded at
+// the next probe and let its limit grow; then the order was carried out and the engine was cold.
+#[test]
+fn engine_that_is_loaded_as_wanted_is_not_ordered() {
+    let mut agent = fixture::engine("i1");
+    agent.probe(Some(fixture::health("a", Some(fixture::FENCE))));
+    agent.pass(timing::GROUP_GRANT_GUARD);
+
+    let mut actions = agent.hold(Duration::ZERO);
+    actions.extend(agent.pass(action::TICK));
+
+    assert_eq!(fixture::orders(&actions), Vec::<number::Fence>::new());
+    assert!(fixture::is_granted(&agent.ask(fixture::request(fixture::FENCE))));
+}
+
 // Cut off from control, a member can't know that its instance was given to another group: it stops
 // standing by the old one when its lease lapses.
 #[test]
