--- a/crates/hyssopfork-agent/src/engine.rs
+++ b/crates/hyssopfork-agent/src/engine.rs
@@ -18,10 +18,6 @@
 /// lost the model that a grant vouches for. Five probes: an answer may take half a second.
 pub const PROBE_AGE: Duration = Duration::from_millis(1_000);
 
-/// Probes that must be answered after work broke off before the limit is what it was. The first may
-/// have been answered before the back end died.
-const PROBES_TO_TRUST: u32 = 2;
-
 /// What a probe changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -49,8 +45,9 @@
     order: Option<number::Fence>,
     order_at: clock::Instant,
     ramp: ramp::Ramp,
-    /// Probes still to be answered before the ramp's limit holds.
-    suspected: u32,
+    /// When work last broke off; until a probe that was sent later has told, the ramp's limit
+    /// doesn't hold.
+    suspected: Option<clock::Instant>,
 }
 
 impl Engine {
@@ -67,7 +64,7 @@
             order: None,
             order_at: now,
             ramp: ramp::Ramp::new(now, profile.concurrency),
-            suspected: 0,
+            suspected: None,
         }
     }
 
@@ -94,13 +91,13 @@
     /// Attempts that it may bear at once now.
     pub fn limit(&self) -> u32 {
         let limit = self.ramp.limit();
-        if self.suspected > 0 { limit.min(ramp::INITIAL) } else { limit }
+        if self.suspected.is_some() { limit.min(ramp::INITIAL) } else { limit }
     }
 
     /// Notes that work broke off. The back end may have died and come back cold within the time
     /// between two probes; until they tell, it gets no more than a cold one bears.
-    pub fn suspect(&mut self) {
-        self.suspected = PROBES_TO_TRUST;
+    pub fn suspect(&mut self, now: clock::Instant) {
+        self.suspected = Some(now);
     }
 
     /// Whether it counts as warm.
@@ -122,7 +119,7 @@
         let returned = !self.alive;
         self.alive = true;
         self.probed = self.probed.max(sent);
-        self.suspected = self.suspected.saturating_sub(1);
+        self.suspected.take_if(|since| sent > *since);
         self.count_foreign(health.running, own);
         self.told = health.loaded;
         if self.is_another(&health, returned) {
--- a/crates/hyssopfork-agent/tests/agent/gate.rs
+++ b/crates/hyssopfork-agent/tests/agent/gate.rs
@@ -158,11 +158,14 @@
     run_and_complete(&mut agent, 1, ramp::HOLD + 2);
     (30..=32).for_each(|count| agent.run(fixture::plain_offer(count)));
 
+    let sent = agent.now;
     agent.step(event::Event::Failed(fixture::identifier(30), event::Fault::Broken));
     let suspected = agent.refusal(fixture::plain_offer(33));
-    agent.probe(Some(fixture::health("a", None)));
+    let health = Some(fixture::health("a", None));
+    agent.step(event::Event::ProbedAt { sent, health: health.clone() });
     let still = agent.refusal(fixture::plain_offer(34));
-    agent.probe(Some(fixture::health("a", None)));
+    agent.pass(timing::PROBE);
+    agent.probe(health);
     let trusted = agent.refusal(fixture::plain_offer(35));
 
     let cold = Some(refusal::Reason::Cold);
--- a/crates/hyssopfork-daemon/tests/processes/main.rs
+++ b/crates/hyssopfork-daemon/tests/processes/main.rs
@@ -1,7 +1,10 @@
 //! Tests with real processes on loopback, under kills, freezes and connections that go silent.
 
 mod at_most_once;
+mod cut_answers;
 mod groups;
+mod limits;
+mod metrics;
 mod soak;
 mod stop;
 mod support;
