Move a group off closed instances only by a report from after the closing

Cause, found by reading: a group whose member is drained or leaves is moved once its first member reports that nothing runs, but that report may be half a second old, from before the first member heard of it; work admitted since was cut off by the move (a graceful stop or a drain cuts off requests in flight). The report counts now only when its renewal was made under the present view: under it the first member's gate takes nothing more. Ruled out: waiting a fixed time, which a slow watch outlasts.

--- a/crates/hyssopfork-control/src/groups.rs
+++ b/crates/hyssopfork-control/src/groups.rs
@@ -215,8 +215,11 @@
         if loading || kept {
             return 1;
         }
-        let first = placed.members.first().and_then(|first| agent(view, holders, first));
-        first.map_or(1, |agent| agent.report.running)
+        let Some(first) = placed.members.first() else { return 1 };
+        match agent(view, holders, first) {
+            Some(agent) if knows(view, holders, first) => agent.report.running,
+            _ => 1,
+        }
     }
 
     fn is_loading(&self, now: clock::Instant, group: &name::Group) -> bool {
@@ -284,6 +287,14 @@
     holders.agent(instance, member.announcement.boot)
 }
 
+/// Whether the instance's agent reported after it had heard of this view. A report from before may
+/// say that nothing runs though work was admitted since, right up to when the agent heard that a
+/// member is closed; a group that was moved by it would cut that work off.
+fn knows(view: &change::View, holders: &holders::Holders, instance: &name::Instance) -> bool {
+    let Some(member) = view.members.get(instance) else { return false };
+    holders.version(instance, member.announcement.boot) >= Some(view.version)
+}
+
 fn loaded(
     view: &change::View,
     holders: &holders::Holders,
--- a/crates/hyssopfork-control/src/holders.rs
+++ b/crates/hyssopfork-control/src/holders.rs
@@ -78,6 +78,13 @@
         holder.agent.as_ref().filter(|agent| agent.boot == boot)
     }
 
+    /// Version of the view that the agent of this boot had when it last reported.
+    pub fn version(&self, instance: &name::Instance, boot: u64) -> Option<number::Version> {
+        let holder = self.agents.get(instance)?;
+        holder.agent.as_ref().filter(|agent| agent.boot == boot)?;
+        Some(holder.version)
+    }
+
     /// Drops holders that have been silent for long.
     pub fn forget_silent(&mut self, now: clock::Instant) {
         self.entries.retain(|_, holder| now.since(holder.heard) < MEMORY);
--- a/crates/hyssopfork-control/tests/solo/groups.rs
+++ b/crates/hyssopfork-control/tests/solo/groups.rs
@@ -97,6 +97,22 @@
     assert_eq!(solo.placed("g1"), Some((vec!["e1".into(), "e3".into()], number::Fence(2))));
 }
 
+// A member is drained. The first member reported half a second ago that nothing runs, and has taken
+// work since, as it hasn't heard of the draining yet; moved at once, the group would cut it off.
+#[test]
+fn a_report_from_before_the_draining_moves_nothing() {
+    let mut solo = placed();
+    solo.live(SECOND);
+
+    solo.submit("drain", vec![patch::Operation::SetDrained("e2".into(), true)]);
+    solo.pass(SECOND);
+    let before = solo.placed("g1");
+    solo.live(SECOND * 2);
+
+    assert_eq!(before, Some((vec!["e1".into(), "e2".into()], number::Fence(1))));
+    assert_eq!(solo.placed("g1"), Some((vec!["e1".into(), "e3".into()], number::Fence(2))));
+}
+
 // An engine answers probes but never finishes to load. Without a limit its group would wait for
 // it for good; without passing it over it would be the first spare for the next repair.
 #[test]
