Test graceful stops of two roles at once in the delivery loop

Control's stand-in moves groups off closed instances as control does: when the first member reported, under the present view, that nothing runs.

--- a/crates/hyssopfork-entry/tests/history.rs
+++ b/crates/hyssopfork-entry/tests/history.rs
@@ -77,3 +77,34 @@
     assert_eq!(broken, Vec::<u64>::new(), "these seeds break a promise");
     assert!(answered * 2 > asked, "most requests are answered even so");
 }
+
+// Agents and an entry are asked to stop, two at a time, under load with long answers, and come back.
+// No caller loses a part of its answer by it, and none is told that its work may have run.
+#[test]
+fn graceful_stops_cut_nothing_off() {
+    for seed in 1..=20 {
+        let mut world = world::World::new(seed);
+        world.calm();
+        world.run(3_000 * world::MILLI);
+        let first = world.first_members();
+        let stops = [
+            [world::Node::Agent(first[0]), world::Node::Agent(world::ENGINES)],
+            [world::Node::Agent(first[1]), world::Node::Entry(0)],
+            [world::Node::Agent(world.other_member()), world::Node::Agent(world::ENGINES + 1)],
+        ];
+
+        for pair in stops {
+            world.serve(1_000 * world::MILLI);
+            pair.into_iter().for_each(|node| world.stop(node));
+            world.serve(4_000 * world::MILLI);
+        }
+        world.run(QUIET / 2);
+
+        world.callers.check();
+        for (request, caller) in &world.callers.all {
+            let ended = caller.end.as_ref().expect("every request has its end");
+            assert!(!callers::is_cut(ended), "seed {seed}, request {request}: {caller:?}");
+        }
+        assert!(world.callers.answered() * 10 > world.callers.all.len() * 8);
+    }
+}
--- a/crates/hyssopfork-entry/tests/history/callers.rs
+++ b/crates/hyssopfork-entry/tests/history/callers.rs
@@ -81,3 +81,12 @@
     let count = if stream { 5 } else { 1 };
     (0..count).map(|part| format!("{path}#{part}")).collect()
 }
+
+/// Whether a caller lost what was in flight.
+pub fn is_cut(end: &Final) -> bool {
+    match end {
+        Final::Cut(_) => true,
+        Final::Refused(refusal) => refusal.ran == refusal::Ran::MayHaveRun,
+        Final::Answered | Final::Gone | Final::Orphaned => false,
+    }
+}
--- a/crates/hyssopfork-entry/tests/history/carry.rs
+++ b/crates/hyssopfork-entry/tests/history/carry.rs
@@ -342,7 +342,7 @@
         self.after(6_000 * MILLI, Happening::ZoneIn(zone));
     }
 
-    fn stop(&mut self, node: Node) {
+    pub fn stop(&mut self, node: Node) {
         match node {
             Node::Agent(index) => {
                 let event = agent::event::Event::Stop;
--- a/crates/hyssopfork-entry/tests/history/control.rs
+++ b/crates/hyssopfork-entry/tests/history/control.rs
@@ -8,11 +8,20 @@
 /// Steps that are kept; a watcher further behind gets the whole view.
 const STEPS_KEPT: usize = 8;
 
+/// What an agent said last.
+#[derive(Clone)]
+struct Heard {
+    at: u64,
+    boot: u64,
+    have: number::Version,
+    running: u32,
+}
+
 pub struct Control {
     pub machine: machine::Machine,
     index: number::Index,
     steps: Vec<change::Step>,
-    heard: BTreeMap<name::Instance, (u64, u64)>,
+    heard: BTreeMap<name::Instance, Heard>,
     /// When each zone was last taken out, in true microseconds; absent while it is in.
     pub out_since: BTreeMap<name::Zone, u64>,
 }
@@ -79,9 +88,9 @@
     /// they need not.
     pub fn manage(&mut self, now: u64, random: &mut impl rand::Rng, restless: bool) {
         let limit = timing::PRESENCE_LIMIT.as_micros() as u64;
-        for (instance, (heard, boot)) in self.heard.clone() {
+        for (instance, Heard { at, boot, .. }) in self.heard.clone() {
             let present = self.view().members.get(&instance).is_some_and(|member| member.present);
-            if present && now - heard > limit {
+            if present && now - at > limit {
                 self.apply(&command::Command::Absent { instance, boot });
             }
         }
@@ -91,12 +100,24 @@
             let bad = |member: &name::Instance| upstream::obstacle(self.view(), member).is_some();
             let broken = placed.as_ref().is_none_or(|placed| placed.members.iter().any(bad));
             let moves = restless && random.random_ratio(1, 60);
-            if broken || moves {
+            if moves || (broken && placed.as_ref().is_none_or(|placed| self.may_move(placed))) {
                 self.place(&name, &group, placed, random);
             }
         }
     }
 
+    /// Whether a placement is lost, or runs nothing and takes nothing more.
+    fn may_move(&self, placed: &fleet::Placement) -> bool {
+        let view = self.view();
+        let lost =
+            |member: &name::Instance| view.members.get(member).is_none_or(|member| !member.present);
+        let idle = self
+            .heard
+            .get(&placed.members[0])
+            .is_some_and(|heard| heard.have >= view.version && heard.running == 0);
+        idle || placed.members.iter().any(lost)
+    }
+
     fn place(
         &mut self,
         name: &name::Group,
@@ -130,14 +151,16 @@
 
     fn renew(&mut self, now: u64, renewal: &control::Renewal) -> control::Response {
         let mut incarnation = None;
-        if let control::Holder::Agent(announcement, _) = &renewal.holder {
+        if let control::Holder::Agent(announcement, report) = &renewal.holder {
             let instance = announcement.instance.clone();
             let boot = announcement.boot;
             match self.apply(&command::Command::Announce(announcement.clone())) {
                 machine::Reply::Announced(given) => incarnation = Some(given),
                 _ => return control::Response::Unavailable,
             }
-            self.heard.insert(instance.clone(), (now, boot));
+            let running = report.running;
+            let heard = Heard { at: now, boot, have: renewal.have, running };
+            self.heard.insert(instance.clone(), heard);
             if renewal.leaving {
                 self.apply(&command::Command::Leaving { instance, boot });
             }
--- a/crates/hyssopfork-entry/tests/history/world.rs
+++ b/crates/hyssopfork-entry/tests/history/world.rs
@@ -290,3 +290,34 @@
         }
     }
 }
+
+impl World {
+    /// Runs for `span` while callers ask the entries that are up.
+    pub fn serve(&mut self, span: u64) {
+        let end = self.now + span;
+        while self.now < end {
+            let route = ["/write", "/once", "/lodge"][self.random.random_range(0..3)];
+            let entry = self.random.random_range(0..ENTRIES);
+            if self.processes[&Node::Entry(entry)].up {
+                self.ask(entry, route, None);
+            }
+            self.run(20 * MILLI);
+        }
+    }
+
+    /// First members of the two groups.
+    pub fn first_members(&self) -> Vec<usize> {
+        let placements = self.control.view().placements.values();
+        placements.map(|placement| index(&placement.members[0])).collect()
+    }
+
+    /// A member that is not the first of its group.
+    pub fn other_member(&self) -> usize {
+        let placement = self.control.view().placements.values().next();
+        index(&placement.expect("groups are placed").members[1])
+    }
+}
+
+fn index(instance: &name::Instance) -> usize {
+    instance.as_str()[1..].parse().expect("instances are numbered")
+}
