--- a/crates/hyssopfork-control/src/groups.rs
+++ b/crates/hyssopfork-control/src/groups.rs
@@ -41,6 +41,13 @@
     since: clock::Instant,
 }
 
+/// When the leader first saw a group with a member that takes no new work, and the view then.
+#[derive(Clone, Copy, Debug)]
+struct Closing {
+    since: clock::Instant,
+    version: number::Version,
+}
+
 /// What the leader knows of groups besides the view; lost with its leadership.
 #[derive(Debug, Default)]
 pub struct Groups {
@@ -49,7 +56,7 @@
     holds: BTreeMap<name::Instance, (u64, name::Model)>,
     /// Groups with a drained or leaving member, and since when: by the bound after that no entry
     /// offers them work any more.
-    closing: BTreeMap<name::Group, clock::Instant>,
+    closing: BTreeMap<name::Group, Closing>,
     /// Where the next plan's turn through the groups without a placement begins.
     turn: usize,
     /// Until when instances that did not load in time are passed over.
@@ -139,7 +146,9 @@
             }
             let since = seen.since;
             if is_closing(view, placed) {
-                self.closing.entry(group.clone()).or_insert(now);
+                self.closing
+                    .entry(group.clone())
+                    .or_insert(Closing { since: now, version: view.version });
             }
             self.observe_members(now, view, holders, group, placed, since);
         }
@@ -258,10 +267,11 @@
 
     /// Whether the first member's report tells what will still run on a closing group.
     ///
-    /// Entries offer it work until their views show that a member is drained or leaving, and a
-    /// report may be older than the last request that began. Moved on an old report that nothing
-    /// runs, the group would cut that request. After the bound nothing new begins, so a report
-    /// from then on can only go down.
+    /// The first member admits work until its own view shows that a member is drained or leaving,
+    /// and a report may be older than the last request that began. Moved on an old report that
+    /// nothing runs, the group would cut that request. Once the first member knows of the closing,
+    /// or after the bound within which it must, nothing new begins, so a report from then on can
+    /// only go down.
     fn is_settled_report(
         &self,
         view: &change::View,
@@ -269,12 +279,13 @@
         group: &name::Group,
         placed: &fleet::Placement,
     ) -> bool {
-        let Some(since) = self.closing.get(group) else { return true };
-        let heard = placed.members.first().and_then(|first| {
-            let boot = view.members.get(first)?.announcement.boot;
-            holders.heard(first, boot)
-        });
-        heard.is_some_and(|heard| heard >= *since + timing::IN_FORCE_BOUND)
+        let Some(closing) = self.closing.get(group) else { return true };
+        let Some(first) = placed.members.first() else { return false };
+        let Some(member) = view.members.get(first) else { return false };
+        let boot = member.announcement.boot;
+        let knows = holders.version(first, boot) >= Some(closing.version);
+        let late = closing.since + timing::IN_FORCE_BOUND;
+        knows || holders.heard(first, boot).is_some_and(|heard| heard >= late)
     }
 
     fn is_loading(&self, now: clock::Instant, group: &name::Group) -> bool {
--- a/crates/hyssopfork-entry/tests/history/carry.rs
+++ b/crates/hyssopfork-entry/tests/history/carry.rs
@@ -50,6 +50,10 @@
             }
             Happening::Manage => self.manage(),
             Happening::Fault => self.fault(),
+            Happening::ZoneIn(zone) => {
+                self.control.set_zone(self.now, &zone, false);
+                self.tell_watchers();
+            }
             Happening::Arrive => self.arrive(),
             Happening::Gone { entry, request } => {
                 if self.callers.all[&request].end.is_none() {
@@ -250,13 +254,13 @@
         if self.quiet {
             return;
         }
-        let delay = self.random.random_range(50 * MILLI..900 * MILLI);
+        let delay = self.random.random_range(50 * MILLI..1_200 * MILLI);
         self.after(delay, Happening::Fault);
         let agent = Node::Agent(self.random.random_range(0..AGENTS));
         let entry = Node::Entry(self.random.random_range(0..ENTRIES));
         let any = if self.random.random_ratio(1, 4) { entry } else { agent };
         let span = self.random.random_range(10 * MILLI..4_000 * MILLI);
-        match self.random.random_range(0..10) {
+        match self.random.random_range(0..11) {
             0 | 1 => self.pause(any, span),
             2 => self.crash(any),
             3 => self.fell_engine(span),
@@ -272,6 +276,7 @@
                 self.control.set_zone(self.now, &zone.into(), out);
                 self.tell_watchers();
             }
+            9 if self.random.random_ratio(1, 3) => self.island(agent, entry),
             _ => self.stop(any),
         }
     }
@@ -325,7 +330,19 @@
         self.cuts.insert(pair, self.now + span);
     }
 
-    fn stop(&mut self, node: Node) {
+    /// An agent and an entry are cut off from control but not from each other, and the agent's
+    /// zone goes out for a while.
+    fn island(&mut self, agent: Node, entry: Node) {
+        let Node::Agent(index) = agent else { return };
+        self.cut(agent, Node::Control, 6_000 * MILLI);
+        self.cut(entry, Node::Control, 6_000 * MILLI);
+        let zone = shell::announcement(index, 0, &self.upstreams[index]).zone;
+        self.control.set_zone(self.now, &zone, true);
+        self.tell_watchers();
+        self.after(6_000 * MILLI, Happening::ZoneIn(zone));
+    }
+
+    pub fn stop(&mut self, node: Node) {
         match node {
             Node::Agent(index) => {
                 let event = agent::event::Event::Stop;
