--- a/crates/hyssopfork-daemon/src/control/journal.rs
+++ b/crates/hyssopfork-daemon/src/control/journal.rs
@@ -10,6 +10,9 @@
 /// Exit code of a process whose journal can no longer be trusted.
 const JOURNAL_FAILED: i32 = 74;
 
+/// Most writes that are synced together, besides the first.
+const TOGETHER_LIMIT: usize = 255;
+
 /// Hands writes to the journal's thread.
 #[derive(Debug)]
 pub struct Writer(mpsc::Sender<write::Write>);
@@ -34,6 +37,9 @@
     }
 }
 
+/// Writes that came while the disk was busy are synced together, so that the time of a sync bounds
+/// how long one write takes, not how many are made.
+///
 /// A failed write or sync is fatal: what the disk holds is not known any more, and a voter that
 /// went on could deny what it acknowledged.
 fn write_all(
@@ -41,11 +47,14 @@
     writes: &mpsc::Receiver<write::Write>,
     mailbox: &mailbox::Mailbox<role::Input>,
 ) {
-    while let Ok(write) = writes.recv() {
-        if let Err(error) = journal.write(&write) {
+    while let Ok(first) = writes.recv() {
+        let mut waiting = vec![first];
+        waiting.extend(writes.try_iter().take(TOGETHER_LIMIT));
+        if let Err(error) = journal.write_all(&waiting) {
             crate::log::notice(&crate::notice::Notice::JournalFailed(error.to_string()));
             process::exit(JOURNAL_FAILED);
         }
-        mailbox.post(role::Input::Event(event::Event::Persisted(write.mark)));
+        let newest = waiting.last().map_or(0, |write| write.mark);
+        mailbox.post(role::Input::Event(event::Event::Persisted(newest)));
     }
 }
