--- a/crates/hyssopfork-policy/src/classes.rs
+++ b/crates/hyssopfork-policy/src/classes.rs
@@ -31,6 +31,10 @@
 /// and nothing when none come.
 pub const STATUS_MOST: f64 = 0.05;
 
+/// Slots that long work leaves free as a share of what short work needs: they are free to all
+/// processes, and hold the swings of each.
+pub const SWINGS: f64 = 1.0;
+
 /// Multiple of the typical interactive cost from which a request counts as long, whatever its
 /// class says.
 pub const LONG_FACTOR: f64 = 16.0;
@@ -107,11 +111,10 @@
             return Some(Lane::Status);
         }
         let total = f64::from(room.total);
-        let long = self.running[Lane::Long.index()];
-        let both = f64::from(self.running[Lane::Short.index()] + long);
-        if both >= total - self.status_only(now, total) {
+        if f64::from(room.free) <= self.status_only(now, total) {
             return None;
         }
+        let long = self.running[Lane::Long.index()];
         let long = f64::from(long);
         let long_waits = waiting[Lane::Long.index()];
         if long_waits && long < (total * LONG_LEAST).ceil() {
@@ -120,7 +123,8 @@
         if waiting[Lane::Short.index()] {
             return Some(Lane::Short);
         }
-        (long_waits && long < self.long_most(now, total)).then_some(Lane::Long)
+        let most = long < self.long_most(now, total);
+        (long_waits && most && self.spares(now, room)).then_some(Lane::Long)
     }
 
     /// Counts work of a lane that arrives.
@@ -159,6 +163,14 @@
         needed.min((total * STATUS_MOST).floor())
     }
 
+    /// Whether long work may take one more of the slots that are free, of which other processes know
+    /// as well: what is left must hold what short work lacks now, and its swings.
+    fn spares(&self, now: clock::Instant, room: Room) -> bool {
+        let needed = self.short.slots(now);
+        let held = f64::from(self.running[Lane::Short.index()]);
+        f64::from(room.free) > (needed - held).max(0.0) + needed * SWINGS
+    }
+
     /// Slots that long work may hold.
     fn long_most(&self, now: clock::Instant, total: f64) -> f64 {
         let left = total - self.short.slots(now) * HEADROOM;
