--- a/crates/hyssopfork-control/tests/solo/answering.rs
+++ b/crates/hyssopfork-control/tests/solo/answering.rs
@@ -3,8 +3,11 @@
 use crate::solo::fixture;
 use hyssopfork_control::{calls, event, notice, steps};
 use hyssopfork_state::claims;
-use hyssopfork_wire::{attempt, change, claim, clock, control, level, number, patch, timing};
+use hyssopfork_wire::{
+    attempt, change, claim, clock, consensus, control, level, number, patch, timing,
+};
 use std::collections::BTreeSet;
+use std::fs;
 use std::time::Duration;
 use strum::IntoEnumIterator;
 
@@ -95,6 +98,53 @@
     assert!(matches!(steps.update(&view, number::Version(4)), Some(change::Update::Whole(_))));
 }
 
+#[test]
+fn kept_steps_are_bounded_by_weight() {
+    let mut steps = steps::Steps::new(number::Version(0));
+    let view = change::View { version: number::Version(20), ..Default::default() };
+    let forgotten = change::Change::Forgotten("x".repeat(1_000).as_str().into());
+
+    for version in 1..=20 {
+        let version = number::Version(version);
+        steps.push(change::Step { version, changes: vec![forgotten.clone(); 1_000] });
+    }
+
+    assert!(matches!(steps.update(&view, number::Version(12)), Some(change::Update::Steps(_))));
+    assert!(matches!(steps.update(&view, number::Version(11)), Some(change::Update::Whole(_))));
+}
+
+// The log holds a command of another release. An instance that passed over it would hold another
+// state than the others from then on, and nobody would notice.
+#[test]
+#[should_panic(expected = "a command of encoding 9 is in the log")]
+fn a_command_that_cannot_be_read_ends_the_process() {
+    let mut durable = fixture::Solo::leading().durable;
+    let unreadable = |entry: &mut consensus::Entry| {
+        if let consensus::Payload::Command(bytes) = &mut entry.payload {
+            bytes[0] = 9;
+        }
+    };
+    durable.entries.iter_mut().for_each(unreadable);
+
+    let mut solo = fixture::Solo::start(durable);
+    solo.pass(Duration::from_secs(3));
+}
+
+#[test]
+fn a_watcher_that_is_behind_when_it_asks_is_told_without_waiting() {
+    let mut solo = fixture::Solo::leading();
+    let have = solo.view().version;
+    solo.submit("out", zone_out(true));
+
+    let watch = solo.call(control::Request::Watch(have));
+    solo.pass(Duration::from_millis(20));
+
+    assert!(matches!(
+        solo.replies.get(&watch),
+        Some(control::Response::Updated(change::Update::Steps(_)))
+    ));
+}
+
 #[test]
 fn a_watch_is_held_until_the_view_moves_or_its_time_is_up() {
     let mut solo = fixture::Solo::leading();
@@ -118,6 +168,30 @@
     assert!(!solo.replies.contains_key(&abandoned));
 }
 
+// Many changes follow each other within a moment, as when a fleet starts. Told of each by itself,
+// thousands of watchers would keep the leader busy with nothing but answers.
+#[test]
+fn changes_that_follow_at_once_are_told_in_one_answer() {
+    let mut solo = fixture::Solo::leading();
+    let have = solo.view().version;
+    solo.call(control::Request::Watch(have));
+    solo.submit("out", zone_out(true));
+    solo.replies.clear();
+
+    let have = solo.view().version;
+    let watch = solo.call(control::Request::Watch(have));
+    solo.submit("back", zone_out(false));
+    solo.submit("again", zone_out(true));
+    let at_once = solo.replies.contains_key(&watch);
+    solo.pass(Duration::from_millis(20));
+
+    assert!(!at_once);
+    assert!(matches!(
+        &solo.replies[&watch],
+        control::Response::Updated(change::Update::Steps(steps)) if steps.len() == 2
+    ));
+}
+
 // A leader loses its quorum while a patch is pending. It may be committed by the next leader or
 // not, so the operator is told neither "accepted" nor "refused".
 #[test]
@@ -189,8 +263,23 @@
 
     let own = solo.notices.iter().filter(|it| !matches!(it, notice::Notice::Log(_)));
     let numbers: BTreeSet<u16> = own.clone().map(notice::Notice::number).collect();
+    let kinds: BTreeSet<u16> = notice::Kind::iter().filter_map(notice::Kind::number).collect();
 
-    assert!(numbers.iter().all(|number| (1200..2000).contains(number)), "{numbers:?}");
+    assert!(kinds.is_superset(&numbers), "{numbers:?}");
+    assert!(kinds.iter().all(|number| (1200..2000).contains(number)), "{kinds:?}");
+    assert_eq!(kinds.len() + 1, notice::Kind::iter().count(), "each has its own");
     assert!(own.clone().all(|notice| notice.level() == level::Level::Info));
-    assert!(notice::Kind::iter().count() > numbers.len());
+}
+
+#[test]
+fn the_catalogue_of_events_has_every_notice() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/events.md");
+    let catalogue = fs::read_to_string(path).expect("the catalogue is in the tree");
+
+    for kind in notice::Kind::iter() {
+        let Some(number) = kind.number() else { continue };
+        let row = format!("| {number} | {kind:?} |");
+
+        assert!(catalogue.contains(&row), "{row} is in docs/events.md");
+    }
 }
