--- a/crates/hyssopfork-policy/src/balance.rs
+++ b/crates/hyssopfork-policy/src/balance.rs
@@ -16,8 +16,8 @@
 
 /// Half-life of what a report says of others' work. While the pool is full others replace what
 /// they finish, so that a report stays true; fading is only the way to find out that they went.
-/// Sixteen slots taken by others are tried again after a quarter of a second. At 0.5 s an attempt
-/// was refused eight times in overload, at 5 s one in five once (docs/BENCHMARK.md).
+/// One of sixteen slots taken by others is tried again after half a second. At a half-life of 0.5 s
+/// agents refused each request eight times in overload; at 5 s one in five once.
 pub const HALF_LIFE: Duration = Duration::from_millis(5_000);
 
 /// Others' work below which it no longer keeps this process away from an upstream where it has no
