--- a/crates/hyssopfork-control/benches/control.rs
+++ b/crates/hyssopfork-control/benches/control.rs
@@ -149,9 +149,11 @@
     report("patch and its answer to every watch", start.elapsed(), 1);
     println!("  one watch's answer             {:>10} bytes", bytes(&leader.replies[1]));
 
+    let holder = control::Holder::Entry("entry".into());
+    let renewal = control::Renewal { holder, have: number::Version(0), leaving: false };
     let start = Instant::now();
-    leader.call(control::Request::Watch(number::Version(0)));
-    report("whole view for one watcher", start.elapsed(), 1);
+    leader.call(control::Request::Renew(renewal));
+    report("whole view for one holder", start.elapsed(), 1);
 }
 
 fn report(label: &str, time: Duration, count: u32) {
