Stay until every entry has heard that the agent leaves

An agent that has nothing more to do stays IN_FORCE_BOUND after control heard that it leaves, and refuses as not run meanwhile. Ruled out: a shorter wait, since an entry that is cut off from control hears only by its lease. With the wait turned off (leave_heard.is_some() ||) process_stays_until_entries_have_heard fails. The daemon's 26 process tests pass (20 s). Graceful-stop mutations seen failing in graceful_stops_cut_nothing_off: released at once; idle = true in agent and entry; control moving at once, or by reports from before. Not seen there: a first member that doesn't drain by the grant (the view tells it as fast); stop::first_member_of_a_leaving_one_drains fails without.

--- a/crates/hyssopfork-agent/src/core.rs
+++ b/crates/hyssopfork-agent/src/core.rs
@@ -30,7 +30,7 @@
     pub(crate) serving: bool,
     pub(crate) stopping: Option<clock::Instant>,
     pub(crate) released: bool,
-    leave_heard: bool,
+    leave_heard: Option<clock::Instant>,
     stopped: bool,
 }
 
@@ -50,7 +50,7 @@
             serving: false,
             stopping: None,
             released: false,
-            leave_heard: false,
+            leave_heard: None,
             stopped: false,
         }
     }
@@ -142,7 +142,7 @@
         let announcement = &self.announcement;
         let holder = || control::Holder::Agent(Box::new(announcement.clone()), report);
         let output = self.watcher.tick(now, holder, self.stopping.is_some());
-        self.take_output(output, actions);
+        self.take_output(now, output, actions);
     }
 
     fn report(&self, now: clock::Instant) -> fleet::Report {
@@ -164,12 +164,19 @@
         actions: &mut Vec<action::Action>,
     ) {
         if let Some(output) = self.watcher.answered(now, call, response.as_ref()) {
-            self.take_output(output, actions);
+            self.take_output(now, output, actions);
         }
     }
 
-    fn take_output(&mut self, output: watcher::Output, actions: &mut Vec<action::Action>) {
-        self.leave_heard |= output.leave_heard;
+    fn take_output(
+        &mut self,
+        now: clock::Instant,
+        output: watcher::Output,
+        actions: &mut Vec<action::Action>,
+    ) {
+        if output.leave_heard {
+            self.leave_heard.get_or_insert(now);
+        }
         let notices = output.notices.into_iter().map(notice::Notice::Watch);
         actions.extend(notices.map(action::Action::Notice));
         actions.extend(output.calls.into_iter().map(|call| action::Action::Control {
@@ -223,8 +230,11 @@
             self.finish(actions);
             return;
         }
+        // Entries go on offering until they have heard. A process that was gone by then would leave
+        // them not knowing whether their offers ran; this one is there to say that they didn't.
         // Where control can't be told within the lease's term, it has found the silence itself.
-        let announced = self.leave_heard || waited >= timing::HOLDER_LEASE;
+        let heard = self.leave_heard.unwrap_or(since + timing::HOLDER_LEASE);
+        let announced = now.since(heard) >= timing::IN_FORCE_BOUND;
         let idle = self.attempts.running() == 0 && !self.grants.in_force(now);
         if announced && idle {
             self.finish(actions);
