--- a/crates/hyssopfork-control/src/groups.rs
+++ b/crates/hyssopfork-control/src/groups.rs
@@ -13,6 +13,9 @@
 /// over for as long again. Weights of a large model at a shared store take minutes.
 pub const LOADING_LIMIT: Duration = Duration::from_secs(300);
 
+/// Reports in a row after which an engine that was alive counts as dead.
+pub const DEAD_REPORTS: u32 = 2;
+
 /// Time between two looks at the groups when nothing has changed.
 pub const PERIOD: Duration = Duration::from_millis(500);
 
@@ -21,9 +24,14 @@
 /// of milliseconds, and without a pause control would do nothing else.
 pub const PAUSE_EACH: Duration = Duration::from_micros(50);
 
-/// Most groups without a placement that one plan looks at. The weight store bears a few loads at
-/// once, so no more could be placed now; a plan's cost grows with the groups times the domains.
-pub const UNPLACED_LIMIT: usize = 16;
+/// Groups without a placement that every plan looks at: the first in order of priority. The weight
+/// store bears a few loads at once, so few could be placed now, and a plan's cost grows with the
+/// groups times the domains.
+pub const FIRST_UNPLACED: usize = 2;
+
+/// Groups without a placement that a plan looks at besides, in turn. Without them groups that fit
+/// nowhere would keep all lesser ones waiting for good.
+pub const UNPLACED_IN_TURN: usize = 2;
 
 /// A placement as this leader has seen it.
 #[derive(Clone, Copy, Debug)]
@@ -39,6 +47,11 @@
     seen: BTreeMap<name::Group, Seen>,
     /// Model that an engine last said it holds, with the boot of its agent.
     holds: BTreeMap<name::Instance, (u64, name::Model)>,
+    /// Groups with a drained or leaving member, and since when: by the bound after that no entry
+    /// offers them work any more.
+    closing: BTreeMap<name::Group, clock::Instant>,
+    /// Where the next plan's turn through the groups without a placement begins.
+    turn: usize,
     /// Until when instances that did not load in time are passed over.
     shunned: BTreeMap<name::Instance, clock::Instant>,
 }
@@ -63,7 +76,7 @@
         }
         let fleet = placement::Fleet {
             instances: self.instances(now, view, holders),
-            groups: groups(view),
+            groups: self.candidates(view),
             placements: self.placements(now, view, holders),
             budget: loads::Budget { limit: loads, running: self.loading(now, view, holders) },
         };
@@ -71,6 +84,24 @@
         decisions.into_iter().filter_map(|decision| command(view, decision)).collect()
     }
 
+    /// Declared groups that the plan looks at: all that stand somewhere, and few of the others.
+    fn candidates(&mut self, view: &change::View) -> Vec<placement::Group> {
+        let (placed, mut unplaced): (Vec<_>, Vec<_>) = view
+            .configuration
+            .groups
+            .iter()
+            .partition(|(name, _)| view.placements.contains_key(*name));
+        unplaced.sort_by_key(|(_, declared)| cmp::Reverse(declared.priority));
+        let rest = unplaced.split_off(FIRST_UNPLACED.min(unplaced.len()));
+        if !rest.is_empty() {
+            let count = UNPLACED_IN_TURN.min(rest.len());
+            let start = self.turn % rest.len();
+            unplaced.extend(rest.iter().cycle().skip(start).take(count));
+            self.turn = start + count;
+        }
+        placed.into_iter().chain(unplaced).map(group).collect()
+    }
+
     /// Whether every declared group stands on usable members: there is nothing to plan. The whole
     /// plan costs milliseconds in a large fleet and runs twice a second.
     fn is_settled(
@@ -93,6 +124,9 @@
 
     fn observe(&mut self, now: clock::Instant, view: &change::View, holders: &holders::Holders) {
         self.seen.retain(|group, _| view.placements.contains_key(group));
+        self.closing.retain(|group, _| {
+            view.placements.get(group).is_some_and(|placed| is_closing(view, placed))
+        });
         self.holds.retain(|instance, (boot, _)| {
             holders.agent(instance, *boot).is_some_and(|agent| agent.report.alive)
         });
@@ -104,6 +138,9 @@
                 *seen = Seen { fence, since: now };
             }
             let since = seen.since;
+            if is_closing(view, placed) {
+                self.closing.entry(group.clone()).or_insert(now);
+            }
             self.observe_members(now, view, holders, group, placed, since);
         }
     }
@@ -212,14 +249,32 @@
         let loading = self.is_loading(now, group)
             && placed.members.iter().any(|member| !loaded(view, holders, member, placed.fence));
         let kept = placed.members.iter().any(|member| is_kept(view, holders, member));
-        if loading || kept {
+        if loading || kept || !self.is_settled_report(view, holders, group, placed) {
             return 1;
         }
-        let Some(first) = placed.members.first() else { return 1 };
-        match agent(view, holders, first) {
-            Some(agent) if knows(view, holders, first) => agent.report.running,
-            _ => 1,
-        }
+        let first = placed.members.first().and_then(|first| agent(view, holders, first));
+        first.map_or(1, |agent| agent.report.running)
+    }
+
+    /// Whether the first member's report tells what will still run on a closing group.
+    ///
+    /// Entries offer it work until their views show that a member is drained or leaving, and a
+    /// report may be older than the last request that began. Moved on an old report that nothing
+    /// runs, the group would cut that request. After the bound nothing new begins, so a report
+    /// from then on can only go down.
+    fn is_settled_report(
+        &self,
+        view: &change::View,
+        holders: &holders::Holders,
+        group: &name::Group,
+        placed: &fleet::Placement,
+    ) -> bool {
+        let Some(since) = self.closing.get(group) else { return true };
+        let heard = placed.members.first().and_then(|first| {
+            let boot = view.members.get(first)?.announcement.boot;
+            holders.heard(first, boot)
+        });
+        heard.is_some_and(|heard| heard >= *since + timing::IN_FORCE_BOUND)
     }
 
     fn is_loading(&self, now: clock::Instant, group: &name::Group) -> bool {
@@ -261,20 +316,14 @@
     }
 }
 
-/// Declared groups, but of those that stand nowhere only the first in order of priority.
-fn groups(view: &change::View) -> Vec<placement::Group> {
-    let (placed, mut unplaced): (Vec<_>, Vec<_>) =
-        view.configuration.groups.iter().partition(|(name, _)| view.placements.contains_key(*name));
-    unplaced.sort_by_key(|(_, declared)| cmp::Reverse(declared.priority));
-    unplaced.truncate(UNPLACED_LIMIT);
-    let group = |(name, declared): (&name::Group, &configuration::Group)| placement::Group {
+fn group((name, declared): (&name::Group, &configuration::Group)) -> placement::Group {
+    placement::Group {
         name: name.clone(),
         pool: declared.pool.clone(),
         model: declared.model.clone(),
         size: declared.size,
         priority: declared.priority,
-    };
-    placed.into_iter().chain(unplaced).map(group).collect()
+    }
 }
 
 /// What the recorded agent of an instance last reported.
@@ -287,14 +336,6 @@
     holders.agent(instance, member.announcement.boot)
 }
 
-/// Whether the instance's agent reported after it had heard of this view. A report from before may
-/// say that nothing runs though work was admitted since, right up to when the agent heard that a
-/// member is closed; a group that was moved by it would cut that work off.
-fn knows(view: &change::View, holders: &holders::Holders, instance: &name::Instance) -> bool {
-    let Some(member) = view.members.get(instance) else { return false };
-    holders.version(instance, member.announcement.boot) >= Some(view.version)
-}
-
 fn loaded(
     view: &change::View,
     holders: &holders::Holders,
@@ -304,16 +345,31 @@
     agent(view, holders, instance).is_some_and(|agent| agent.report.joined >= fence)
 }
 
-/// An engine that was alive and is not is lost. One that has not answered yet is given time: its
-/// agent has only just started and has probed nothing.
+/// An engine that was alive and by two reports in a row is not is lost. One that has not answered
+/// yet is given time: its agent has only just started and has probed nothing.
+///
+/// One report is not enough. An agent that was paused for a second reports an engine that it has
+/// not probed lately as dead, and alive again half a second later; moved at once, its group would
+/// wait minutes for weights in place of that half second.
 fn dead(now: clock::Instant, agent: &holders::Agent) -> placement::Standing {
-    if agent.was_alive || now.since(agent.since) >= timing::PRESENCE_LIMIT {
+    let confirmed = agent.was_alive && agent.dead >= DEAD_REPORTS;
+    if confirmed || !agent.was_alive && now.since(agent.since) >= timing::PRESENCE_LIMIT {
         placement::Standing::Missing
     } else {
         placement::Standing::Closed
     }
 }
 
+/// Whether a member of a placement is drained or leaving.
+fn is_closing(view: &change::View, placed: &fleet::Placement) -> bool {
+    placed.members.iter().any(|member| {
+        matches!(
+            upstream::obstacle(view, member),
+            Some(upstream::Obstacle::Drained | upstream::Obstacle::Leaving)
+        )
+    })
+}
+
 /// Whether a member keeps its group where it stands although it takes no work: its zone is out
 /// (it comes back with its weights), or nothing is known of it yet.
 fn is_kept(view: &change::View, holders: &holders::Holders, instance: &name::Instance) -> bool {
