Tell each agent only of what concerns it

Cause: 4,800 agents followed the whole view.

Change: agents follow their own record, their group's members and the declaration, under the whole view's version. What moves an instance into a group or out of one sends its part anew; everything else goes as differences. Entries follow the whole view as before.

Ruled out: a version of its own for each part, since versions must compare across processes (a member that hears a newer one renews at once).

Tests: over 300 random histories the part is always the part of the whole, also while nobody is woken.

--- a/crates/hyssopfork-agent/src/core.rs
+++ b/crates/hyssopfork-agent/src/core.rs
@@ -37,11 +37,12 @@
 impl Core {
     /// An agent whose process started at `now`.
     pub fn new(settings: Settings, seed: u64, now: clock::Instant) -> Core {
+        let instance = settings.announcement.instance.clone();
         let offset = rand_chacha::ChaCha8Rng::seed_from_u64(seed).random();
         Core {
             engine: engine::Engine::new(&settings.announcement.profile, now),
             announcement: settings.announcement,
-            watcher: watcher::Watcher::new(settings.control, offset, now),
+            watcher: watcher::Watcher::new(settings.control, offset, now).narrow(instance),
             attempts: attempts::Attempts::default(),
             grants: grants::Grants::new(now),
             standing: standing::Standing::default(),
--- a/crates/hyssopfork-control/src/core.rs
+++ b/crates/hyssopfork-control/src/core.rs
@@ -4,7 +4,7 @@
 mod duties;
 mod requests;
 
-use crate::{action, calls, event, groups, holders, notice, presence, steps, watches};
+use crate::{action, calls, event, groups, holders, interests, notice, presence, steps, watches};
 use hyssopfork_consensus::{action as log_action, event as log_event, node};
 use hyssopfork_state::{command, machine};
 use hyssopfork_wire::{clock, control, name, number};
@@ -81,6 +81,7 @@
     applied_since_snapshot: u64,
     bytes_since_snapshot: usize,
     steps: steps::Steps,
+    interests: interests::Interests,
     calls: calls::Calls,
     watches: watches::Watches,
     holders: holders::Holders,
@@ -106,6 +107,7 @@
         now: clock::Instant,
     ) -> Core {
         let steps = steps::Steps::new(machine.view().version);
+        let interests = interests::Interests::new(machine.view());
         Core {
             settings,
             node,
@@ -114,6 +116,7 @@
             applied_since_snapshot: 0,
             bytes_since_snapshot: 0,
             steps,
+            interests,
             calls: calls::Calls::default(),
             watches: watches::Watches::default(),
             holders: holders::Holders::default(),
--- a/crates/hyssopfork-control/src/core/apply.rs
+++ b/crates/hyssopfork-control/src/core/apply.rs
@@ -1,7 +1,7 @@
 //! What committed entries do: to the state, to watchers and to the calls that wait.
 
 use super::{Core, SNAPSHOT_BYTES};
-use crate::{calls, notice, steps};
+use crate::{calls, interests, notice, steps};
 use hyssopfork_consensus::{event as log_event, write};
 use hyssopfork_state::{command, machine};
 use hyssopfork_wire::{change, claim, consensus, control, fleet, name, number, patch};
@@ -29,6 +29,7 @@
                 self.applied_since_snapshot = 0;
                 self.bytes_since_snapshot = 0;
                 self.steps = steps::Steps::new(self.machine.view().version);
+                self.interests = interests::Interests::new(self.machine.view());
                 self.notice(notice::Notice::Restored(snapshot.index));
             }
             Err(error) => self.fail(error.to_string()),
@@ -46,7 +47,9 @@
         let applied = self.machine.apply(entry.index, &command);
         if self.machine.view().version > before {
             let version = self.machine.view().version;
-            self.steps.push(change::Step { version, changes: applied.changes.clone() });
+            let step = change::Step { version, changes: applied.changes.clone() };
+            self.steps.push(step.clone());
+            self.interests.push(&step, self.steps.floor());
         }
         self.note_applied(&command, &applied);
         if let Some(purpose) = self.calls.apply(entry.index, entry.term) {
--- a/crates/hyssopfork-control/src/core/duties.rs
+++ b/crates/hyssopfork-control/src/core/duties.rs
@@ -96,7 +96,7 @@
     fn end_held_watches(&mut self) {
         for watch in self.watches.due(self.now) {
             if self.leads() {
-                self.answer_watch(watch.call, watch.have);
+                self.answer_watch(&watch);
             } else {
                 let response = self.elsewhere();
                 self.reply(watch.call, response);
--- a/crates/hyssopfork-control/src/core/requests.rs
+++ b/crates/hyssopfork-control/src/core/requests.rs
@@ -1,10 +1,10 @@
 //! Calls of entries, agents and operators.
 
 use super::Core;
-use crate::{calls, notice};
+use crate::{calls, notice, watches};
 use hyssopfork_consensus::node;
 use hyssopfork_state::command;
-use hyssopfork_wire::{change, control, fleet, number, patch, timing};
+use hyssopfork_wire::{change, control, fleet, name, number, patch, timing};
 
 /// Most records of one answer to a question for history; the asker asks on from the last.
 pub const HISTORY_PAGE: usize = 256;
@@ -17,7 +17,8 @@
         }
         match request {
             control::Request::Renew(renewal) => self.renew(call, renewal),
-            control::Request::Watch(have) => self.watch(call, have),
+            control::Request::Watch(have) => self.watch(call, have, None),
+            control::Request::Follow(have, instance) => self.watch(call, have, Some(instance)),
             control::Request::Submit(patch) => self.submit(call, patch),
             control::Request::Claim(claim) => {
                 self.commit(call, &command::Command::Claim(claim));
@@ -48,7 +49,11 @@
                 None => return self.refuse_superseded(call, renewal),
             },
         };
-        let Some(update) = self.update(renewal.have) else {
+        let scope = match &renewal.holder {
+            control::Holder::Entry(_) => None,
+            control::Holder::Agent(announcement, _) => Some(&announcement.instance),
+        };
+        let Some(update) = self.update(renewal.have, scope) else {
             return self.reply(call, control::Response::Unavailable);
         };
         let grant = control::Grant { term: timing::HOLDER_LEASE, update, incarnation };
@@ -68,17 +73,22 @@
     /// Answers the calls that were held until the view moved.
     pub(super) fn release_watches(&mut self) {
         let version = self.machine.view().version;
-        for watch in self.watches.round(self.now, version) {
-            self.answer_watch(watch.call, watch.have);
+        let interests = &self.interests;
+        let behind = |watch: &watches::Watch| match &watch.scope {
+            None => watch.have != version,
+            Some(instance) => interests.concerns(instance, watch.have),
+        };
+        for watch in self.watches.round(self.now, behind) {
+            self.answer_watch(&watch);
         }
     }
 
-    pub(super) fn answer_watch(&mut self, call: u64, have: number::Version) {
-        let response = match self.update(have) {
+    pub(super) fn answer_watch(&mut self, watch: &watches::Watch) {
+        let response = match self.update(watch.have, watch.scope.as_ref()) {
             Some(update) => control::Response::Updated(update),
             None => control::Response::Unavailable,
         };
-        self.reply(call, response);
+        self.reply(watch.call, response);
     }
 
     fn renew(&mut self, call: u64, renewal: control::Renewal) {
@@ -138,12 +148,14 @@
         }
     }
 
-    fn watch(&mut self, call: u64, have: number::Version) {
+    fn watch(&mut self, call: u64, have: number::Version, scope: Option<name::Instance>) {
         let version = self.machine.view().version;
-        if have > version {
-            return self.answer_watch(call, have);
+        let until = self.now + timing::WATCH_HOLD;
+        let watch = watches::Watch { call, have, until, scope };
+        if have > version || have < self.steps.floor() {
+            return self.answer_watch(&watch);
         }
-        if !self.watches.hold(self.now, call, have) {
+        if !self.watches.hold(watch) {
             return self.crowded(call);
         }
         if have < version {
@@ -193,14 +205,20 @@
         self.reply(call, control::Response::Status(Box::new(status)));
     }
 
-    fn update(&mut self, have: number::Version) -> Option<change::Update> {
+    /// What leads a watcher on: of the whole view, or of the part that concerns one instance.
+    fn update(
+        &mut self,
+        have: number::Version,
+        scope: Option<&name::Instance>,
+    ) -> Option<change::Update> {
         let view = self.machine.view();
-        let update = self.steps.update(view, have);
-        if update.is_none() {
+        let Some(update) = self.steps.update(view, have) else {
             let version = view.version;
             self.notice(notice::Notice::Ahead(have, version));
-        }
-        update
+            return None;
+        };
+        let Some(instance) = scope else { return Some(update) };
+        Some(self.interests.narrow(view, have, update, instance))
     }
 }
 
--- a/crates/hyssopfork-control/src/lib.rs
+++ b/crates/hyssopfork-control/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod event;
 pub mod groups;
 pub mod holders;
+pub mod interests;
 pub mod notice;
 pub mod presence;
 pub mod steps;
--- a/crates/hyssopfork-control/src/steps.rs
+++ b/crates/hyssopfork-control/src/steps.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Version that a view must have at least to be led on by the kept steps.
+    pub fn floor(&self) -> number::Version {
+        self.floor
+    }
+
     /// What leads a watcher at version `have` to `view`; `None` when it is ahead of it.
     pub fn update(&self, view: &change::View, have: number::Version) -> Option<change::Update> {
         // A holder can be ahead only of an instance that lost what it had acknowledged, or of
--- a/crates/hyssopfork-control/src/watches.rs
+++ b/crates/hyssopfork-control/src/watches.rs
@@ -1,6 +1,6 @@
 //! Calls that are held until the view moves.
 
-use hyssopfork_wire::{clock, number, timing};
+use hyssopfork_wire::{clock, name, number};
 use std::collections::BTreeMap;
 use std::mem;
 use std::time::Duration;
@@ -17,7 +17,7 @@
 pub const PAUSE_EACH: Duration = Duration::from_micros(20);
 
 /// A held call.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Watch {
     /// The call.
     pub call: u64,
@@ -25,6 +25,8 @@
     pub have: number::Version,
     /// When it is answered at the latest.
     pub until: clock::Instant,
+    /// Instance that the watcher needs to hear of; `None` for the whole view.
+    pub scope: Option<name::Instance>,
 }
 
 /// Held calls.
@@ -39,12 +41,11 @@
 
 impl Watches {
     /// Holds a call; returns whether there was room.
-    pub fn hold(&mut self, now: clock::Instant, call: u64, have: number::Version) -> bool {
+    pub fn hold(&mut self, watch: Watch) -> bool {
         if self.held.len() >= LIMIT {
             return false;
         }
-        let until = now + timing::WATCH_HOLD;
-        self.held.insert(call, Watch { call, have, until });
+        self.held.insert(watch.call, watch);
         true
     }
 
@@ -53,15 +54,14 @@
         self.behind = !self.held.is_empty();
     }
 
-    /// Takes the calls of watchers that are behind `version`, if a round of answers is due.
-    pub fn round(&mut self, now: clock::Instant, version: number::Version) -> Vec<Watch> {
+    /// Takes the calls of watchers that are `behind`, if a round of answers is due.
+    pub fn round(&mut self, now: clock::Instant, behind: impl Fn(&Watch) -> bool) -> Vec<Watch> {
         let pause = PAUSE_EACH * self.held.len() as u32;
         if !self.behind || now.since(self.answered) < pause {
             return Vec::new();
         }
         self.behind = false;
         self.answered = now;
-        let behind = |watch: &Watch| watch.have != version;
         self.held.extract_if(.., |_, watch| behind(watch)).map(|(_, watch)| watch).collect()
     }
 
--- /dev/null
+++ b/crates/hyssopfork-control/tests/solo/interests.rs
@@ -0,0 +1,135 @@
+//! Agents that follow only their part of the view.
+
+use crate::solo::fixture;
+use hyssopfork_control::interests;
+use hyssopfork_state::{scope, view};
+use hyssopfork_wire::{change, configuration, control, fleet, name, number, patch};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+/// Instances and groups of the random histories.
+const INSTANCES: u32 = 6;
+const GROUPS: u32 = 3;
+
+fn named<T: From<&'static str>>(names: &[&'static str], place: u32) -> T {
+    T::from(names[place as usize])
+}
+
+fn instance(place: u32) -> name::Instance {
+    named(&["i0", "i1", "i2", "i3", "i4", "i5"], place)
+}
+
+fn group(place: u32) -> name::Group {
+    named(&["g0", "g1", "g2"], place)
+}
+
+/// A change that may come after `view`.
+fn change(view: &change::View, random: &mut ChaCha8Rng) -> change::Change {
+    let place = random.random_range(0..INSTANCES);
+    let group = group(random.random_range(0..GROUPS));
+    match random.random_range(0..6) {
+        0 => joined(instance(place).as_str()),
+        1 => change::Change::Forgotten(instance(place)),
+        2 => change::Change::Unplaced(group),
+        3 => configured(view, patch::Operation::SetDrained(instance(place), true)),
+        4 => configured(view, patch::Operation::RemoveTeam("team".into())),
+        _ => {
+            let taken = |other: &name::Instance| {
+                let others = view.placements.iter().filter(|(name, _)| **name != group);
+                others.into_iter().any(|(_, placed)| placed.members.contains(other))
+            };
+            let free = (0..INSTANCES).map(instance).filter(|other| !taken(other));
+            let members = free.take(2).collect();
+            let fence = number::Fence(view.version.0 + 1);
+            change::Change::Placed(group, fleet::Placement { fence, members })
+        }
+    }
+}
+
+fn joined(instance: &str) -> change::Change {
+    change::Change::Joined(Box::new(fleet::Member {
+        announcement: fixture::announcement(instance, "d1", 1),
+        incarnation: number::Incarnation(1),
+        present: true,
+        leaving: false,
+    }))
+}
+
+fn configured(view: &change::View, operation: patch::Operation) -> change::Change {
+    let number = view.configuration.number.next();
+    change::Change::Configured { number, operations: vec![operation] }
+}
+
+/// What an agent decides by, which must not change unless it is woken.
+fn needs(view: &change::View) -> impl PartialEq + std::fmt::Debug + use<> {
+    let drained = |other: &&name::Instance| view.configuration.drained.contains(*other);
+    let drained: Vec<name::Instance> = view.members.keys().filter(drained).cloned().collect();
+    (view.members.clone(), view.placements.clone(), drained)
+}
+
+// An agent that is told only of what concerns it must know of its instance, its group and the
+// declaration exactly what one that is told of everything knows. One missed change, and it would
+// serve in a group that has ended, or refuse one that stands.
+#[test]
+fn a_narrowed_view_is_always_the_part_of_the_whole() {
+    for seed in 0..300 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut whole = change::View::default();
+        let mut interests = interests::Interests::new(&whole);
+        let mut steps = Vec::new();
+        let mut parts = vec![change::View::default(); INSTANCES as usize];
+        for version in 1..60 {
+            let version = number::Version(version);
+            let step = change::Step { version, changes: vec![change(&whole, &mut random)] };
+            view::apply(&mut whole, &step);
+            interests.push(&step, number::Version(0));
+            steps.push(step);
+            for (place, part) in parts.iter_mut().enumerate() {
+                let instance = instance(place as u32);
+                let wakes = interests.concerns(&instance, part.version);
+                if !wakes {
+                    let now = scope::view(&whole, &instance);
+                    assert_eq!(needs(part), needs(&now), "seed {seed}, {version}");
+                }
+                if !wakes && random.random_bool(0.9) {
+                    continue;
+                }
+                let newer = steps.iter().filter(|step| step.version > part.version);
+                let update = change::Update::Steps(newer.cloned().collect());
+                let update = interests.narrow(&whole, part.version, update, &instance);
+                view::lead(part, update).unwrap();
+
+                assert_eq!(*part, scope::view(&whole, &instance), "seed {seed}, {version}");
+            }
+        }
+    }
+}
+
+// Thousands of agents follow the view. A change of teams or routes, or of an instance in another
+// group, wakes none of them; a zone that goes out wakes all.
+#[test]
+fn agents_are_woken_by_what_concerns_them_only() {
+    let mut solo = fixture::Solo::leading();
+    ["e1", "e2"].into_iter().for_each(|name| solo.add(name, "d1", 1));
+    solo.live(Duration::from_secs(1));
+    let have = solo.view().version;
+    let follow = |solo: &mut fixture::Solo| {
+        let have = solo.view().version;
+        solo.call(control::Request::Follow(have, "e1".into()))
+    };
+
+    let first = follow(&mut solo);
+    let team = configuration::Team { token_sha256: ["a".repeat(64)].into(), weight: 1 };
+    solo.submit("team", vec![patch::Operation::PutTeam("other".into(), team)]);
+    solo.pass(Duration::from_millis(200));
+    let by_team = solo.replies.contains_key(&first);
+    let zone = solo.view().configuration.zones.keys().next().cloned().unwrap();
+    solo.submit("out", vec![patch::Operation::SetZoneOut(zone, true)]);
+    solo.pass(Duration::from_millis(200));
+    let by_zone = solo.replies.get(&first);
+
+    assert!(!by_team);
+    assert!(matches!(by_zone, Some(control::Response::Updated(change::Update::Steps(_)))));
+    assert!(solo.view().version > have);
+}
--- a/crates/hyssopfork-control/tests/solo/mod.rs
+++ b/crates/hyssopfork-control/tests/solo/mod.rs
@@ -3,4 +3,5 @@
 mod answering;
 pub mod fixture;
 mod groups;
+mod interests;
 mod leases;
--- a/crates/hyssopfork-state/src/lib.rs
+++ b/crates/hyssopfork-state/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod operation;
 pub mod placements;
 pub mod rules;
+pub mod scope;
 pub mod upstream;
 pub mod view;
--- /dev/null
+++ b/crates/hyssopfork-state/src/scope.rs
@@ -0,0 +1,53 @@
+//! The part of the view that one instance's agent needs.
+//!
+//! *Pattern.* 4,800 agents follow the view, and each needs its own record, its group's members and
+//! the declaration. *Without it* each holds a record of every other instance, a restart of the
+//! fleet sends the whole view 4,800 times (7 GB from one leader), and each instance that joins or
+//! leaves wakes them all. The scoped view has the same version as the whole one, so that versions
+//! compare across processes.
+
+use hyssopfork_wire::{change, fleet, name};
+
+/// The view as far as it concerns `instance`: the declaration, its own record, and its group with
+/// the records of the other members.
+pub fn view(view: &change::View, instance: &name::Instance) -> change::View {
+    let mut scoped = change::View {
+        version: view.version,
+        configuration: view.configuration.clone(),
+        ..change::View::default()
+    };
+    if let Some((group, placement)) = group(view, instance) {
+        scoped.placements.insert(group.clone(), placement.clone());
+    }
+    let near = |other: &&name::Instance| is_near(view, instance, other);
+    for other in view.members.keys().filter(near) {
+        scoped.members.insert(other.clone(), view.members[other].clone());
+    }
+    scoped
+}
+
+/// What of a step concerns `instance`, which stands in `view` where it stood before the step.
+pub fn step(view: &change::View, step: &change::Step, instance: &name::Instance) -> change::Step {
+    let concerns = |change: &&change::Change| match change {
+        change::Change::Configured { .. } => true,
+        change::Change::Joined(member) => is_near(view, instance, &member.announcement.instance),
+        change::Change::Forgotten(other) => is_near(view, instance, other),
+        change::Change::Placed(_, placement) => placement.members.contains(instance),
+        change::Change::Unplaced(_) => false,
+    };
+    let changes = step.changes.iter().filter(concerns).cloned().collect();
+    change::Step { version: step.version, changes }
+}
+
+/// Whether `other` is `instance` itself or a member of the same group.
+fn is_near(view: &change::View, instance: &name::Instance, other: &name::Instance) -> bool {
+    let beside = |(_, placement): (_, &fleet::Placement)| placement.members.contains(other);
+    other == instance || group(view, instance).is_some_and(beside)
+}
+
+fn group<'a>(
+    view: &'a change::View,
+    instance: &name::Instance,
+) -> Option<(&'a name::Group, &'a fleet::Placement)> {
+    view.placements.iter().find(|(_, placement)| placement.members.contains(instance))
+}
--- a/crates/hyssopfork-watch/src/watcher.rs
+++ b/crates/hyssopfork-watch/src/watcher.rs
@@ -2,7 +2,7 @@
 
 use crate::{lease, notice, target};
 use hyssopfork_state::view;
-use hyssopfork_wire::{change, clock, control, number, timing};
+use hyssopfork_wire::{change, clock, control, name, number, timing};
 use std::net;
 use std::time::Duration;
 
@@ -59,6 +59,8 @@
     watch: Option<Outstanding>,
     watch_at: clock::Instant,
     calls: u64,
+    /// Instance whose part of the view is followed; `None` for the whole view.
+    scope: Option<name::Instance>,
 }
 
 impl Watcher {
@@ -75,9 +77,16 @@
             watch: None,
             watch_at: now,
             calls: 0,
+            scope: None,
         }
     }
 
+    /// Follows only the part of the view that concerns `instance`.
+    pub fn narrow(mut self, instance: name::Instance) -> Watcher {
+        self.scope = Some(instance);
+        self
+    }
+
     /// The view; to be acted on only while [`Watcher::is_recent`].
     pub fn view(&self) -> &change::View {
         &self.view
@@ -189,7 +198,10 @@
         let call = self.next_call();
         self.watch = Some(Outstanding { call, to, sent: now, leaving: false });
         self.watch_at = now + RETRY;
-        let request = control::Request::Watch(self.view.version);
+        let request = match &self.scope {
+            None => control::Request::Watch(self.view.version),
+            Some(instance) => control::Request::Follow(self.view.version, instance.clone()),
+        };
         let timeout = timing::WATCH_HOLD + WATCH_MARGIN;
         output.calls.push(Call { call, to, request, timeout });
     }
--- a/crates/hyssopfork-wire/src/control.rs
+++ b/crates/hyssopfork-wire/src/control.rs
@@ -43,6 +43,9 @@
     History(number::Configuration),
     /// The whole view and who holds leases, for operators.
     Status,
+    /// Asks for what changed after a version as far as it concerns one instance: its own record,
+    /// its group and the declaration. Held as [`Request::Watch`] is.
+    Follow(number::Version, name::Instance),
 }
 
 /// A lease on the view.
