--- a/crates/hyssopfork-agent/src/engine.rs
+++ b/crates/hyssopfork-agent/src/engine.rs
@@ -2,7 +2,7 @@
 
 use crate::event;
 use hyssopfork_policy::ramp;
-use hyssopfork_wire::{clock, fleet, number};
+use hyssopfork_wire::{clock, fleet, number, timing};
 use std::time::Duration;
 
 /// Time before an order that failed is given again.
@@ -18,6 +18,11 @@
 /// lost the model that a grant vouches for. Five probes: an answer may take half a second.
 pub const PROBE_AGE: Duration = Duration::from_millis(1_000);
 
+/// Time after this process's start in which work that isn't its own counts as left by the process
+/// before. A back end that goes on reporting such work for longer has callers of its own, or counts
+/// otherwise; heeded for good, that would keep all work from a cold one.
+pub const FOREIGN_LIMIT: Duration = timing::STOP_LIMIT;
+
 /// What a probe changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -36,6 +41,7 @@
 pub struct Engine {
     alive: bool,
     probed: clock::Instant,
+    started: clock::Instant,
     foreign: Option<u32>,
     incarnation: Option<String>,
     /// What the last probe told.
@@ -56,6 +62,7 @@
         Engine {
             alive: false,
             probed: now,
+            started: now,
             foreign: None,
             incarnation: None,
             told: None,
@@ -79,8 +86,9 @@
     }
 
     /// Work that the back end has from before this process started, as far as it says.
-    pub fn foreign(&self) -> u32 {
-        self.foreign.unwrap_or(0)
+    pub fn foreign(&self, now: clock::Instant) -> u32 {
+        let counts = now.since(self.started) < FOREIGN_LIMIT;
+        self.foreign.filter(|_| counts).unwrap_or(0)
     }
 
     /// Limit on concurrent work.
--- a/crates/hyssopfork-agent/src/gate.rs
+++ b/crates/hyssopfork-agent/src/gate.rs
@@ -52,7 +52,7 @@
     ///
     /// The refusal; the work has not run.
     pub fn check_room(&self, running: u32) -> Result<(), refusal::Refusal> {
-        if running + self.engine.foreign() < self.engine.limit() {
+        if running + self.engine.foreign(self.now) < self.engine.limit() {
             return Ok(());
         }
         let warm = self.engine.is_warm();
--- a/crates/hyssopfork-agent/tests/agent/gate.rs
+++ b/crates/hyssopfork-agent/tests/agent/gate.rs
@@ -226,6 +226,20 @@
     assert_eq!(refusal.map(|refusal| refusal.reason), Some(refusal::Reason::Cold));
 }
 
+// A back end counts its own callers, or its probes, among what runs. Taken for work of the process
+// before for good, that would keep all work from it while it is cold, and it would stay cold.
+#[test]
+fn constant_foreign_work_locks_nothing_out() {
+    let mut agent = fixture::service(true);
+    agent.pass(engine::FOREIGN_LIMIT);
+    agent.hold(Duration::ZERO);
+    agent.probe(Some(event::Health { running: Some(9), ..fixture::health("a", None) }));
+
+    let refusal = agent.refusal(fixture::plain_offer(1));
+
+    assert_eq!(refusal, None);
+}
+
 #[test]
 fn passed_deadline_is_refused_at_the_write() {
     let mut agent = fixture::service(true);
