--- a/crates/hyssopfork-control/src/holders.rs
+++ b/crates/hyssopfork-control/src/holders.rs
@@ -75,6 +75,13 @@
         Some(holder.heard)
     }
 
+    /// Version of the view that the agent of this boot had when it last reported.
+    pub fn version(&self, instance: &name::Instance, boot: u64) -> Option<number::Version> {
+        let holder = self.agents.get(instance)?;
+        holder.agent.as_ref().filter(|agent| agent.boot == boot)?;
+        Some(holder.version)
+    }
+
     /// The agent of this boot on an instance.
     pub fn agent(&self, instance: &name::Instance, boot: u64) -> Option<&Agent> {
         let holder = self.agents.get(instance)?;
--- a/crates/hyssopfork-daemon/tests/events.rs
+++ b/crates/hyssopfork-daemon/tests/events.rs
@@ -18,12 +18,15 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
 }
 
-/// Numbers by name, from the arms `Notice::Name... => 1234,` of the package's `number`.
+/// Numbers by name, from the arms `Notice::Name... => 1234,` or `Kind::Name => 1234,` of the
+/// package's `number`.
 fn coded(package: &str) -> BTreeMap<String, u16> {
     let path = root().join("crates").join(package).join("src/notice.rs");
     let text = fs::read_to_string(path).expect("the package has notices");
     let arm = |line: &str| {
-        let (pattern, number) = line.trim().strip_prefix("Notice::")?.split_once(" => ")?;
+        let arm = line.trim();
+        let arm = arm.strip_prefix("Notice::").or_else(|| arm.strip_prefix("Kind::"))?;
+        let (pattern, number) = arm.split_once(" => ")?;
         let number: u16 = number.trim_end_matches(',').parse().ok()?;
         let end = pattern.find(|letter: char| !letter.is_alphanumeric()).unwrap_or(pattern.len());
         Some((pattern[..end].to_owned(), number))
