--- a/crates/hyssopfork-entry/tests/history/carry.rs
+++ b/crates/hyssopfork-entry/tests/history/carry.rs
@@ -2,7 +2,7 @@
 
 use crate::callers;
 use crate::shell;
-use crate::world::{AGENTS, ENGINES, ENTRIES, Happening, MILLI, Node, TOKEN, World};
+use crate::world::{AGENTS, ENGINES, ENTRIES, Happening, MILLI, Node, TOKEN, Watch, World};
 use hyssopfork_agent as agent;
 use hyssopfork_entry as entry;
 use hyssopfork_wire::{attempt, number, timing};
@@ -68,8 +68,9 @@
         match self.control.call(self.now, &request) {
             Some(response) => self.reply_control(from, self.life(from), call, response),
             None => {
-                let version = self.control.view().version;
-                self.watches.push((from, self.life(from), call, version));
+                let have = self.control.view().version;
+                let life = self.life(from);
+                self.watches.push(Watch { node: from, life, call, have, request });
             }
         }
         self.tell_watchers();
@@ -97,14 +98,12 @@
             assert!(self.control.view().configuration.groups.contains_key(group));
             self.placements.insert(placement.fence, placement.members.clone());
         }
-        let (due, kept) =
-            std::mem::take(&mut self.watches).into_iter().partition(|watch| watch.3 < version);
+        let (due, kept): (Vec<Watch>, Vec<Watch>) =
+            std::mem::take(&mut self.watches).into_iter().partition(|watch| watch.have < version);
         self.watches = kept;
-        let due: Vec<(Node, u32, u64, number::Version)> = due;
-        for (node, life, call, have) in due {
-            let request = hyssopfork_wire::control::Request::Watch(have);
-            if let Some(response) = self.control.call(self.now, &request) {
-                self.reply_control(node, life, call, response);
+        for watch in due {
+            if let Some(response) = self.control.call(self.now, &watch.request) {
+                self.reply_control(watch.node, watch.life, watch.call, response);
             }
         }
     }
--- a/crates/hyssopfork-entry/tests/history/control.rs
+++ b/crates/hyssopfork-entry/tests/history/control.rs
@@ -73,9 +73,8 @@
                 None
             }
             control::Request::Watch(have) => Some(control::Response::Updated(self.update(*have))),
-            control::Request::Follow(_, instance) => {
-                let part = scope::view(self.view(), instance);
-                Some(control::Response::Updated(change::Update::Whole(Box::new(part))))
+            control::Request::Follow(have, instance) => {
+                Some(control::Response::Updated(self.part(*have, instance)))
             }
             control::Request::Claim(claim) => {
                 match self.apply(&command::Command::Claim(claim.clone())) {
@@ -173,7 +172,12 @@
                 self.apply(&command::Command::Leaving { instance, boot });
             }
         }
-        let update = self.update(renewal.have);
+        let update = match &renewal.holder {
+            control::Holder::Entry(_) => self.update(renewal.have),
+            control::Holder::Agent(announcement, _) => {
+                self.part(renewal.have, &announcement.instance)
+            }
+        };
         control::Response::Granted(control::Grant {
             term: timing::HOLDER_LEASE,
             update,
@@ -181,6 +185,14 @@
         })
     }
 
+    /// The part of the view that an agent follows, whole each time.
+    fn part(&self, have: number::Version, instance: &name::Instance) -> change::Update {
+        if have == self.view().version {
+            return change::Update::Current;
+        }
+        change::Update::Whole(Box::new(scope::view(self.view(), instance)))
+    }
+
     fn update(&self, have: number::Version) -> change::Update {
         let version = self.view().version;
         if have == version {
--- a/crates/hyssopfork-entry/tests/history/world.rs
+++ b/crates/hyssopfork-entry/tests/history/world.rs
@@ -72,6 +72,15 @@
     happening: Happening,
 }
 
+/// A watch that control holds until its view has moved past `have`.
+pub struct Watch {
+    pub node: Node,
+    pub life: u32,
+    pub call: u64,
+    pub have: hyssopfork_wire::number::Version,
+    pub request: hyssopfork_wire::control::Request,
+}
+
 pub struct World {
     pub now: u64,
     pub random: rand_chacha::ChaCha8Rng,
@@ -82,7 +91,7 @@
     pub processes: BTreeMap<Node, Process>,
     pub upstreams: Vec<upstream::Upstream>,
     pub control: control::Control,
-    pub watches: Vec<(Node, u32, u64, hyssopfork_wire::number::Version)>,
+    pub watches: Vec<Watch>,
     pub callers: callers::Callers,
     pub shells: Vec<shell::Agent>,
     pub connections: Vec<BTreeMap<attempt::Identifier, shell::Connection>>,
