End a stream with its end mark, and keep new work from a suspected engine

Change: a stream whose end mark was given out has ended, whatever becomes of its connection. After work broke off an engine gets nothing new until a probe that was sent later has told; a plain service goes on with a cold back end's share, as before.

Ruled out: taking the engine for not loaded at once, which would abort all that runs on it for one answer that broke off.

The agent's new test fails with the old limit (left: None, right: Some(Cold)).

--- a/crates/hyssopfork-agent/src/engine.rs
+++ b/crates/hyssopfork-agent/src/engine.rs
@@ -2,7 +2,7 @@
 
 use crate::event;
 use hyssopfork_policy::ramp;
-use hyssopfork_wire::{clock, fleet, number, timing};
+use hyssopfork_wire::{clock, configuration, fleet, number, timing};
 use std::time::Duration;
 
 /// Time before an order that failed is given again.
@@ -51,6 +51,7 @@
     order: Option<number::Fence>,
     order_at: clock::Instant,
     ramp: ramp::Ramp,
+    kind: configuration::Kind,
     /// When work last broke off; until a probe that was sent later has told, the ramp's limit
     /// doesn't hold.
     suspected: Option<clock::Instant>,
@@ -71,6 +72,7 @@
             order: None,
             order_at: now,
             ramp: ramp::Ramp::new(now, profile.concurrency),
+            kind: profile.kind,
             suspected: None,
         }
     }
@@ -99,11 +101,16 @@
     /// Attempts that it may bear at once now.
     pub fn limit(&self) -> u32 {
         let limit = self.ramp.limit();
-        if self.suspected.is_some() { limit.min(ramp::INITIAL) } else { limit }
+        match (self.suspected, self.kind) {
+            (None, _) => limit,
+            (Some(_), configuration::Kind::Service) => limit.min(ramp::INITIAL),
+            (Some(_), configuration::Kind::Engine) => 0,
+        }
     }
 
     /// Notes that work broke off. The back end may have died and come back cold within the time
-    /// between two probes; until they tell, it gets no more than a cold one bears.
+    /// between two probes. Until one tells, a service gets no more than a cold one bears, and an
+    /// engine nothing new: it may have lost its model, and its group a member with it.
     pub fn suspect(&mut self, now: clock::Instant) {
         self.suspected = Some(now);
     }
--- a/crates/hyssopfork-agent/tests/agent/gate.rs
+++ b/crates/hyssopfork-agent/tests/agent/gate.rs
@@ -174,6 +174,23 @@
     assert_eq!(trusted, None);
 }
 
+// Found by a long run of real processes (seed 13): an engine died and came back without its model
+// between two probes, and its agent went on forwarding to it. Its group had lost a member.
+#[test]
+fn broken_work_keeps_new_work_from_an_engine_until_a_probe_tells() {
+    let mut agent = fixture::first_member();
+    agent.run(fixture::offer(1));
+
+    agent.step(event::Event::Failed(fixture::identifier(1), event::Fault::Broken));
+    let suspected = agent.refusal(fixture::offer(2));
+    agent.pass(timing::PROBE);
+    agent.probe(Some(fixture::health("a", Some(fixture::FENCE))));
+    let trusted = agent.refusal(fixture::offer(3));
+
+    assert_eq!(suspected.map(|refusal| refusal.reason), Some(refusal::Reason::Cold));
+    assert_eq!(trusted, None);
+}
+
 fn complete(agent: &mut fixture::Agent, first: u64, count: u64) {
     for count in first..first + count {
         agent.step(event::Event::Ended(fixture::identifier(count)));
--- a/crates/hyssopfork-daemon/src/entry/conversation.rs
+++ b/crates/hyssopfork-daemon/src/entry/conversation.rs
@@ -174,9 +174,12 @@
                 false
             }
             Some(attempt::Part::End) => {
-                self.outlet = None;
-                self.post(event::Event::Delivered(attempt, self.delivered()));
-                self.post(event::Event::Ended(attempt));
+                self.end(attempt);
+                true
+            }
+            // The caller has the stream's end mark; resumed elsewhere, it would get another.
+            Some(attempt::Part::Failed(_) | attempt::Part::Refused(_)) if self.has_ended() => {
+                self.end(attempt);
                 true
             }
             Some(attempt::Part::Failed(fault)) => {
@@ -196,6 +199,16 @@
         }
     }
 
+    fn end(&mut self, attempt: wire_attempt::Identifier) {
+        self.outlet = None;
+        self.post(event::Event::Delivered(attempt, self.delivered()));
+        self.post(event::Event::Ended(attempt));
+    }
+
+    fn has_ended(&self) -> bool {
+        self.splitter.as_ref().is_some_and(|splitter| splitter.has_ended())
+    }
+
     /// Events of the stream that the caller has whole.
     fn delivered(&self) -> u64 {
         self.splitter.as_ref().map_or(0, |splitter| splitter.delivered())
--- a/crates/hyssopfork-entry/src/stream.rs
+++ b/crates/hyssopfork-entry/src/stream.rs
@@ -11,8 +11,12 @@
 pub struct Splitter {
     partial: BytesMut,
     delivered: u64,
+    ended: bool,
 }
 
+/// Data of the event that ends an engine's stream.
+const END_MARK: &[u8] = b"[DONE]";
+
 impl Splitter {
     /// Takes the next bytes of the answer; gives the events that are whole by now.
     pub fn feed(&mut self, data: &[u8]) -> Bytes {
@@ -24,6 +28,7 @@
             if has_data(&self.partial[whole..end]) {
                 self.delivered += 1;
             }
+            self.ended |= is_end(&self.partial[whole..end]);
             whole = end;
             scanned = end;
         }
@@ -36,6 +41,12 @@
         self.delivered
     }
 
+    /// Whether the event that ends the stream was given out: the caller has all of it, whatever
+    /// becomes of the connection that brought it.
+    pub fn has_ended(&self) -> bool {
+        self.ended
+    }
+
     /// Whether the bytes so far end with a whole event.
     pub fn is_clean(&self) -> bool {
         self.partial.is_empty()
@@ -67,3 +78,10 @@
         .split(|byte| matches!(byte, b'\n' | b'\r'))
         .any(|line| line.starts_with(b"data:") || line == b"data")
 }
+
+fn is_end(event: &[u8]) -> bool {
+    event
+        .split(|byte| matches!(byte, b'\n' | b'\r'))
+        .filter_map(|line| line.strip_prefix(b"data:"))
+        .any(|data| data.trim_ascii() == END_MARK)
+}
--- a/crates/hyssopfork-entry/tests/entry/streams.rs
+++ b/crates/hyssopfork-entry/tests/entry/streams.rs
@@ -68,3 +68,19 @@
     assert_eq!(body("a"), body("b"));
     assert_eq!(short, None);
 }
+
+// Found by a long run of real processes (seed 12): the upstream's connection broke after the end
+// mark, the stream was resumed elsewhere, and the caller got a second end mark.
+#[test]
+fn a_stream_has_ended_with_its_end_mark() {
+    let mut splitter = stream::Splitter::default();
+
+    splitter.feed(b"data: {\"text\": \"[DONE]\"}\n\n");
+    let named = splitter.has_ended();
+    splitter.feed(b"data: [DO");
+    let half = splitter.has_ended();
+    splitter.feed(b"NE]\n\n");
+
+    assert!(!named && !half);
+    assert!(splitter.has_ended());
+}
