Test connections that go silent on every link

Cause: no test with real processes had connections that go silent for good while new ones work, but on one link in isolation. Entry to agent and agent to agent could not be put behind a relay, since an agent announced the address it listens on: traffic_announce and peer_announce (default: the address listened on) give another.

Ruled out: a relay that listens on the announced address while the agent listens elsewhere without a setting; agents announce what they bind.

--- a/crates/hyssopfork-daemon/tests/processes/main.rs
+++ b/crates/hyssopfork-daemon/tests/processes/main.rs
@@ -5,6 +5,7 @@
 mod groups;
 mod limits;
 mod metrics;
+mod silent_connections;
 mod soak;
 mod stop;
 mod support;
--- a/crates/hyssopfork-daemon/tests/processes/support/fleet.rs
+++ b/crates/hyssopfork-daemon/tests/processes/support/fleet.rs
@@ -1,6 +1,6 @@
 //! A small fleet: three control instances, two entries, engines and a plain service.
 
-use super::{daemon, layout, operator};
+use super::{daemon, layout, operator, wires};
 use hyssopfork_test_support::{engine, http, service};
 use hyssopfork_wire::configuration;
 use sha2::{Digest, Sha256};
@@ -40,6 +40,8 @@
     pub engines: Vec<Upstream<engine::Engine>>,
     /// Plain services.
     pub services: Vec<Upstream<service::Service>>,
+    /// Relays that the links run through.
+    pub wires: wires::Wires,
     /// Files and addresses; dropped last.
     pub layout: layout::Layout,
 }
@@ -53,6 +55,8 @@
     pub engines: usize,
     /// Plain services, one zone after the other.
     pub services: usize,
+    /// Whether every link runs through a relay of its own.
+    pub relayed: bool,
     /// What the engines are like.
     pub engine: engine::Profile,
     /// What the services are like.
@@ -65,6 +69,7 @@
             entries: 2,
             engines: 3,
             services: 2,
+            relayed: false,
             engine: engine::Profile {
                 load_time: Duration::from_millis(50),
                 ..engine::Profile::default()
@@ -89,6 +94,7 @@
             entry_addresses: Vec::new(),
             engines: Vec::new(),
             services: Vec::new(),
+            wires: wires::Wires::new(plan.relayed),
             layout,
         };
         fleet.start_controls(&controls);
@@ -105,8 +111,8 @@
     }
 
     fn start_controls(&mut self, controls: &[(String, SocketAddr)]) {
-        let voters = layout::voters(controls);
         for (number, (name, listen)) in controls.iter().enumerate() {
+            let voters = layout::voters(&self.wires.voters(name, controls));
             let folder = self.layout.folder.join(name);
             let rest = format!(r#""data_folder": "{}", {voters}"#, folder.display());
             let zone = ZONES[number % ZONES.len()];
@@ -118,16 +124,17 @@
     fn start_entry(&mut self, number: usize) {
         let name = format!("entry-{}", number + 1);
         let listen = self.layout.address();
+        let controls = self.wires.controls(&name, &self.control_addresses);
         let text = format!(
             r#"{{ "instance": "{name}", "zone": "{}", "roles": ["entry"],
                   "control_addresses": {}, "metrics_listen": "{}",
                   "log": {{ "level": "debug" }}, "entry": {{ "listen": "{listen}" }} }}"#,
             ZONES[number % ZONES.len()],
-            layout::addresses(&self.control_addresses),
+            layout::addresses(&controls),
             self.layout.address(),
         );
         self.entries.push(daemon::Daemon::start(&self.layout.folder, &name, &text));
-        self.entry_addresses.push(listen);
+        self.entry_addresses.push(self.wires.route(wires::Link::Caller, &name, listen));
     }
 
     fn start_engine(&mut self, number: usize, profile: engine::Profile) {
@@ -152,18 +159,23 @@
         self.services.push(Upstream { name, agent, fake, server: Some(server) });
     }
 
-    fn start_agent(&self, part: &Part<'_>, upstream: SocketAddr) -> daemon::Daemon {
+    fn start_agent(&mut self, part: &Part<'_>, upstream: SocketAddr) -> daemon::Daemon {
+        let controls = self.wires.controls(part.name, &self.control_addresses);
         let traffic = self.layout.address();
+        let peer = self.layout.address();
+        let traffic_announce = self.wires.route(wires::Link::Traffic, part.name, traffic);
+        let peer_announce = self.wires.route(wires::Link::Peer, part.name, peer);
         let text = format!(
             r#"{{ "instance": "{}", "zone": "{}", "roles": ["agent"],
                   "control_addresses": {}, "metrics_listen": "{}", "log": {{ "level": "debug" }},
-                  "agent": {{ "traffic_listen": "{traffic}", "peer_listen": "{}", "pool": "{}",
+                  "agent": {{ "traffic_listen": "{traffic}", "peer_listen": "{peer}",
+                              "traffic_announce": "{traffic_announce}",
+                              "peer_announce": "{peer_announce}", "pool": "{}",
                               "domain": "domain-1", "upstream": "{upstream}",
                               "profile": {} }} }}"#,
             part.name,
             part.zone,
-            layout::addresses(&self.control_addresses),
-            self.layout.address(),
+            layout::addresses(&controls),
             self.layout.address(),
             part.pool,
             part.profile,
--- a/crates/hyssopfork-daemon/tests/processes/support/mod.rs
+++ b/crates/hyssopfork-daemon/tests/processes/support/mod.rs
@@ -5,3 +5,4 @@
 pub mod fleet;
 pub mod layout;
 pub mod operator;
+pub mod wires;
--- a/crates/hyssopfork-settings/src/agent.rs
+++ b/crates/hyssopfork-settings/src/agent.rs
@@ -7,10 +7,14 @@
 /// The section.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Agent {
-    /// Where entries bring attempts (HTTP); announced as written.
+    /// Where entries bring attempts (HTTP).
     pub traffic_listen: net::SocketAddr,
-    /// Where the agents of the same group call (tarpc); announced as written.
+    /// Where entries are told to bring attempts; `traffic_listen` unless something stands between.
+    pub traffic_announce: net::SocketAddr,
+    /// Where the agents of the same group call (tarpc).
     pub peer_listen: net::SocketAddr,
+    /// Where agents are told to call; `peer_listen` unless something stands between.
+    pub peer_announce: net::SocketAddr,
     /// Pool that the upstream offers itself to.
     pub pool: name::Pool,
     /// Fabric domain of the instance.
@@ -26,7 +30,9 @@
 /// Reads the section.
 pub fn read(section: section::Section<'_>) -> Option<Agent> {
     let traffic_listen = section.reachable("traffic_listen");
+    let traffic_announce = announced(&section, "traffic_announce", traffic_listen);
     let peer_listen = section.reachable("peer_listen");
+    let peer_announce = announced(&section, "peer_announce", peer_listen);
     let pool = section.name("pool").map(name::Pool::from);
     let domain = section.name("domain").map(name::Domain::from);
     let upstream = section.reachable("upstream");
@@ -38,7 +44,9 @@
     section.finish();
     Some(Agent {
         traffic_listen: traffic_listen?,
+        traffic_announce: traffic_announce?,
         peer_listen: peer_listen?,
+        peer_announce: peer_announce?,
         pool: pool?,
         domain: domain?,
         upstream: upstream?,
@@ -46,6 +54,15 @@
     })
 }
 
+/// The address under `key`, or the one that is listened on.
+fn announced(
+    section: &section::Section<'_>,
+    key: &'static str,
+    listen: Option<net::SocketAddr>,
+) -> Option<net::SocketAddr> {
+    if section.has(key) { section.reachable(key) } else { listen }
+}
+
 fn read_profile(section: section::Section<'_>) -> Option<fleet::Profile> {
     let kind: Option<configuration::Kind> = section.required_word("kind", &["engine", "service"]);
     let checks_fence = section.flag("checks_fence");
--- a/crates/hyssopfork-settings/tests/settings.rs
+++ b/crates/hyssopfork-settings/tests/settings.rs
@@ -144,6 +144,18 @@
     assert!(found.iter().any(|message| message == wanted), "{found:?}");
 }
 
+#[test]
+fn announced_addresses_are_those_listened_on_unless_others_are_given() {
+    let changed = r#""peer_announce": "127.0.0.2:7301", "peer_listen":"#;
+    let text = agent_text(&AGENT.replace(r#""peer_listen":"#, changed));
+
+    let agent = settings::parse(&text).expect("well formed").agent.expect("the role is held");
+
+    assert_eq!(agent.traffic_announce, agent.traffic_listen);
+    assert_eq!(agent.peer_announce.port(), 7301);
+    assert_ne!(agent.peer_listen, agent.peer_announce);
+}
+
 #[test]
 fn announced_wildcard_address_is_refused() {
     let text = agent_text(&AGENT.replace("127.0.0.1:7201", "0.0.0.0:7201"));
