Cut frozen processes off from control in their tests

Cause: with the lease check of watchers turned off (lease.rs, is_valid without the clock) the tests of frozen processes still passed: the news of the zone waited in the thawed process's socket and won. Now the links to control of whoever is frozen are silent from before the change, as a cut would have it, and stay so.

Seen: with is_valid ignoring the clock, an_entry_and_an_agent_that_froze_together_start_nothing fails (2 runs in zone-b, 0 wanted); the two tests with one frozen process pass, since the agent (entry frozen) and the closed connections (agent frozen) keep work out as well. All 4 pass with it, 7.2 s.

--- a/crates/hyssopfork-daemon/tests/processes/paused.rs
+++ b/crates/hyssopfork-daemon/tests/processes/paused.rs
@@ -1,7 +1,7 @@
 //! Processes that freeze past a change and thaw with work waiting, and agents that start anew
 //! before an upstream that has work.
 
-use crate::support::{caller, fleet, operator};
+use crate::support::{caller, fleet, operator, wires};
 use futures::future;
 use hyssopfork_test_support::service;
 use hyssopfork_wire::{patch, timing};
@@ -12,7 +12,7 @@
 const A_FEW_SECONDS: Duration = Duration::from_secs(4);
 
 /// Deadline of lodgements: they still wait when what was frozen thaws.
-const DEADLINE_MS: u64 = 12_000;
+const DEADLINE_MS: u64 = 7_000;
 
 /// Lodgements that wait at once.
 const WAITING: usize = 8;
@@ -30,7 +30,7 @@
 }
 
 fn services() -> fleet::Plan {
-    fleet::Plan { engines: 0, ..fleet::Plan::default() }
+    fleet::Plan { engines: 0, relayed: true, ..fleet::Plan::default() }
 }
 
 fn ran(fleet: &fleet::Fleet, place: usize) -> u64 {
@@ -49,7 +49,10 @@
     got.is_answer() || got.says_not_run() || got.says_may_have_run()
 }
 
-async fn take_out(operator: &operator::Operator) {
+/// Takes zone-b out while those who are frozen are cut off from control, so that the news doesn't
+/// wait in their sockets when they thaw.
+async fn take_out(fleet: &fleet::Fleet, operator: &operator::Operator, frozen: &[&str]) {
+    frozen.iter().for_each(|name| fleet.wires.silence(wires::Link::Control, name));
     let out = patch::Operation::SetZoneOut("zone-b".into(), true);
     operator.submit("out", 1, vec![out]).await;
     actix_rt::time::sleep(A_FEW_SECONDS).await;
@@ -72,7 +75,7 @@
 
     fleet.entries[0].pause();
     let waiting = actix_rt::spawn(lodge(entry, "waiting", WAITING));
-    take_out(&operator).await;
+    take_out(&fleet, &operator, &["entry-1"]).await;
     let before = ran(&fleet, 1);
     fleet.entries[0].resume();
     let got = waiting.await.unwrap();
@@ -92,7 +95,7 @@
 
     fleet.services[1].agent.pause();
     let waiting = actix_rt::spawn(lodge(entry, "waiting", WAITING));
-    take_out(&operator).await;
+    take_out(&fleet, &operator, &["service-2"]).await;
     fleet.services[1].agent.resume();
     let got = waiting.await.unwrap();
     actix_rt::time::sleep(timing::SILENCE_LIMIT).await;
@@ -113,7 +116,7 @@
     actix_rt::time::sleep(timing::KEEP_ALIVE).await;
     fleet.entries[0].pause();
     let waiting = actix_rt::spawn(lodge(entry, "waiting", WAITING));
-    take_out(&operator).await;
+    take_out(&fleet, &operator, &["entry-1", "service-2"]).await;
     fleet.services[1].agent.resume();
     fleet.entries[0].resume();
     let (sent, waiting) = (sent.await.unwrap(), waiting.await.unwrap());
