--- a/crates/hyssopfork-daemon/src/agent/role.rs
+++ b/crates/hyssopfork-daemon/src/agent/role.rs
@@ -90,19 +90,14 @@
     }
 
     /// Runs until the core says that it has stopped.
-    pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
-        let mut ticks = tokio::time::interval(action::TICK);
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    pub async fn run(mut self, inputs: mpsc::UnboundedReceiver<Input>) {
         actix_rt::spawn(engine::probe(self.upstream, self.mailbox.clone()));
-        while !self.stopped {
-            tokio::select! {
-                biased;
-                _ = ticks.tick() => self.tick(),
-                Some(input) = inputs.recv() => self.take(input),
-                else => return,
-            }
-        }
+        mailbox::drain(&mut self, inputs, action::TICK).await;
     }
+}
+
+impl mailbox::Owner for Role {
+    type Input = Input;
 
     fn tick(&mut self) {
         self.step(event::Event::Tick);
@@ -138,6 +133,12 @@
         }
     }
 
+    fn has_stopped(&self) -> bool {
+        self.stopped
+    }
+}
+
+impl Role {
     fn offer(&mut self, offer: attempt::Offer, reply: oneshot::Sender<Offered>) {
         let attempt = offer.attempt;
         if let Some(known) = self.slots.get(&attempt) {
--- a/crates/hyssopfork-daemon/src/entry/role.rs
+++ b/crates/hyssopfork-daemon/src/entry/role.rs
@@ -90,18 +90,13 @@
     }
 
     /// Runs until the core says that it has stopped.
-    pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
-        let mut ticks = tokio::time::interval(action::TICK);
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        while !self.stopped {
-            tokio::select! {
-                biased;
-                _ = ticks.tick() => self.tick(),
-                Some(input) = inputs.recv() => self.take(input),
-                else => return,
-            }
-        }
+    pub async fn run(mut self, inputs: mpsc::UnboundedReceiver<Input>) {
+        mailbox::drain(&mut self, inputs, action::TICK).await;
     }
+}
+
+impl mailbox::Owner for Role {
+    type Input = Input;
 
     fn tick(&mut self) {
         self.step(event::Event::Tick);
@@ -126,6 +121,12 @@
         }
     }
 
+    fn has_stopped(&self) -> bool {
+        self.stopped
+    }
+}
+
+impl Role {
     fn step(&mut self, event: event::Event) {
         for action in self.core.step(clock::now(), event) {
             self.act(action);
--- a/crates/hyssopfork-daemon/src/mailbox.rs
+++ b/crates/hyssopfork-daemon/src/mailbox.rs
@@ -1,5 +1,6 @@
 //! The way from every thread into the one that owns a role's state.
 
+use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::SendError;
 
@@ -28,3 +29,37 @@
     let (sender, receiver) = mpsc::unbounded_channel();
     (Mailbox(sender), receiver)
 }
+
+/// What owns a role's state and takes its inputs one after the other.
+pub trait Owner {
+    /// Inputs.
+    type Input;
+
+    /// Time has passed.
+    fn tick(&mut self);
+
+    /// An input came.
+    fn take(&mut self, input: Self::Input);
+
+    /// Whether it takes no more inputs.
+    fn has_stopped(&self) -> bool;
+}
+
+/// Hands inputs and ticks to `owner` until it has stopped. Ticks go first, so that a flood of
+/// inputs delays no lease; after a pause there is one tick, not one for each that was missed.
+pub async fn drain<O: Owner>(
+    owner: &mut O,
+    mut inputs: mpsc::UnboundedReceiver<O::Input>,
+    period: Duration,
+) {
+    let mut ticks = tokio::time::interval(period);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    while !owner.has_stopped() {
+        tokio::select! {
+            biased;
+            _ = ticks.tick() => owner.tick(),
+            Some(input) = inputs.recv() => owner.take(input),
+            else => return,
+        }
+    }
+}
