End the process when a role ends by itself

Cause, found in the read-through: an assertion that fails ends a role's loop on its thread and leaves the process, which goes on listening, says that it is ready and answers nothing. Invariants are asserted in the program so that they stop it.

Change: the process waits for the end of any role besides the signals and exits with an error. Posting an input when it is ready stands once, beside the mailbox.

--- a/crates/hyssopfork-daemon/src/agent/role.rs
+++ b/crates/hyssopfork-daemon/src/agent/role.rs
@@ -220,8 +220,7 @@
     }
 
     fn call_back(&self, call: impl Future<Output = event::Event> + 'static) {
-        let mailbox = self.mailbox.clone();
-        actix_rt::spawn(async move { mailbox.post(Input::Event(call.await)) });
+        self.mailbox.post_when(async move { Input::Event(call.await) });
     }
 }
 
--- a/crates/hyssopfork-daemon/src/lib.rs
+++ b/crates/hyssopfork-daemon/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod notice;
 pub mod problem;
 pub mod process;
+pub mod running;
--- a/crates/hyssopfork-daemon/src/mailbox.rs
+++ b/crates/hyssopfork-daemon/src/mailbox.rs
@@ -14,6 +14,14 @@
     }
 }
 
+impl<T: 'static> Mailbox<T> {
+    /// Delivers an input once `input` is ready, without holding up this thread's other work.
+    pub fn post_when(&self, input: impl Future<Output = T> + 'static) {
+        let mailbox = self.clone();
+        actix_rt::spawn(async move { mailbox.post(input.await) });
+    }
+}
+
 impl<T> Mailbox<T> {
     /// Delivers an input; after the loop has ended, inputs go nowhere, since the process is
     /// ending.
--- a/crates/hyssopfork-daemon/src/process.rs
+++ b/crates/hyssopfork-daemon/src/process.rs
@@ -1,6 +1,6 @@
 //! One process: starts the roles of its settings and stops them on request.
 
-use crate::{agent, clock, control, entry, http, listener, log, mailbox, monitor, notice};
+use crate::{agent, clock, control, entry, http, listener, log, mailbox, monitor, notice, running};
 use actix_rt::{Arbiter, System};
 use hyssopfork_consensus::{journal, node};
 use hyssopfork_settings::settings;
@@ -56,12 +56,6 @@
     System::new().block_on(supervise(settings))
 }
 
-/// A role that runs: where to ask it to stop, and how to hear that it has.
-struct Running {
-    stop: Box<dyn Fn()>,
-    stopped: oneshot::Receiver<()>,
-}
-
 /// Everything that the roles of one process share.
 struct Process<'a> {
     settings: &'a settings::Settings,
@@ -85,9 +79,12 @@
     process.start(&mut readiness, &mut running).await?;
     process.monitor(readiness)?;
     announce(settings);
-    wait(&mut terminate, &mut interrupt).await;
+    tokio::select! {
+        () = wait(&mut terminate, &mut interrupt) => {}
+        () = running::any_ended(&mut running) => return Err(Error::Ended),
+    }
     log::notice(&notice::Notice::Stopping);
-    let ended = end_all(running);
+    let ended = running::end_all(running);
     tokio::select! {
         () = ended => log::notice(&notice::Notice::Stopped),
         () = wait(&mut terminate, &mut interrupt) => log::notice(&notice::Notice::StoppedAtOnce),
@@ -107,20 +104,11 @@
     }
 }
 
-async fn end_all(running: Vec<Running>) {
-    for role in &running {
-        (role.stop)();
-    }
-    for role in running {
-        let _role_gone = role.stopped.await;
-    }
-}
-
 impl Process<'_> {
     async fn start(
         &self,
         readiness: &mut Vec<Arc<monitor::Readiness>>,
-        running: &mut Vec<Running>,
+        running: &mut Vec<running::Running>,
     ) -> Result<(), Error> {
         if let Some(section) = &self.settings.control {
             let ready = Arc::<monitor::Readiness>::default();
@@ -151,7 +139,7 @@
         &self,
         section: &hyssopfork_settings::control::Control,
         readiness: Arc<monitor::Readiness>,
-    ) -> Result<Running, Error> {
+    ) -> Result<running::Running, Error> {
         let (journal, durable, folder) = journal::Journal::open(&section.data_folder)?;
         let identity = consensus::Voter { instance: self.settings.instance.clone(), folder };
         let addresses: HashMap<_, _> =
@@ -182,14 +170,14 @@
         let stop = move || {
             inbox.post(control::role::Input::Event(hyssopfork_control::event::Event::Stop));
         };
-        Ok(Running { stop: Box::new(stop), stopped })
+        Ok(running::Running { stop: Box::new(stop), stopped })
     }
 
     async fn start_agent(
         &self,
         section: &hyssopfork_settings::agent::Agent,
         readiness: Arc<monitor::Readiness>,
-    ) -> Result<Running, Error> {
+    ) -> Result<running::Running, Error> {
         let core_settings = hyssopfork_agent::core::Settings {
             announcement: fleet::Announcement {
                 instance: self.settings.instance.clone(),
@@ -225,14 +213,14 @@
         });
         let stop =
             move || inbox.post(agent::role::Input::Event(hyssopfork_agent::event::Event::Stop));
-        Ok(Running { stop: Box::new(stop), stopped })
+        Ok(running::Running { stop: Box::new(stop), stopped })
     }
 
     fn start_entry(
         &self,
         section: &hyssopfork_settings::entry::Entry,
         readiness: Arc<monitor::Readiness>,
-    ) -> Result<Running, Error> {
+    ) -> Result<running::Running, Error> {
         let core_settings = hyssopfork_entry::core::Settings {
             instance: self.settings.instance.clone(),
             zone: self.settings.zone.clone(),
@@ -272,7 +260,7 @@
         });
         let stop =
             move || inbox.post(entry::role::Input::Event(hyssopfork_entry::event::Event::Stop));
-        Ok(Running { stop: Box::new(stop), stopped })
+        Ok(running::Running { stop: Box::new(stop), stopped })
     }
 
     /// Starts a tarpc server on the thread that owns the roles' state.
