Use plain names in doc examples and help

Cause: read-through. Doc examples and help of library code used names of particular users; the shipped examples are the place for those. Measured: tests of the policy and of the operators' program pass.

--- a/crates/hyssopfork-cli/src/command/group/create.rs
+++ b/crates/hyssopfork-cli/src/command/group/create.rs
@@ -6,9 +6,9 @@
 
 /// Examples of the command.
 pub const EXAMPLES: &[&str] = &[
-    "hyssopfork group create summaries-3 --pool hyssop-pool --model summary-70b --size 2 \
+    "hyssopfork group create summaries-3 --pool engines --model summary-70b --size 2 \
      --control 127.0.0.1:7100",
-    "hyssopfork group create summaries-3 --pool hyssop-pool --model summary-70b --size 2 \
+    "hyssopfork group create summaries-3 --pool engines --model summary-70b --size 2 \
      --priority 5 --base 12 --control 127.0.0.1:7100",
 ];
 
--- a/crates/hyssopfork-cli/src/command/status.rs
+++ b/crates/hyssopfork-cli/src/command/status.rs
@@ -1,4 +1,4 @@
-//! `status`: one screen for a control room.
+//! `status`: the state of the fleet on one screen.
 
 use super::group;
 use crate::{client, context, error, output, screen, traffic};
--- a/crates/hyssopfork-cli/src/command/upstream/list.rs
+++ b/crates/hyssopfork-cli/src/command/upstream/list.rs
@@ -6,7 +6,7 @@
 /// Examples of the command.
 pub const EXAMPLES: &[&str] = &[
     "hyssopfork upstream list --control 127.0.0.1:7100",
-    "hyssopfork upstream list --zone lekki --control 127.0.0.1:7100",
+    "hyssopfork upstream list --zone zone-b --control 127.0.0.1:7100",
 ];
 
 /// The command.
--- a/crates/hyssopfork-cli/src/command/zone/bring_in.rs
+++ b/crates/hyssopfork-cli/src/command/zone/bring_in.rs
@@ -5,7 +5,7 @@
 use hyssopfork_wire::{name, patch};
 
 /// Examples of the command.
-pub const EXAMPLES: &[&str] = &["hyssopfork zone in lekki --control 127.0.0.1:7100"];
+pub const EXAMPLES: &[&str] = &["hyssopfork zone in zone-b --control 127.0.0.1:7100"];
 
 /// The command.
 pub fn command() -> Command {
--- a/crates/hyssopfork-cli/src/command/zone/out.rs
+++ b/crates/hyssopfork-cli/src/command/zone/out.rs
@@ -6,8 +6,8 @@
 
 /// Examples of the command.
 pub const EXAMPLES: &[&str] = &[
-    "hyssopfork zone out lekki --control 127.0.0.1:7100",
-    "hyssopfork zone out lekki --base 12 --control 127.0.0.1:7100",
+    "hyssopfork zone out zone-b --control 127.0.0.1:7100",
+    "hyssopfork zone out zone-b --base 12 --control 127.0.0.1:7100",
 ];
 
 /// The command.
--- a/crates/hyssopfork-cli/src/screen.rs
+++ b/crates/hyssopfork-cli/src/screen.rs
@@ -1,4 +1,4 @@
-//! What a control room sees of the fleet, worked out from the leader's status.
+//! What operators see of the fleet, worked out from the leader's status.
 
 use hyssopfork_wire::{configuration, control, fleet, name, number, timing};
 use serde::Serialize;
--- a/crates/hyssopfork-policy/model/src/figures.rs
+++ b/crates/hyssopfork-policy/model/src/figures.rs
@@ -50,7 +50,7 @@
 /// Time between two ticks of an entry.
 pub const TICK: Duration = Duration::from_millis(10);
 
-/// Prompt and answer of a short request, in tokens: an emission summary or a citation.
+/// Prompt and answer of a short request, in tokens: a summary of a page.
 pub const SHORT: (f64, f64) = (400.0, 48.0);
 
 /// Time within which a short request's answer must begin.
--- a/crates/hyssopfork-policy/src/lib.rs
+++ b/crates/hyssopfork-policy/src/lib.rs
@@ -17,17 +17,17 @@
 //! // From the view, whenever it changes: upstreams, zones, weights.
 //! let upstream = choice::Upstream {
 //!     instance: "runner-1".into(),
-//!     zone: "ikeja".into(),
+//!     zone: "zone-a".into(),
 //!     concurrency: 16,
 //! };
 //! chooser.insert(now, upstream);
-//! chooser.set_zone(&"apapa".into(), true);
-//! queue.weigh(&"plant".into(), 2);
+//! chooser.set_zone(&"zone-b".into(), true);
+//! queue.weigh(&"team-a".into(), 2);
 //!
 //! // A request arrives: it waits, or is refused at once.
 //! let item = queue::Item {
 //!     request: 1,
-//!     team: "plant".into(),
+//!     team: "team-a".into(),
 //!     class: configuration::Class::Interactive,
 //!     cost: 400,
 //!     deadline: now + Duration::from_secs(2),
@@ -38,7 +38,7 @@
 //! let batch = queue.next(now, chooser.room(now), 18);
 //! assert!(batch.expired.is_empty());
 //! for item in batch.ready {
-//!     let zone = "ikeja".into();
+//!     let zone = "zone-a".into();
 //!     let want = choice::Want { zone: &zone, prefix: None, excluded: &[] };
 //!     let Some(instance) = chooser.pick(now, want, 19) else {
 //!         queue.restore(now, item);
@@ -100,16 +100,16 @@
 //!
 //! let instance = |name: &str| placement::Instance {
 //!     name: name.into(),
-//!     zone: "perth-a".into(),
+//!     zone: "zone-a".into(),
 //!     domain: "rack-1".into(),
-//!     pool: "writers".into(),
+//!     pool: "engines".into(),
 //!     standing: placement::Standing::Usable,
 //!     holds: None,
 //! };
 //! let group = placement::Group {
-//!     name: "citations".into(),
-//!     pool: "writers".into(),
-//!     model: "citation-70b".into(),
+//!     name: "group-1".into(),
+//!     pool: "engines".into(),
+//!     model: "model-1".into(),
 //!     size: 2,
 //!     priority: 1,
 //! };
@@ -120,7 +120,7 @@
 //!     budget: loads::Budget { limit: 4, running: 0 },
 //! };
 //! let place = placement::Decision::Place {
-//!     group: "citations".into(),
+//!     group: "group-1".into(),
 //!     members: vec!["a".into(), "b".into()],
 //! };
 //! assert_eq!(placement::decide(&fleet), vec![place]);
--- a/crates/hyssopfork-policy/src/retry.rs
+++ b/crates/hyssopfork-policy/src/retry.rs
@@ -54,7 +54,7 @@
 }
 
 /// Whether work may be sent again at all: it surely did not run, or its route says that it may
-/// run more than once. A customs lodgement that may have run is never sent again.
+/// run more than once. Non-repeatable work that may have run is never sent again.
 pub fn may_repeat(repeatable: bool, ran: refusal::Ran) -> bool {
     repeatable || ran == refusal::Ran::NotRun
 }
