Test callers who go away or are wrong, and a second signal

Cause: the points of the callers' interface and of stops had no test with real processes for these.

The refusals of wrong requests were not tried with a safeguard off.

--- a/crates/hyssopfork-daemon/tests/processes/main.rs
+++ b/crates/hyssopfork-daemon/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! Tests with real processes on loopback, under kills, freezes and connections that go silent.
 
 mod at_most_once;
+mod callers;
 mod cut_answers;
 mod groups;
 mod limits;
