Let agents stop within the time of their settings

Cause, found in the read-through: stop_limit_ms was read for agents and did nothing; they always took the default minute.

Change: the agent's core takes it. The test of an overdue stop runs with another time than the default; with the constant in its place it fails (stop.rs:38, the process doesn't end).

--- a/crates/hyssopfork-agent/src/core.rs
+++ b/crates/hyssopfork-agent/src/core.rs
@@ -6,6 +6,7 @@
 use hyssopfork_wire::{clock, control, fleet, frame, number, timing};
 use rand::{RngExt, SeedableRng};
 use std::net;
+use std::time::Duration;
 
 /// What an agent's process learns from its settings.
 #[derive(Clone, Debug)]
@@ -14,12 +15,15 @@
     pub announcement: fleet::Announcement,
     /// Control instances.
     pub control: Vec<net::SocketAddr>,
+    /// Time that a graceful stop gives what is in flight.
+    pub stop_limit: Duration,
 }
 
 /// The agent.
 #[derive(Debug)]
 pub struct Core {
     pub(crate) announcement: fleet::Announcement,
+    stop_limit: Duration,
     pub(crate) watcher: watcher::Watcher,
     pub(crate) engine: engine::Engine,
     pub(crate) attempts: attempts::Attempts,
@@ -42,6 +46,7 @@
         Core {
             engine: engine::Engine::new(&settings.announcement.profile, now),
             announcement: settings.announcement,
+            stop_limit: settings.stop_limit,
             watcher: watcher::Watcher::new(settings.control, offset, now).narrow(instance),
             attempts: attempts::Attempts::default(),
             grants: grants::Grants::new(now),
@@ -227,7 +232,7 @@
     fn leave(&mut self, now: clock::Instant, actions: &mut Vec<action::Action>) {
         let Some(since) = self.stopping.filter(|_| !self.stopped) else { return };
         let waited = now.since(since);
-        if waited >= timing::STOP_LIMIT {
+        if waited >= self.stop_limit {
             self.finish(actions);
             return;
         }
--- a/crates/hyssopfork-agent/tests/agent/fixture.rs
+++ b/crates/hyssopfork-agent/tests/agent/fixture.rs
@@ -10,6 +10,9 @@
 /// Boot of the agent under test.
 pub const BOOT: u64 = 7;
 
+/// Time that a stop gives what runs; another than the default.
+pub const STOP_LIMIT: Duration = Duration::from_secs(20);
+
 /// Fencing number of the group's first placement.
 pub const FENCE: number::Fence = number::Fence(10);
 
@@ -55,7 +58,8 @@
 
 fn agent(instance: &str, kind: configuration::Kind, cancels: bool) -> Agent {
     let announcement = announcement(instance, kind, cancels);
-    let settings = core::Settings { announcement, control: vec![address(1), address(2)] };
+    let control = vec![address(1), address(2)];
+    let settings = core::Settings { announcement, control, stop_limit: STOP_LIMIT };
     let now = clock::Instant::from_millis(1_000);
     Agent { core: core::Core::new(settings, 1, now), now, view: view(cancels), renewal: None }
 }
--- a/crates/hyssopfork-agent/tests/agent/stop.rs
+++ b/crates/hyssopfork-agent/tests/agent/stop.rs
@@ -30,7 +30,7 @@
     twice.run(fixture::plain_offer(1));
 
     overdue.step(event::Event::Stop);
-    let late = overdue.pass(timing::STOP_LIMIT);
+    let late = overdue.pass(fixture::STOP_LIMIT);
     twice.step(event::Event::Stop);
     let second = twice.step(event::Event::Stop);
 
--- a/crates/hyssopfork-daemon/src/process.rs
+++ b/crates/hyssopfork-daemon/src/process.rs
@@ -190,6 +190,7 @@
                 boot: self.boot,
             },
             control: self.settings.control_addresses.clone(),
+            stop_limit: self.settings.stop_limit,
         };
         let core = hyssopfork_agent::core::Core::new(core_settings, self.boot, clock::now());
         let (mailbox, inputs) = mailbox::open();
--- a/crates/hyssopfork-entry/tests/history/world.rs
+++ b/crates/hyssopfork-entry/tests/history/world.rs
@@ -4,7 +4,9 @@
 use crate::{callers, control, shell, upstream};
 use hyssopfork_agent as agent;
 use hyssopfork_entry as entry;
-use hyssopfork_wire::{attempt, clock, configuration, control as calls, member, name, number};
+use hyssopfork_wire::{
+    attempt, clock, configuration, control as calls, member, name, number, timing,
+};
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
 
@@ -245,7 +247,8 @@
 
     fn agent_settings(&self, index: usize) -> agent::core::Settings {
         let announcement = shell::announcement(index, self.boots, &self.upstreams[index]);
-        agent::core::Settings { announcement, control: vec![shell::address(1)] }
+        let control = vec![shell::address(1)];
+        agent::core::Settings { announcement, control, stop_limit: timing::STOP_LIMIT }
     }
 
     fn entry_settings(&self, index: usize) -> entry::core::Settings {
