--- a/crates/hyssopfork-daemon/tests/processes/silent_connections.rs
+++ b/crates/hyssopfork-daemon/tests/processes/silent_connections.rs
@@ -64,6 +64,14 @@
     lodged
 }
 
+/// An operator's change, once every entry and agent of the small fleet has it.
+async fn change_in_force(operator: &operator::Operator) -> patch::Outcome {
+    let out = patch::Operation::SetZoneOut("zone-b".into(), true);
+    let outcome = operator.submit("out", 1, vec![out]).await;
+    operator.wait("the change in force", |status| operator::all_hold(status, 4)).await;
+    outcome
+}
+
 fn assert_whole_and_once(fleet: &fleet::Fleet, lodged: &[(String, caller::Got)]) {
     let runs = runs(fleet);
     assert!(lodged.len() > 10, "{lodged:?}");
@@ -81,9 +89,7 @@
     let (fleet, operator) = served(0).await;
 
     let lodged = lodge_through(&fleet, wires::Link::Voter).await;
-    let out = patch::Operation::SetZoneOut("zone-b".into(), true);
-    let outcome = operator.submit("out", 1, vec![out]).await;
-    operator.wait("the change in force", |status| operator::all_hold(status, 4)).await;
+    let outcome = change_in_force(&operator).await;
 
     assert_whole_and_once(&fleet, &lodged);
     assert_eq!(outcome, patch::Outcome::Accepted(number::Configuration(2)));
@@ -97,9 +103,7 @@
     let (fleet, operator) = served(0).await;
 
     let lodged = lodge_through(&fleet, wires::Link::Control).await;
-    let out = patch::Operation::SetZoneOut("zone-b".into(), true);
-    let outcome = operator.submit("out", 1, vec![out]).await;
-    operator.wait("the change in force", |status| operator::all_hold(status, 4)).await;
+    let outcome = change_in_force(&operator).await;
 
     assert_whole_and_once(&fleet, &lodged);
     assert_eq!(outcome, patch::Outcome::Accepted(number::Configuration(2)));
