--- a/crates/hyssopfork-consensus/src/event.rs
+++ b/crates/hyssopfork-consensus/src/event.rs
@@ -1,7 +1,7 @@
 //! What happens to a node.
 
 use crate::change;
-use hyssopfork_wire::{consensus, number};
+use hyssopfork_wire::{consensus, name, number};
 
 /// An event.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -36,6 +36,12 @@
         /// The state as its owner encodes it.
         data: Vec<u8>,
     },
+    /// Instances that may hold a voter's folder, in place of those of the settings: this node asks
+    /// them to be let in, and a leader lets them in by themselves.
+    List(Vec<name::Instance>),
+    /// This folder alone is to form the log; nothing happens unless it is blank. The owner names
+    /// one folder in the life of the system: two would make two logs.
+    Form,
     /// The process is to stop: hand over leadership, and propose nothing more.
     Resign,
 }
--- a/crates/hyssopfork-consensus/src/journal/folder.rs
+++ b/crates/hyssopfork-consensus/src/journal/folder.rs
@@ -64,8 +64,9 @@
             let file = fs::OpenOptions::new().append(true).open(self.file(name))?;
             if file.metadata()?.len() != length {
                 file.set_len(length)?;
-                file.sync_all()?;
             }
+            // What was read may be in memory alone, where the last write before was not synced.
+            file.sync_all()?;
             Ok(file)
         };
         open().map_err(|source| self.failed(name, source))
--- a/crates/hyssopfork-consensus/src/node.rs
+++ b/crates/hyssopfork-consensus/src/node.rs
@@ -60,12 +60,26 @@
     }
 }
 
+/// How the log comes into being.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Formation {
+    /// The first of the listed instances forms it once every listed folder is known to be blank.
+    #[default]
+    Listed,
+    /// The owner names one blank folder that forms it alone ([`event::Event::Form`]); the others
+    /// join. For fleets whose instances are not known beforehand.
+    Named,
+}
+
 /// Settings of a node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// Instances of the first voters, the same list at each of them. An instance that is listed
     /// later joins by itself; a process that isn't listed asks these, and an operator lets it in.
+    /// [`event::Event::List`] replaces it.
     pub voters: Vec<name::Instance>,
+    /// How the log comes into being.
+    pub formation: Formation,
     /// Time between heartbeats.
     pub heartbeat: Duration,
     /// Least silence before an election.
@@ -86,6 +100,7 @@
     fn default() -> Settings {
         Settings {
             voters: Vec::new(),
+            formation: Formation::default(),
             heartbeat: timing::HEARTBEAT,
             election_timeout: timing::ELECTION_TIMEOUT,
             election_spread: timing::ELECTION_SPREAD,
@@ -198,6 +213,8 @@
             event::Event::Propose { ticket, command } => self.propose(ticket, command),
             event::Event::ChangeVoters { ticket, change } => self.change_voters(ticket, change),
             event::Event::Snapshotted { index, data } => self.snapshotted(index, data),
+            event::Event::List(instances) => self.settings.voters = instances,
+            event::Event::Form => self.form_alone(),
             event::Event::Resign => self.resign(),
         }
         self.finish()
@@ -228,6 +245,17 @@
         self.log.voters()
     }
 
+    /// Time since each other voter, without vacant seats, last answered a message sent to it; empty
+    /// unless this node leads.
+    pub fn silences(&self, now: clock::Instant) -> Vec<(name::Instance, Duration)> {
+        let Role::Leader(lead) = &self.role else { return Vec::new() };
+        let silence = |voter: consensus::Voter| {
+            let contact = lead.progress.get(&voter)?.contact;
+            Some((voter.instance, now.since(contact)))
+        };
+        self.others().into_iter().filter_map(silence).collect()
+    }
+
     /// Until when no other node can lead, measured from when the round that a quorum answered was
     /// sent; `None` unless this node leads, has committed an entry of its own term and isn't
     /// handing over.
--- a/crates/hyssopfork-consensus/src/node/formation.rs
+++ b/crates/hyssopfork-consensus/src/node/formation.rs
@@ -1,11 +1,12 @@
 //! The first start: from blank folders to a list of voters.
 //!
-//! Settings name instances; votes and acknowledgements belong to folders. The first of the listed
+//! Where the owner names the folder that forms the log ([`node::Formation::Named`]), it forms one
+//! of which it is the only voter, and lets the others in one by one. Otherwise settings name instances; votes and acknowledgements belong to folders. The first of the listed
 //! instances alone forms the log, once every listed instance has answered that its folder has
 //! never written anything. A folder that was lost while another remembers anything therefore never
 //! forms a log: it asks to join.
 
-use crate::node::Node;
+use crate::node::{self, Node};
 use crate::{log, notice, write};
 use hyssopfork_wire::{consensus, name, number};
 use std::collections;
@@ -33,11 +34,13 @@
     }
 
     fn may_form(&self) -> bool {
-        self.is_blank() && self.first_instances().first() == Some(&self.identity.instance)
+        self.settings.formation == node::Formation::Listed
+            && self.is_blank()
+            && self.first_instances().first() == Some(&self.identity.instance)
     }
 
     /// Whether the folder has never written anything.
-    fn is_blank(&self) -> bool {
+    pub fn is_blank(&self) -> bool {
         self.ballot == write::Ballot::default()
             && self.log.snapshot().is_none()
             && self.log.last().index.0 == 0
@@ -108,11 +111,24 @@
         if voters.len() < instances.len() {
             return;
         }
+        self.form_with(voters);
+        self.postpone_election();
+    }
+
+    /// Forms the log with this folder as its only voter. Nobody else can vote, so it stands for
+    /// election at once.
+    pub(super) fn form_alone(&mut self) {
+        if self.is_blank() {
+            self.form_with(vec![self.identity.clone()]);
+            self.deadline = self.now;
+        }
+    }
+
+    fn form_with(&mut self, voters: Vec<consensus::Voter>) {
         let (index, term) = (number::Index(0), number::Term(0));
         let snapshot = write::Snapshot { index, term, voters: voters.clone(), data: Vec::new() };
         self.log = log::Log::new(Some(snapshot.clone()), Vec::new());
         self.writing().snapshot = Some(snapshot);
         self.notice(notice::Notice::Formed(voters));
-        self.postpone_election();
     }
 }
--- a/crates/hyssopfork-daemon/src/command/mod.rs
+++ b/crates/hyssopfork-daemon/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! Commands of the daemon's program, one file each.
 
 mod check;
+mod edge;
 mod run;
 mod settings;
 
@@ -18,6 +19,7 @@
     let matches = program().get_matches();
     match matches.subcommand() {
         Some(("run", matches)) => run::run(matches),
+        Some(("edge", matches)) => edge::run(matches),
         Some(("check", matches)) => check::run(matches),
         Some(("settings", matches)) => settings::run(matches),
         _ => process::ExitCode::from(USAGE),
@@ -32,6 +34,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(run::command())
+        .subcommand(edge::command())
         .subcommand(check::command())
         .subcommand(settings::command())
 }
--- /dev/null
+++ b/crates/hyssopfork-daemon/src/edge/attempt.rs
@@ -0,0 +1,136 @@
+//! One attempt of a request at an upstream.
+
+use crate::edge::pool;
+use bytes::{Bytes, BytesMut};
+use hyssopfork_exchange::{connection, error};
+use hyssopfork_gateway::{action, answer, event};
+use hyssopfork_platform::{headers, upstream};
+use std::time::Duration;
+use tokio::time;
+
+/// Time in which a connection must open: it takes two milliseconds, and a packet that was lost is
+/// sent again after a second.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+
+/// Longest whole answer, in bytes; a longer one is refused as wrong rather than held in memory.
+const WHOLE_LIMIT: usize = 16 << 20;
+
+/// A caller's request as it is sent on, to as many upstreams as it takes.
+pub struct Outbound {
+    /// HTTP method.
+    pub method: String,
+    /// Path and query, unchanged.
+    pub path: String,
+    /// Headers that travel.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Bytes,
+    /// The caller's identifier.
+    pub identifier: String,
+}
+
+/// An attempt whose request was sent.
+pub struct Attempt {
+    key: pool::Key,
+    connection: connection::Connection,
+    answer: answer::Answer,
+}
+
+impl Attempt {
+    /// Opens a connection, or takes an idle one, and sends the request.
+    pub async fn send(
+        outbound: &Outbound,
+        start: &action::Start,
+        left: Duration,
+        idle: &pool::Pool,
+    ) -> Result<Attempt, event::Fault> {
+        let key = (start.instance.clone(), start.address);
+        let kept = if start.fresh { None } else { idle.take(&key) };
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => open(&key, left).await?,
+        };
+        let mut headers = outbound.headers.clone();
+        headers.extend(upstream::request_headers(start, left));
+        let request = connection::Request {
+            method: &outbound.method,
+            path: &outbound.path,
+            headers: &headers,
+        };
+        let sent = time::timeout(left, connection.send(&request, outbound.body.clone())).await;
+        match sent {
+            Ok(Ok(())) => Ok(Attempt { key, connection, answer: answer::Answer::default() }),
+            Ok(Err(error::Error::Unsendable(_))) => Err(event::Fault::NotRun),
+            Ok(Err(_)) | Err(_) => Err(event::Fault::Broken),
+        }
+    }
+
+    /// Waits for the answer's head. May be dropped and called again.
+    pub async fn head(&mut self) -> Result<Vec<(String, String)>, event::Fault> {
+        let head = self.connection.head().await.map_err(fault)?;
+        self.answer = upstream::answer(head.status, &head.headers);
+        Ok(head.headers)
+    }
+
+    /// The answer's head, once it has come.
+    pub fn answer(&self) -> &answer::Answer {
+        &self.answer
+    }
+
+    /// Waits for the next part of the body, and takes what has come with it; `None` when it is
+    /// whole. May be dropped and called again.
+    pub async fn part(&mut self) -> Result<Option<Bytes>, event::Fault> {
+        let Some(first) = self.connection.part().await.map_err(fault)? else { return Ok(None) };
+        let Some(second) = self.connection.ready_part().map_err(fault)? else {
+            return Ok(Some(first));
+        };
+        let mut parts = BytesMut::from(first.as_ref());
+        parts.extend_from_slice(&second);
+        while let Some(part) = self.connection.ready_part().map_err(fault)? {
+            parts.extend_from_slice(&part);
+        }
+        Ok(Some(parts.freeze()))
+    }
+
+    /// Waits for the rest of a whole answer, added to `body`. May be dropped and called again.
+    pub async fn rest(&mut self, body: &mut BytesMut) -> Result<(), event::Fault> {
+        while let Some(part) = self.connection.part().await.map_err(fault)? {
+            body.extend_from_slice(&part);
+            if body.len() > WHOLE_LIMIT {
+                return Err(event::Fault::Wrong);
+            }
+        }
+        Ok(())
+    }
+
+    /// Keeps the connection for another request, if it can be used again.
+    pub fn keep(self, idle: &pool::Pool) {
+        let keep = self.answer.keep_alive;
+        idle.give(self.key, self.connection, keep);
+    }
+}
+
+async fn open(key: &pool::Key, left: Duration) -> Result<connection::Connection, event::Fault> {
+    let opening = connection::Connection::open(key.1);
+    match time::timeout(left.min(CONNECT_LIMIT), opening).await {
+        Ok(Ok(mut connection)) => {
+            connection.take_unframed();
+            Ok(connection)
+        }
+        Ok(Err(_)) | Err(_) => Err(event::Fault::Unreachable),
+    }
+}
+
+fn fault(error: error::Error) -> event::Fault {
+    match error {
+        error::Error::Unreachable(..) => event::Fault::Unreachable,
+        error::Error::Unsendable(_) => event::Fault::NotRun,
+        error::Error::Cut => event::Fault::Broken,
+        error::Error::Malformed(_) | error::Error::Unframed => event::Fault::Wrong,
+    }
+}
+
+/// Headers of an answer that travel to the caller.
+pub fn travelling(head: Vec<(String, String)>) -> Vec<(String, String)> {
+    head.into_iter().filter(|(name, _)| headers::answer_travels(name)).collect()
+}
--- /dev/null
+++ b/crates/hyssopfork-daemon/src/edge/doors.rs
@@ -0,0 +1,96 @@
+//! Calls on the control address, and the balancer's question.
+
+use crate::edge::{control, traffic, web};
+use crate::{log, mailbox, notice};
+use actix_http::StatusCode;
+use bytes::Bytes;
+use hyssopfork_fleet::{action, declaration, event, peer, view};
+use hyssopfork_platform::{operator, registration, reply};
+use hyssopfork_wire::name;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use tokio::sync::oneshot;
+
+/// The control address.
+#[derive(Clone)]
+pub struct Control {
+    /// The control loop.
+    pub mailbox: mailbox::Mailbox<control::Input>,
+    /// Port of the control address, the same on every instance.
+    pub port: u16,
+}
+
+impl Control {
+    /// Answers one call.
+    pub async fn answer(self, incoming: web::Incoming) -> web::Outgoing {
+        let path = incoming.request.path().to_owned();
+        let method = incoming.request.method().as_str().to_owned();
+        let reply = match operator::call(&method, &path) {
+            Some(call) => match request(call, &incoming.body) {
+                Ok(request) => self.call(request, &path).await,
+                Err(why) => {
+                    log::notice(&notice::Notice::CallRefused(
+                        format!("{method} {path}"),
+                        why.clone(),
+                    ));
+                    reply::fault(StatusCode::BAD_REQUEST.as_u16(), &why)
+                }
+            },
+            None => reply::fault(StatusCode::NOT_FOUND.as_u16(), "nothing is offered here"),
+        };
+        outgoing(reply)
+    }
+
+    async fn call(&self, request: event::Request, path: &str) -> reply::Reply {
+        let (sender, answered) = oneshot::channel();
+        self.mailbox.post(control::Input::Call(Box::new(request), sender));
+        let answer = answered.await.ok();
+        answer
+            .and_then(|answer: action::Reply| reply::control(answer, path, self.port))
+            .unwrap_or_else(|| reply::unavailable("the process is ending; ask elsewhere"))
+    }
+}
+
+/// The request that a call makes, or what is wrong with it.
+fn request(call: operator::Call, body: &Bytes) -> Result<event::Request, String> {
+    Ok(match call {
+        operator::Call::Read => event::Request::Read,
+        operator::Call::TakeOut(zone) => event::Request::TakeOut(zone),
+        operator::Call::BringIn(zone) => event::Request::BringIn(zone),
+        operator::Call::Depart(instance) => {
+            let instance = name::Instance::new(instance);
+            event::Request::Register(peer::Registration::Departed(instance))
+        }
+        operator::Call::Announce(instance) => {
+            let told = registration::announcement(&instance, body);
+            event::announced(told.map_err(|error| error.to_string())?)
+        }
+        operator::Call::Declare => {
+            let declaration = operator::declaration(body)
+                .map_err(|error| format!("the declaration can't be read: {error}"))?;
+            let faults = declaration.faults();
+            if !faults.is_empty() {
+                return Err(describe(&faults));
+            }
+            let document = view::Document { version: declaration.version, bytes: body.clone() };
+            event::Request::Declare(Box::new(declaration), document)
+        }
+    })
+}
+
+fn describe(faults: &[declaration::Fault]) -> String {
+    let faults: Vec<String> = faults.iter().map(|fault| fault.to_string()).collect();
+    faults.join("; ")
+}
+
+fn outgoing(reply: reply::Reply) -> web::Outgoing {
+    let headers = reply.headers.into_iter().map(|(name, value)| (name.to_owned(), value));
+    web::Outgoing::whole(reply.status, headers.collect(), reply.body)
+}
+
+/// Answers the balancer.
+pub async fn readiness(status: Arc<traffic::Status>, _incoming: web::Incoming) -> web::Outgoing {
+    let ready = status.ready.load(Ordering::Relaxed);
+    let code = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    web::Outgoing::whole(code.as_u16(), Vec::new(), Bytes::new())
+}
--- /dev/null
+++ b/crates/hyssopfork-daemon/src/edge/engine.rs
@@ -0,0 +1,52 @@
+//! Orders to engines, and questions for a sign of life.
+
+use bytes::Bytes;
+use hyssopfork_exchange::{connection, error};
+use hyssopfork_fleet::groups::order;
+use hyssopfork_platform::{headers, order as wire};
+use std::net;
+use std::time::Duration;
+use tokio::time;
+
+/// Time in which an order must be answered; it is idempotent and given again.
+const ORDER_LIMIT: Duration = Duration::from_millis(400);
+
+/// Time in which a sign of life must come. An engine answers within milliseconds, a loaded machine
+/// of ours within tens; a packet that was lost shows as a missing sign, and the engine is asked again
+/// on another connection.
+const PROBE_LIMIT: Duration = Duration::from_millis(160);
+
+/// Gives an order.
+pub async fn order(order: &order::Order) -> order::Outcome {
+    let told = [
+        ("content-type".to_owned(), "application/json".to_owned()),
+        (headers::EXPECTED_INSTANCE.to_owned(), order.instance.to_string()),
+    ];
+    let request = connection::Request { method: "POST", path: wire::PATH, headers: &told };
+    let body = Bytes::from(wire::body(order));
+    match time::timeout(ORDER_LIMIT, exchange(order.address, &request, body)).await {
+        Ok(Ok(status)) => wire::outcome(status),
+        Ok(Err(error::Error::Unreachable(..))) => order::Outcome::Unreachable,
+        Ok(Err(_)) | Err(_) => order::Outcome::Unknown,
+    }
+}
+
+/// Asks for a sign of life.
+pub async fn probe(address: net::SocketAddr) -> order::Sign {
+    let request = connection::Request { method: "GET", path: wire::REPORT_PATH, headers: &[] };
+    match time::timeout(PROBE_LIMIT, exchange(address, &request, Bytes::new())).await {
+        Ok(Ok(_)) => order::Sign::Alive,
+        Ok(Err(error::Error::Unreachable(..))) => order::Sign::Refused,
+        Ok(Err(_)) | Err(_) => order::Sign::Missing,
+    }
+}
+
+async fn exchange(
+    address: net::SocketAddr,
+    request: &connection::Request<'_>,
+    body: Bytes,
+) -> Result<u16, error::Error> {
+    let mut connection = connection::Connection::open(address).await?;
+    connection.send(request, body).await?;
+    Ok(connection.head().await?.status)
+}
--- /dev/null
+++ b/crates/hyssopfork-daemon/src/edge/traffic.rs
@@ -0,0 +1,135 @@
+//! The traffic thread's state: the entry's core and what its conversations share.
+
+use crate::edge::{control, conversation, pool, web};
+use crate::{clock, log, mailbox};
+use hyssopfork_fleet::{declaration, event as fleet_event, view};
+use hyssopfork_gateway::{action, core, event};
+use std::cell::{Cell, RefCell};
+use std::net;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use tokio::sync::{mpsc, watch};
+use tokio::time;
+
+/// What control hands to the entry.
+pub type News = (Box<view::Update>, Option<Arc<declaration::Declaration>>);
+
+/// What other threads may ask of the entry.
+#[derive(Debug, Default)]
+pub struct Status {
+    /// Whether new connections are welcome.
+    pub ready: AtomicBool,
+    /// Requests that are not over.
+    pub open: AtomicUsize,
+}
+
+/// The entry.
+pub struct Traffic {
+    core: RefCell<core::Core>,
+    /// Idle connections to upstreams.
+    pub idle: pool::Pool,
+    count: Cell<u64>,
+    own: net::SocketAddr,
+    mailbox: mailbox::Mailbox<control::Input>,
+    status: Arc<Status>,
+}
+
+impl Traffic {
+    /// An entry around `core`; `own` is this process's address among its peers.
+    pub fn new(
+        core: core::Core,
+        own: net::SocketAddr,
+        mailbox: mailbox::Mailbox<control::Input>,
+        status: Arc<Status>,
+    ) -> Traffic {
+        Traffic {
+            core: RefCell::new(core),
+            idle: pool::Pool::default(),
+            count: Cell::new(0),
+            own,
+            mailbox,
+            status,
+        }
+    }
+
+    /// Number for another request.
+    pub fn number(&self) -> u64 {
+        self.count.set(self.count.get() + 1);
+        self.count.get()
+    }
+
+    /// Hands an event to the core and gives what it decides about the event's request.
+    pub fn step(&self, event: event::Event) -> Option<action::Decision> {
+        let actions = self.core.borrow_mut().step(clock::now(), event);
+        let mut decision = None;
+        for action in actions {
+            match action {
+                action::Action::Decide(_, decided) => decision = Some(decided),
+                action::Action::Notice(notice) => log::notice(&notice),
+                action::Action::Tell(evidence) => {
+                    let seen = fleet_event::Event::Seen(self.own, evidence);
+                    self.mailbox.post(control::Input::Event(Box::new(seen)));
+                }
+            }
+        }
+        decision
+    }
+
+    fn show(&self) {
+        let core = self.core.borrow();
+        self.status.ready.store(core.is_ready(), Ordering::Relaxed);
+        self.status.open.store(core.open(), Ordering::Relaxed);
+    }
+}
+
+/// Runs the entry on this thread until the process ends.
+pub async fn run(
+    traffic: Rc<Traffic>,
+    listener: net::TcpListener,
+    shared: Rc<web::Shared>,
+    mut news: mpsc::UnboundedReceiver<News>,
+    mut phase: watch::Receiver<web::Phase>,
+) {
+    let serving = traffic.clone();
+    let handle = move |incoming| conversation::hold(serving.clone(), incoming);
+    let served = shared.clone();
+    actix_rt::spawn(async move {
+        if let Err(error) = web::serve(listener, served, handle).await {
+            tracing::error!(%error, "callers can't be listened to");
+        }
+    });
+    let mut ticks = time::interval(action::TICK);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            biased;
+            Some((update, declaration)) = news.recv() => {
+                if let Some(declared) = &declaration {
+                    shared.limits.set(limits(&declared.limits));
+                }
+                traffic.step(event::Event::Viewed(update, declaration));
+            }
+            Ok(()) = phase.changed() => {
+                if *phase.borrow_and_update() == web::Phase::Leaving {
+                    traffic.step(event::Event::Stop);
+                }
+            }
+            _ = ticks.tick() => {
+                traffic.step(event::Event::Tick);
+                traffic.idle.trim();
+            }
+        }
+        traffic.show();
+    }
+}
+
+/// Limits of callers' connections by the declaration.
+pub fn limits(declared: &declaration::Limits) -> web::Limits {
+    web::Limits {
+        head_bytes: declared.head_bytes,
+        body_bytes: declared.body_bytes,
+        head_timeout: declared.head_timeout,
+        idle_timeout: declared.idle_timeout,
+    }
+}
--- a/crates/hyssopfork-daemon/src/lib.rs
+++ b/crates/hyssopfork-daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod command;
 pub mod control;
+pub mod edge;
 pub mod entry;
 pub mod http;
 pub mod link;
--- a/crates/hyssopfork-daemon/src/link.rs
+++ b/crates/hyssopfork-daemon/src/link.rs
@@ -6,7 +6,7 @@
 
 use futures::future::Either;
 use hyssopfork_wire::{consensus, control, envelope, member};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 use std::{io, net};
@@ -18,12 +18,60 @@
 /// Time in which a message of the replicated log must be acknowledged by its receiver's shell.
 pub const DELIVER_LIMIT: Duration = Duration::from_millis(400);
 
-/// Connections to control instances and agents, one for each address; owned by one thread.
+/// Clients of one service, one for each address; owned by one thread.
+pub struct Clients<Client> {
+    open: RefCell<HashMap<net::SocketAddr, (u64, Client)>>,
+    opened: Cell<u64>,
+}
+
+impl<Client> Default for Clients<Client> {
+    fn default() -> Clients<Client> {
+        Clients { open: RefCell::new(HashMap::new()), opened: Cell::new(0) }
+    }
+}
+
+impl<Client: Clone> Clients<Client> {
+    /// The client at `to`, opened by `open` where there is none; with its number.
+    pub async fn get<Opened>(
+        &self,
+        to: net::SocketAddr,
+        open: impl FnOnce() -> Opened,
+    ) -> Option<(u64, Client)>
+    where
+        Opened: Future<Output = Option<Client>>,
+    {
+        if let Some(known) = self.open.borrow().get(&to) {
+            return Some(known.clone());
+        }
+        let client = open().await?;
+        self.opened.set(self.opened.get() + 1);
+        let numbered = (self.opened.get(), client);
+        self.open.borrow_mut().insert(to, numbered.clone());
+        Some(numbered)
+    }
+
+    /// Takes one client out of use, unless another has taken its place already.
+    pub fn forget(&self, to: net::SocketAddr, number: u64) {
+        let mut open = self.open.borrow_mut();
+        if open.get(&to).is_some_and(|(current, _)| *current == number) {
+            open.remove(&to);
+        }
+    }
+
+    /// Keeps a client whose call was answered, and takes it out of use otherwise.
+    pub fn settle<T>(&self, to: net::SocketAddr, number: u64, answered: Option<T>) -> Option<T> {
+        if answered.is_none() {
+            self.forget(to, number);
+        }
+        answered
+    }
+}
+
+/// Connections to control instances and agents.
 #[derive(Default)]
 pub struct Links {
-    controls: RefCell<HashMap<net::SocketAddr, (u64, control::ControlClient)>>,
-    members: RefCell<HashMap<net::SocketAddr, (u64, member::MemberClient)>>,
-    opened: RefCell<u64>,
+    controls: Clients<control::ControlClient>,
+    members: Clients<member::MemberClient>,
 }
 
 impl Links {
@@ -34,24 +82,18 @@
         request: control::Request,
         timeout: Duration,
     ) -> Option<control::Response> {
-        let (number, client) = self.control_client(to).await?;
+        let (number, client) = self.controls.get(to, || control_client(to)).await?;
         let called = client.call(until(timeout), envelope::Envelope::new(request));
-        let answered = within(timeout, called).await;
-        if answered.is_none() {
-            forget(&self.controls, to, number);
-        }
-        answered
+        self.controls.settle(to, number, within(timeout, called).await)
     }
 
     /// Delivers a message of the replicated log; whether it arrived.
     pub async fn deliver(&self, to: net::SocketAddr, packet: consensus::Packet) -> bool {
-        let Some((number, client)) = self.control_client(to).await else { return false };
+        let Some((number, client)) = self.controls.get(to, || control_client(to)).await else {
+            return false;
+        };
         let called = client.deliver(until(DELIVER_LIMIT), envelope::Envelope::new(packet));
-        let arrived = within(DELIVER_LIMIT, called).await.is_some();
-        if !arrived {
-            forget(&self.controls, to, number);
-        }
-        arrived
+        self.controls.settle(to, number, within(DELIVER_LIMIT, called).await).is_some()
     }
 
     /// Asks another agent; `None` when the call failed or its time ran out.
@@ -61,72 +103,41 @@
         request: member::Request,
         timeout: Duration,
     ) -> Option<member::Response> {
-        let (number, client) = self.member_client(to).await?;
+        let (number, client) = self.members.get(to, || member_client(to)).await?;
         let called = client.stand(until(timeout), envelope::Envelope::new(request));
-        let answered = within(timeout, called).await;
-        if answered.is_none() {
-            forget(&self.members, to, number);
-        }
-        answered
-    }
-
-    async fn control_client(&self, to: net::SocketAddr) -> Option<(u64, control::ControlClient)> {
-        if let Some(known) = self.controls.borrow().get(&to) {
-            return Some(known.clone());
-        }
-        let mut connecting =
-            serde_transport::tcp::connect(to, tokio_serde::formats::Bincode::default);
-        connecting.config_mut().max_frame_length(crate::listener::MESSAGE_LIMIT);
-        let transport = opened(connecting).await?;
-        let client = control::ControlClient::new(client::Config::default(), transport).spawn();
-        let number = self.count();
-        self.controls.borrow_mut().insert(to, (number, client.clone()));
-        Some((number, client))
-    }
-
-    async fn member_client(&self, to: net::SocketAddr) -> Option<(u64, member::MemberClient)> {
-        if let Some(known) = self.members.borrow().get(&to) {
-            return Some(known.clone());
-        }
-        let connecting = serde_transport::tcp::connect(to, tokio_serde::formats::Bincode::default);
-        let transport = opened(connecting).await?;
-        let client = member::MemberClient::new(client::Config::default(), transport).spawn();
-        let number = self.count();
-        self.members.borrow_mut().insert(to, (number, client.clone()));
-        Some((number, client))
+        self.members.settle(to, number, within(timeout, called).await)
     }
+}
 
-    fn count(&self) -> u64 {
-        *self.opened.borrow_mut() += 1;
-        *self.opened.borrow()
-    }
+async fn control_client(to: net::SocketAddr) -> Option<control::ControlClient> {
+    let mut connecting = serde_transport::tcp::connect(to, tokio_serde::formats::Bincode::default);
+    connecting.config_mut().max_frame_length(crate::listener::MESSAGE_LIMIT);
+    let transport = opened(connecting).await?;
+    Some(control::ControlClient::new(client::Config::default(), transport).spawn())
 }
 
-/// Takes one connection out of use, unless another has taken its place already.
-fn forget<Client>(
-    clients: &RefCell<HashMap<net::SocketAddr, (u64, Client)>>,
-    to: net::SocketAddr,
-    number: u64,
-) {
-    let mut clients = clients.borrow_mut();
-    if clients.get(&to).is_some_and(|(current, _)| *current == number) {
-        clients.remove(&to);
-    }
+async fn member_client(to: net::SocketAddr) -> Option<member::MemberClient> {
+    let connecting = serde_transport::tcp::connect(to, tokio_serde::formats::Bincode::default);
+    let transport = opened(connecting).await?;
+    Some(member::MemberClient::new(client::Config::default(), transport).spawn())
 }
 
-fn until(timeout: Duration) -> context::Context {
+/// Context of a call that lasts for `timeout` at most.
+pub fn until(timeout: Duration) -> context::Context {
     let mut context = context::current();
     context.deadline = Instant::now() + timeout;
     context
 }
 
-async fn opened<Transport>(
+/// The connection, if it opens in time.
+pub async fn opened<Transport>(
     connecting: impl Future<Output = io::Result<Transport>>,
 ) -> Option<Transport> {
     tokio::time::timeout(CONNECT_LIMIT, connecting).await.ok()?.ok()
 }
 
-async fn within<T>(
+/// The answer of a call, if it comes in time.
+pub async fn within<T>(
     timeout: Duration,
     call: impl Future<Output = Result<T, client::RpcError>>,
 ) -> Option<T> {
--- a/crates/hyssopfork-daemon/src/log.rs
+++ b/crates/hyssopfork-daemon/src/log.rs
@@ -5,6 +5,8 @@
 use hyssopfork_consensus::notice as consensus;
 use hyssopfork_control::notice as control;
 use hyssopfork_entry::{measure, notice as entry};
+use hyssopfork_fleet::notice as fleet;
+use hyssopfork_gateway::notice as gateway;
 use hyssopfork_telemetry::{log, metrics};
 use hyssopfork_watch::{notice as watch, watcher};
 use hyssopfork_wire::{level, refusal};
@@ -19,6 +21,42 @@
     fn level(&self) -> level::Level;
     /// Name in the catalogue of events.
     fn name(&self) -> String;
+    /// Identifier of the request that it is about.
+    fn request(&self) -> Option<&str> {
+        None
+    }
+}
+
+impl Numbered for fleet::Notice {
+    fn number(&self) -> u16 {
+        fleet::Notice::number(self)
+    }
+
+    fn level(&self) -> level::Level {
+        fleet::Notice::level(self)
+    }
+
+    fn name(&self) -> String {
+        fleet::Notice::name(self)
+    }
+}
+
+impl Numbered for gateway::Notice {
+    fn number(&self) -> u16 {
+        gateway::Notice::number(self)
+    }
+
+    fn level(&self) -> level::Level {
+        gateway::Notice::level(self)
+    }
+
+    fn name(&self) -> String {
+        gateway::Notice::name(self)
+    }
+
+    fn request(&self) -> Option<&str> {
+        gateway::Notice::request(self)
+    }
 }
 
 macro_rules! numbered {
@@ -46,7 +84,9 @@
 
 /// Writes a numbered event.
 pub fn notice(notice: &impl Numbered) {
-    log::emit(notice.number(), notice.level(), &notice.name(), &notice.to_string(), &[]);
+    let request = notice.request().map(|request| ("request", request.to_owned()));
+    let fields = request.as_slice();
+    log::emit(notice.number(), notice.level(), &notice.name(), &notice.to_string(), fields);
 }
 
 /// Adds a finished request to the histograms.
--- a/crates/hyssopfork-daemon/src/notice.rs
+++ b/crates/hyssopfork-daemon/src/notice.rs
@@ -21,6 +21,16 @@
     Stopped,
     /// The journal could not be written or synced: the process ends.
     JournalFailed(String),
+    /// The settings were read again.
+    Reloaded(String),
+    /// The settings could not be read again; those in use stay.
+    ReloadFailed(String),
+    /// Log lines were dropped, since their reader is slow.
+    LinesDropped(usize),
+    /// The data folder can't be opened or written now.
+    FolderUnusable(String),
+    /// A call on the control address was refused.
+    CallRefused(String, String),
     /// The replicated log holds what this release cannot read: the process ends.
     LogUnreadable(String),
 }
@@ -35,6 +45,11 @@
             Notice::Stopped => 4503,
             Notice::JournalFailed(_) => 4510,
             Notice::LogUnreadable(_) => 4511,
+            Notice::Reloaded(_) => 4512,
+            Notice::ReloadFailed(_) => 4513,
+            Notice::LinesDropped(_) => 4514,
+            Notice::FolderUnusable(_) => 4515,
+            Notice::CallRefused(..) => 4516,
         }
     }
 
@@ -42,7 +57,11 @@
     pub const fn level(&self) -> level::Level {
         match self {
             Notice::JournalFailed(_) | Notice::LogUnreadable(_) => level::Level::Error,
-            Notice::StoppedAtOnce => level::Level::Warn,
+            Notice::StoppedAtOnce
+            | Notice::ReloadFailed(_)
+            | Notice::LinesDropped(_)
+            | Notice::FolderUnusable(_)
+            | Notice::CallRefused(..) => level::Level::Warn,
             _ => level::Level::Info,
         }
     }
@@ -61,6 +80,16 @@
                 formatter,
                 "the journal cannot be trusted any more and the process ends: {error}"
             ),
+            Notice::Reloaded(what) => write!(formatter, "read the settings again: {what}"),
+            Notice::ReloadFailed(error) => {
+                write!(formatter, "the settings can't be read again and stay as they are: {error}")
+            }
+            Notice::LinesDropped(count) => write!(formatter, "{count} lines were dropped"),
+            Notice::FolderUnusable(error) => write!(
+                formatter,
+                "the data folder can't be used: {error}; it is tried again until it can"
+            ),
+            Notice::CallRefused(call, why) => write!(formatter, "{call} refused: {why}"),
             Notice::LogUnreadable(reason) => {
                 write!(formatter, "{reason}; run a release that can read the log")
             }
--- a/crates/hyssopfork-exchange/src/connection.rs
+++ b/crates/hyssopfork-exchange/src/connection.rs
@@ -7,7 +7,7 @@
 use actix_http::header::{self, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Uri};
 use bytes::{Bytes, BytesMut};
-use std::net;
+use std::{io, net};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder};
@@ -19,7 +19,8 @@
     pub method: &'a str,
     /// Path and query.
     pub path: &'a str,
-    /// Headers besides `Host` and `Content-Length`, which the connection writes.
+    /// Headers besides `Content-Length`, which the connection writes. Without a `Host` among them
+    /// the connection names its peer's address.
     pub headers: &'a [(String, String)],
 }
 
@@ -47,6 +48,10 @@
     Head(ClientCodec),
     /// Parts of the body are awaited.
     Body(ClientPayloadCodec),
+    /// The body has neither length nor chunks: it lasts until the peer closes the connection.
+    UntilClosed,
+    /// The peer closed the connection after a body that lasted until then.
+    Closed,
     /// An exchange failed: the connection cannot be used again.
     Failed,
 }
@@ -57,6 +62,10 @@
     stream: TcpStream,
     buffer: BytesMut,
     stage: Stage,
+    /// Whether the peer answered before it had read the request: what remains of the request must
+    /// not reach it as the start of another, so the connection is not used again.
+    early: bool,
+    takes_unframed: bool,
 }
 
 impl Connection {
@@ -66,12 +75,34 @@
         let stream = TcpStream::connect(address).await.map_err(unreachable)?;
         stream.set_nodelay(true).map_err(unreachable)?;
         let stage = Stage::Idle(ClientCodec::default());
-        Ok(Connection { address, stream, buffer: BytesMut::new(), stage })
+        Ok(Connection {
+            address,
+            stream,
+            buffer: BytesMut::new(),
+            stage,
+            early: false,
+            takes_unframed: false,
+        })
+    }
+
+    /// Takes answers without a length and chunks as well, whose body lasts until the peer closes the
+    /// connection. For peers that never close one in the middle of an answer without a reset.
+    pub fn take_unframed(&mut self) {
+        self.takes_unframed = true;
     }
 
     /// Whether the last answer was read whole and the peer keeps the connection open.
     pub fn is_reusable(&self) -> bool {
-        matches!(&self.stage, Stage::Idle(codec) if codec.keep_alive()) && self.buffer.is_empty()
+        let kept = matches!(&self.stage, Stage::Idle(codec) if codec.keep_alive());
+        kept && self.buffer.is_empty() && !self.early
+    }
+
+    /// Whether nothing has come and the peer has not closed since the last answer. Bytes that
+    /// come between two answers belong to no request, and the next answer could not be told from
+    /// them.
+    pub fn is_quiet(&self) -> bool {
+        let read = self.stream.try_read(&mut [0]);
+        matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Writes a request. After an error other than [`error::Error::Unsendable`] it may have come.
@@ -85,11 +116,28 @@
         let message = Message::Item((RequestHeadType::from(head), size));
         codec.encode(message, &mut bytes).map_err(|_| error::Error::Unsendable("head"))?;
         bytes.extend_from_slice(&body);
-        self.stream.write_all(&bytes).await.map_err(|_| error::Error::Cut)?;
+        self.write(&bytes).await?;
         self.stage = Stage::Head(codec);
         Ok(())
     }
 
+    /// Writes a request, or as much of it as goes out before the peer answers: one that answers
+    /// early may never read the rest, and waiting for that would hold its answer back.
+    async fn write(&mut self, bytes: &[u8]) -> Result<(), error::Error> {
+        let (mut reader, mut writer) = self.stream.split();
+        tokio::select! {
+            biased;
+            written = writer.write_all(bytes) => written.map_err(|_| error::Error::Cut),
+            read = reader.read_buf(&mut self.buffer) => match read {
+                Ok(0) | Err(_) => Err(error::Error::Cut),
+                Ok(_) => {
+                    self.early = true;
+                    Ok(())
+                }
+            },
+        }
+    }
+
     /// Waits for the answer's head.
     pub async fn head(&mut self) -> Result<Head, error::Error> {
         loop {
@@ -103,21 +151,36 @@
     /// Waits for the next part of the body; `None` when the answer is whole.
     pub async fn part(&mut self) -> Result<Option<Bytes>, error::Error> {
         loop {
-            let Stage::Body(codec) = &mut self.stage else {
-                return if matches!(self.stage, Stage::Idle(_)) {
-                    Ok(None)
-                } else {
-                    Err(error::Error::Cut)
-                };
-            };
-            match codec.decode(&mut self.buffer).map_err(malformed_payload)? {
-                Some(Some(part)) => return Ok(Some(part)),
-                Some(None) => self.end_body(),
-                None => self.fill().await?,
+            if let Some(part) = self.ready_part()? {
+                return Ok(Some(part));
+            }
+            match self.stage {
+                Stage::Idle(_) | Stage::Closed => return Ok(None),
+                Stage::UntilClosed => self.fill_until_closed().await?,
+                Stage::Body(_) => self.fill().await?,
+                Stage::Head(_) | Stage::Failed => return Err(error::Error::Cut),
             }
         }
     }
 
+    /// The next part of the body as far as it is here already; `None` when none is, or the answer
+    /// is whole. Parts that came together can thus be handed on together.
+    pub fn ready_part(&mut self) -> Result<Option<Bytes>, error::Error> {
+        if matches!(self.stage, Stage::UntilClosed | Stage::Closed) {
+            let part = self.buffer.split().freeze();
+            return Ok((!part.is_empty()).then_some(part));
+        }
+        let Stage::Body(codec) = &mut self.stage else { return Ok(None) };
+        match codec.decode(&mut self.buffer).map_err(malformed_payload)? {
+            Some(Some(part)) => Ok(Some(part)),
+            Some(None) => {
+                self.end_body();
+                Ok(None)
+            }
+            None => Ok(None),
+        }
+    }
+
     /// Reads the rest of the body; fails when it is cut.
     pub async fn rest(&mut self) -> Result<Bytes, error::Error> {
         let mut whole = BytesMut::new();
@@ -136,6 +199,19 @@
         Ok(())
     }
 
+    /// Reads on where the end of the connection ends the body. A reset is no such end.
+    async fn fill_until_closed(&mut self) -> Result<(), error::Error> {
+        match self.stream.read_buf(&mut self.buffer).await {
+            Ok(0) => self.stage = Stage::Closed,
+            Ok(_) => {}
+            Err(_) => {
+                self.stage = Stage::Failed;
+                return Err(error::Error::Cut);
+            }
+        }
+        Ok(())
+    }
+
     fn decode_head(&mut self) -> Result<Option<Head>, error::Error> {
         let Stage::Head(codec) = &mut self.stage else { return Err(error::Error::Cut) };
         let decoded = codec.decode(&mut self.buffer);
@@ -152,6 +228,7 @@
         self.stage = match codec.message_type() {
             MessageType::Payload => Stage::Body(codec.into_payload_codec()),
             MessageType::None if is_framed(head) => Stage::Idle(codec),
+            MessageType::None if self.takes_unframed => Stage::UntilClosed,
             MessageType::None | MessageType::Stream => return Err(error::Error::Unframed),
         };
         Ok(())
@@ -189,8 +266,10 @@
         let value = value.map_err(|_| error::Error::Unsendable("header value"))?;
         head.headers.append(name, value);
     }
-    let host = HeaderValue::from_str(&address.to_string());
-    head.headers.insert(header::HOST, host.map_err(|_| error::Error::Unsendable("address"))?);
+    if !head.headers.contains_key(header::HOST) {
+        let host = HeaderValue::from_str(&address.to_string());
+        head.headers.insert(header::HOST, host.map_err(|_| error::Error::Unsendable("address"))?);
+    }
     Ok(head)
 }
 
--- /dev/null
+++ b/crates/hyssopfork-fleet/src/board.rs
@@ -0,0 +1,150 @@
+//! What the leader has published, and what each follower lacks of it.
+
+use crate::view;
+use hyssopfork_wire::{name, number};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net;
+
+/// Removals that are remembered; a follower that is farther behind gets everything anew.
+const REMOVALS: usize = 1_024;
+
+#[derive(Clone, Debug)]
+struct Entry<T> {
+    revision: u64,
+    value: T,
+}
+
+/// A published table: each entry with the revision that last changed it.
+#[derive(Clone, Debug)]
+struct Table<K, T> {
+    entries: BTreeMap<K, Entry<T>>,
+    removals: VecDeque<(u64, K)>,
+    /// Newest revision whose removals are forgotten.
+    floor: u64,
+}
+
+impl<K: Clone + Ord, T: Clone + PartialEq> Table<K, T> {
+    fn new() -> Table<K, T> {
+        Table { entries: BTreeMap::new(), removals: VecDeque::new(), floor: 0 }
+    }
+
+    /// Replaces the contents; returns whether anything changed.
+    fn publish(
+        &mut self,
+        revision: u64,
+        next: &BTreeMap<K, T>,
+        same: impl Fn(&T, &T) -> bool,
+    ) -> bool {
+        let gone: Vec<K> =
+            self.entries.keys().filter(|key| !next.contains_key(key)).cloned().collect();
+        let mut changed = !gone.is_empty();
+        for key in gone {
+            self.entries.remove(&key);
+            self.removals.push_back((revision, key));
+        }
+        for (key, value) in next {
+            let known = self.entries.get(key);
+            if known.is_none_or(|known| !same(&known.value, value)) {
+                self.entries.insert(key.clone(), Entry { revision, value: value.clone() });
+                changed = true;
+            }
+        }
+        while self.removals.len() > REMOVALS {
+            self.floor = self.removals.pop_front().map_or(self.floor, |(revision, _)| revision);
+        }
+        changed
+    }
+
+    fn since(&self, revision: u64) -> Vec<(K, Option<T>)> {
+        let removed = self
+            .removals
+            .iter()
+            .filter(|(removal, key)| *removal > revision && !self.entries.contains_key(key))
+            .map(|(_, key)| (key.clone(), None));
+        let changed = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.revision > revision)
+            .map(|(key, entry)| (key.clone(), Some(entry.value.clone())));
+        removed.chain(changed).collect()
+    }
+}
+
+/// Everything but the tables, which travels whole.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Rest {
+    /// The declaration in force.
+    pub document: Option<view::Document>,
+    /// Zones that are out.
+    pub out: BTreeSet<name::Zone>,
+    /// Processes that hold or may hold the replicated log.
+    pub controls: Vec<net::SocketAddr>,
+    /// Processes that take callers' requests.
+    pub entries: u32,
+}
+
+/// The board of one leader's term.
+#[derive(Clone, Debug)]
+pub struct Board {
+    stamp: view::Stamp,
+    rest: Rest,
+    upstreams: Table<name::Instance, view::Upstream>,
+    groups: Table<name::Group, view::Group>,
+}
+
+impl Board {
+    /// An empty board of `term`.
+    pub fn new(term: number::Term) -> Board {
+        Board {
+            stamp: view::Stamp { term, revision: 0 },
+            rest: Rest::default(),
+            upstreams: Table::new(),
+            groups: Table::new(),
+        }
+    }
+
+    /// Newest publication.
+    pub fn stamp(&self) -> view::Stamp {
+        self.stamp
+    }
+
+    /// Publishes; returns whether anything is new to followers.
+    pub fn publish(
+        &mut self,
+        rest: Rest,
+        upstreams: &BTreeMap<name::Instance, view::Upstream>,
+        groups: &BTreeMap<name::Group, view::Group>,
+    ) -> bool {
+        let revision = self.stamp.revision + 1;
+        let alike = |old: &view::Upstream, new: &view::Upstream| {
+            old.standing == new.standing && old.announcement.says_the_same(&new.announcement)
+        };
+        let mut changed = self.upstreams.publish(revision, upstreams, alike);
+        changed |= self.groups.publish(revision, groups, |old, new| old == new);
+        changed |= self.rest != rest;
+        self.rest = rest;
+        if changed {
+            self.stamp.revision = revision;
+        }
+        changed
+    }
+
+    /// What a follower lacks that stands at `have` and holds the declaration of version `document`.
+    pub fn since(&self, have: view::Stamp, document: u64) -> view::Update {
+        let known = have.term == self.stamp.term
+            && have.revision >= self.upstreams.floor.max(self.groups.floor)
+            && have.revision <= self.stamp.revision;
+        let revision = if known { have.revision } else { 0 };
+        let newer = |held: &&view::Document| held.version > document;
+        view::Update {
+            stamp: self.stamp,
+            whole: !known,
+            document: self.rest.document.as_ref().filter(newer).cloned(),
+            out: self.rest.out.clone(),
+            upstreams: self.upstreams.since(revision),
+            groups: self.groups.since(revision),
+            controls: self.rest.controls.clone(),
+            entries: self.rest.entries,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hyssopfork-fleet/src/core.rs
@@ -0,0 +1,364 @@
+//! The step function of a process's control: events in, actions out.
+
+mod calls;
+mod follow;
+mod lead;
+
+use crate::{
+    action, board, declaration, durable, event, founding, groups, notice, proposals, registry,
+    seeking, settings, view,
+};
+use hyssopfork_consensus::{action as log_action, event as log_event, node};
+use hyssopfork_wire::{clock, consensus, name, number};
+use std::collections::{BTreeMap, VecDeque};
+use std::mem;
+use std::net;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest gap between two events after which this process counts as having been held up: twenty
+/// ticks and more that did not come.
+const GAP_LIMIT: Duration = Duration::from_millis(500);
+
+/// Entries applied between two snapshots.
+const SNAPSHOT_ENTRIES: u64 = 1_024;
+
+/// Bytes of commands applied between two snapshots, at which one is taken earlier. A declaration of
+/// hundreds of routes takes 0.2 MB, and a process of 160 MB in all holds the log in memory.
+const SNAPSHOT_BYTES: usize = 4 << 20;
+
+/// Entries kept in memory before a snapshot, for followers that are a little behind: as many large
+/// declarations take 13 MB.
+const KEPT_ENTRIES: u64 = 64;
+
+/// Reads a declaration out of an operator's document; `None` when it can't be read.
+pub type Decode = fn(&[u8]) -> Option<declaration::Declaration>;
+
+/// What a process last knew of the fleet, whoever led.
+#[derive(Clone, Debug, Default)]
+struct Copy {
+    upstreams: BTreeMap<name::Instance, view::Upstream>,
+    groups: BTreeMap<name::Group, view::Group>,
+    /// Version of the declaration that this process's entry holds.
+    ///
+    /// Invariant: never goes down.
+    document: u64,
+    /// Publication that this process's entry holds.
+    stamp: view::Stamp,
+}
+
+/// What a leader keeps for the time that it leads.
+#[derive(Clone, Debug)]
+struct Leadership {
+    term: number::Term,
+    registry: registry::Registry,
+    groups: groups::Groups,
+    board: board::Board,
+    watches: lead::Watches,
+    /// Whether something may have changed that followers are to be told.
+    dirty: bool,
+    looked: clock::Instant,
+    seats: lead::Seats,
+}
+
+/// The control of a process.
+#[derive(Debug)]
+pub struct Core {
+    settings: settings::Settings,
+    decode: Decode,
+    node: Option<node::Node>,
+    /// Leader of the log as this process's own part of it last knew.
+    node_leader: Option<net::SocketAddr>,
+    state: durable::State,
+    /// Last applied entry.
+    applied: (number::Index, number::Term),
+    applied_since_snapshot: u64,
+    bytes_since_snapshot: usize,
+    proposals: proposals::Proposals,
+    seeking: seeking::Seeking,
+    founding: founding::Founding,
+    copy: Copy,
+    declaration: Option<Arc<declaration::Declaration>>,
+    leadership: Option<Leadership>,
+    /// What this process's own entry saw since it was last told.
+    evidence: crate::peer::Evidence,
+    now: clock::Instant,
+    inbox: VecDeque<log_event::Event>,
+    actions: Vec<action::Action>,
+}
+
+impl Core {
+    /// The control of a process that started at `now`.
+    pub fn new(settings: settings::Settings, decode: Decode, now: clock::Instant) -> Core {
+        let names = settings.first_start && settings.seeds.first() == Some(&settings.address);
+        let mut seeking = seeking::Seeking::new(settings.address, settings.seeds.clone());
+        if settings.has_folder {
+            seeking.learn([settings.address]);
+        }
+        Core {
+            decode,
+            node: None,
+            node_leader: None,
+            state: durable::State::default(),
+            applied: (number::Index(0), number::Term(0)),
+            applied_since_snapshot: 0,
+            bytes_since_snapshot: 0,
+            proposals: proposals::Proposals::default(),
+            seeking,
+            founding: founding::Founding::new(names, now),
+            copy: Copy::default(),
+            declaration: None,
+            leadership: None,
+            evidence: crate::peer::Evidence::default(),
+            now,
+            inbox: VecDeque::new(),
+            actions: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Takes an event and gives the actions that answer it, to be carried out in order.
+    pub fn step(&mut self, now: clock::Instant, event: event::Event) -> Vec<action::Action> {
+        let before = self.now;
+        self.now = before.max(now);
+        self.note_gap(before);
+        self.take(event);
+        self.drive();
+        self.follow_leadership();
+        self.attend();
+        self.drive();
+        mem::take(&mut self.actions)
+    }
+
+    /// Whether this process may answer for the fleet now.
+    ///
+    /// A leader that was cut off believes to lead until it hears otherwise; its quorum lease lapses
+    /// before any other can commit. And a new leader knows all that was ever accepted only once it
+    /// has applied an entry of its own term.
+    pub fn leads(&self) -> bool {
+        self.node.as_ref().is_some_and(|node| {
+            node.is_leader()
+                && node.quorum_lease(self.now).is_some()
+                && self.applied.1 == node.term()
+        })
+    }
+
+    /// Who leads, as far as is known.
+    pub fn leader(&self) -> Option<net::SocketAddr> {
+        self.seeking.leader()
+    }
+
+    /// Term and committed index of this process's part of the log, for metrics.
+    pub fn progress(&self) -> Option<(number::Term, number::Index)> {
+        self.node.as_ref().map(|node| (node.term(), node.committed()))
+    }
+
+    fn take(&mut self, event: event::Event) {
+        match event {
+            event::Event::Tick => self.tick(),
+            event::Event::Opened { folder, durable, seed } => self.opened(folder, *durable, seed),
+            event::Event::Failed => self.folder_failed(),
+            event::Event::Persisted(mark) => self.tell(log_event::Event::Persisted(mark)),
+            event::Event::Received(packet) => self.tell(log_event::Event::Received(packet)),
+            event::Event::Called { call, request } => self.called(call, request),
+            event::Event::Abandoned(call) => self.abandoned(call),
+            event::Event::Greeted(greeting) => self.greeted(&greeting),
+            event::Event::Watched { from, answer } => self.watched(from, answer),
+            event::Event::Relayed { call, taken } => self.relayed(call, taken),
+            event::Event::Seen(from, evidence) => self.seen(from, evidence),
+            event::Event::Ordered(ticket, outcome) => self.ordered(ticket, outcome),
+            event::Event::Probed(instance, sign) => self.probed(&instance, sign),
+            event::Event::Seeds(seeds) => self.seeking.set_seeds(seeds),
+            event::Event::Stop => self.tell(log_event::Event::Resign),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.tell(log_event::Event::Tick);
+        for call in self.proposals.overdue(self.now) {
+            self.reply(call, action::Reply::Unknown);
+        }
+        if self.founding.founder(self.now) == Some(self.settings.address) {
+            self.found();
+        }
+        self.seek();
+    }
+
+    fn note_gap(&mut self, before: clock::Instant) {
+        let gap = self.now.since(before);
+        if gap < GAP_LIMIT {
+            return;
+        }
+        self.notice(notice::Notice::Paused(gap.as_millis() as u64));
+        if let Some(leadership) = &mut self.leadership {
+            leadership.registry.forgive(self.now);
+        }
+    }
+
+    fn opened(&mut self, folder: u64, durable: node::Durable, seed: u64) {
+        let identity = consensus::Voter { instance: instance_of(self.settings.address), folder };
+        let options = node::Settings {
+            voters: self.listed(),
+            formation: node::Formation::Named,
+            kept_entries: KEPT_ENTRIES,
+            ..node::Settings::default()
+        };
+        self.state = durable::State::default();
+        self.applied = (number::Index(0), number::Term(0));
+        self.node = Some(node::Node::new(identity, durable, options, seed, self.now));
+        self.notice(notice::Notice::FolderOpened);
+    }
+
+    /// Goes on without the log: its volatile part is lost as in a restart, so nothing is told that
+    /// rests on what may not be on disk.
+    fn folder_failed(&mut self) {
+        self.node = None;
+        self.node_leader = None;
+        self.inbox.clear();
+        self.cease();
+        self.seeking.lose(self.settings.address, None);
+        self.notice(notice::Notice::FolderFailed);
+    }
+
+    /// Forms the log, if this process's folder is blank and the system starts for the first time.
+    fn found(&mut self) {
+        if self.may_found() {
+            self.tell(log_event::Event::Form);
+        }
+    }
+
+    fn may_found(&self) -> bool {
+        let blank = self.node.as_ref().is_some_and(node::Node::is_blank);
+        self.settings.first_start && blank
+    }
+
+    /// Instances that may hold a voter's folder.
+    fn listed(&self) -> Vec<name::Instance> {
+        self.seeking.controls().iter().copied().map(instance_of).collect()
+    }
+
+    fn tell(&mut self, event: log_event::Event) {
+        if self.node.is_some() {
+            self.inbox.push_back(event);
+        }
+    }
+
+    /// Hands waiting events to the log and carries out what it asks, until nothing waits.
+    fn drive(&mut self) {
+        while let Some(event) = self.inbox.pop_front() {
+            let Some(node) = &mut self.node else { return };
+            for action in node.step(self.now, event) {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: log_action::Action) {
+        match action {
+            log_action::Action::Send(packet) => self.act(action::Action::Send(packet)),
+            log_action::Action::Persist(write) => self.act(action::Action::Persist(write)),
+            log_action::Action::Apply(entry) => self.apply(entry),
+            log_action::Action::Restore(snapshot) => match durable::State::decode(&snapshot.data) {
+                Ok(state) => {
+                    self.state = state;
+                    self.applied = (snapshot.index, snapshot.term);
+                }
+                Err(error) => self.unreadable(&error),
+            },
+            log_action::Action::Proposed { ticket, index, term } => {
+                self.proposals.append(ticket, index, term);
+            }
+            log_action::Action::Rejected { ticket, .. } => {
+                if let Some(call) = self.proposals.reject(ticket) {
+                    let leader = self.elsewhere();
+                    self.reply(call, action::Reply::Elsewhere(leader));
+                }
+            }
+            log_action::Action::Notice(inner) => self.notice(notice::Notice::Log(inner)),
+        }
+    }
+
+    fn apply(&mut self, entry: consensus::Entry) {
+        self.applied = (entry.index, entry.term);
+        if let consensus::Payload::Command(bytes) = &entry.payload {
+            match durable::Command::decode(bytes) {
+                Ok(command) => self.execute(command),
+                Err(error) => return self.unreadable(&error),
+            }
+            self.bytes_since_snapshot += bytes.len();
+        }
+        if let Some(call) = self.proposals.apply(entry.index, entry.term) {
+            self.reply(call, action::Reply::Done);
+        }
+        self.applied_since_snapshot += 1;
+        self.snapshot_when_due();
+    }
+
+    fn execute(&mut self, command: durable::Command) {
+        let told = match &command {
+            durable::Command::Declare(document) => notice::Notice::Declared(document.version),
+            durable::Command::TakeOut(zone) => notice::Notice::TakenOut(zone.clone()),
+            durable::Command::BringIn(zone) => notice::Notice::BroughtIn(zone.clone()),
+        };
+        if self.state.apply(command) {
+            self.notice(told);
+        }
+        if let Some(leadership) = &mut self.leadership {
+            leadership.dirty = true;
+        }
+    }
+
+    fn snapshot_when_due(&mut self) {
+        let due = self.applied_since_snapshot >= SNAPSHOT_ENTRIES
+            || self.bytes_since_snapshot >= SNAPSHOT_BYTES;
+        if !due {
+            return;
+        }
+        self.applied_since_snapshot = 0;
+        self.bytes_since_snapshot = 0;
+        let (index, data) = (self.applied.0, self.state.encode());
+        self.tell(log_event::Event::Snapshotted { index, data });
+    }
+
+    /// The log holds what this release can't read: to go on would be to forget what was accepted.
+    fn unreadable(&mut self, error: &durable::Error) {
+        self.notice(notice::Notice::Unreadable(error.to_string()));
+        self.folder_failed();
+    }
+
+    fn act(&mut self, action: action::Action) {
+        self.actions.push(action);
+    }
+
+    fn notice(&mut self, notice: notice::Notice) {
+        self.act(action::Action::Notice(notice));
+    }
+
+    fn reply(&mut self, call: u64, reply: action::Reply) {
+        self.act(action::Action::Reply(call, reply));
+    }
+
+    /// Who leads in this process's place, as far as is known.
+    fn elsewhere(&self) -> Option<net::SocketAddr> {
+        self.seeking.leader().filter(|leader| *leader != self.settings.address)
+    }
+
+    /// The declaration that `document` holds, read once for each version.
+    fn declared(&mut self, document: &view::Document) -> Option<Arc<declaration::Declaration>> {
+        let known = self.declaration.as_ref();
+        if known.is_none_or(|known| known.version != document.version) {
+            self.declaration = (self.decode)(&document.bytes).map(Arc::new);
+        }
+        self.declaration.clone()
+    }
+}
+
+/// A process's name in the replicated log.
+fn instance_of(address: net::SocketAddr) -> name::Instance {
+    name::Instance::new(address.to_string())
+}
+
+/// A process's address, from its name in the replicated log.
+pub fn address_of(instance: &name::Instance) -> Option<net::SocketAddr> {
+    instance.as_str().parse().ok()
+}
--- /dev/null
+++ b/crates/hyssopfork-fleet/src/core/follow.rs
@@ -0,0 +1,128 @@
+//! Finding the leader and following it.
+
+use super::Core;
+use crate::{action, notice, peer, view};
+use hyssopfork_consensus::event as log_event;
+use std::mem;
+use std::net;
+
+impl Core {
+    /// Greets everybody while no leader is known, and asks the leader for what is new.
+    pub(super) fn seek(&mut self) {
+        self.follow_log();
+        let hello = peer::Hello {
+            address: self.settings.address,
+            has_folder: self.settings.has_folder,
+            may_found: self.may_found(),
+        };
+        for to in self.seeking.greet(self.now) {
+            self.act(action::Action::Greet(to, hello.clone()));
+        }
+        self.ask();
+    }
+
+    fn ask(&mut self) {
+        let Some((leader, other)) = self.seeking.ask() else { return };
+        let watch = peer::Watch {
+            from: self.settings.address,
+            have: self.copy.stamp,
+            document: self.copy.document,
+            known: other.then(|| self.known()),
+            evidence: mem::take(&mut self.evidence),
+        };
+        self.act(action::Action::Watch(leader, Box::new(watch)));
+    }
+
+    fn known(&self) -> peer::Known {
+        peer::Known {
+            upstreams: self.copy.upstreams.values().cloned().collect(),
+            groups: self.copy.groups.clone().into_iter().collect(),
+        }
+    }
+
+    /// Takes in who leads, as this process's own part of the log knows, each time that changes.
+    fn follow_log(&mut self) {
+        let Some(node) = &self.node else { return };
+        let leader = node.leader().and_then(|voter| super::address_of(&voter.instance));
+        let leads = node.is_leader();
+        if leader != self.node_leader {
+            self.node_leader = leader;
+            self.seeking.set_leader(leader);
+        }
+        if !leads && self.seeking.leader() == Some(self.settings.address) {
+            self.seeking.lose(self.settings.address, None);
+        }
+    }
+
+    pub(super) fn greeted(&mut self, greeting: &peer::Greeting) {
+        self.learn(greeting.controls.iter().copied());
+        self.seeking.hear(greeting.leader);
+        if greeting.founder == Some(self.settings.address) {
+            self.found();
+        }
+    }
+
+    /// Learns of processes with a data folder, and tells the log of them.
+    pub(super) fn learn(&mut self, controls: impl IntoIterator<Item = net::SocketAddr>) {
+        if self.seeking.learn(controls) {
+            let listed = self.listed();
+            self.tell(log_event::Event::List(listed));
+        }
+    }
+
+    pub(super) fn watched(&mut self, from: net::SocketAddr, answer: Option<peer::Answer>) {
+        match answer {
+            Some(peer::Answer::Updated(update)) => {
+                if self.copy.stamp.term != update.stamp.term {
+                    self.notice(notice::Notice::Following(from));
+                }
+                self.seeking.answered(from, &update);
+                self.learn(update.controls.clone());
+                self.publish(*update);
+            }
+            Some(peer::Answer::NotLeader(hint)) => self.seeking.lose(from, hint),
+            None => {
+                self.notice(notice::Notice::LeaderLost(from));
+                self.seeking.lose(from, None);
+            }
+        }
+        self.ask();
+    }
+
+    /// Takes an update into this process's copy and hands it to its entry.
+    ///
+    /// An answer of an earlier leader that was held up would lead back; it is dropped.
+    pub(super) fn publish(&mut self, mut update: view::Update) {
+        if update.stamp < self.copy.stamp {
+            return;
+        }
+        update.document = update.document.filter(|it| it.version > self.copy.document);
+        if let Some(document) = &update.document {
+            self.copy.document = document.version;
+        }
+        let declaration = match update.document.clone() {
+            Some(document) => self.declared(&document),
+            None => None,
+        };
+        if update.whole {
+            self.copy.upstreams.clear();
+            self.copy.groups.clear();
+        }
+        self.copy.stamp = update.stamp;
+        merge(&mut self.copy.upstreams, &update.upstreams);
+        merge(&mut self.copy.groups, &update.groups);
+        self.act(action::Action::Publish(Box::new(update), declaration));
+    }
+}
+
+fn merge<K: Clone + Ord, T: Clone>(
+    table: &mut std::collections::BTreeMap<K, T>,
+    changes: &[(K, Option<T>)],
+) {
+    for (key, value) in changes {
+        match value {
+            Some(value) => drop(table.insert(key.clone(), value.clone())),
+            None => drop(table.remove(key)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -0,0 +1,299 @@
+//! What a leader does: looks after groups and voters, publishes, answers watches.
+
+use super::{Copy, Core, Leadership};
+use crate::{action, board, groups, notice, peer, registry, view};
+use hyssopfork_consensus::{change, event as log_event};
+use hyssopfork_wire::{clock, consensus, name, number};
+use std::collections::BTreeMap;
+use std::net;
+use std::time::Duration;
+
+/// Time between two looks at the groups when nothing has happened.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Time without a watch after which a process no longer counts among the entries. They ask again
+/// within [`action::HOLD`].
+const ENTRY_LIMIT: Duration = Duration::from_secs(3);
+
+/// Followers that know of an upstream's leaving before its call is answered. The leader may be lost
+/// with the answer; whoever follows it learns the news of those who had it.
+const WITNESSES: usize = 2;
+
+/// Time after which such a call is not answered with success any more: the caller turns elsewhere
+/// after a second.
+const WITNESS_LIMIT: Duration = Duration::from_millis(700);
+
+/// Silence of a voter after which its seat is given up, where enough others answer: longer than a
+/// restart.
+const SEAT_LIMIT: Duration = Duration::from_secs(4);
+
+/// Silence up to which a voter counts as answering.
+const SEAT_ANSWERS: Duration = Duration::from_secs(1);
+
+/// Time between two looks at the voters.
+const SEAT_LOOK: Duration = Duration::from_millis(500);
+
+#[derive(Clone, Debug)]
+struct Held {
+    from: net::SocketAddr,
+    have: view::Stamp,
+    document: u64,
+    until: clock::Instant,
+}
+
+#[derive(Clone, Debug)]
+struct Registration {
+    call: u64,
+    since: clock::Instant,
+    /// Revision that tells of it; `None` until the next publication.
+    revision: Option<u64>,
+}
+
+/// Watches that are held, and who asked lately.
+#[derive(Clone, Debug)]
+pub(super) struct Watches {
+    pub(super) started: clock::Instant,
+    held: BTreeMap<u64, Held>,
+    entries: BTreeMap<net::SocketAddr, (clock::Instant, view::Stamp)>,
+    registrations: Vec<Registration>,
+}
+
+impl Watches {
+    fn new(now: clock::Instant) -> Watches {
+        Watches {
+            started: now,
+            held: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            registrations: Vec::new(),
+        }
+    }
+
+    pub(super) fn hold(
+        &mut self,
+        now: clock::Instant,
+        call: u64,
+        from: net::SocketAddr,
+        have: view::Stamp,
+        document: u64,
+    ) {
+        self.entries.insert(from, (now, have));
+        // A process asks once at a time: an earlier watch of it was given up.
+        self.held.retain(|_, held| held.from != from);
+        self.held.insert(call, Held { from, have, document, until: now + action::HOLD });
+    }
+
+    pub(super) fn hold_registration(&mut self, now: clock::Instant, call: u64) {
+        self.registrations.push(Registration { call, since: now, revision: None });
+    }
+
+    pub(super) fn abandon(&mut self, call: u64) {
+        self.held.remove(&call);
+        self.registrations.retain(|held| held.call != call);
+    }
+
+    /// Takes the watches to be answered at `stamp`.
+    fn due(&mut self, now: clock::Instant, stamp: view::Stamp) -> Vec<(u64, Held)> {
+        self.held.extract_if(.., |_, held| held.have != stamp || now >= held.until).collect()
+    }
+
+    /// Takes the upstreams' calls that enough followers know of, and those that waited too long.
+    fn witnessed(&mut self, now: clock::Instant, stamp: view::Stamp) -> (Vec<u64>, Vec<u64>) {
+        let entries = &self.entries;
+        let followers = entries.len();
+        let known = |revision: u64| {
+            let has = |have: &view::Stamp| have.term == stamp.term && have.revision >= revision;
+            entries.values().filter(|(_, have)| has(have)).count()
+        };
+        let (mut done, mut late) = (Vec::new(), Vec::new());
+        self.registrations.retain_mut(|held| {
+            let revision = *held.revision.get_or_insert(stamp.revision);
+            if known(revision) >= WITNESSES.min(followers) {
+                done.push(held.call);
+            } else if now.since(held.since) >= WITNESS_LIMIT {
+                late.push(held.call);
+            } else {
+                return true;
+            }
+            false
+        });
+        (done, late)
+    }
+
+    fn count_entries(&mut self, now: clock::Instant) -> u32 {
+        self.entries.retain(|_, (seen, _)| now.since(*seen) < ENTRY_LIMIT);
+        self.entries.len() as u32 + 1
+    }
+}
+
+/// When the voters were last looked at, and since when seats are vacant.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Seats {
+    looked: Option<clock::Instant>,
+    vacant: BTreeMap<name::Instance, clock::Instant>,
+}
+
+impl Core {
+    /// Takes up or lays down the leader's duties.
+    pub(super) fn follow_leadership(&mut self) {
+        let term = self.node.as_ref().filter(|node| node.is_leader()).map(|node| node.term());
+        let held = self.leadership.as_ref().map(|it| it.term);
+        if held.is_some() && held != term {
+            self.cease();
+        }
+        if self.leadership.is_none() && self.leads() {
+            let term = term.unwrap_or_default();
+            self.take_up(term);
+        }
+    }
+
+    pub(super) fn cease(&mut self) {
+        if let Some(leadership) = self.leadership.take() {
+            self.notice(notice::Notice::Ceased(leadership.term));
+        }
+    }
+
+    fn take_up(&mut self, term: number::Term) {
+        let now = self.now;
+        let mut registry = registry::Registry::new(self.settings.silence());
+        // Who starts the system knows that nobody has sent yet; whoever takes over doesn't.
+        let traffic = !self.settings.first_start || term.0 > 1;
+        let mut groups = groups::Groups::new(now, term, self.settings.stall, traffic);
+        let Copy { upstreams, groups: known, .. } = self.copy.clone();
+        for upstream in upstreams.into_values() {
+            registry.adopt(now, upstream);
+        }
+        for (name, group) in known {
+            groups.adopt(now, &name, group, &registry);
+        }
+        self.leadership = Some(Leadership {
+            term,
+            registry,
+            groups,
+            board: board::Board::new(term),
+            watches: Watches::new(now),
+            dirty: true,
+            looked: now,
+            seats: Seats::default(),
+        });
+        self.notice(notice::Notice::Serving(term));
+    }
+
+    /// The leader's duties; nothing is ordered or told without a quorum's word that no other leads.
+    pub(super) fn attend(&mut self) {
+        if !self.leads() {
+            return;
+        }
+        let now = self.now;
+        let own = std::mem::take(&mut self.evidence);
+        let due = self
+            .leadership
+            .as_ref()
+            .is_some_and(|leadership| leadership.dirty || now.since(leadership.looked) >= LOOK);
+        let document = self.state.document.clone().filter(|_| due);
+        let declaration = document.and_then(|document| self.declared(&document));
+        let Some(leadership) = &mut self.leadership else { return };
+        if own != peer::Evidence::default() {
+            leadership.groups.saw(now, self.settings.address, &own);
+        }
+        if due {
+            leadership.looked = now;
+            leadership.dirty = false;
+            leadership.registry.forget(now);
+            let commands = declaration
+                .map(|it| leadership.groups.look(now, &leadership.registry, &it))
+                .unwrap_or_default();
+            self.command(commands);
+            self.post();
+        }
+        self.answer_watches();
+        self.look_at_seats();
+    }
+
+    pub(super) fn command(&mut self, commands: Vec<groups::Command>) {
+        for command in commands {
+            let action = match command {
+                groups::Command::Order(order) => action::Action::Order(order),
+                groups::Command::Probe(instance, to) => action::Action::Probe(instance, to),
+                groups::Command::Notice(notice) => action::Action::Notice(notice),
+            };
+            self.act(action);
+        }
+    }
+
+    /// Publishes what is new, to this process's own entry first.
+    fn post(&mut self) {
+        let now = self.now;
+        let voters = self.node.as_ref().map(|node| node.voters().to_vec()).unwrap_or_default();
+        let controls = voters.iter().filter_map(|it| super::address_of(&it.instance)).collect();
+        let Some(leadership) = &mut self.leadership else { return };
+        let rest = board::Rest {
+            document: self.state.document.clone(),
+            out: self.state.out.clone(),
+            controls,
+            entries: leadership.watches.count_entries(now),
+        };
+        let upstreams = leadership.registry.published(now);
+        let groups = leadership.groups.published();
+        leadership.board.publish(rest, &upstreams, &groups);
+        if leadership.board.stamp() != self.copy.stamp {
+            let update = leadership.board.since(self.copy.stamp, self.copy.document);
+            self.publish(update);
+        }
+    }
+
+    fn answer_watches(&mut self) {
+        let now = self.now;
+        let own = self.settings.address;
+        let Some(leadership) = &mut self.leadership else { return };
+        let stamp = leadership.board.stamp();
+        let due = leadership.watches.due(now, stamp);
+        let (done, late) = leadership.watches.witnessed(now, stamp);
+        let updates: Vec<(u64, view::Update)> = due
+            .into_iter()
+            .map(|(call, held)| (call, leadership.board.since(held.have, held.document)))
+            .collect();
+        for (call, update) in updates {
+            let answer = peer::Answer::Updated(Box::new(update));
+            self.reply(call, action::Reply::Watched(answer));
+        }
+        for call in done {
+            self.reply(call, action::Reply::Registered(own));
+        }
+        for call in late {
+            self.reply(call, action::Reply::Elsewhere(None));
+        }
+    }
+
+    /// Gives up the seat of a voter that is gone, so that its successor's makes the quorum no
+    /// larger for good. Only where enough voters answer without it: each change of the voters
+    /// leaves fewer to lose while it lasts.
+    fn look_at_seats(&mut self) {
+        let now = self.now;
+        let (Some(leadership), Some(node)) = (&mut self.leadership, &self.node) else { return };
+        let seats = &mut leadership.seats;
+        if seats.looked.is_some_and(|looked| now.since(looked) < SEAT_LOOK) {
+            return;
+        }
+        seats.looked = Some(now);
+        let vacant = |voter: &&consensus::Voter| voter.folder == consensus::VACANT;
+        let empty: Vec<name::Instance> =
+            node.voters().iter().filter(vacant).map(|voter| voter.instance.clone()).collect();
+        seats.vacant.retain(|instance, _| empty.contains(instance));
+        for instance in empty {
+            seats.vacant.entry(instance).or_insert(now);
+        }
+        let mut silences = node.silences(now);
+        let answer = |(_, silence): &&(name::Instance, Duration)| *silence < SEAT_ANSWERS;
+        let answering = silences.iter().filter(answer).count() + 1;
+        if answering < self.settings.enough_voters() {
+            return;
+        }
+        silences.extend(seats.vacant.iter().map(|(it, since)| (it.clone(), now.since(*since))));
+        let gone = silences.into_iter().find(|(_, silence)| *silence >= SEAT_LIMIT);
+        if let Some((instance, _)) = gone {
+            let change = change::Change::Remove(instance.clone());
+            self.notice(notice::Notice::SeatRemoved(instance));
+            self.tell(log_event::Event::ChangeVoters { ticket: 0, change });
+        }
+    }
+}
--- /dev/null
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -0,0 +1,568 @@
+//! Serving groups: which there are, and each one's life from joining to leaving.
+//!
+//! What must hold, whoever leads and however late an order is carried out:
+//!
+//! - *A group opens only when every member has been ready under its epoch.* The order to open goes
+//!   out after each member's own word; an engine's word carries group and epoch.
+//! - *No member joins another group while its group's head is open.* A member is free only when its
+//!   group was never told to open, or its head's own word, or its answer to the order to leave, says
+//!   that it is out, or it is dead.
+//! - *An epoch is never used twice.* It begins with the leader's term, of which there is one leader.
+
+pub mod group;
+pub mod inquiry;
+pub mod loads;
+pub mod order;
+pub mod plan;
+mod planning;
+
+use crate::{announcement, declaration, notice, peer, registry, view};
+use group::{Group, Member, Stage};
+use hyssopfork_wire::{clock, name, number};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net;
+use std::time::Duration;
+
+/// Time after which an order that shows no effect is given again: an answer takes milliseconds, an
+/// engine tells of a change at once, and one call of it may be lost.
+const RESEND: Duration = Duration::from_millis(700);
+
+/// Time that a group whose member leaves on request may take to end what it has. An engine that
+/// leaves stays for its group's work for ten seconds at most.
+const CLOSE_LIMIT: Duration = Duration::from_secs(8);
+
+/// Time in which every upstream has called a leader that knew nothing: two heartbeats of those that
+/// are common, one of which may be lost.
+const SETTLE: Duration = Duration::from_millis(2_800);
+
+/// Bits of an epoch below the term: groups that one leader may form.
+const EPOCH_BITS: u32 = 24;
+
+/// What is to be done.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Give an order.
+    Order(order::Order),
+    /// Ask for a sign of life.
+    Probe(name::Instance, net::SocketAddr),
+    /// Log a numbered event.
+    Notice(notice::Notice),
+}
+
+#[derive(Clone, Debug)]
+struct Ticket {
+    group: name::Group,
+    instance: name::Instance,
+    leaves: bool,
+    stages: bool,
+}
+
+/// All groups, as one leader keeps them.
+#[derive(Clone, Debug)]
+pub struct Groups {
+    groups: BTreeMap<name::Group, Group>,
+    /// Epochs that this leader has ended.
+    ended: BTreeSet<u64>,
+    term: number::Term,
+    formed: u64,
+    started: clock::Instant,
+    /// Time after which a group whose head is lost is surely broken.
+    stall: Duration,
+    /// Whether callers have begun to send: before, loads of weights have the store to themselves.
+    traffic: bool,
+    inquiry: inquiry::Inquiry,
+    pace: loads::Pace,
+    peaks: planning::Peaks,
+    /// Loads onto hosts that were ordered and have not shown yet.
+    staging: BTreeMap<name::Instance, (name::Model, clock::Instant)>,
+    tickets: BTreeMap<u64, Ticket>,
+    newest: u64,
+    commands: Vec<Command>,
+}
+
+impl Groups {
+    /// No groups yet, at the start of a leader's term.
+    pub fn new(now: clock::Instant, term: number::Term, stall: Duration, traffic: bool) -> Groups {
+        Groups {
+            groups: BTreeMap::new(),
+            ended: BTreeSet::new(),
+            term,
+            formed: 0,
+            started: now,
+            stall,
+            traffic,
+            inquiry: inquiry::Inquiry::default(),
+            pace: loads::Pace::new(now),
+            peaks: planning::Peaks::default(),
+            staging: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            newest: 0,
+            commands: Vec::new(),
+        }
+    }
+
+    /// The groups as followers are told of them.
+    pub fn published(&self) -> BTreeMap<name::Group, view::Group> {
+        self.groups.iter().map(|(name, group)| (name.clone(), group.published())).collect()
+    }
+
+    /// Takes over a group that an earlier leader formed.
+    pub fn adopt(
+        &mut self,
+        now: clock::Instant,
+        name: &name::Group,
+        known: view::Group,
+        registry: &registry::Registry,
+    ) {
+        let taken = known.members.iter().any(|member| self.group_of(member).is_some());
+        if self.ended.contains(&known.epoch) || self.groups.contains_key(name) || taken {
+            return;
+        }
+        let Some(head) = known.head().and_then(|head| registry.get(head)) else { return };
+        let stage = match (known.serving, known.members.len()) {
+            (true, _) => Stage::Serving,
+            (false, 1) => Stage::Preparing,
+            (false, _) => Stage::Leaving,
+        };
+        let group = Group {
+            pool: known.pool,
+            domain: head.announcement.domain.clone(),
+            model: known.model,
+            members: known.members,
+            epoch: known.epoch,
+            stage,
+            since: now,
+            sent: BTreeMap::new(),
+        };
+        self.commands.push(Command::Notice(notice::Notice::Adopted(name.clone(), stage)));
+        self.groups.insert(name.clone(), group);
+    }
+
+    /// Takes what an entry saw.
+    pub fn saw(&mut self, now: clock::Instant, from: net::SocketAddr, evidence: &peer::Evidence) {
+        self.traffic |= evidence.traffic;
+        self.inquiry.saw(now, from, evidence);
+    }
+
+    /// Takes what became of an order.
+    pub fn ordered(
+        &mut self,
+        now: clock::Instant,
+        number: u64,
+        outcome: order::Outcome,
+        registry: &mut registry::Registry,
+    ) -> Vec<Command> {
+        let Some(ticket) = self.tickets.remove(&number) else { return Vec::new() };
+        if ticket.stages && outcome != order::Outcome::Accepted {
+            self.staging.remove(&ticket.instance);
+        }
+        let told = notice::Notice::Ordered(ticket.instance.clone(), ticket.group.clone(), outcome);
+        self.note(told);
+        match outcome {
+            order::Outcome::Accepted => {}
+            order::Outcome::Unknown => {
+                // Given again at once: the order is idempotent under its epoch.
+                if let Some(group) = self.groups.get_mut(&ticket.group) {
+                    group.sent.remove(&ticket.instance);
+                }
+            }
+            order::Outcome::Stranger | order::Outcome::Unreachable => {
+                if registry.bury(&ticket.instance) {
+                    self.note(notice::Notice::Lost(ticket.instance.clone()));
+                }
+            }
+            order::Outcome::Unfit => {}
+            order::Outcome::Outdated => self.end(&ticket.group),
+        }
+        if ticket.leaves && outcome != order::Outcome::Unknown {
+            self.end(&ticket.group);
+        }
+        self.look_again(now, registry)
+    }
+
+    /// Takes what came of asking an upstream for a sign of life.
+    pub fn probed(
+        &mut self,
+        now: clock::Instant,
+        instance: &name::Instance,
+        sign: order::Sign,
+        registry: &mut registry::Registry,
+    ) -> Vec<Command> {
+        match self.inquiry.answered(now, instance, sign) {
+            inquiry::Verdict::Alive => {}
+            inquiry::Verdict::Ask => {
+                if let Some(record) = registry.get(instance) {
+                    let address = record.announcement.address;
+                    self.commands.push(Command::Probe(instance.clone(), address));
+                }
+            }
+            inquiry::Verdict::Dead => {
+                self.inquiry.forget(instance);
+                if registry.bury(instance) {
+                    self.note(notice::Notice::Lost(instance.clone()));
+                }
+            }
+        }
+        self.look_again(now, registry)
+    }
+
+    fn look_again(&mut self, now: clock::Instant, registry: &registry::Registry) -> Vec<Command> {
+        self.advance(now, registry);
+        std::mem::take(&mut self.commands)
+    }
+
+    /// Looks at everything and says what is to be done.
+    pub fn look(
+        &mut self,
+        now: clock::Instant,
+        registry: &registry::Registry,
+        declaration: &declaration::Declaration,
+    ) -> Vec<Command> {
+        self.inquire(now, registry);
+        self.find_strangers(now, registry, declaration);
+        self.advance(now, registry);
+        for (pool, engine) in declaration.engines() {
+            self.plan(now, pool, engine, registry);
+        }
+        std::mem::take(&mut self.commands)
+    }
+
+    /// Asks members that fell silent, and all members of groups in which everything stands still.
+    fn inquire(&mut self, now: clock::Instant, registry: &registry::Registry) {
+        let mut asked = Vec::new();
+        for group in self.groups.values() {
+            let stalled =
+                group.stage == Stage::Serving && self.inquiry.is_stalled(now, group.head());
+            for member in &group.members {
+                let Some(record) = registry.get(member).filter(|record| !record.dead) else {
+                    continue;
+                };
+                if stalled || registry.is_silent(now, record) {
+                    asked.push((member.clone(), record.announcement.address));
+                }
+            }
+        }
+        for (instance, address) in asked {
+            if self.inquiry.ask(now, &instance) {
+                self.commands.push(Command::Probe(instance, address));
+            }
+        }
+    }
+
+    /// Takes in open groups that this leader knows from their members' words alone.
+    ///
+    /// A whole one goes on. One that lacks a member may still call itself open, and its members
+    /// must not join another group before its head has left.
+    fn find_strangers(
+        &mut self,
+        now: clock::Instant,
+        registry: &registry::Registry,
+        declaration: &declaration::Declaration,
+    ) {
+        let settled = now.since(self.started) >= SETTLE;
+        for (instance, record) in registry.iter() {
+            let Some(membership) = &record.announcement.membership else { continue };
+            let open = matches!(
+                membership.state,
+                announcement::State::Open | announcement::State::Closing
+            );
+            let known =
+                self.group_of(instance).is_some() || self.groups.contains_key(&membership.group);
+            let heard = !record.dead && !registry.is_silent(now, record);
+            if membership.rank != 0 || !open || known || !heard {
+                continue;
+            }
+            let members = members_of(now, registry, membership);
+            let whole = size_of(declaration, record).is_some_and(|size| size == members.len());
+            if !whole && !settled {
+                continue;
+            }
+            let model = record.announcement.loaded.clone();
+            let serving = whole && membership.state == announcement::State::Open;
+            let known = view::Group {
+                pool: record.announcement.pool.clone(),
+                model: model.unwrap_or_else(|| name::Model::from("")),
+                members: if whole { members } else { vec![instance.clone()] },
+                epoch: membership.epoch,
+                serving,
+            };
+            let (name, epoch) = (membership.group.clone(), membership.epoch);
+            self.ended.remove(&epoch);
+            self.adopt(now, &name, known, registry);
+            if let Some(group) = self.groups.get_mut(&name).filter(|_| !serving) {
+                group.turn(now, Stage::Leaving);
+            }
+        }
+    }
+
+    /// Takes each group as far as its members' words allow.
+    fn advance(&mut self, now: clock::Instant, registry: &registry::Registry) {
+        let names: Vec<name::Group> = self.groups.keys().cloned().collect();
+        for name in names {
+            self.advance_one(now, &name, registry);
+        }
+    }
+
+    fn advance_one(
+        &mut self,
+        now: clock::Instant,
+        name: &name::Group,
+        registry: &registry::Registry,
+    ) {
+        let Some(group) = self.groups.get(name) else { return };
+        let members: Vec<Member> =
+            group.members.iter().map(|member| group.member(name, member, registry)).collect();
+        let lost = members.contains(&Member::Lost);
+        let departs = members.iter().any(|member| matches!(member, Member::Departing(_)));
+        match group.stage {
+            Stage::Preparing | Stage::Joining if lost || departs => self.end(name),
+            Stage::Preparing => {
+                self.wait_for_members(now, name, &members, Stage::Prepared, registry)
+            }
+            Stage::Prepared if lost || departs || members.contains(&Member::Outside) => {
+                self.end(name);
+            }
+            Stage::Prepared => {}
+            Stage::Joining => self.wait_for_members(now, name, &members, Stage::Opening, registry),
+            Stage::Opening if lost || members.contains(&Member::Outside) => {
+                self.turn(now, name, Stage::Leaving);
+            }
+            Stage::Opening if departs => self.turn(now, name, Stage::Leaving),
+            Stage::Opening => self.wait_for_opening(now, name, members[0], registry),
+            Stage::Serving => self.watch_over(now, name, &members),
+            Stage::Closing => self.wait_for_closing(now, name, &members, registry),
+            Stage::Leaving => self.wait_for_leaving(now, name, members[0], registry),
+        }
+    }
+
+    /// Repeats the order to join to those who are not in the group, until all are ready.
+    fn wait_for_members(
+        &mut self,
+        now: clock::Instant,
+        name: &name::Group,
+        members: &[Member],
+        next: Stage,
+        registry: &registry::Registry,
+    ) {
+        use announcement::State;
+        let ready = |member: &Member| {
+            matches!(member, Member::Inside(State::Ready | State::Open | State::Closing))
+        };
+        if members.contains(&Member::Inside(State::Broken)) {
+            return self.turn(now, name, Stage::Leaving);
+        }
+        if members.iter().all(ready) {
+            return self.turn(now, name, next);
+        }
+        let Some(group) = self.groups.get(name) else { return };
+        let outside: Vec<name::Instance> = group
+            .members
+            .iter()
+            .zip(members)
+            .filter(|(_, member)| **member == Member::Outside)
+            .map(|(instance, _)| instance.clone())
+            .collect();
+        let task = order::Task::Join { model: group.model.clone(), members: group.members.clone() };
+        for instance in outside {
+            self.order(now, name, &instance, task.clone(), registry);
+        }
+    }
+
+    fn wait_for_opening(
+        &mut self,
+        now: clock::Instant,
+        name: &name::Group,
+        head: Member,
+        registry: &registry::Registry,
+    ) {
+        match head {
+            Member::Inside(announcement::State::Open) => self.turn(now, name, Stage::Serving),
+            Member::Inside(announcement::State::Broken) => self.turn(now, name, Stage::Leaving),
+            _ => {
+                if let Some(head) = self.groups.get(name).map(|group| group.head().clone()) {
+                    self.order(now, name, &head, order::Task::Open, registry);
+                }
+            }
+        }
+    }
+
+    fn watch_over(&mut self, now: clock::Instant, name: &name::Group, members: &[Member]) {
+        use announcement::State;
+        let broken = members.contains(&Member::Inside(State::Broken));
+        let departs = members.iter().any(|member| matches!(member, Member::Departing(_)));
+        if broken || members.contains(&Member::Lost) || members.contains(&Member::Outside) {
+            self.turn(now, name, Stage::Leaving);
+        } else if departs {
+            self.turn(now, name, Stage::Closing);
+        } else if members[0] == Member::Inside(State::Ready) {
+            self.turn(now, name, Stage::Opening);
+        }
+    }
+
+    /// A member leaves on request: the head ends what it has, then all are free.
+    fn wait_for_closing(
+        &mut self,
+        now: clock::Instant,
+        name: &name::Group,
+        members: &[Member],
+        registry: &registry::Registry,
+    ) {
+        use announcement::State;
+        let late = self.groups.get(name).is_none_or(|it| now.since(it.since) >= CLOSE_LIMIT);
+        match members[0] {
+            Member::Inside(State::Ready) | Member::Departing(State::Ready) | Member::Outside => {
+                self.end(name);
+            }
+            _ if late || members.contains(&Member::Lost) => self.turn(now, name, Stage::Leaving),
+            Member::Inside(State::Broken) | Member::Departing(State::Broken) => {
+                self.turn(now, name, Stage::Leaving);
+            }
+            Member::Inside(State::Closing) | Member::Departing(State::Closing) => {}
+            _ => {
+                if let Some(head) = self.groups.get(name).map(|group| group.head().clone()) {
+                    self.order(now, name, &head, order::Task::Close, registry);
+                }
+            }
+        }
+    }
+
+    fn wait_for_leaving(
+        &mut self,
+        now: clock::Instant,
+        name: &name::Group,
+        head: Member,
+        registry: &registry::Registry,
+    ) {
+        match head {
+            Member::Lost | Member::Outside => self.end(name),
+            _ => {
+                if let Some(head) = self.groups.get(name).map(|group| group.head().clone()) {
+                    self.order(now, name, &head, order::Task::Leave, registry);
+                }
+            }
+        }
+    }
+
+    /// Gives an order, unless it was given just now.
+    fn order(
+        &mut self,
+        now: clock::Instant,
+        name: &name::Group,
+        instance: &name::Instance,
+        task: order::Task,
+        registry: &registry::Registry,
+    ) {
+        let Some(record) = registry.get(instance) else { return };
+        let Some(group) = self.groups.get_mut(name) else { return };
+        if group.sent.get(instance).is_some_and(|sent| now.since(*sent) < RESEND) {
+            return;
+        }
+        group.sent.insert(instance.clone(), now);
+        let (epoch, address) = (group.epoch, record.announcement.address);
+        self.give(instance, address, (name.clone(), epoch), task);
+    }
+
+    fn give(
+        &mut self,
+        instance: &name::Instance,
+        address: net::SocketAddr,
+        (group, epoch): (name::Group, u64),
+        task: order::Task,
+    ) {
+        self.newest += 1;
+        let ticket = Ticket {
+            group: group.clone(),
+            instance: instance.clone(),
+            leaves: task == order::Task::Leave,
+            stages: matches!(task, order::Task::Stage(_)),
+        };
+        self.tickets.insert(self.newest, ticket);
+        self.commands.push(Command::Order(order::Order {
+            ticket: self.newest,
+            instance: instance.clone(),
+            address,
+            group,
+            epoch,
+            task,
+        }));
+    }
+
+    /// Forms a group, or puts an instance in reserve.
+    fn form(
+        &mut self,
+        now: clock::Instant,
+        pool: &name::Pool,
+        domain: &name::Domain,
+        model: &name::Model,
+        members: Vec<name::Instance>,
+        stage: Stage,
+    ) {
+        self.formed += 1;
+        let epoch = (self.term.0 << EPOCH_BITS) | self.formed;
+        let name = name::Group::new(format!("g{epoch}"));
+        let told = notice::Notice::Formed(name.clone(), model.clone(), members.clone(), stage);
+        self.note(told);
+        let group = Group {
+            pool: pool.clone(),
+            domain: domain.clone(),
+            model: model.clone(),
+            members,
+            epoch,
+            stage,
+            since: now,
+            sent: BTreeMap::new(),
+        };
+        self.groups.insert(name, group);
+    }
+
+    fn turn(&mut self, now: clock::Instant, name: &name::Group, stage: Stage) {
+        let Some(group) = self.groups.get_mut(name) else { return };
+        group.turn(now, stage);
+        self.note(notice::Notice::Turned(name.clone(), stage));
+    }
+
+    /// Ends a group: its members are free.
+    fn end(&mut self, name: &name::Group) {
+        if let Some(group) = self.groups.remove(name) {
+            self.ended.insert(group.epoch);
+            self.note(notice::Notice::Ended(name.clone()));
+        }
+    }
+
+    fn group_of(&self, instance: &name::Instance) -> Option<(&name::Group, &Group)> {
+        self.groups.iter().find(|(_, group)| group.members.contains(instance))
+    }
+
+    fn note(&mut self, notice: notice::Notice) {
+        self.commands.push(Command::Notice(notice));
+    }
+}
+
+/// Instances that say that they are in the membership's group and epoch, by rank.
+fn members_of(
+    now: clock::Instant,
+    registry: &registry::Registry,
+    membership: &announcement::Membership,
+) -> Vec<name::Instance> {
+    let mut members: BTreeMap<u32, name::Instance> = BTreeMap::new();
+    for (instance, record) in registry.iter() {
+        if !record.is_sound() || registry.is_silent(now, record) {
+            continue;
+        }
+        if let Some(other) = &record.announcement.membership
+            && other.group == membership.group
+            && other.epoch == membership.epoch
+        {
+            members.insert(other.rank, instance.clone());
+        }
+    }
+    members.into_values().collect()
+}
+
+/// Size of a group of the model that the instance runs.
+fn size_of(declaration: &declaration::Declaration, record: &registry::Record) -> Option<usize> {
+    let engine = declaration.pools.get(&record.announcement.pool)?.engine.as_ref()?;
+    let loaded = record.announcement.loaded.as_ref()?;
+    let model = engine.models.iter().find(|model| model.name == *loaded)?;
+    Some(model.size as usize)
+}
--- /dev/null
+++ b/crates/hyssopfork-fleet/src/registry.rs
@@ -0,0 +1,212 @@
+//! Upstreams as their own calls tell of them.
+//!
+//! Calls come late, twice and out of order, from processes that are gone and from others that took
+//! their names or addresses. A call counts only when it tells something newer of its process, and a
+//! process only when it started after the one that was known before.
+
+use crate::{announcement, view};
+use hyssopfork_wire::{clock, name};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time for which an upstream that left or fell silent is remembered, so that a late call of it is
+/// known for what it is. Calls are held up by cuts of the network, which last seconds.
+const MEMORY: Duration = Duration::from_secs(60);
+
+/// Share of the silence limit after which a process with an earlier start may take a name over: the
+/// machine's clock was set back, and the one known before no longer calls.
+const STEPPED_BACK: u32 = 1;
+
+/// What became of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It says something new.
+    News,
+    /// It says what was known.
+    Known,
+    /// It is older than what is known, or of a process that is gone: it changes nothing.
+    Late,
+}
+
+/// What is known of an upstream.
+#[derive(Clone, Debug)]
+pub struct Record {
+    /// Its newest announcement.
+    pub announcement: announcement::Announcement,
+    /// When it was last heard of.
+    pub heard: clock::Instant,
+    /// Until when it bears little.
+    pub cold_until: clock::Instant,
+    /// Model of its last group in this life: it takes it up faster than any other.
+    pub last: Option<name::Model>,
+    /// Whether it has said that it is gone.
+    pub departed: bool,
+    /// Whether it counts as dead: it answered nothing, although asked.
+    pub dead: bool,
+}
+
+impl Record {
+    fn new(told: announcement::Announcement, now: clock::Instant) -> Record {
+        Record {
+            heard: now,
+            cold_until: now + told.cold,
+            last: told.loaded.clone(),
+            departed: false,
+            dead: false,
+            announcement: told,
+        }
+    }
+
+    /// Whether it may be given new duties.
+    pub fn is_leaving(&self) -> bool {
+        self.departed || self.announcement.draining
+    }
+
+    /// Whether it is alive as far as is known, and stays.
+    pub fn is_sound(&self) -> bool {
+        !self.dead && !self.is_leaving()
+    }
+}
+
+/// The upstreams.
+#[derive(Clone, Debug)]
+pub struct Registry {
+    records: BTreeMap<name::Instance, Record>,
+    /// Silence after which an upstream counts as silent.
+    silence: Duration,
+}
+
+impl Registry {
+    /// An empty registry.
+    pub fn new(silence: Duration) -> Registry {
+        Registry { records: BTreeMap::new(), silence }
+    }
+
+    /// An upstream's record.
+    pub fn get(&self, instance: &name::Instance) -> Option<&Record> {
+        self.records.get(instance)
+    }
+
+    /// All records.
+    pub fn iter(&self) -> impl Iterator<Item = (&name::Instance, &Record)> {
+        self.records.iter()
+    }
+
+    /// Takes an upstream's announcement.
+    pub fn announce(&mut self, now: clock::Instant, told: announcement::Announcement) -> Taken {
+        if !self.is_newer(now, &told) {
+            return Taken::Late;
+        }
+        self.evict(&told);
+        let instance = told.instance.clone();
+        let cold_until = now + told.cold;
+        let Some(known) = self.records.get_mut(&instance) else {
+            self.records.insert(instance, Record::new(told, now));
+            return Taken::News;
+        };
+        let reborn = known.announcement.born != told.born;
+        let same = !reborn && !known.dead && known.announcement.says_the_same(&told);
+        // After it has left, an announcement of the same process is one that was held up.
+        known.departed &= !reborn;
+        known.last = told.loaded.clone().or(known.last.take().filter(|_| !reborn));
+        known.announcement = told;
+        known.heard = now;
+        known.cold_until = cold_until;
+        known.dead = false;
+        if same { Taken::Known } else { Taken::News }
+    }
+
+    /// Takes an upstream's word that it leaves; returns whether that is news.
+    pub fn depart(&mut self, now: clock::Instant, instance: &name::Instance) -> bool {
+        let Some(record) = self.records.get_mut(instance) else { return false };
+        record.heard = now;
+        !std::mem::replace(&mut record.departed, true)
+    }
+
+    /// Takes over what a follower of an earlier leader knew, unless more is known here.
+    pub fn adopt(&mut self, now: clock::Instant, upstream: view::Upstream) -> bool {
+        let told = upstream.announcement;
+        if self.records.get(&told.instance).is_some_and(|known| !is_later(&told, known)) {
+            return false;
+        }
+        let departed = upstream.standing == view::Standing::Leaving && !told.draining;
+        let instance = told.instance.clone();
+        // Who was silent is silent until it is heard of: work must not be planned on it.
+        let silent = upstream.standing == view::Standing::Silent;
+        let heard = if silent { now - self.silence } else { now };
+        let record = Record { heard, departed, ..Record::new(told, now) };
+        self.records.insert(instance, record);
+        true
+    }
+
+    /// Takes in that an upstream answers nothing; returns whether that is news.
+    pub fn bury(&mut self, instance: &name::Instance) -> bool {
+        let Some(record) = self.records.get_mut(instance) else { return false };
+        !std::mem::replace(&mut record.dead, true)
+    }
+
+    /// Counts every upstream as heard of just now: this process was held up and could not listen.
+    pub fn forgive(&mut self, now: clock::Instant) {
+        self.records.values_mut().for_each(|record| record.heard = now);
+    }
+
+    /// Whether nothing was heard of an upstream for too long.
+    pub fn is_silent(&self, now: clock::Instant, record: &Record) -> bool {
+        now.since(record.heard) >= self.silence
+    }
+
+    /// Forgets what has been gone for long.
+    pub fn forget(&mut self, now: clock::Instant) {
+        self.records.retain(|_, record| now.since(record.heard) < MEMORY);
+    }
+
+    /// The upstreams as followers are told of them.
+    pub fn published(&self, now: clock::Instant) -> BTreeMap<name::Instance, view::Upstream> {
+        let upstream = |record: &Record| {
+            let standing = if record.is_leaving() {
+                view::Standing::Leaving
+            } else if record.dead || self.is_silent(now, record) {
+                view::Standing::Silent
+            } else {
+                view::Standing::Present
+            };
+            let cold = now.until(record.cold_until);
+            let announcement = announcement::Announcement { cold, ..record.announcement.clone() };
+            view::Upstream { announcement, standing }
+        };
+        self.records.iter().map(|(instance, record)| (instance.clone(), upstream(record))).collect()
+    }
+
+    fn is_newer(&self, now: clock::Instant, told: &announcement::Announcement) -> bool {
+        let lives = |record: &Record| {
+            now.since(record.heard) < self.silence * STEPPED_BACK && !record.departed
+        };
+        if let Some(known) = self.records.get(&told.instance) {
+            let born = known.announcement.born;
+            return match told.born.cmp(&born) {
+                std::cmp::Ordering::Equal => told.sequence > known.announcement.sequence,
+                std::cmp::Ordering::Greater => true,
+                std::cmp::Ordering::Less => !lives(known),
+            };
+        }
+        let newer_there = |record: &Record| {
+            record.announcement.address == told.address
+                && record.announcement.born > told.born
+                && lives(record)
+        };
+        !self.records.values().any(newer_there)
+    }
+
+    /// Drops whoever had the address before: two upstreams cannot listen there, and the older one
+    /// would be sent requests that the newer one gets.
+    fn evict(&mut self, told: &announcement::Announcement) {
+        self.records.retain(|instance, record| {
+            record.announcement.address != told.address || *instance == told.instance
+        });
+    }
+}
+
+fn is_later(told: &announcement::Announcement, known: &Record) -> bool {
+    let known = &known.announcement;
+    (told.born, told.sequence) > (known.born, known.sequence)
+}
--- /dev/null
+++ b/crates/hyssopfork-fleet/src/view.rs
@@ -0,0 +1,95 @@
+//! What every process follows: the declaration in force, the zones that are out, the upstreams and
+//! the serving groups; and the differences that lead from one revision to the next.
+
+use crate::announcement;
+use bytes::Bytes;
+use hyssopfork_wire::{name, number};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::net;
+
+/// Place in the leader's sequence of publications.
+///
+/// Invariant: revisions of different terms say nothing of each other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Term of the leader.
+    pub term: number::Term,
+    /// Counts the leader's publications.
+    pub revision: u64,
+}
+
+/// A declaration as operators sent it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// Version.
+    pub version: u64,
+    /// The bytes as they came: read back, they are the same.
+    pub bytes: Bytes,
+}
+
+/// How an upstream stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Standing {
+    /// It sends heartbeats.
+    Present,
+    /// The leader hears nothing of it. It may be cut off from the leader alone, so whoever gets
+    /// answers of it goes on.
+    Silent,
+    /// It leaves: no new work.
+    Leaving,
+}
+
+/// An upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Upstream {
+    /// What it says of itself; `cold` as of when this was sent.
+    pub announcement: announcement::Announcement,
+    /// How it stands.
+    pub standing: Standing,
+}
+
+/// A serving group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Group {
+    /// Pool of its members.
+    pub pool: name::Pool,
+    /// Model.
+    pub model: name::Model,
+    /// Members; the first is the head.
+    pub members: Vec<name::Instance>,
+    /// Epoch of this membership; no other membership of any group has it.
+    pub epoch: u64,
+    /// Whether requests may be sent to its head.
+    pub serving: bool,
+}
+
+impl Group {
+    /// The member that takes the requests.
+    pub fn head(&self) -> Option<&name::Instance> {
+        self.members.first()
+    }
+}
+
+/// What leads a follower on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// Where the follower stands after it.
+    pub stamp: Stamp,
+    /// Whether upstreams and groups that are not named here are gone.
+    pub whole: bool,
+    /// The declaration, where the follower has an older one.
+    pub document: Option<Document>,
+    /// Zones that are out.
+    pub out: BTreeSet<name::Zone>,
+    /// Upstreams that changed; `None` for one that is gone.
+    pub upstreams: Vec<(name::Instance, Option<Upstream>)>,
+    /// Groups that changed; `None` for one that is gone.
+    pub groups: Vec<(name::Group, Option<Group>)>,
+    /// Processes that hold or may hold the replicated log.
+    pub controls: Vec<net::SocketAddr>,
+    /// Processes that take callers' requests and follow the leader, itself included. Bounds that
+    /// hold over all of them are split by this number.
+    pub entries: u32,
+}
--- /dev/null
+++ b/crates/hyssopfork-gateway/src/action.rs
@@ -0,0 +1,100 @@
+//! What an entry does about an event.
+
+use crate::notice;
+use hyssopfork_fleet::peer;
+use hyssopfork_wire::{clock, name};
+use std::net;
+use std::time::Duration;
+
+/// Time between two ticks, which also bounds the age of what the leader is told.
+pub const TICK: Duration = Duration::from_millis(250);
+
+/// Why a request was not served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Reason {
+    /// This process knows no declaration yet.
+    NotReady,
+    /// No route covers the request.
+    NoRoute,
+    /// It shows no key that is known.
+    NoKey,
+    /// No upstream is there for it.
+    NoUpstream,
+    /// The upstreams are full.
+    Overloaded,
+    /// The upstreams that were tried did not take it.
+    NotTaken,
+    /// Its time was over before an upstream had it.
+    TooLate,
+    /// Its time was over while an upstream had it.
+    TimedOut,
+    /// The upstream failed; the work may have run.
+    Failed,
+}
+
+impl Reason {
+    /// Whether the request surely has not run and never will.
+    pub fn is_not_run(self) -> bool {
+        !matches!(self, Reason::TimedOut | Reason::Failed)
+    }
+}
+
+/// A refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+/// An attempt to be made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// Upstream; another at the address refuses the request.
+    pub instance: name::Instance,
+    /// Where it listens.
+    pub address: net::SocketAddr,
+    /// Team of the caller.
+    pub team: Option<name::Team>,
+    /// When the request's time is over.
+    pub limit: clock::Instant,
+    /// Last event that the caller has, or that an earlier attempt delivered.
+    pub last_event: Option<u64>,
+    /// Whether the connection must be new: on one that was used before, the upstream may have
+    /// closed it just now, and whether the request ran would not be known.
+    pub fresh: bool,
+    /// Whether the answer is a stream of events.
+    pub streams: bool,
+    /// Silence after which to ask what to do.
+    pub quiet: Duration,
+}
+
+/// What is to be done about a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Make an attempt; an earlier one ends here.
+    Start(Box<Start>),
+    /// Forward the stream.
+    Forward,
+    /// Deliver the whole answer.
+    Deliver,
+    /// Wait on; ask again after this long without bytes.
+    Wait(Duration),
+    /// Refuse.
+    Refuse(Refusal),
+    /// Break the answer off, so that it can't look whole.
+    Cut,
+}
+
+/// An action.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Do this about a request.
+    Decide(u64, Decision),
+    /// Tell the leader what was seen.
+    Tell(peer::Evidence),
+    /// Log a numbered event.
+    Notice(notice::Notice),
+}
--- /dev/null
+++ b/crates/hyssopfork-gateway/src/arrival.rs
@@ -0,0 +1,23 @@
+//! A caller's request as it arrives.
+
+use hyssopfork_wire::name;
+use std::time::Duration;
+
+/// What decides about a request; its method, headers and body travel beside it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Arrival {
+    /// Identifier that the caller gave this try of its request.
+    pub identifier: String,
+    /// Host that the caller named, without a port.
+    pub host: String,
+    /// Path, without the query.
+    pub path: String,
+    /// Key that the caller showed. A secret: never logged.
+    pub key: Option<String>,
+    /// Model that the work is for; `None` for a plain service.
+    pub model: Option<name::Model>,
+    /// Last event of the stream that the caller has; `None` when it has none.
+    pub last_event: Option<u64>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+}
--- /dev/null
+++ b/crates/hyssopfork-gateway/src/choice.rs
@@ -0,0 +1,138 @@
+//! Which upstream gets a request, and whether any may.
+//!
+//! *Pattern.* Groups of one model, each with its slots; a few processes send to all of them, each
+//! knowing its own requests and what the upstreams report now and then. Bursts of half as much
+//! again, and losses of a group at a time.
+//!
+//! *Without it.* Requests queue at upstreams until their objective has passed: all are served late,
+//! and none in time.
+//!
+//! *Rule.* The upstream with the smallest part of its slots taken, one of the own zone among equals.
+//! When even there the wait for a slot takes up more than [`WAIT_SHARE`] of the objective, the
+//! request is refused at once and told when a slot will be free.
+
+use crate::target;
+use hyssopfork_fleet::view;
+use hyssopfork_wire::{clock, name};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Part of the objective that the wait for a slot may take up; the rest is for reading the prompt.
+const WAIT_SHARE: f64 = 0.6;
+
+/// Part of its slots by which an upstream of another zone must be emptier to go first: traffic
+/// between zones costs, but less than a late answer.
+const ZONE_WORTH: f64 = 0.06;
+
+/// Time for which an upstream that the leader doesn't hear counts as good after it has answered.
+const VOUCHED: Duration = Duration::from_secs(2);
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Want<'a> {
+    /// Pool.
+    pub pool: &'a name::Pool,
+    /// Model; `None` for a plain service.
+    pub model: Option<&'a name::Model>,
+    /// Zone of this process.
+    pub zone: &'a name::Zone,
+    /// Upstreams that it was sent to before.
+    pub excluded: &'a [name::Instance],
+    /// Time to the answer within which it is on time.
+    pub objective: Duration,
+    /// Whether the request was accepted before and only goes on elsewhere: it is not refused for
+    /// want of room in the queue.
+    pub again: bool,
+}
+
+/// What bounds the choice for all requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds<'a> {
+    /// Zones that are out.
+    pub out: &'a BTreeSet<name::Zone>,
+    /// Requests a second that a cold upstream of the pool bears.
+    pub cold_rate: Option<f64>,
+    /// Processes that send.
+    pub entries: u32,
+}
+
+/// The choice.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Choice {
+    /// This upstream.
+    Take(name::Instance),
+    /// None has room; when one will.
+    Full(Duration),
+    /// There is none.
+    Nobody,
+}
+
+/// Preference among upstreams that may be taken: each class before the next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Class {
+    Sound,
+    Sick,
+    Stalled,
+}
+
+/// Chooses among the targets.
+pub fn choose(
+    now: clock::Instant,
+    targets: &BTreeMap<name::Instance, target::Target>,
+    want: Want<'_>,
+    bounds: Bounds<'_>,
+) -> Choice {
+    let fits = |(instance, target): &(&name::Instance, &target::Target)| {
+        target.pool == *want.pool
+            && target.model.as_ref() == want.model
+            && !want.excluded.contains(instance)
+            && !bounds.out.contains(&target.zone)
+            && target.standing != view::Standing::Leaving
+    };
+    let open = |(_, target): &(&name::Instance, &target::Target)| {
+        let silent = target.standing == view::Standing::Silent;
+        !target.health.is_away(now) && (!silent || target.health.answered_within(now, VOUCHED))
+    };
+    let candidates: Vec<_> = targets.iter().filter(fits).collect();
+    let best = candidates
+        .iter()
+        .filter(|candidate| open(candidate))
+        .filter(|(_, target)| bears(now, target, bounds))
+        .min_by(|left, right| {
+            let rank =
+                |target: &target::Target| (class(now, target), score(now, target, want.zone));
+            let (left, right) = (rank(left.1), rank(right.1));
+            left.0.cmp(&right.0).then(left.1.total_cmp(&right.1))
+        });
+    let Some((instance, target)) = best else {
+        return if candidates.is_empty() { Choice::Nobody } else { Choice::Full(Duration::ZERO) };
+    };
+    let wait = target.load.wait(now);
+    if !want.again && wait > want.objective.mul_f64(WAIT_SHARE) {
+        return Choice::Full(wait);
+    }
+    Choice::Take((*instance).clone())
+}
+
+/// Whether the upstream bears another request now.
+fn bears(now: clock::Instant, target: &target::Target, bounds: Bounds<'_>) -> bool {
+    match bounds.cold_rate {
+        Some(rate) if now < target.cold_until => target.recent.has_room(now, rate, bounds.entries),
+        _ => true,
+    }
+}
+
+fn class(now: clock::Instant, target: &target::Target) -> Class {
+    if target.is_stalled(now) {
+        Class::Stalled
+    } else if target.suspected || target.health.is_sick(now) {
+        Class::Sick
+    } else {
+        Class::Sound
+    }
+}
+
+fn score(now: clock::Instant, target: &target::Target, zone: &name::Zone) -> f64 {
+    let taken = target.load.estimate(now) / target.load.slots();
+    if target.zone == *zone { taken } else { taken + ZONE_WORTH }
+}
--- /dev/null
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -0,0 +1,135 @@
+//! The step function: events in, actions out.
+
+mod follow;
+mod serve;
+
+use crate::{action, budget, event, notice, request, returns, settings, table, target};
+use hyssopfork_fleet::{peer, view};
+use hyssopfork_wire::{clock, name};
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::mem;
+use std::time::Duration;
+
+/// Age up to which the leader is told when bytes last came of an upstream; it judges by the age.
+const MOVING: Duration = Duration::from_secs(2);
+
+/// The entry.
+#[derive(Debug)]
+pub struct Core {
+    settings: settings::Settings,
+    table: Option<table::Table>,
+    out: BTreeSet<name::Zone>,
+    entries: u32,
+    upstreams: BTreeMap<name::Instance, view::Upstream>,
+    groups: BTreeMap<name::Group, view::Group>,
+    targets: BTreeMap<name::Instance, target::Target>,
+    budgets: BTreeMap<name::Pool, budget::Budget>,
+    returns: BTreeMap<(name::Pool, Option<name::Model>), returns::Returns>,
+    requests: BTreeMap<u64, request::Request>,
+    /// Whether any request has come.
+    traffic: bool,
+    stopping: bool,
+    random: rand_chacha::ChaCha8Rng,
+    now: clock::Instant,
+    actions: Vec<action::Action>,
+}
+
+impl Core {
+    /// An entry whose process started at `now`; `seed` gives its random numbers.
+    pub fn new(settings: settings::Settings, seed: u64, now: clock::Instant) -> Core {
+        Core {
+            settings,
+            table: None,
+            out: BTreeSet::new(),
+            entries: 1,
+            upstreams: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            returns: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            traffic: false,
+            stopping: false,
+            random: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
+            now,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Whether new connections are welcome: for the balancer.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping && self.table.is_some()
+    }
+
+    /// The declaration in force here.
+    pub fn table(&self) -> Option<&table::Table> {
+        self.table.as_ref()
+    }
+
+    /// Requests that are not over.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Takes in an event and says what is to be done, in order.
+    pub fn step(&mut self, now: clock::Instant, event: event::Event) -> Vec<action::Action> {
+        self.now = self.now.max(now);
+        match event {
+            event::Event::Tick => self.tell(),
+            event::Event::Viewed(update, declaration) => self.viewed(*update, declaration),
+            event::Event::Arrived(number, arrival) => self.arrived(number, *arrival),
+            event::Event::Headed(number, head) => self.headed(number, head),
+            event::Event::Moved(number, last) => self.moved(number, last),
+            event::Event::Answered(number, head) => self.answered(number, head),
+            event::Event::Ended(number) => self.ended(number),
+            event::Event::Failed(number, fault, load) => self.failed(number, fault, load),
+            event::Event::Quiet(number) => self.quiet(number),
+            event::Event::Expired(number) => self.expired(number),
+            event::Event::Gone(number) => self.gone(number),
+            event::Event::Stop => self.stop(),
+        }
+        mem::take(&mut self.actions)
+    }
+
+    fn stop(&mut self) {
+        self.stopping = true;
+        let open = self.requests.len();
+        self.note(notice::Notice::Leaving(open));
+    }
+
+    /// Tells the leader what was seen.
+    fn tell(&mut self) {
+        let named = |chosen: &dyn Fn(&target::Target) -> bool| {
+            let chosen = self.targets.iter().filter(|(_, target)| chosen(target));
+            chosen.map(|(instance, _)| instance.clone()).collect()
+        };
+        let now = self.now;
+        let ages = self
+            .targets
+            .iter()
+            .map(|(instance, target)| (instance.clone(), now.since(target.moved)));
+        let moving = ages.filter(|(_, age)| *age < MOVING).collect();
+        let evidence = peer::Evidence {
+            stalled: named(&|target| {
+                target.suspected || target.is_stalled(now) || target.health.is_away(now)
+            }),
+            moving,
+            busy: named(&|target| target.load.own > 0),
+            traffic: self.traffic,
+        };
+        self.actions.push(action::Action::Tell(evidence));
+    }
+
+    fn draw(&mut self) -> f64 {
+        self.random.random()
+    }
+
+    fn note(&mut self, notice: notice::Notice) {
+        self.actions.push(action::Action::Notice(notice));
+    }
+
+    fn decide(&mut self, number: u64, decision: action::Decision) {
+        self.actions.push(action::Action::Decide(number, decision));
+    }
+}
--- /dev/null
+++ b/crates/hyssopfork-gateway/src/core/follow.rs
@@ -0,0 +1,104 @@
+//! Following the fleet's view.
+
+use super::Core;
+use crate::{health, load, notice, table, target};
+use hyssopfork_fleet::{declaration, view};
+use hyssopfork_wire::{clock, name};
+use std::collections::BTreeMap;
+use std::mem;
+use std::sync::Arc;
+
+impl Core {
+    pub(super) fn viewed(
+        &mut self,
+        update: view::Update,
+        declaration: Option<Arc<declaration::Declaration>>,
+    ) {
+        if let Some(declaration) = declaration {
+            self.note(notice::Notice::InForce(declaration.version));
+            self.table = Some(table::Table::new(declaration));
+        }
+        if update.whole {
+            self.upstreams.clear();
+            self.groups.clear();
+        }
+        merge(&mut self.upstreams, update.upstreams);
+        merge(&mut self.groups, update.groups);
+        self.out = update.out;
+        self.entries = update.entries.max(1);
+        self.rebuild();
+    }
+
+    /// Makes the targets anew; one that is the same as before keeps its record.
+    fn rebuild(&mut self) {
+        let mut before = mem::take(&mut self.targets);
+        let mut heads: BTreeMap<&name::Instance, &view::Group> = BTreeMap::new();
+        for group in self.groups.values().filter(|group| group.serving) {
+            heads.extend(group.head().map(|head| (head, group)));
+        }
+        let Some(table) = &self.table else { return };
+        for (instance, upstream) in &self.upstreams {
+            let told = &upstream.announcement;
+            let group = heads.get(instance);
+            let engine = table.engine(&told.pool);
+            if engine.is_some() && group.is_none() {
+                continue;
+            }
+            let incarnation = target::Incarnation {
+                born: told.born,
+                epoch: group.map_or(0, |group| group.epoch),
+                address: told.address,
+            };
+            let known = before.remove(instance).filter(|it| it.incarnation == incarnation);
+            let slots = engine.map_or(told.slots, |engine| engine.slots);
+            let mut target = known.unwrap_or_else(|| fresh(self.now, incarnation, slots, told));
+            target.model = group.map(|group| group.model.clone());
+            target.standing = upstream.standing;
+            target.cold_until = self.now + told.cold;
+            self.targets.insert(instance.clone(), target);
+        }
+        // Requests of this process that run at upstreams that were left out still count there
+        // when these come back.
+        for request in self.requests.values() {
+            let Some(attempt) = &request.attempt else { continue };
+            if let Some(old) = before.get(&attempt.instance)
+                && let Some(target) = self.targets.get_mut(&attempt.instance)
+                && old.incarnation != target.incarnation
+                && old.incarnation.born == target.incarnation.born
+            {
+                target.load.own += 1;
+            }
+        }
+    }
+}
+
+fn fresh(
+    now: clock::Instant,
+    incarnation: target::Incarnation,
+    slots: u32,
+    told: &hyssopfork_fleet::announcement::Announcement,
+) -> target::Target {
+    target::Target {
+        incarnation,
+        pool: told.pool.clone(),
+        model: None,
+        zone: told.zone.clone(),
+        standing: view::Standing::Present,
+        load: load::Load::new(slots),
+        health: health::Health::default(),
+        recent: Default::default(),
+        cold_until: now,
+        moved: clock::Instant::ORIGIN,
+        suspected: false,
+        stalled: None,
+    }
+}
+
+fn merge<K: Ord, T>(table: &mut BTreeMap<K, T>, changes: Vec<(K, Option<T>)>) {
+    for (key, value) in changes {
+        match value {
+            Some(value) => drop(table.insert(key, value)),
+            None => drop(table.remove(&key)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hyssopfork-gateway/src/lib.rs
@@ -0,0 +1,28 @@
+//! Entry that sends callers' requests straight to upstreams, as a step function.
+//!
+//! It stands where no process of the system runs beside an upstream. Each request gets one final
+//! answer: the upstream's whole answer, a refusal that is true, or a broken connection.
+//!
+//! Where each decision stands: [`table`] (whose a request is and where it may go), [`choice`]
+//! (which upstream gets it, and whether any may), [`load`] (how full an upstream is), [`health`]
+//! (whether it answers), [`returns`] (when refused callers come back), [`cold`] (what it bears after a start), [`budget`] (how often work may be
+//! sent again), [`core`] (a request's way from arrival to its end), [`scanner`] (whole events of a
+//! stream).
+
+pub mod action;
+pub mod answer;
+pub mod arrival;
+pub mod budget;
+pub mod choice;
+pub mod cold;
+pub mod core;
+pub mod event;
+pub mod health;
+pub mod load;
+pub mod notice;
+pub mod request;
+pub mod returns;
+pub mod scanner;
+pub mod settings;
+pub mod table;
+pub mod target;
--- /dev/null
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -0,0 +1,55 @@
+//! Requests of an entry.
+
+use hyssopfork_fleet::declaration;
+use hyssopfork_wire::{clock, name};
+use std::time::Duration;
+
+/// The attempt that is under way.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// Upstream.
+    pub instance: name::Instance,
+    /// When it was started.
+    pub started: clock::Instant,
+    /// When bytes last came.
+    pub moved: Option<clock::Instant>,
+}
+
+/// A request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The caller's identifier of it.
+    pub identifier: String,
+    /// Route.
+    pub route: name::Route,
+    /// Team.
+    pub team: Option<name::Team>,
+    /// Pool that does the work.
+    pub pool: name::Pool,
+    /// Model.
+    pub model: Option<name::Model>,
+    /// How often the work may run.
+    pub repetition: declaration::Repetition,
+    /// Upstreams that may run it, at most.
+    pub attempts: u32,
+    /// Time to the answer within which it is on time.
+    pub objective: Duration,
+    /// When it arrived.
+    pub arrived: clock::Instant,
+    /// When its time is over.
+    pub limit: clock::Instant,
+    /// Upstreams that may have run it.
+    pub runs: u32,
+    /// Attempts made.
+    pub tries: u32,
+    /// Upstreams that it was sent to.
+    pub excluded: Vec<name::Instance>,
+    /// The attempt that is under way.
+    pub attempt: Option<Attempt>,
+    /// Whether the head of the answer has gone to the caller.
+    pub forwarded: bool,
+    /// Last event that the caller has.
+    pub last_event: Option<u64>,
+    /// When the first bytes came.
+    pub begun: Option<clock::Instant>,
+}
--- /dev/null
+++ b/crates/hyssopfork-gateway/src/target.rs
@@ -0,0 +1,76 @@
+//! An upstream that requests can be sent to.
+
+use crate::{cold, health, load};
+use hyssopfork_fleet::view;
+use hyssopfork_wire::{clock, name};
+use std::net;
+use std::time::Duration;
+
+/// Silence on all streams of an upstream, in the middle of them, after which it stands still. A step
+/// of a full batch takes 10 ms to 60 ms and an event five of them.
+pub const STALL: Duration = Duration::from_millis(500);
+
+/// Silence on all streams of an upstream after which the leader is told, so that it asks whether the
+/// upstream lives while its requests still wait; nothing else follows from it.
+pub const SUSPECT: Duration = Duration::from_millis(300);
+
+/// Silence before the first event of any stream after which an upstream stands still: a prompt may
+/// wait for a slot and for others' prompts.
+pub const FIRST_STALL: Duration = Duration::from_millis(900);
+
+/// Time after which an upstream that stood still is tried again.
+const STALL_MEMORY: Duration = Duration::from_millis(1_500);
+
+/// What a target was when its record began: another of these starts without a record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Incarnation {
+    /// Start of its process.
+    pub born: u64,
+    /// Epoch of its group; 0 for a plain service.
+    pub epoch: u64,
+    /// Where it listens.
+    pub address: net::SocketAddr,
+}
+
+/// A target.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Which process and group this record is of.
+    pub incarnation: Incarnation,
+    /// Pool.
+    pub pool: name::Pool,
+    /// Model of the group that it heads; `None` for a plain service.
+    pub model: Option<name::Model>,
+    /// Availability zone.
+    pub zone: name::Zone,
+    /// How it stands.
+    pub standing: view::Standing,
+    /// How full it is.
+    pub load: load::Load,
+    /// Whether it answers.
+    pub health: health::Health,
+    /// Sends in the last second.
+    pub recent: cold::Recent,
+    /// Until when it bears little.
+    pub cold_until: clock::Instant,
+    /// When bytes last came of any of its streams.
+    pub moved: clock::Instant,
+    /// Whether it has been silent for [`SUSPECT`].
+    pub suspected: bool,
+    /// Since when it stands still.
+    pub stalled: Option<clock::Instant>,
+}
+
+impl Target {
+    /// Whether it stood still just now.
+    pub fn is_stalled(&self, now: clock::Instant) -> bool {
+        self.stalled.is_some_and(|since| now.since(since) < STALL_MEMORY)
+    }
+
+    /// Bytes came of it.
+    pub fn moves(&mut self, now: clock::Instant) {
+        self.moved = now;
+        self.suspected = false;
+        self.stalled = None;
+    }
+}
--- a/crates/hyssopfork-settings/src/lib.rs
+++ b/crates/hyssopfork-settings/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod agent;
 pub mod control;
+pub mod edge;
 pub mod entry;
 pub mod error;
 pub mod fault;
--- a/crates/hyssopfork-settings/src/section.rs
+++ b/crates/hyssopfork-settings/src/section.rs
@@ -116,6 +116,30 @@
         }
     }
 
+    /// A decimal number in a range; `default` when absent.
+    pub fn decimal(&self, key: &'static str, default: f64, range: ops::RangeInclusive<f64>) -> f64 {
+        let Some(value) = self.get(key) else { return default };
+        let number = value.as_number_lit().and_then(|literal| literal.value.parse::<f64>().ok());
+        match number {
+            Some(number) if range.contains(&number) => number,
+            _ => {
+                let wanted = format!("a number from {} to {}", range.start(), range.end());
+                self.wrong::<()>(key, &wanted);
+                default
+            }
+        }
+    }
+
+    /// A time in seconds, whose key ends in `_seconds`.
+    pub fn seconds(
+        &self,
+        key: &'static str,
+        default: Duration,
+        range: ops::RangeInclusive<f64>,
+    ) -> Duration {
+        Duration::from_secs_f64(self.decimal(key, default.as_secs_f64(), range))
+    }
+
     /// A number that must be there.
     pub fn required_number(&self, key: &'static str, range: ops::RangeInclusive<u64>) -> u64 {
         let default = *range.start();
--- a/crates/hyssopfork-settings/src/settings.rs
+++ b/crates/hyssopfork-settings/src/settings.rs
@@ -76,10 +76,18 @@
 
 /// Reads settings from a text; every fault is in the error.
 pub fn parse(text: &str) -> Result<Settings, error::Error> {
+    parse_with(text, read_root)
+}
+
+/// Reads a text's one object with `read`; every fault is in the error.
+pub(crate) fn parse_with<T>(
+    text: &str,
+    read: impl FnOnce(section::Section<'_>) -> Option<T>,
+) -> Result<T, error::Error> {
     let log = fault::Log::new(text);
     let value = parse_value(text, &log);
     let settings = match value.as_ref().map(|value| value.as_object()) {
-        Some(Some(object)) => read_root(section::Section::new(object, "", &log)),
+        Some(Some(object)) => read(section::Section::new(object, "", &log)),
         Some(None) => {
             log.add(0, "the file must hold one object, { ... }");
             None
@@ -89,7 +97,7 @@
     finish(settings, log)
 }
 
-fn finish(settings: Option<Settings>, log: fault::Log<'_>) -> Result<Settings, error::Error> {
+fn finish<T>(settings: Option<T>, log: fault::Log<'_>) -> Result<T, error::Error> {
     let faults = log.into_faults();
     match settings {
         Some(settings) if faults.is_empty() => Ok(settings),
--- a/crates/hyssopfork-telemetry/src/log.rs
+++ b/crates/hyssopfork-telemetry/src/log.rs
@@ -5,6 +5,8 @@
 
 use hyssopfork_wire::level;
 use quick_error::quick_error;
+use std::cell::Cell;
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::filter::LevelFilter;
 use tracing_subscriber::util::SubscriberInitExt;
 
@@ -57,6 +59,45 @@
     started.map_err(|_| Error::Started)
 }
 
+/// Lines that wait for a slow reader; more are dropped and counted.
+const WAITING_LINES: usize = 8_192;
+
+/// A log that never holds its process up.
+///
+/// Lines go to a thread that writes them. When the reader is slow and [`WAITING_LINES`] wait, more
+/// are dropped: a process that waited for its log would stop serving with it.
+pub struct Bounded {
+    dropped: ErrorCounter,
+    reported: Cell<usize>,
+    /// Writes what still waits when it goes.
+    _guard: WorkerGuard,
+}
+
+impl Bounded {
+    /// Starts the log of this process; what is below `threshold` is left out.
+    pub fn start(format: Format, threshold: Threshold) -> Result<Bounded, Error> {
+        let builder = NonBlockingBuilder::default().lossy(true);
+        let (writer, guard) = builder.buffered_lines_limit(WAITING_LINES).finish(std::io::stdout());
+        let dropped = writer.error_counter();
+        let builder = tracing_subscriber::fmt()
+            .with_max_level(filter(threshold))
+            .with_target(false)
+            .with_writer(writer);
+        let started = match format {
+            Format::Json => builder.json().flatten_event(true).finish().try_init(),
+            Format::Text => builder.with_ansi(false).finish().try_init(),
+        };
+        started.map_err(|_| Error::Started)?;
+        Ok(Bounded { dropped, reported: Cell::new(0), _guard: guard })
+    }
+
+    /// Lines dropped since this was last asked.
+    pub fn dropped(&self) -> usize {
+        let dropped = self.dropped.dropped_lines();
+        dropped - self.reported.replace(dropped)
+    }
+}
+
 /// Writes a numbered event. `name` is its entry in the catalogue, `message` tells it to people,
 /// `fields` carries what scripts look for, as `key=value` with blanks between.
 pub fn emit(
