--- a/crates/hyssopfork-daemon/src/edge/control.rs
+++ b/crates/hyssopfork-daemon/src/edge/control.rs
@@ -120,6 +120,13 @@
                 let sign = engine::probe(to).await;
                 Some(event::Event::Probed(instance, sign))
             }),
+            action::Action::AskPeer { peer, instance, address } => {
+                let peers = self.peers.clone();
+                self.later(async move {
+                    let alive = peers.probe(peer, address).await;
+                    Some(event::Event::Vouched(peer, instance, alive))
+                });
+            }
             action::Action::Publish(update, declaration) => {
                 if self.news.send((update, declaration)).is_err() {
                     tracing::error!("the traffic thread has ended");
--- a/crates/hyssopfork-daemon/src/edge/peers.rs
+++ b/crates/hyssopfork-daemon/src/edge/peers.rs
@@ -1,7 +1,8 @@
 //! Calls between the system's processes.
 
-use crate::edge::control;
+use crate::edge::{control, engine};
 use crate::{link, listener, mailbox};
+use hyssopfork_fleet::groups::order;
 use hyssopfork_fleet::{action, event, peer};
 use hyssopfork_wire::{consensus, envelope};
 use std::net;
@@ -50,6 +51,13 @@
         self.0.settle(to, number, link::within(GREET_LIMIT, call).await);
     }
 
+    /// Has a peer ask an upstream for a sign of life; whether it got one.
+    pub async fn probe(&self, to: net::SocketAddr, upstream: net::SocketAddr) -> bool {
+        let Some((number, client)) = self.client(to).await else { return false };
+        let call = client.probe(link::until(GREET_LIMIT), envelope::Envelope::new(upstream));
+        self.0.settle(to, number, link::within(GREET_LIMIT, call).await).unwrap_or(false)
+    }
+
     /// Passes an upstream's call on to the leader; whether it has it.
     pub async fn register(&self, to: net::SocketAddr, registration: peer::Registration) -> bool {
         let limit = REGISTER_LIMIT;
@@ -132,6 +140,15 @@
         }
     }
 
+    async fn probe(
+        self,
+        _context: context::Context,
+        address: envelope::Envelope<net::SocketAddr>,
+    ) -> bool {
+        let Ok(address) = address.open() else { return false };
+        engine::probe(address).await == order::Sign::Alive
+    }
+
     async fn register(
         self,
         _context: context::Context,
--- a/crates/hyssopfork-daemon/src/edge/web.rs
+++ b/crates/hyssopfork-daemon/src/edge/web.rs
@@ -104,6 +104,16 @@
         Shared { limits: Cell::new(limits), phase, config: RefCell::new(None) }
     }
 
+    /// Resolves when the process closes connections on which nothing is under way.
+    async fn closing(&self) {
+        let mut phase = self.phase.clone();
+        while *phase.borrow_and_update() != Phase::Closing {
+            if phase.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
     /// The codec's configuration; one for all connections, since it keeps a clock of its own.
     fn config(&self) -> ServiceConfig {
         self.config.borrow_mut().get_or_insert_with(ServiceConfig::default).clone()
@@ -130,7 +140,13 @@
 {
     let listener = TcpListener::from_std(listener)?;
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            // Callers that come now are refused by the system at once, and go elsewhere.
+            () = shared.closing() => return Ok(()),
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let connection = Connection {
                     codec: Codec::new(shared.config()),
@@ -170,6 +186,11 @@
                 Err(Fault::Closed) => return,
                 Err(Fault::Told(status)) => return self.refuse(&mut stream, status).await,
             };
+            // Too late to be finished before the process ends; the caller is told that it has not
+            // run.
+            if *self.shared.phase.borrow() == Phase::Closing {
+                return self.refuse(&mut stream, StatusCode::SERVICE_UNAVAILABLE).await;
+            }
             let (mut reader, mut writer) = stream.split();
             let answer = tokio::select! {
                 biased;
@@ -204,21 +225,14 @@
 
     /// Waits on an idle connection for the first byte of a request.
     async fn await_first(&mut self, stream: &mut TcpStream, limits: Limits) -> Result<(), Fault> {
-        let mut phase = self.shared.phase.clone();
-        let closing = async move {
-            while *phase.borrow_and_update() != Phase::Closing {
-                if phase.changed().await.is_err() {
-                    std::future::pending::<()>().await;
-                }
-            }
-        };
+        let shared = self.shared.clone();
         tokio::select! {
             biased;
             read = stream.read_buf(&mut self.buffer) => match read {
                 Ok(0) | Err(_) => Err(Fault::Closed),
                 Ok(_) => Ok(()),
             },
-            () = closing => Err(Fault::Closed),
+            () = shared.closing() => Err(Fault::Closed),
             () = time::sleep(limits.idle_timeout) => Err(Fault::Closed),
         }
     }
--- a/crates/hyssopfork-fleet/src/action.rs
+++ b/crates/hyssopfork-fleet/src/action.rs
@@ -65,6 +65,15 @@
     Order(groups::order::Order),
     /// Ask an upstream for a sign of life.
     Probe(name::Instance, net::SocketAddr),
+    /// Have a peer ask an upstream for a sign of life.
+    AskPeer {
+        /// The peer.
+        peer: net::SocketAddr,
+        /// The upstream.
+        instance: name::Instance,
+        /// Where the upstream listens.
+        address: net::SocketAddr,
+    },
     /// Hand what is new to this process's entry.
     Publish(Box<view::Update>, Option<Arc<declaration::Declaration>>),
     /// Log a numbered event.
--- a/crates/hyssopfork-fleet/src/core/calls.rs
+++ b/crates/hyssopfork-fleet/src/core/calls.rs
@@ -192,6 +192,20 @@
         self.command(commands);
     }
 
+    pub(super) fn vouched(
+        &mut self,
+        from: net::SocketAddr,
+        instance: &name::Instance,
+        alive: bool,
+    ) {
+        let now = self.now;
+        let Some(leadership) = &mut self.leadership else { return };
+        leadership.dirty = true;
+        let registry = &mut leadership.registry;
+        let commands = leadership.groups.vouched(now, from, instance, alive, registry);
+        self.command(commands);
+    }
+
     pub(super) fn probed(&mut self, instance: &name::Instance, sign: crate::groups::order::Sign) {
         let now = self.now;
         let Some(leadership) = &mut self.leadership else { return };
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -4,7 +4,7 @@
 use crate::{action, board, groups, notice, peer, registry, view};
 use hyssopfork_consensus::{change, event as log_event};
 use hyssopfork_wire::{clock, consensus, name, number};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net;
 use std::time::Duration;
 
@@ -23,6 +23,10 @@
 /// after a second.
 const WITNESS_LIMIT: Duration = Duration::from_millis(700);
 
+/// Processes that are asked whether they reach an upstream: enough that some are in every zone,
+/// few enough for a fleet of hundreds.
+const PEERS_ASKED: usize = 16;
+
 /// Silence of a voter after which its seat is given up, where enough others answer: longer than a
 /// restart.
 const SEAT_LIMIT: Duration = Duration::from_secs(4);
@@ -119,6 +123,11 @@
         (done, late)
     }
 
+    /// Processes that can be asked about an upstream.
+    fn peers(&self) -> BTreeSet<net::SocketAddr> {
+        self.entries.keys().copied().take(PEERS_ASKED).collect()
+    }
+
     fn count_entries(&mut self, now: clock::Instant) -> u32 {
         self.entries.retain(|_, (seen, _)| now.since(*seen) < ENTRY_LIMIT);
         self.entries.len() as u32 + 1
@@ -199,8 +208,9 @@
             leadership.looked = now;
             leadership.dirty = false;
             leadership.registry.forget(now);
+            let peers = leadership.watches.peers();
             let commands = declaration
-                .map(|it| leadership.groups.look(now, &leadership.registry, &it))
+                .map(|it| leadership.groups.look(now, &leadership.registry, &it, &peers))
                 .unwrap_or_default();
             self.command(commands);
             self.post();
@@ -214,6 +224,9 @@
             let action = match command {
                 groups::Command::Order(order) => action::Action::Order(order),
                 groups::Command::Probe(instance, to) => action::Action::Probe(instance, to),
+                groups::Command::AskPeer { peer, instance, address } => {
+                    action::Action::AskPeer { peer, instance, address }
+                }
                 groups::Command::Notice(notice) => action::Action::Notice(notice),
             };
             self.act(action);
--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -45,6 +45,15 @@
     Order(order::Order),
     /// Ask for a sign of life.
     Probe(name::Instance, net::SocketAddr),
+    /// Have a peer ask for a sign of life.
+    AskPeer {
+        /// The peer.
+        peer: net::SocketAddr,
+        /// The upstream.
+        instance: name::Instance,
+        /// Where the upstream listens.
+        address: net::SocketAddr,
+    },
     /// Log a numbered event.
     Notice(notice::Notice),
 }
@@ -188,8 +197,32 @@
         sign: order::Sign,
         registry: &mut registry::Registry,
     ) -> Vec<Command> {
-        match self.inquiry.answered(now, instance, sign) {
-            inquiry::Verdict::Alive => {}
+        let verdict = self.inquiry.answered(now, instance, sign);
+        self.judge(now, instance, verdict, registry)
+    }
+
+    /// Takes what came of a peer's asking an upstream for a sign of life.
+    pub fn vouched(
+        &mut self,
+        now: clock::Instant,
+        from: net::SocketAddr,
+        instance: &name::Instance,
+        alive: bool,
+        registry: &mut registry::Registry,
+    ) -> Vec<Command> {
+        let verdict = self.inquiry.vouched(now, from, instance, alive);
+        self.judge(now, instance, verdict, registry)
+    }
+
+    fn judge(
+        &mut self,
+        now: clock::Instant,
+        instance: &name::Instance,
+        verdict: inquiry::Verdict,
+        registry: &mut registry::Registry,
+    ) -> Vec<Command> {
+        match verdict {
+            inquiry::Verdict::Alive | inquiry::Verdict::Wait => {}
             inquiry::Verdict::Ask => {
                 if let Some(record) = registry.get(instance) {
                     let address = record.announcement.address;
@@ -217,8 +250,9 @@
         now: clock::Instant,
         registry: &registry::Registry,
         declaration: &declaration::Declaration,
+        peers: &BTreeSet<net::SocketAddr>,
     ) -> Vec<Command> {
-        self.inquire(now, registry);
+        self.inquire(now, registry, peers);
         self.find_strangers(now, registry, declaration);
         self.advance(now, registry);
         for (pool, engine) in declaration.engines() {
@@ -228,7 +262,12 @@
     }
 
     /// Asks members that fell silent, and all members of groups in which everything stands still.
-    fn inquire(&mut self, now: clock::Instant, registry: &registry::Registry) {
+    fn inquire(
+        &mut self,
+        now: clock::Instant,
+        registry: &registry::Registry,
+        peers: &BTreeSet<net::SocketAddr>,
+    ) {
         let mut asked = Vec::new();
         for group in self.groups.values() {
             let stalled =
@@ -243,9 +282,16 @@
             }
         }
         for (instance, address) in asked {
-            if self.inquiry.ask(now, &instance) {
-                self.commands.push(Command::Probe(instance, address));
+            if !self.inquiry.ask(now, &instance, peers) {
+                continue;
             }
+            self.commands.push(Command::Probe(instance.clone(), address));
+            let ask = |peer: &net::SocketAddr| Command::AskPeer {
+                peer: *peer,
+                instance: instance.clone(),
+                address,
+            };
+            self.commands.extend(peers.iter().map(ask));
         }
     }
 
--- a/crates/hyssopfork-fleet/src/groups/inquiry.rs
+++ b/crates/hyssopfork-fleet/src/groups/inquiry.rs
@@ -1,39 +1,47 @@
 //! Whether an upstream that nobody hears of is dead.
 //!
-//! An upstream that is cut off from the leader alone goes on serving, and a group must not be taken
-//! apart under its callers. So silence is only a reason to ask: an upstream counts as dead when it
-//! answers nothing, several times in a row, and no entry gets bytes of it either.
+//! An upstream that is cut off from the leader, or from some entries, goes on serving the others. A
+//! head that is taken for dead while it is open would see its members join other groups under its
+//! callers. So silence is only a reason to ask: an upstream counts as dead when it answers neither
+//! the leader, several times in a row, nor any of the processes that the leader asks to ask, and no
+//! entry has got bytes of it since.
 
 use crate::{groups::order, peer};
 use hyssopfork_wire::{clock, name};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net;
 use std::time::Duration;
 
-/// Unanswered questions in a row after which an upstream is dead. One is lost with a packet or two;
-/// three in 0.5 s are not, at a loss of one packet in twenty.
+/// Unanswered questions of the leader in a row after which only others' word can save an upstream.
+/// One is lost with a packet or two; three in 0.5 s are not, at a loss of one packet in twenty.
 const MISSES: u32 = 3;
 
 /// Age up to which bytes that an entry got show that an upstream lives. A step takes tens of
-/// milliseconds, so that one that serves anybody sends bytes more often than this; what entries saw
-/// since they last told is the reason to ask before judging.
+/// milliseconds, so that one that serves anybody sends bytes more often than this.
 const MOVING: Duration = Duration::from_millis(280);
 
 /// Time before an upstream that answered is asked again for the same reason.
 const AGAIN: Duration = Duration::from_millis(1_000);
 
+/// Time after which a question that was not settled is asked anew.
+const SETTLED: Duration = Duration::from_millis(1_500);
+
 #[derive(Clone, Debug)]
 struct Question {
     asked: clock::Instant,
     open: bool,
     misses: u32,
+    /// Processes that were asked to ask and have not answered.
+    pending: BTreeSet<net::SocketAddr>,
 }
 
 /// Verdict on an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// Nothing is known yet: ask again.
+    /// The leader asks again.
     Ask,
+    /// Others have not said yet.
+    Wait,
     /// It is dead.
     Dead,
     /// It lives.
@@ -67,48 +75,69 @@
         self.stalled.retain(|_, entries| !entries.is_empty());
     }
 
-    /// Whether an entry got bytes of the upstream lately.
-    pub fn is_moving(&self, now: clock::Instant, instance: &name::Instance) -> bool {
-        self.moving.get(instance).is_some_and(|seen| now.since(*seen) < MOVING)
-    }
-
     /// Whether everything stands still on the upstream, for all who use it.
     pub fn is_stalled(&self, now: clock::Instant, instance: &name::Instance) -> bool {
         self.stalled.contains_key(instance) && !self.is_moving(now, instance)
     }
 
-    /// Whether to ask the upstream now for a sign of life; notes the question when so.
-    pub fn ask(&mut self, now: clock::Instant, instance: &name::Instance) -> bool {
-        let due = |question: &Question| !question.open && now.since(question.asked) >= AGAIN;
+    /// Whether to ask the upstream now for a sign of life, and to have `others` ask it; notes the
+    /// question when so.
+    pub fn ask(
+        &mut self,
+        now: clock::Instant,
+        instance: &name::Instance,
+        others: &BTreeSet<net::SocketAddr>,
+    ) -> bool {
+        let due = |question: &Question| {
+            let time = if question.open { SETTLED } else { AGAIN };
+            now.since(question.asked) >= time
+        };
         if self.questions.get(instance).is_some_and(|question| !due(question)) {
             return false;
         }
-        let question = Question { asked: now, open: true, misses: 0 };
+        let question = Question { asked: now, open: true, misses: 0, pending: others.clone() };
         self.questions.insert(instance.clone(), question);
         true
     }
 
-    /// Takes what came of a question.
+    /// Takes what came of the leader's own question.
     pub fn answered(
         &mut self,
         now: clock::Instant,
         instance: &name::Instance,
         sign: order::Sign,
     ) -> Verdict {
-        let moving = self.is_moving(now, instance);
-        let Some(question) = self.questions.get_mut(instance) else { return Verdict::Alive };
-        question.misses = if sign == order::Sign::Missing { question.misses + 1 } else { 0 };
-        let dead = sign == order::Sign::Refused || question.misses >= MISSES;
-        if dead && !moving {
-            self.questions.remove(instance);
-            return Verdict::Dead;
+        let Some(question) = self.questions.get_mut(instance).filter(|it| it.open) else {
+            return Verdict::Alive;
+        };
+        match sign {
+            order::Sign::Alive => {
+                question.open = false;
+                return Verdict::Alive;
+            }
+            order::Sign::Refused => question.misses = MISSES,
+            order::Sign::Missing => question.misses += 1,
         }
-        if sign == order::Sign::Missing && question.misses < MISSES {
-            question.asked = now;
-            return Verdict::Ask;
+        if question.misses < MISSES { Verdict::Ask } else { self.verdict(now, instance) }
+    }
+
+    /// Takes what came of another's question; `false` also when it could not be asked.
+    pub fn vouched(
+        &mut self,
+        now: clock::Instant,
+        from: net::SocketAddr,
+        instance: &name::Instance,
+        alive: bool,
+    ) -> Verdict {
+        let Some(question) = self.questions.get_mut(instance).filter(|it| it.open) else {
+            return Verdict::Alive;
+        };
+        question.pending.remove(&from);
+        if alive {
+            question.open = false;
+            return Verdict::Alive;
         }
-        question.open = false;
-        Verdict::Alive
+        self.verdict(now, instance)
     }
 
     /// Forgets an upstream.
@@ -117,4 +146,17 @@
         self.moving.remove(instance);
         self.stalled.remove(instance);
     }
+
+    fn verdict(&self, now: clock::Instant, instance: &name::Instance) -> Verdict {
+        let Some(question) = self.questions.get(instance) else { return Verdict::Alive };
+        if self.is_moving(now, instance) {
+            return Verdict::Alive;
+        }
+        let settled = question.misses >= MISSES && question.pending.is_empty();
+        if settled { Verdict::Dead } else { Verdict::Wait }
+    }
+
+    fn is_moving(&self, now: clock::Instant, instance: &name::Instance) -> bool {
+        self.moving.get(instance).is_some_and(|seen| now.since(*seen) < MOVING)
+    }
 }
--- a/crates/hyssopfork-fleet/src/peer.rs
+++ b/crates/hyssopfork-fleet/src/peer.rs
@@ -96,6 +96,9 @@
     async fn watch(watch: envelope::Envelope<Watch>) -> Answer;
     /// Takes what an entry saw, without waiting for its next watch.
     async fn note(from: net::SocketAddr, evidence: envelope::Envelope<Evidence>);
+    /// Asks an upstream for a sign of life, in the place of a leader that gets none; whether it gave
+    /// one.
+    async fn probe(address: envelope::Envelope<net::SocketAddr>) -> bool;
     /// Takes an upstream's call in the leader's place; whether the leader has it.
     async fn register(registration: envelope::Envelope<Registration>) -> bool;
 }
