Have members leave a lost group themselves before they join another

Ruled out: asking peers before the verdict does not help, since none of them reaches the head.

Change: a group that ends has every member leave by its own word; one that counted as dead is still a member when it is heard of again. Only epochs that were never told to open free their members.

--- a/crates/hyssopfork-daemon/src/edge/process.rs
+++ b/crates/hyssopfork-daemon/src/edge/process.rs
@@ -144,7 +144,6 @@
             has_folder: settings.data_folder.is_some(),
             tolerated: settings.tolerated_losses,
             heartbeat: settings.heartbeat,
-            stall: settings.stall,
         };
         let core = core::Core::new(core_settings, operator::known, clock::now());
         let folder = match &settings.data_folder {
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -166,7 +166,7 @@
         let mut registry = registry::Registry::new(self.settings.silence());
         // Who starts the system knows that nobody has sent yet; whoever takes over doesn't.
         let traffic = !self.settings.first_start || term.0 > 1;
-        let mut groups = groups::Groups::new(now, term, self.settings.stall, traffic);
+        let mut groups = groups::Groups::new(now, term, traffic);
         let Copy { upstreams, groups: known, .. } = self.copy.clone();
         for upstream in upstreams.into_values() {
             registry.adopt(now, upstream);
--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -5,8 +5,8 @@
 //! - *A group opens only when every member has been ready under its epoch.* The order to open goes
 //!   out after each member's own word; an engine's word carries group and epoch.
 //! - *No member joins another group while its group's head is open.* A member is free only when its
-//!   group was never told to open, or its head's own word, or its answer to the order to leave, says
-//!   that it is out, or it is dead.
+//!   group was never told to open, or has closed by its head's own word, or when the member itself
+//!   has left. A head that is silent may be open where nobody hears it, so its silence frees nobody.
 //! - *An epoch is never used twice.* It begins with the leader's term, of which there is one leader.
 
 pub mod group;
@@ -70,13 +70,13 @@
 #[derive(Clone, Debug)]
 pub struct Groups {
     groups: BTreeMap<name::Group, Group>,
-    /// Epochs that this leader has ended.
+    /// Epochs that this leader has ended before they were told to open.
     ended: BTreeSet<u64>,
+    /// Engines that have left an epoch which others have not left yet.
+    left: BTreeSet<(u64, name::Instance)>,
     term: number::Term,
     formed: u64,
     started: clock::Instant,
-    /// Time after which a group whose head is lost is surely broken.
-    stall: Duration,
     /// Whether callers have begun to send: before, loads of weights have the store to themselves.
     traffic: bool,
     inquiry: inquiry::Inquiry,
@@ -91,14 +91,14 @@
 
 impl Groups {
     /// No groups yet, at the start of a leader's term.
-    pub fn new(now: clock::Instant, term: number::Term, stall: Duration, traffic: bool) -> Groups {
+    pub fn new(now: clock::Instant, term: number::Term, traffic: bool) -> Groups {
         Groups {
             groups: BTreeMap::new(),
             ended: BTreeSet::new(),
+            left: BTreeSet::new(),
             term,
             formed: 0,
             started: now,
-            stall,
             traffic,
             inquiry: inquiry::Inquiry::default(),
             pace: loads::Pace::new(now),
@@ -181,10 +181,11 @@
                 }
             }
             order::Outcome::Unfit => {}
-            order::Outcome::Outdated => self.end(&ticket.group),
+            order::Outcome::Outdated if !ticket.leaves => self.end(&ticket.group),
+            order::Outcome::Outdated => {}
         }
         if ticket.leaves && outcome != order::Outcome::Unknown {
-            self.end(&ticket.group);
+            self.leave(&ticket.group, &ticket.instance);
         }
         self.look_again(now, registry)
     }
@@ -295,10 +296,8 @@
         }
     }
 
-    /// Takes in open groups that this leader knows from their members' words alone.
-    ///
-    /// A whole one goes on. One that lacks a member may still call itself open, and its members
-    /// must not join another group before its head has left.
+    /// Takes in groups that this leader knows from their members' words alone: a whole one that is
+    /// open goes on, and the members of any other are made to leave.
     fn find_strangers(
         &mut self,
         now: clock::Instant,
@@ -306,34 +305,19 @@
         declaration: &declaration::Declaration,
     ) {
         let settled = now.since(self.started) >= SETTLE;
-        for (instance, record) in registry.iter() {
-            let Some(membership) = &record.announcement.membership else { continue };
-            let open = matches!(
-                membership.state,
-                announcement::State::Open | announcement::State::Closing
-            );
-            let known =
-                self.group_of(instance).is_some() || self.groups.contains_key(&membership.group);
-            let heard = !record.dead && !registry.is_silent(now, record);
-            if membership.rank != 0 || !open || known || !heard {
+        for (name, stranger) in self.strangers(now, registry) {
+            let whole = stranger.size(declaration) == Some(stranger.members.len());
+            let serving = whole && stranger.open;
+            if !serving && !settled {
                 continue;
             }
-            let members = members_of(now, registry, membership);
-            let whole = size_of(declaration, record).is_some_and(|size| size == members.len());
-            if !whole && !settled {
-                continue;
-            }
-            let model = record.announcement.loaded.clone();
-            let serving = whole && membership.state == announcement::State::Open;
             let known = view::Group {
-                pool: record.announcement.pool.clone(),
-                model: model.unwrap_or_else(|| name::Model::from("")),
-                members: if whole { members } else { vec![instance.clone()] },
-                epoch: membership.epoch,
+                pool: stranger.pool,
+                model: stranger.model.unwrap_or_else(|| name::Model::from("")),
+                members: stranger.members.into_values().collect(),
+                epoch: stranger.epoch,
                 serving,
             };
-            let (name, epoch) = (membership.group.clone(), membership.epoch);
-            self.ended.remove(&epoch);
             self.adopt(now, &name, known, registry);
             if let Some(group) = self.groups.get_mut(&name).filter(|_| !serving) {
                 group.turn(now, Stage::Leaving);
@@ -341,6 +325,37 @@
         }
     }
 
+    fn strangers(
+        &self,
+        now: clock::Instant,
+        registry: &registry::Registry,
+    ) -> BTreeMap<name::Group, Stranger> {
+        let mut strangers: BTreeMap<name::Group, Stranger> = BTreeMap::new();
+        for (instance, record) in registry.iter() {
+            let Some(membership) = &record.announcement.membership else { continue };
+            let heard = !record.dead && !registry.is_silent(now, record);
+            let known = self.ended.contains(&membership.epoch)
+                || self.left.contains(&(membership.epoch, instance.clone()))
+                || self.groups.contains_key(&membership.group)
+                || self.group_of(instance).is_some();
+            if known || !heard || membership.state == announcement::State::Broken {
+                continue;
+            }
+            let stranger = strangers.entry(membership.group.clone()).or_insert_with(|| Stranger {
+                pool: record.announcement.pool.clone(),
+                model: record.announcement.loaded.clone(),
+                epoch: membership.epoch,
+                members: BTreeMap::new(),
+                open: false,
+            });
+            if membership.epoch == stranger.epoch {
+                stranger.members.insert(membership.rank, instance.clone());
+                stranger.open |= membership.state == announcement::State::Open;
+            }
+        }
+        strangers
+    }
+
     /// Takes each group as far as its members' words allow.
     fn advance(&mut self, now: clock::Instant, registry: &registry::Registry) {
         let names: Vec<name::Group> = self.groups.keys().cloned().collect();
@@ -377,7 +392,7 @@
             Stage::Opening => self.wait_for_opening(now, name, members[0], registry),
             Stage::Serving => self.watch_over(now, name, &members),
             Stage::Closing => self.wait_for_closing(now, name, &members, registry),
-            Stage::Leaving => self.wait_for_leaving(now, name, members[0], registry),
+            Stage::Leaving => self.wait_for_leaving(now, name, &members, registry),
         }
     }
 
@@ -456,8 +471,9 @@
         use announcement::State;
         let late = self.groups.get(name).is_none_or(|it| now.since(it.since) >= CLOSE_LIMIT);
         match members[0] {
+            // An order to open that was held up could still open a head that has only closed.
             Member::Inside(State::Ready) | Member::Departing(State::Ready) | Member::Outside => {
-                self.end(name);
+                self.turn(now, name, Stage::Leaving);
             }
             _ if late || members.contains(&Member::Lost) => self.turn(now, name, Stage::Leaving),
             Member::Inside(State::Broken) | Member::Departing(State::Broken) => {
@@ -472,23 +488,47 @@
         }
     }
 
+    /// Has every member leave; who is out is free at once.
     fn wait_for_leaving(
         &mut self,
         now: clock::Instant,
         name: &name::Group,
-        head: Member,
+        members: &[Member],
         registry: &registry::Registry,
     ) {
-        match head {
-            Member::Lost | Member::Outside => self.end(name),
-            _ => {
-                if let Some(head) = self.groups.get(name).map(|group| group.head().clone()) {
-                    self.order(now, name, &head, order::Task::Leave, registry);
+        let Some(group) = self.groups.get(name) else { return };
+        let named: Vec<(name::Instance, Member)> =
+            group.members.iter().cloned().zip(members.iter().copied()).collect();
+        for (instance, member) in named {
+            match member {
+                // One that is only cut off is still a member when it is heard of again.
+                Member::Lost => self.drop_member(name, &instance),
+                Member::Outside => self.leave(name, &instance),
+                Member::Departing(_) | Member::Inside(_) => {
+                    self.order(now, name, &instance, order::Task::Leave, registry);
                 }
             }
         }
     }
 
+    /// A member is out of a group that ends.
+    fn leave(&mut self, name: &name::Group, instance: &name::Instance) {
+        let Some(group) = self.groups.get_mut(name) else { return };
+        if group.stage != Stage::Leaving {
+            return;
+        }
+        self.left.insert((group.epoch, instance.clone()));
+        self.drop_member(name, instance);
+    }
+
+    fn drop_member(&mut self, name: &name::Group, instance: &name::Instance) {
+        let Some(group) = self.groups.get_mut(name) else { return };
+        group.members.retain(|member| member != instance);
+        if group.members.is_empty() {
+            self.end(name);
+        }
+    }
+
     /// Gives an order, unless it was given just now.
     fn order(
         &mut self,
@@ -567,10 +607,13 @@
         self.note(notice::Notice::Turned(name.clone(), stage));
     }
 
-    /// Ends a group: its members are free.
+    /// Ends a group. Members of one that was never told to open are free; of any other, those that
+    /// have left.
     fn end(&mut self, name: &name::Group) {
         if let Some(group) = self.groups.remove(name) {
-            self.ended.insert(group.epoch);
+            if group.stage.is_reserve() || group.stage == Stage::Joining {
+                self.ended.insert(group.epoch);
+            }
             self.note(notice::Notice::Ended(name.clone()));
         }
     }
@@ -584,31 +627,23 @@
     }
 }
 
-/// Instances that say that they are in the membership's group and epoch, by rank.
-fn members_of(
-    now: clock::Instant,
-    registry: &registry::Registry,
-    membership: &announcement::Membership,
-) -> Vec<name::Instance> {
-    let mut members: BTreeMap<u32, name::Instance> = BTreeMap::new();
-    for (instance, record) in registry.iter() {
-        if !record.is_sound() || registry.is_silent(now, record) {
-            continue;
-        }
-        if let Some(other) = &record.announcement.membership
-            && other.group == membership.group
-            && other.epoch == membership.epoch
-        {
-            members.insert(other.rank, instance.clone());
-        }
-    }
-    members.into_values().collect()
+/// A group that is known from its members' words alone.
+struct Stranger {
+    pool: name::Pool,
+    model: Option<name::Model>,
+    epoch: u64,
+    /// Members that are heard of, by rank.
+    members: BTreeMap<u32, name::Instance>,
+    /// Whether the head says that it is open.
+    open: bool,
 }
 
-/// Size of a group of the model that the instance runs.
-fn size_of(declaration: &declaration::Declaration, record: &registry::Record) -> Option<usize> {
-    let engine = declaration.pools.get(&record.announcement.pool)?.engine.as_ref()?;
-    let loaded = record.announcement.loaded.as_ref()?;
-    let model = engine.models.iter().find(|model| model.name == *loaded)?;
-    Some(model.size as usize)
+impl Stranger {
+    /// Size of a group of its model.
+    fn size(&self, declaration: &declaration::Declaration) -> Option<usize> {
+        let engine = declaration.pools.get(&self.pool)?.engine.as_ref()?;
+        let loaded = self.model.as_ref()?;
+        let model = engine.models.iter().find(|model| model.name == *loaded)?;
+        Some(model.size as usize)
+    }
 }
--- a/crates/hyssopfork-fleet/src/groups/planning.rs
+++ b/crates/hyssopfork-fleet/src/groups/planning.rs
@@ -243,7 +243,7 @@
             let usable = told.pool == *scene.pool
                 && record.is_sound()
                 && !scene.registry.is_silent(scene.now, record)
-                && self.is_available(scene, instance, told);
+                && self.is_available(instance, told);
             usable.then(|| Candidate {
                 instance: instance.clone(),
                 domain: told.domain.clone(),
@@ -254,15 +254,10 @@
         scene.registry.iter().filter_map(candidate).collect()
     }
 
-    fn is_available(
-        &self,
-        scene: &Scene<'_>,
-        instance: &name::Instance,
-        told: &announcement::Announcement,
-    ) -> bool {
+    fn is_available(&self, instance: &name::Instance, told: &announcement::Announcement) -> bool {
         match self.group_of(instance) {
             Some((_, group)) => group.stage == Stage::Prepared,
-            None => !self.is_bound(scene.now, told, scene.registry),
+            None => !self.is_bound(instance, told),
         }
     }
 
@@ -382,32 +377,15 @@
         room && self.pace.begin(scene.now, scene.engine.loads_per_second)
     }
 
-    /// Whether an open head may still count on the engine: it is a member, not the head, of an
-    /// epoch that this leader has not ended, and that head has said nothing, or that it is open.
-    /// A head that stands still for want of a member is broken after [`Groups::stall`].
-    fn is_bound(
-        &self,
-        now: clock::Instant,
-        told: &announcement::Announcement,
-        registry: &registry::Registry,
-    ) -> bool {
+    /// Whether the engine is in a group that this leader has not ended: it must leave that before
+    /// it joins another, since the group's head may be open where nobody hears it.
+    fn is_bound(&self, instance: &name::Instance, told: &announcement::Announcement) -> bool {
         use announcement::State;
         let Some(membership) = &told.membership else { return false };
-        if self.ended.contains(&membership.epoch) || membership.state == State::Broken {
-            return false;
-        }
-        if membership.rank == 0 {
-            return matches!(membership.state, State::Open | State::Closing);
-        }
-        let head = registry.iter().find_map(|(_, record)| {
-            let other = record.announcement.membership.as_ref()?;
-            let same = other.group == membership.group && other.epoch == membership.epoch;
-            (same && other.rank == 0).then_some((record, other.state))
-        });
-        match head {
-            Some((record, state)) if !record.dead => matches!(state, State::Open | State::Closing),
-            _ => now.since(self.started) < self.stall + super::SETTLE,
-        }
+        let ended = self.ended.contains(&membership.epoch)
+            || self.left.contains(&(membership.epoch, instance.clone()));
+        let serves = matches!(membership.state, State::Open | State::Closing);
+        !ended && membership.state != State::Broken && (membership.rank > 0 || serves)
     }
 }
 
--- a/crates/hyssopfork-fleet/src/settings.rs
+++ b/crates/hyssopfork-fleet/src/settings.rs
@@ -19,8 +19,6 @@
     pub tolerated: u32,
     /// Time between heartbeats of an upstream.
     pub heartbeat: Duration,
-    /// Time after which a group whose member was lost stops taking requests by itself.
-    pub stall: Duration,
 }
 
 impl Settings {
--- a/crates/hyssopfork-settings/src/edge.rs
+++ b/crates/hyssopfork-settings/src/edge.rs
@@ -32,8 +32,6 @@
     pub tolerated_losses: u32,
     /// Time between heartbeats of an upstream.
     pub heartbeat: Duration,
-    /// Time after which a group that lost a member stops taking requests by itself.
-    pub stall: Duration,
     /// Time that a process has from the request to stop until it is ended.
     pub grace: Duration,
     /// Sends beyond a request's first for each request, over all processes.
@@ -61,8 +59,6 @@
 
 /// Default of `heartbeat_ms`: often enough that a silent upstream shows within seconds.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
-/// Default of `stall_ms`: the time that the engines in use take.
-const STALL: Duration = Duration::from_secs(5);
 /// Default of `grace_seconds`: longer than most answers.
 const GRACE: Duration = Duration::from_secs(8);
 /// Default of `retry_ratio`: load grows by a fifth at most.
@@ -101,7 +97,6 @@
     let data_folder = section.text("data_folder").filter(|folder| !folder.is_empty());
     let tolerated_losses = section.number("tolerated_losses", 1, 0..=6) as u32;
     let heartbeat = section.millis("heartbeat_ms", HEARTBEAT, 10..=MOST_MS);
-    let stall = section.millis("stall_ms", STALL, 1..=MOST_MS);
     let grace = section.seconds("grace_seconds", GRACE, 0.1..=MOST_SECONDS);
     let retry_ratio = section.decimal("retry_ratio", RETRY_RATIO, 0.0..=10.0);
     let retry_extra = section.decimal("retry_extra", RETRY_EXTRA, 0.0..=1_000_000.0);
@@ -121,7 +116,6 @@
         data_folder: data_folder.map(path::PathBuf::from),
         tolerated_losses,
         heartbeat,
-        stall,
         grace,
         retry_ratio,
         retry_extra,
