Limit requests at an upstream by the objective; plan without zones that are out

Change: a limit that falls with answers that begin nearly late; groups of zones that are out do not count in the plan, so reserves of the others form groups while a zone is out.

Ruled out: a bound on the wait for a slot worked out from slots alone admits until the slots are full, where the first event already takes 0.4 s and more.

--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -210,7 +210,9 @@
             leadership.registry.forget(now);
             let peers = leadership.watches.peers();
             let commands = declaration
-                .map(|it| leadership.groups.look(now, &leadership.registry, &it, &peers))
+                .map(|it| {
+                    leadership.groups.look(now, &leadership.registry, &it, &peers, &self.state.out)
+                })
                 .unwrap_or_default();
             self.command(commands);
             self.post();
--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -252,12 +252,13 @@
         registry: &registry::Registry,
         declaration: &declaration::Declaration,
         peers: &BTreeSet<net::SocketAddr>,
+        out: &BTreeSet<name::Zone>,
     ) -> Vec<Command> {
         self.inquire(now, registry, peers);
         self.find_strangers(now, registry, declaration);
         self.advance(now, registry);
         for (pool, engine) in declaration.engines() {
-            self.plan(now, pool, engine, registry);
+            self.plan(now, pool, engine, registry, out);
         }
         std::mem::take(&mut self.commands)
     }
--- a/crates/hyssopfork-fleet/src/groups/planning.rs
+++ b/crates/hyssopfork-fleet/src/groups/planning.rs
@@ -10,7 +10,7 @@
 use crate::{announcement, declaration, registry};
 use hyssopfork_wire::{clock, name};
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Time for which a domain's instances count after they were lost: while they come back, the plan
@@ -79,6 +79,8 @@
     pool: &'a name::Pool,
     engine: &'a declaration::Engine,
     registry: &'a registry::Registry,
+    /// Zones that are out: their groups serve nobody, and nothing is formed there.
+    out: &'a BTreeSet<name::Zone>,
     models: Vec<plan::Model>,
     layout: plan::Layout,
     /// Instances of each domain by which the plan was made.
@@ -91,6 +93,12 @@
         plan::totals(&self.layout).get(&model.name).copied().unwrap_or_default()
     }
 
+    /// Whether a group can serve: its head is in no zone that is out.
+    fn is_in(&self, group: &super::Group) -> bool {
+        let head = group.members.first().and_then(|head| self.registry.get(head));
+        head.is_none_or(|record| !self.out.contains(&record.announcement.zone))
+    }
+
     fn load_time(&self, model: &name::Model) -> Duration {
         let declared = self.engine.models.iter().find(|it| it.name == *model);
         declared.map_or(Duration::ZERO, |model| model.load)
@@ -104,11 +112,12 @@
         pool: &name::Pool,
         engine: &declaration::Engine,
         registry: &registry::Registry,
+        out: &BTreeSet<name::Zone>,
     ) {
         let models: Vec<plan::Model> = engine.models.iter().map(model).collect();
         let peaks = self.peaks.follow(now, pool, &usable(now, pool, registry));
         let layout = plan::layout(&peaks, &models);
-        let scene = Scene { now, pool, engine, registry, models, layout, peaks };
+        let scene = Scene { now, pool, engine, registry, out, models, layout, peaks };
         self.form_groups(&scene);
         self.sacrifice(&scene);
         self.prepare(&scene);
@@ -117,7 +126,7 @@
 
     /// Part of its plan that the model has, were there `more` groups of it.
     fn filled(&self, scene: &Scene<'_>, model: &plan::Model, more: i64) -> f64 {
-        let groups = self.count(scene.pool, &model.name) as i64 + more;
+        let groups = self.count(scene, &model.name) as i64 + more;
         groups as f64 / scene.total(model).max(1) as f64
     }
 
@@ -135,7 +144,7 @@
     }
 
     fn is_behind(&self, scene: &Scene<'_>, model: &plan::Model) -> bool {
-        self.count(scene.pool, &model.name) < scene.total(model)
+        self.count(scene, &model.name) < scene.total(model)
     }
 
     fn form_one(&mut self, scene: &Scene<'_>, model: &plan::Model) -> bool {
@@ -174,9 +183,12 @@
     }
 
     /// Groups of the model that serve or will in a moment.
-    fn count(&self, pool: &name::Pool, model: &name::Model) -> usize {
+    fn count(&self, scene: &Scene<'_>, model: &name::Model) -> usize {
         let counts = |group: &&super::Group| {
-            group.pool == *pool && group.model == *model && group.stage.counts()
+            group.pool == *scene.pool
+                && group.model == *model
+                && group.stage.counts()
+                && scene.is_in(group)
         };
         self.groups.values().filter(counts).count()
     }
@@ -224,6 +236,7 @@
             if group.pool != *scene.pool
                 || group.model != rich.name
                 || group.stage != Stage::Serving
+                || !scene.is_in(group)
             {
                 return None;
             }
@@ -242,6 +255,7 @@
             let told = &record.announcement;
             let usable = told.pool == *scene.pool
                 && record.is_sound()
+                && !scene.out.contains(&told.zone)
                 && !scene.registry.is_silent(scene.now, record)
                 && self.is_available(instance, told);
             usable.then(|| Candidate {
--- a/crates/hyssopfork-gateway/src/choice.rs
+++ b/crates/hyssopfork-gateway/src/choice.rs
@@ -7,9 +7,9 @@
 //! *Without it.* Requests queue at upstreams until their objective has passed: all are served late,
 //! and none in time.
 //!
-//! *Rule.* The upstream with the smallest part of its slots taken, one of the own zone among equals.
-//! When even there the wait for a slot takes up more than [`WAIT_SHARE`] of the objective, the
-//! request is refused at once and told when a slot will be free.
+//! *Rule.* The upstream with the smallest part of its [`limit`](crate::limit) taken, one of the own
+//! zone among equals. When even that is full, the request is refused at once and told when a place
+//! will be free.
 
 use crate::target;
 use hyssopfork_fleet::view;
@@ -17,8 +17,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Part of the objective that the wait for a slot may take up; the rest is for reading the prompt.
-const WAIT_SHARE: f64 = 0.6;
+/// Part of its slots beyond its limit that an upstream takes of requests that were accepted before
+/// and lost their upstream: to refuse them would break off what their callers have.
+const AGAIN: f64 = 0.5;
 
 /// Part of its slots by which an upstream of another zone must be emptier to go first: traffic
 /// between zones costs, but less than a late answer.
@@ -38,8 +39,6 @@
     pub zone: &'a name::Zone,
     /// Upstreams that it was sent to before.
     pub excluded: &'a [name::Instance],
-    /// Time to the answer within which it is on time.
-    pub objective: Duration,
     /// Whether the request was accepted before and only goes on elsewhere: it is not refused for
     /// want of room in the queue.
     pub again: bool,
@@ -107,9 +106,10 @@
     let Some((instance, target)) = best else {
         return if candidates.is_empty() { Choice::Nobody } else { Choice::Full(Duration::ZERO) };
     };
-    let wait = target.load.wait(now);
-    if !want.again && wait > want.objective.mul_f64(WAIT_SHARE) {
-        return Choice::Full(wait);
+    let room = if want.again { target.load.slots() * AGAIN } else { 0.0 };
+    let over = target.load.estimate(now) + 1.0 - target.limit.get() - room;
+    if over > 0.0 {
+        return Choice::Full(Duration::from_secs_f64(over / target.load.pace()));
     }
     Choice::Take((*instance).clone())
 }
@@ -133,6 +133,6 @@
 }
 
 fn score(now: clock::Instant, target: &target::Target, zone: &name::Zone) -> f64 {
-    let taken = target.load.estimate(now) / target.load.slots();
+    let taken = target.load.estimate(now) / target.limit.get();
     if target.zone == *zone { taken } else { taken + ZONE_WORTH }
 }
--- a/crates/hyssopfork-gateway/src/core/follow.rs
+++ b/crates/hyssopfork-gateway/src/core/follow.rs
@@ -1,7 +1,7 @@
 //! Following the fleet's view.
 
 use super::Core;
-use crate::{health, load, notice, table, target};
+use crate::{health, limit, load, notice, table, target};
 use hyssopfork_fleet::{declaration, view};
 use hyssopfork_wire::{clock, name};
 use std::collections::BTreeMap;
@@ -85,6 +85,7 @@
         zone: told.zone.clone(),
         standing: view::Standing::Present,
         load: load::Load::new(slots),
+        limit: limit::Limit::new(slots),
         health: health::Health::default(),
         recent: Default::default(),
         cold_until: now,
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -74,7 +74,6 @@
             model: request.model.as_ref(),
             zone: &self.settings.zone,
             excluded: &request.excluded,
-            objective: request.objective,
             again,
         };
         let cold_rate = self.table.as_ref().and_then(|table| table.cold_rate(&request.pool));
@@ -94,8 +93,12 @@
         target.load.own += 1;
         target.recent.note(now);
         request.tries += 1;
-        request.attempt =
-            Some(request::Attempt { instance: instance.clone(), started: now, moved: None });
+        request.attempt = Some(request::Attempt {
+            instance: instance.clone(),
+            started: now,
+            load: load.0,
+            moved: None,
+        });
         let start = action::Start {
             instance: instance.clone(),
             address: target.incarnation.address,
@@ -150,13 +153,15 @@
     /// Bytes came of the request's upstream.
     fn hear(&mut self, number: u64, report: Option<load::Report>) {
         let now = self.now;
-        let Some(attempt) = self.requests.get_mut(&number).and_then(|it| it.attempt.as_mut())
-        else {
-            return;
-        };
-        attempt.moved = Some(now);
+        let Some(request) = self.requests.get_mut(&number) else { return };
+        let objective = request.objective;
+        let Some(attempt) = &mut request.attempt else { return };
+        let first = attempt.moved.replace(now).is_none();
         let Some(target) = self.targets.get_mut(&attempt.instance) else { return };
         target.moves(now);
+        if first {
+            target.limit.began(now.since(attempt.started), objective, attempt.load);
+        }
         if let Some(report) = report {
             target.load.report(now, report);
         }
@@ -361,7 +366,6 @@
             model: request.model.as_ref(),
             zone: &self.settings.zone,
             excluded: &excluded,
-            objective: request.objective,
             again: true,
         };
         let cold_rate = self.table.as_ref().and_then(|table| table.cold_rate(&request.pool));
--- a/crates/hyssopfork-gateway/src/lib.rs
+++ b/crates/hyssopfork-gateway/src/lib.rs
@@ -4,7 +4,8 @@
 //! answer: the upstream's whole answer, a refusal that is true, or a broken connection.
 //!
 //! Where each decision stands: [`table`] (whose a request is and where it may go), [`choice`]
-//! (which upstream gets it, and whether any may), [`load`] (how full an upstream is), [`health`]
+//! (which upstream gets it, and whether any may), [`load`] (how full an upstream is), [`limit`] (how
+//! full it may be), [`health`]
 //! (whether it answers), [`returns`] (when refused callers come back), [`cold`] (what it bears after a start), [`budget`] (how often work may be
 //! sent again), [`core`] (a request's way from arrival to its end), [`scanner`] (whole events of a
 //! stream).
@@ -18,6 +19,7 @@
 pub mod core;
 pub mod event;
 pub mod health;
+pub mod limit;
 pub mod load;
 pub mod notice;
 pub mod request;
--- a/crates/hyssopfork-gateway/src/load.rs
+++ b/crates/hyssopfork-gateway/src/load.rs
@@ -78,10 +78,4 @@
     pub fn pace(&self) -> f64 {
         self.slots() / self.time.max(0.001)
     }
-
-    /// How long a request that is sent now waits for a slot.
-    pub fn wait(&self, now: clock::Instant) -> Duration {
-        let ahead = (self.estimate(now) + 1.0 - self.slots()).max(0.0);
-        Duration::from_secs_f64(ahead / self.slots() * self.time)
-    }
 }
--- a/crates/hyssopfork-gateway/src/request.rs
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -11,6 +11,8 @@
     pub instance: name::Instance,
     /// When it was started.
     pub started: clock::Instant,
+    /// Requests that the upstream was believed to have then.
+    pub load: f64,
     /// When bytes last came.
     pub moved: Option<clock::Instant>,
 }
--- a/crates/hyssopfork-gateway/src/target.rs
+++ b/crates/hyssopfork-gateway/src/target.rs
@@ -1,6 +1,6 @@
 //! An upstream that requests can be sent to.
 
-use crate::{cold, health, load};
+use crate::{cold, health, limit, load};
 use hyssopfork_fleet::view;
 use hyssopfork_wire::{clock, name};
 use std::net;
@@ -47,6 +47,8 @@
     pub standing: view::Standing,
     /// How full it is.
     pub load: load::Load,
+    /// How full it may be.
+    pub limit: limit::Limit,
     /// Whether it answers.
     pub health: health::Health,
     /// Sends in the last second.
