--- a/crates/hyssopfork-fleet/src/groups/planning.rs
+++ b/crates/hyssopfork-fleet/src/groups/planning.rs
@@ -17,9 +17,13 @@
 /// for the others stays, in place of breaking up what serves.
 const PEAK_MEMORY: Duration = Duration::from_secs(20);
 
-/// Part of its plan by which a model must be behind another before groups of the other are closed
-/// for it: a group that closes takes nothing for a second or two.
-const SACRIFICE: f64 = 0.1;
+/// Part of its plan by which a model must be behind another before a group of the other is closed
+/// for it: the group takes nothing for a second or two, and its model's callers pay for the rest.
+const SACRIFICE: f64 = 0.3;
+
+/// Part of its plan that a model must keep when it gives a group up. A plan leaves a fifth or so for
+/// bursts; below, its own callers are refused.
+const RICH: f64 = 0.8;
 
 /// Most instances that each domain had lately.
 #[derive(Clone, Debug, Default)]
@@ -130,17 +134,25 @@
         groups as f64 / scene.total(model).max(1) as f64
     }
 
-    /// Forms groups of engines that have the weights at hand, the model farthest behind first.
+    /// Forms groups of engines that have the weights at hand, each next one for the model that is
+    /// then farthest behind and can have one.
     fn form_groups(&mut self, scene: &Scene<'_>) {
+        loop {
+            let behind = self.behind(scene);
+            if !behind.into_iter().any(|model| self.form_one(scene, model)) {
+                return;
+            }
+        }
+    }
+
+    /// Models that lack groups, the one farthest behind its plan first.
+    fn behind<'s>(&self, scene: &'s Scene<'_>) -> Vec<&'s plan::Model> {
         let mut behind: Vec<&plan::Model> =
             scene.models.iter().filter(|model| self.is_behind(scene, model)).collect();
         behind.sort_by(|left, right| {
-            let left = self.filled(scene, left, 0);
-            left.total_cmp(&self.filled(scene, right, 0))
+            self.filled(scene, left, 0).total_cmp(&self.filled(scene, right, 0))
         });
-        for model in behind {
-            while self.is_behind(scene, model) && self.form_one(scene, model) {}
-        }
+        behind
     }
 
     fn is_behind(&self, scene: &Scene<'_>, model: &plan::Model) -> bool {
@@ -202,17 +214,11 @@
         if !self.traffic || self.groups.values().any(changes) {
             return;
         }
-        let Some(poor) = scene.models.iter().filter(|model| self.is_behind(scene, model)).min_by(
-            |left, right| {
-                let left = self.filled(scene, left, 0);
-                left.total_cmp(&self.filled(scene, right, 0))
-            },
-        ) else {
-            return;
-        };
+        let Some(poor) = self.behind(scene).first().copied() else { return };
         let has = self.filled(scene, poor, 0);
         let rich = scene.models.iter().filter(|model| {
-            model.name != poor.name && self.filled(scene, model, -1) > has + SACRIFICE
+            let left = self.filled(scene, model, -1);
+            model.name != poor.name && left >= RICH && left >= has + SACRIFICE
         });
         let chosen = rich.filter_map(|model| self.completes(scene, model, poor)).next();
         if let Some(name) = chosen {
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -89,7 +89,7 @@
         let now = self.now;
         let Some(request) = self.requests.get_mut(&number) else { return };
         let Some(target) = self.targets.get_mut(instance) else { return };
-        let load = (target.load.estimate(now), target.load.slots());
+        let load = (target.load.estimate(now), target.limit.get());
         target.load.own += 1;
         target.recent.note(now);
         request.tries += 1;
--- a/crates/hyssopfork-gateway/src/limit.rs
+++ b/crates/hyssopfork-gateway/src/limit.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 /// Part of the objective from which an answer counts as nearly late.
-const LATE: f64 = 0.8;
+const LATE: f64 = 1.0;
 
 /// Factor of a decrease. An entry sees a few answers of an upstream a second, so that an overload
 /// shows in the limit within a second or two.
@@ -29,7 +29,7 @@
 const FULL: f64 = 0.5;
 
 /// Least limit, in parts of the slots.
-const LEAST: f64 = 0.25;
+const LEAST: f64 = 0.35;
 
 /// Highest limit, in parts of the slots: some requests may wait while others end.
 const MOST: f64 = 1.1;
--- a/crates/hyssopfork-gateway/src/notice.rs
+++ b/crates/hyssopfork-gateway/src/notice.rs
@@ -25,7 +25,7 @@
         instance: name::Instance,
         /// Which attempt this is.
         attempt: u32,
-        /// Requests that the upstream was believed to have, and its slots.
+        /// Requests that the upstream was believed to have, and its limit.
         load: (f64, f64),
         /// Age of its last report.
         report_age: Option<Duration>,
@@ -153,7 +153,7 @@
             Notice::InForce(version) => write!(formatter, "acts on declaration {version}"),
             Notice::Sent { route, instance, attempt, load, report_age, after, .. } => write!(
                 formatter,
-                "sent to {instance} as attempt {attempt} route={route} load={:.1} slots={} report_age_ms={} after_ms={}",
+                "sent to {instance} as attempt {attempt} route={route} load={:.1} limit={:.1} report_age_ms={} after_ms={}",
                 load.0,
                 load.1,
                 report_age.map_or(-1, |age| age.as_millis() as i64),
