--- /dev/null
+++ b/crates/hyssopfork-fleet/tests/fleet/declaration.rs
@@ -0,0 +1,53 @@
+//! What may be declared.
+
+use crate::fixture;
+use hyssopfork_fleet::declaration::{Declaration, Fault, Team};
+use hyssopfork_wire::name;
+use std::time::Duration;
+
+fn team(name: &str, key: &str) -> Team {
+    Team { name: name::Team::from(name), keys: vec![key.to_owned()], priority: None }
+}
+
+#[test]
+fn a_sound_declaration_has_no_faults() {
+    assert_eq!(fixture::declaration(1).faults(), Vec::new());
+}
+
+#[test]
+fn every_fault_is_told_at_once() {
+    let mut unknown = fixture::route("r2", "/b/");
+    unknown.targets = vec![(name::Pool::from("nobody"), 1)];
+    let mut weightless = fixture::route("r3", "/c/");
+    weightless.targets[0].1 = 0;
+    let mut timeless = fixture::route("r4", "/d/");
+    timeless.timeout = Duration::ZERO;
+    let twin = fixture::route("r5", "/a/");
+    let bare = fixture::route("r6", "/e");
+    let mut declaration = fixture::declaration(1);
+    declaration.routes.extend([unknown, weightless, timeless, twin, bare]);
+    declaration.teams = vec![team("t1", "k"), team("t2", "k")];
+
+    let faults = declaration.faults();
+
+    let route = name::Route::from;
+    let expected = [
+        Fault::UnknownPool(route("r2"), name::Pool::from("nobody")),
+        Fault::NoWeight(route("r3")),
+        Fault::NoTime(route("r4")),
+        Fault::Prefix(route("r6")),
+        Fault::SamePlace(route("r1"), route("r5")),
+        Fault::SharedKey(name::Team::from("t1"), name::Team::from("t2")),
+    ];
+    assert_eq!(faults, expected);
+}
+
+#[test]
+fn two_keys_of_one_team_may_be_the_same() {
+    let mut declaration: Declaration = fixture::declaration(1);
+    let mut doubled = team("t1", "k");
+    doubled.keys.push("k".to_owned());
+    declaration.teams = vec![doubled];
+
+    assert_eq!(declaration.faults(), Vec::new());
+}
--- /dev/null
+++ b/crates/hyssopfork-fleet/tests/fleet/fixture.rs
@@ -0,0 +1,88 @@
+//! Values that tests start from.
+
+use bytes::Bytes;
+use hyssopfork_fleet::{announcement, declaration, view};
+use hyssopfork_wire::{clock, name};
+use std::net;
+use std::time::Duration;
+
+pub fn at(millis: u64) -> clock::Instant {
+    clock::Instant::from_millis(millis)
+}
+
+pub fn address(host: u8) -> net::SocketAddr {
+    net::SocketAddr::from(([10, 0, 0, host], 7_000))
+}
+
+pub fn announcement(instance: &str) -> announcement::Announcement {
+    announcement::Announcement {
+        instance: name::Instance::from(instance),
+        pool: name::Pool::from("engines"),
+        address: net::SocketAddr::from(([10, 1, 0, 1], 8_000)),
+        zone: name::Zone::from("z1"),
+        domain: name::Domain::from("d1"),
+        slots: 8,
+        draining: false,
+        cold: Duration::ZERO,
+        born: 1_000,
+        sequence: 1,
+        loaded: None,
+        staged: Vec::new(),
+        membership: None,
+    }
+}
+
+pub fn route(name: &str, prefix: &str) -> declaration::Route {
+    declaration::Route {
+        name: name::Route::from(name),
+        host: "host".to_owned(),
+        prefix: prefix.to_owned(),
+        repetition: declaration::Repetition::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        pause: Duration::from_millis(100),
+        priority: 1,
+        targets: vec![(name::Pool::from("engines"), 1)],
+        attempts: 2,
+        anonymous: false,
+    }
+}
+
+fn model(name: &str, size: u32) -> declaration::Model {
+    declaration::Model {
+        name: name::Model::from(name),
+        size,
+        share: 0.5,
+        load: Duration::from_secs(10),
+        warmup: Duration::from_secs(1),
+    }
+}
+
+/// Two models, of two engines and of one.
+pub fn declaration(version: u64) -> declaration::Declaration {
+    let engine = declaration::Engine {
+        slots: 8,
+        models: vec![model("large", 2), model("small", 1)],
+        loads_per_second: 3.0,
+        loads_at_once: 6,
+        formation: Duration::from_millis(300),
+    };
+    let pool = declaration::Pool { connections: 100, cold: None, engine: Some(engine) };
+    declaration::Declaration {
+        version,
+        routes: vec![route("r1", "/a/")],
+        pools: [(name::Pool::from("engines"), pool)].into(),
+        ..declaration::Declaration::default()
+    }
+}
+
+/// A document whose bytes are its version in decimal.
+pub fn document(version: u64) -> view::Document {
+    view::Document { version, bytes: Bytes::from(version.to_string()) }
+}
+
+/// Reads a document of [`document`].
+pub fn decode(bytes: &[u8]) -> Option<declaration::Declaration> {
+    let version = std::str::from_utf8(bytes).ok()?.parse().ok()?;
+    Some(declaration(version))
+}
--- /dev/null
+++ b/crates/hyssopfork-fleet/tests/fleet/groups.rs
@@ -0,0 +1,146 @@
+//! Groups form, are mended and handed on, and never break what must hold.
+
+use crate::{fixture, world};
+use hyssopfork_fleet::event;
+use hyssopfork_wire::name;
+use std::time::Duration;
+
+/// Ten engines of one domain, grouped before any caller sends.
+fn grouped() -> world::World {
+    let mut world = world::World::declared(3, 2);
+    world.add_engines(1..=10, "d1");
+    world.run(26_000);
+    world
+}
+
+fn of_model(world: &world::World, model: &str) -> usize {
+    world.serving().iter().filter(|group| group.model == name::Model::from(model)).count()
+}
+
+fn a_large_group(world: &world::World) -> Vec<name::Instance> {
+    let large = name::Model::from("large");
+    let groups = world.serving();
+    groups.into_iter().find(|group| group.model == large).expect("one serves").members
+}
+
+#[test]
+fn groups_of_every_model_serve_and_some_engines_are_kept_in_reserve() {
+    let world = grouped();
+
+    assert_eq!((of_model(&world, "large"), of_model(&world, "small")), (2, 4));
+}
+
+/// Callers see the streams of a group stand still: a member went dark. A reserve takes its place and
+/// the group's model serves as before within two seconds, not after a load of ten.
+#[test]
+fn a_lost_member_is_replaced_from_the_reserve() {
+    let mut world = grouped();
+    let members = a_large_group(&world);
+    let leader = world.leader().expect("somebody leads");
+
+    world.engines.get_mut(&members[1]).expect("it is there").alive = false;
+    world.run(300);
+    let seen = event::Event::Seen(fixture::address(5), world::stalled(&members[0]));
+    let core = world.processes.get_mut(&leader).and_then(|it| it.core.as_mut()).expect("it runs");
+    let _told = core.step(world.now, seen);
+    world.run(4_500);
+
+    assert_eq!(of_model(&world, "large"), 2);
+    assert!(world.serving().iter().all(|group| !group.members.contains(&members[1])));
+}
+
+/// The head of a group is cut off from every process of ours and stays open, serving nobody. Its
+/// members must leave it before they join others (the engines check that), and so must the head
+/// itself once it is heard of again.
+#[test]
+fn members_of_a_head_that_is_cut_off_leave_it_first() {
+    let mut world = grouped();
+    let head = a_large_group(&world)[0].clone();
+
+    world.cut_engine(&head);
+    world.run(10_000);
+    world.cuts.clear();
+    world.run(10_000);
+
+    assert_eq!(of_model(&world, "large"), 2);
+}
+
+/// Orders get no answer and are carried out three seconds late, after newer ones. Nothing that must
+/// hold is broken meanwhile, and groups serve again afterwards.
+#[test]
+fn late_orders_undo_nothing() {
+    let mut world = grouped();
+    let members = a_large_group(&world);
+
+    world.late_orders = Some(Duration::from_secs(3));
+    world.engines.get_mut(&members[0]).expect("it is there").alive = false;
+    world.run(8_000);
+    world.late_orders = None;
+    world.run(15_000);
+
+    assert_eq!(of_model(&world, "large"), 2);
+}
+
+/// The leader is lost and another takes over. Groups that serve go on serving: the new leader knows
+/// them from its own copy and from those who followed the old one.
+#[test]
+fn groups_outlast_their_leader() {
+    let mut world = grouped();
+    let before: Vec<u64> = world.serving().iter().map(|group| group.epoch).collect();
+    let leader = world.leader().expect("somebody leads");
+
+    world.kill(leader);
+    world.run(3_000);
+
+    let after: Vec<u64> = world.serving().iter().map(|group| group.epoch).collect();
+    assert_eq!(after, before);
+}
+
+/// Every process is killed at once and starts again knowing no group. The members' own words are
+/// enough to serve on.
+#[test]
+fn groups_are_known_again_after_all_processes_were_killed() {
+    let mut world = grouped();
+    let before = world.serving().len();
+
+    let all: Vec<_> = world.processes.keys().copied().collect();
+    all.iter().for_each(|address| world.kill(*address));
+    all.iter().for_each(|address| world.boot(*address, false));
+    world.run(5_000);
+
+    assert_eq!(world.serving().len(), before);
+}
+
+#[test]
+fn a_member_that_leaves_on_request_is_replaced() {
+    let mut world = grouped();
+    let members = a_large_group(&world);
+
+    world.engines.get_mut(&members[1]).expect("it is there").told.draining = true;
+    world.run(5_000);
+
+    assert_eq!(of_model(&world, "large"), 2);
+    assert!(world.serving().iter().all(|group| !group.members.contains(&members[1])));
+}
+
+/// A zone is taken out: its groups get nothing, and reserves of the other domain form groups.
+#[test]
+fn reserves_stand_in_for_a_zone_that_is_out() {
+    let mut world = world::World::declared(3, 1);
+    world.add_engines(1..=10, "d1");
+    world.add_engines(11..=20, "d2");
+    world.run(26_000);
+    let serving = |world: &world::World| {
+        let served = world.serving();
+        let in_first = |group: &hyssopfork_fleet::view::Group| {
+            world.engines[&group.members[0]].told.domain == name::Domain::from("d1")
+        };
+        served.into_iter().filter(in_first).count()
+    };
+    let before = serving(&world);
+
+    assert!(world.insist(&event::Request::TakeOut(name::Zone::from("z-d2"))));
+    world.run(4_000);
+
+    assert!(serving(&world) > before, "{before} groups before");
+}
--- /dev/null
+++ b/crates/hyssopfork-fleet/tests/fleet/histories.rs
@@ -0,0 +1,102 @@
+//! Random histories: processes and engines die, lose their disks, are cut off and come back.
+//!
+//! The engines check each order against what must hold; the world checks that no process goes back
+//! to an older declaration; the history checks that nothing acknowledged is lost.
+
+use crate::world;
+use hyssopfork_wire::name;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Histories of a usual test run; `HYSSOPFORK_HISTORIES` sets another number.
+const HISTORIES: u64 = 6;
+
+/// A small generator whose numbers are the same on every machine.
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 =
+            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % bound
+    }
+
+    fn pick<T: Clone>(&mut self, among: &[T]) -> T {
+        among[self.below(among.len() as u64) as usize].clone()
+    }
+}
+
+fn disturb(world: &mut world::World, random: &mut Random) {
+    let processes: Vec<SocketAddr> = world.processes.keys().copied().collect();
+    let engines: Vec<name::Instance> = world.engines.keys().cloned().collect();
+    let process = random.pick(&processes);
+    let engine = random.pick(&engines);
+    match random.below(7) {
+        0 => world.kill(process),
+        1 => {
+            world.kill(process);
+            world.wipe(process);
+        }
+        2 => {
+            for other in processes.iter().filter(|other| **other != process) {
+                world.cuts.insert((process, *other));
+                world.cuts.insert((*other, process));
+            }
+        }
+        3 => world.engines.get_mut(&engine).expect("it is there").alive = false,
+        4 => world.cut_engine(&engine),
+        5 => world.late_orders = Some(Duration::from_millis(500 + random.below(4_000))),
+        _ => {
+            let now = world.now;
+            world.engines.get_mut(&engine).expect("it is there").restart(now);
+        }
+    }
+}
+
+fn heal(world: &mut world::World) {
+    world.cuts.clear();
+    world.late_orders = None;
+    let down = |process: &world::Process| process.core.is_none();
+    let ended: Vec<SocketAddr> =
+        world.processes.iter().filter(|(_, it)| down(it)).map(|(address, _)| *address).collect();
+    ended.into_iter().for_each(|address| world.boot(address, false));
+    let now = world.now;
+    for engine in world.engines.values_mut().filter(|engine| !engine.alive) {
+        engine.restart(now);
+    }
+}
+
+fn history(seed: u64) {
+    let mut random = Random(seed);
+    let mut world = world::World::declared(3, 2);
+    world.add_engines(1..=6, "d1");
+    world.add_engines(7..=12, "d2");
+    world.run(12_000);
+    let mut acknowledged = 1;
+    for round in 0..8 {
+        disturb(&mut world, &mut random);
+        world.run(500 + random.below(3_000));
+        let version = acknowledged + 1 + random.below(3);
+        if world.declare(version) {
+            acknowledged = version;
+        }
+        if random.below(2) == 0 {
+            heal(&mut world);
+            world.run(6_000);
+            assert!(world.read() >= Some(acknowledged), "seed {seed} round {round}");
+        }
+    }
+    heal(&mut world);
+    world.run(8_000);
+    assert!(world.read() >= Some(acknowledged), "seed {seed}: what was acknowledged is lost");
+    world.run(25_000);
+    assert!(!world.serving().is_empty(), "seed {seed}: no group serves again");
+}
+
+#[test]
+fn nothing_acknowledged_is_lost_and_no_group_breaks_its_rules() {
+    let count = std::env::var("HYSSOPFORK_HISTORIES").ok().and_then(|it| it.parse().ok());
+    for seed in 1..=count.unwrap_or(HISTORIES) {
+        history(seed);
+    }
+}
--- /dev/null
+++ b/crates/hyssopfork-fleet/tests/fleet/main.rs
@@ -0,0 +1,16 @@
+//! The fleet's control, driven without network, clock or disk.
+
+mod board;
+mod declaration;
+mod durable;
+mod engine;
+mod fixture;
+mod founding;
+mod groups;
+mod histories;
+mod inquiry;
+mod plan;
+mod proposals;
+mod registry;
+mod replication;
+mod world;
--- /dev/null
+++ b/crates/hyssopfork-fleet/tests/fleet/plan.rs
@@ -0,0 +1,70 @@
+//! How instances are divided.
+
+use hyssopfork_fleet::groups::plan::{self, Model};
+use hyssopfork_wire::name;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+fn model(name: &str, size: usize, share: f64) -> Model {
+    Model { name: name::Model::from(name), size, share }
+}
+
+fn domains(counts: &[usize]) -> BTreeMap<name::Domain, usize> {
+    let named = counts.iter().enumerate();
+    named.map(|(index, count)| (name::Domain::new(format!("d{index}")), *count)).collect()
+}
+
+/// Thirty instances in three domains, two models of equal shares: each domain gets one group of four
+/// and two of two, so that the loss of a domain takes a third of each model and no more.
+#[test]
+fn models_are_spread_over_domains_by_their_shares() {
+    let models = [model("large", 4, 0.5), model("small", 2, 0.5)];
+
+    let layout = plan::layout(&domains(&[10, 10, 10]), &models);
+
+    for domain in domains(&[0, 0, 0]).into_keys() {
+        let large = layout.get(&(domain.clone(), name::Model::from("large")));
+        let small = layout.get(&(domain, name::Model::from("small")));
+        assert_eq!((large, small), (Some(&1), Some(&2)));
+    }
+}
+
+/// A model whose group needs most of a domain finds its place: smaller groups are placed after it.
+#[test]
+fn a_group_that_needs_most_of_a_domain_finds_its_place() {
+    let models = [model("huge", 8, 0.5), model("small", 1, 0.5)];
+
+    let totals = plan::totals(&plan::layout(&domains(&[10, 10]), &models));
+
+    assert_eq!(totals[&name::Model::from("huge")], 1);
+}
+
+proptest! {
+    #[test]
+    fn no_domain_is_given_more_than_it_has(
+        counts in prop::collection::vec(0_usize..40, 1..6),
+        sizes in prop::collection::vec((1_usize..9, 1_u32..10), 1..4),
+    ) {
+        let models: Vec<Model> = sizes
+            .iter()
+            .enumerate()
+            .map(|(index, (size, share))| model(&format!("m{index}"), *size, f64::from(*share)))
+            .collect();
+        let domains = domains(&counts);
+
+        let layout = plan::layout(&domains, &models);
+
+        for (domain, count) in &domains {
+            let used: usize = models
+                .iter()
+                .map(|model| {
+                    let key = (domain.clone(), model.name.clone());
+                    layout.get(&key).copied().unwrap_or_default() * model.size
+                })
+                .sum();
+            prop_assert!(used <= *count);
+            let wanted = plan::wanted(&layout, domain, *count, &models);
+            prop_assert_eq!(wanted.values().sum::<usize>(), *count);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hyssopfork-fleet/tests/fleet/registry.rs
@@ -0,0 +1,139 @@
+//! Which call of an upstream counts.
+
+use crate::fixture;
+use hyssopfork_fleet::announcement::Announcement;
+use hyssopfork_fleet::registry::{Registry, Taken};
+use hyssopfork_fleet::view;
+use hyssopfork_wire::name;
+use std::time::Duration;
+
+const SILENCE: Duration = Duration::from_millis(2_700);
+
+fn registry() -> Registry {
+    let mut registry = Registry::new(SILENCE);
+    registry.announce(fixture::at(0), fixture::announcement("e1"));
+    registry
+}
+
+fn e1() -> name::Instance {
+    name::Instance::from("e1")
+}
+
+/// A heartbeat that was held up by a cut arrives after a newer one; it must not undo what that said.
+#[test]
+fn a_call_that_was_overtaken_changes_nothing() {
+    let mut registry = registry();
+    let draining = Announcement { sequence: 3, draining: true, ..fixture::announcement("e1") };
+    registry.announce(fixture::at(10), draining);
+
+    let late = Announcement { sequence: 2, ..fixture::announcement("e1") };
+    let taken = registry.announce(fixture::at(20), late);
+
+    assert_eq!(taken, Taken::Late);
+    assert!(registry.get(&e1()).is_some_and(|record| record.is_leaving()));
+}
+
+#[test]
+fn a_new_process_under_the_same_name_counts_anew() {
+    let mut registry = registry();
+    registry.depart(fixture::at(10), &e1());
+
+    let reborn = Announcement { born: 2_000, sequence: 1, ..fixture::announcement("e1") };
+    let taken = registry.announce(fixture::at(20), reborn);
+
+    assert_eq!(taken, Taken::News);
+    assert!(registry.get(&e1()).is_some_and(|record| record.is_sound()));
+}
+
+/// An upstream says that it is gone; a heartbeat that it had sent before comes after that. It must
+/// get no new work.
+#[test]
+fn an_upstream_that_left_stays_gone() {
+    let mut registry = registry();
+    registry.depart(fixture::at(10), &e1());
+
+    let held_up = Announcement { sequence: 2, ..fixture::announcement("e1") };
+    registry.announce(fixture::at(20), held_up);
+
+    assert!(registry.get(&e1()).is_some_and(|record| record.is_leaving()));
+}
+
+/// The address of an upstream that crashed belongs to another one now; a call of the dead one that
+/// was held up must not bring it back.
+#[test]
+fn a_late_call_of_whoever_had_the_address_before_is_dropped() {
+    let mut registry = registry();
+    let heir = Announcement { born: 5_000, ..fixture::announcement("e2") };
+    registry.announce(fixture::at(10), heir);
+
+    let late = Announcement { sequence: 9, ..fixture::announcement("e1") };
+    let taken = registry.announce(fixture::at(20), late);
+
+    assert_eq!(taken, Taken::Late);
+    assert!(registry.get(&e1()).is_none());
+}
+
+#[test]
+fn a_silent_upstream_is_told_as_silent_and_heard_of_again_as_present() {
+    let mut registry = registry();
+    let later = fixture::at(3_000);
+    assert_eq!(registry.published(later)[&e1()].standing, view::Standing::Silent);
+
+    let again = Announcement { sequence: 2, ..fixture::announcement("e1") };
+    registry.announce(later, again);
+
+    assert_eq!(registry.published(later)[&e1()].standing, view::Standing::Present);
+}
+
+#[test]
+fn a_dead_upstream_that_calls_lives() {
+    let mut registry = registry();
+    registry.bury(&e1());
+
+    let again = Announcement { sequence: 2, ..fixture::announcement("e1") };
+    let taken = registry.announce(fixture::at(10), again);
+
+    assert_eq!(taken, Taken::News);
+    assert!(registry.get(&e1()).is_some_and(|record| !record.dead));
+}
+
+#[test]
+fn what_a_follower_knows_is_taken_over_only_where_it_is_newer() {
+    let mut registry = registry();
+    let older = view::Upstream {
+        announcement: Announcement { sequence: 0, draining: true, ..fixture::announcement("e1") },
+        standing: view::Standing::Leaving,
+    };
+
+    assert!(!registry.adopt(fixture::at(10), older));
+
+    assert!(registry.get(&e1()).is_some_and(|record| record.is_sound()));
+}
+
+#[test]
+fn time_left_cold_shrinks_as_it_passes() {
+    let mut registry = Registry::new(SILENCE);
+    let cold = Announcement { cold: Duration::from_secs(3), ..fixture::announcement("e1") };
+    registry.announce(fixture::at(0), cold);
+
+    let told = registry.published(fixture::at(1_000));
+
+    assert_eq!(told[&e1()].announcement.cold, Duration::from_secs(2));
+}
+
+#[test]
+fn the_model_of_the_last_group_is_remembered_until_a_new_start() {
+    let mut registry = registry();
+    let large = name::Model::from("large");
+    let ready =
+        Announcement { sequence: 2, loaded: Some(large.clone()), ..fixture::announcement("e1") };
+    registry.announce(fixture::at(10), ready);
+    let left = Announcement { sequence: 3, ..fixture::announcement("e1") };
+    registry.announce(fixture::at(20), left);
+    assert_eq!(registry.get(&e1()).and_then(|record| record.last.clone()), Some(large));
+
+    let reborn = Announcement { born: 2_000, ..fixture::announcement("e1") };
+    registry.announce(fixture::at(30), reborn);
+
+    assert_eq!(registry.get(&e1()).and_then(|record| record.last.clone()), None);
+}
--- /dev/null
+++ b/crates/hyssopfork-fleet/tests/fleet/replication.rs
@@ -0,0 +1,141 @@
+//! What was acknowledged outlasts what is to be borne.
+
+use crate::{fixture, world};
+use hyssopfork_fleet::{action, event};
+use hyssopfork_wire::name;
+
+#[test]
+fn the_log_forms_from_three_seeds_in_any_order() {
+    let mut world = world::World::start(3, 4);
+
+    world.run(2_500);
+
+    let leader = world.leader().expect("somebody leads");
+    let progress = world.processes[&leader].core.as_ref().and_then(|core| core.progress());
+    assert!(progress.is_some());
+    for process in world.processes.values() {
+        let leads_to = process.core.as_ref().and_then(|core| core.leader());
+        assert_eq!(leads_to, Some(leader));
+    }
+}
+
+#[test]
+fn a_declaration_reaches_every_process() {
+    let world = world::World::declared(3, 4);
+
+    for process in world.processes.values() {
+        assert_eq!(process.view.as_ref().map(|view| view.document), Some(1));
+    }
+}
+
+#[test]
+fn an_older_version_is_acknowledged_and_changes_nothing() {
+    let mut world = world::World::declared(3, 0);
+    assert!(world.declare(5));
+
+    assert!(world.declare(3));
+
+    assert_eq!(world.read(), Some(5));
+}
+
+/// The operator has an acknowledgement; at once every process loses its power, and all come back.
+/// Reading, the operator must get what was acknowledged: it was on the disks of a majority.
+#[test]
+fn what_was_acknowledged_is_read_back_after_all_were_killed() {
+    let mut world = world::World::declared(3, 2);
+    assert!(world.declare(7));
+
+    let all: Vec<_> = world.processes.keys().copied().collect();
+    all.iter().for_each(|address| world.kill(*address));
+    all.iter().for_each(|address| world.boot(*address, false));
+    world.run(3_000);
+
+    assert_eq!(world.read(), Some(7));
+}
+
+/// The leader acknowledges, and its machine comes back without its disk. The log must not forget:
+/// the blank folder may not vote for a leader that lacks what it had acknowledged.
+#[test]
+fn a_leader_that_loses_its_disk_after_an_acknowledgement_loses_nothing() {
+    let mut world = world::World::declared(3, 1);
+    assert!(world.declare(9));
+    let leader = world.leader().expect("somebody leads");
+
+    world.kill(leader);
+    world.wipe(leader);
+    world.boot(leader, false);
+    world.run(4_000);
+
+    assert_eq!(world.read(), Some(9));
+}
+
+/// A machine of the core is gone for good and an empty one stands at another address. It takes the
+/// place of the lost one, so that the next loss is borne too.
+#[test]
+fn an_empty_machine_takes_the_place_of_one_that_is_gone() {
+    let mut world = world::World::declared(4, 0);
+    let lost = fixture::address(4);
+    let leader = world.leader().expect("somebody leads");
+    let gone = if leader == lost { fixture::address(1) } else { lost };
+
+    world.kill(gone);
+    world.run(6_000);
+    assert!(world.declare(11));
+    let leader = world.leader().expect("somebody leads");
+    world.kill(leader);
+    world.run(3_000);
+
+    assert_eq!(world.read(), Some(11));
+}
+
+/// The leader is cut off from all others and believes to lead. A caller that reads from it must not
+/// get the older declaration: it says that it can't be sure.
+#[test]
+fn a_leader_that_is_cut_off_reads_nothing_back() {
+    let mut world = world::World::declared(3, 1);
+    let old = world.leader().expect("somebody leads");
+    let others: Vec<_> = world.processes.keys().copied().filter(|it| *it != old).collect();
+    for other in others {
+        world.cuts.insert((old, other));
+        world.cuts.insert((other, old));
+    }
+    world.run(3_000);
+    assert!(world.declare(13), "the others go on");
+
+    let call = world.call(old, event::Request::Read);
+    world.run(300);
+
+    let reply = world.replies.get(&call);
+    assert!(matches!(reply, Some(action::Reply::Elsewhere(_))), "{reply:?}");
+}
+
+#[test]
+fn a_process_whose_folder_fails_goes_on_without_it_and_comes_back() {
+    let mut world = world::World::declared(3, 0);
+    let leader = world.leader().expect("somebody leads");
+    let other = *world.processes.keys().find(|it| **it != leader).expect("there are three");
+
+    let failed = event::Event::Failed;
+    let core = world.processes.get_mut(&other).and_then(|it| it.core.as_mut()).expect("it runs");
+    let _told = core.step(world.now, failed);
+    world.run(1_000);
+    assert!(world.declare(15));
+
+    assert_eq!(world.processes[&other].view.as_ref().map(|view| view.document), Some(15));
+}
+
+#[test]
+fn zones_are_taken_out_and_back_in_whoever_leads() {
+    let mut world = world::World::declared(3, 1);
+    let zone = name::Zone::from("z1");
+
+    assert!(world.insist(&event::Request::TakeOut(zone.clone())));
+    let leader = world.leader().expect("somebody leads");
+    world.kill(leader);
+    world.run(3_000);
+
+    let next = world.leader().expect("another leads");
+    assert!(world.processes[&next].view.as_ref().is_some_and(|view| view.out.contains(&zone)));
+    assert!(world.insist(&event::Request::BringIn(zone.clone())));
+    assert!(world.processes[&next].view.as_ref().is_some_and(|view| view.out.is_empty()));
+}
--- /dev/null
+++ b/crates/hyssopfork-fleet/tests/fleet/world.rs
@@ -0,0 +1,499 @@
+//! Processes, engines and the network between them, one millisecond after the other.
+
+use crate::{engine, fixture};
+use hyssopfork_consensus::node;
+use hyssopfork_fleet::groups::order;
+use hyssopfork_fleet::{action, core, event, notice, peer, settings, view};
+use hyssopfork_wire::{clock, consensus, name};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time on the way between any two.
+const WAY: Duration = Duration::from_millis(1);
+/// Time of a sync.
+const SYNC: Duration = Duration::from_millis(2);
+/// Time between an engine's calls.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Time after which a call without an answer has failed.
+const LOST: Duration = Duration::from_millis(400);
+
+/// A process.
+pub struct Process {
+    pub core: Option<core::Core>,
+    pub durable: node::Durable,
+    pub has_folder: bool,
+    /// What its entry was told last.
+    pub view: Option<View>,
+    folder: u64,
+    /// Who waits for each call's reply.
+    calls: BTreeMap<u64, Caller>,
+    /// Counts its starts: what was on its way to an earlier one is lost.
+    starts: u64,
+}
+
+/// What an entry knows.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    pub document: u64,
+    pub out: BTreeSet<name::Zone>,
+    pub upstreams: BTreeMap<name::Instance, view::Upstream>,
+    pub groups: BTreeMap<name::Group, view::Group>,
+}
+
+#[derive(Clone, Debug)]
+enum Caller {
+    Outside(u64),
+    Greeting(SocketAddr),
+    Watch(SocketAddr),
+    Relay(SocketAddr, u64),
+}
+
+#[derive(Clone, Debug)]
+enum Delivery {
+    Event(Box<event::Event>),
+    Call(Box<event::Request>, Caller),
+    Order(SocketAddr, order::Order),
+}
+
+/// The world.
+pub struct World {
+    pub now: clock::Instant,
+    pub processes: BTreeMap<SocketAddr, Process>,
+    pub engines: BTreeMap<name::Instance, engine::Engine>,
+    /// Pairs that don't reach each other, in this direction.
+    pub cuts: BTreeSet<(SocketAddr, SocketAddr)>,
+    /// Engines' orders get no answer and are carried out this much later.
+    pub late_orders: Option<Duration>,
+    pub notices: Vec<(SocketAddr, notice::Notice)>,
+    pub replies: BTreeMap<u64, action::Reply>,
+    queue: BTreeMap<(clock::Instant, u64), (SocketAddr, u64, Delivery)>,
+    count: u64,
+    folders: u64,
+}
+
+impl World {
+    /// `folders` processes with a folder and `others` without start for the first time.
+    pub fn start(folders: u8, others: u8) -> World {
+        let mut world = World {
+            now: fixture::at(1_000),
+            processes: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            cuts: BTreeSet::new(),
+            late_orders: None,
+            notices: Vec::new(),
+            replies: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            count: 0,
+            folders: 0,
+        };
+        for host in 1..=folders + others {
+            let host_address = fixture::address(host);
+            let process = Process {
+                core: None,
+                durable: node::Durable::default(),
+                has_folder: host <= folders,
+                view: None,
+                folder: 0,
+                calls: BTreeMap::new(),
+                starts: 0,
+            };
+            world.processes.insert(host_address, process);
+            world.wipe(host_address);
+            world.boot(host_address, true);
+        }
+        world
+    }
+
+    /// A world whose first declaration is in force.
+    pub fn declared(folders: u8, others: u8) -> World {
+        let mut world = World::start(folders, others);
+        world.run(2_500);
+        assert!(world.declare(1), "the first declaration is acknowledged");
+        world
+    }
+
+    /// Starts a process on what its folder holds.
+    pub fn boot(&mut self, address: SocketAddr, first_start: bool) {
+        let seeds: Vec<SocketAddr> = (1..=3).map(fixture::address).collect();
+        let now = self.now;
+        let process = self.processes.get_mut(&address).expect("it is there");
+        let settings = settings::Settings {
+            address,
+            seeds,
+            first_start,
+            has_folder: process.has_folder,
+            tolerated: 1,
+            heartbeat: HEARTBEAT,
+        };
+        process.core = Some(core::Core::new(settings, fixture::decode, now));
+        process.starts += 1;
+        process.calls.clear();
+        process.view = None;
+        if process.has_folder {
+            let durable = Box::new(process.durable.clone());
+            let (folder, seed) = (process.folder, process.folder * 31 + process.starts);
+            self.send(address, Duration::ZERO, event::Event::Opened { folder, durable, seed });
+        }
+    }
+
+    /// Ends a process at once; what it had synced stays.
+    pub fn kill(&mut self, address: SocketAddr) {
+        if let Some(process) = self.processes.get_mut(&address) {
+            process.core = None;
+        }
+    }
+
+    /// Replaces a process's folder by a blank one.
+    pub fn wipe(&mut self, address: SocketAddr) {
+        self.folders += 1;
+        let process = self.processes.get_mut(&address).expect("it is there");
+        process.durable = node::Durable::default();
+        process.folder = self.folders;
+    }
+
+    /// Adds engines to a domain.
+    pub fn add_engines(&mut self, numbers: std::ops::RangeInclusive<u8>, domain: &str) {
+        for number in numbers {
+            let engine = engine::Engine::new(number, domain, self.now - HEARTBEAT);
+            self.engines.insert(engine.told.instance.clone(), engine);
+        }
+    }
+
+    /// Cuts everything between an engine and all processes.
+    pub fn cut_engine(&mut self, instance: &name::Instance) {
+        let engine = self.engines[instance].told.address;
+        for process in self.processes.keys().copied().collect::<Vec<_>>() {
+            self.cuts.insert((engine, process));
+            self.cuts.insert((process, engine));
+        }
+    }
+
+    /// Lets time pass, in milliseconds.
+    pub fn run(&mut self, millis: u64) {
+        for step in 0..millis {
+            self.now = self.now + Duration::from_millis(1);
+            self.deliver();
+            if step.is_multiple_of(20) {
+                let alive: Vec<SocketAddr> = self.processes.keys().copied().collect();
+                for address in alive {
+                    self.step(address, event::Event::Tick);
+                }
+            }
+            self.run_engines();
+        }
+    }
+
+    /// Who answers for the fleet.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        let leads = |process: &Process| process.core.as_ref().is_some_and(core::Core::leads);
+        self.processes.iter().find(|(_, process)| leads(process)).map(|(address, _)| *address)
+    }
+
+    /// Calls a process from outside and gives the number of the call.
+    pub fn call(&mut self, to: SocketAddr, request: event::Request) -> u64 {
+        self.count += 1;
+        let call = self.count;
+        self.push(to, WAY, Delivery::Call(Box::new(request), Caller::Outside(call)));
+        call
+    }
+
+    /// Calls as an operator does, at every process in turn, until it is done; whether it was.
+    pub fn insist(&mut self, request: &event::Request) -> bool {
+        for _ in 0..8 {
+            let mut to = self.leader();
+            to = to.or_else(|| self.processes.keys().next().copied());
+            let Some(to) = to else { return false };
+            let call = self.call(to, request.clone());
+            self.run(500);
+            if matches!(self.replies.get(&call), Some(action::Reply::Done)) {
+                return true;
+            }
+        }
+        false
+    }
+
+    pub fn declare(&mut self, version: u64) -> bool {
+        let declaration = Box::new(fixture::declaration(version));
+        self.insist(&event::Request::Declare(declaration, fixture::document(version)))
+    }
+
+    /// Version that the leader reads back; `None` when nobody can be sure.
+    pub fn read(&mut self) -> Option<u64> {
+        let leader = self.leader()?;
+        let call = self.call(leader, event::Request::Read);
+        self.run(300);
+        match self.replies.get(&call) {
+            Some(action::Reply::Document(document)) => Some(document.version),
+            _ => None,
+        }
+    }
+
+    /// Groups that serve, by the leader's word.
+    pub fn serving(&self) -> Vec<view::Group> {
+        let leader = self.leader().and_then(|leader| self.processes[&leader].view.as_ref());
+        let groups = leader.into_iter().flat_map(|view| view.groups.values());
+        groups.filter(|group| group.serving).cloned().collect()
+    }
+
+    fn send(&mut self, to: SocketAddr, after: Duration, event: event::Event) {
+        self.push(to, after, Delivery::Event(Box::new(event)));
+    }
+
+    fn push(&mut self, to: SocketAddr, after: Duration, delivery: Delivery) {
+        self.count += 1;
+        let starts = self.processes.get(&to).map_or(0, |process| process.starts);
+        self.queue.insert((self.now + after, self.count), (to, starts, delivery));
+    }
+
+    fn reaches(&self, from: SocketAddr, to: SocketAddr) -> bool {
+        !self.cuts.contains(&(from, to))
+            && self.processes.get(&to).is_none_or(|it| it.core.is_some())
+    }
+
+    fn deliver(&mut self) {
+        let later = self.queue.split_off(&(self.now + Duration::from_micros(1), 0));
+        for (_, (to, starts, delivery)) in std::mem::replace(&mut self.queue, later) {
+            if self.processes.get(&to).is_some_and(|process| process.starts != starts) {
+                continue;
+            }
+            match delivery {
+                Delivery::Event(event) => self.step(to, *event),
+                Delivery::Call(request, caller) => {
+                    self.count += 1;
+                    let call = self.count;
+                    if let Some(process) = self.processes.get_mut(&to) {
+                        process.calls.insert(call, caller);
+                    }
+                    self.step(to, event::Event::Called { call, request: *request });
+                }
+                Delivery::Order(from, order) => self.obey(from, &order),
+            }
+        }
+    }
+
+    fn step(&mut self, address: SocketAddr, event: event::Event) {
+        let now = self.now;
+        let core = self.processes.get_mut(&address).and_then(|process| process.core.as_mut());
+        let Some(core) = core else { return };
+        for action in core.step(now, event) {
+            self.act(address, action);
+        }
+    }
+
+    fn act(&mut self, from: SocketAddr, action: action::Action) {
+        match action {
+            action::Action::Send(packet) => self.deliver_packet(from, packet),
+            action::Action::Persist(write) => {
+                let process = self.processes.get_mut(&from).expect("it acts");
+                process.durable.apply(&write);
+                self.send(from, SYNC, event::Event::Persisted(write.mark));
+            }
+            action::Action::Reply(call, reply) => self.reply(from, call, reply),
+            action::Action::Greet(to, hello) => {
+                self.ask(from, to, event::Request::Greet(hello), Caller::Greeting(from));
+            }
+            action::Action::Watch(to, watch) => {
+                if !self.ask(from, to, event::Request::Watch(watch), Caller::Watch(from)) {
+                    let failed = event::Event::Watched { from: to, answer: None };
+                    self.send(from, LOST, failed);
+                }
+            }
+            action::Action::Relay { call, to, registration } => {
+                let request = event::Request::Relayed(registration);
+                if !self.ask(from, to, request, Caller::Relay(from, call)) {
+                    self.send(from, LOST, event::Event::Relayed { call, taken: false });
+                }
+            }
+            action::Action::Tell(to, evidence) => {
+                if self.reaches(from, to) {
+                    self.send(to, WAY, event::Event::Seen(from, evidence));
+                }
+            }
+            action::Action::Order(order) => self.carry_order(from, order),
+            action::Action::Probe(instance, to) => {
+                let sign = self.probe(from, to);
+                let after = if sign == order::Sign::Missing { LOST } else { WAY };
+                self.send(from, after, event::Event::Probed(instance, sign));
+            }
+            action::Action::AskPeer { peer, instance, address } => {
+                let alive =
+                    self.reaches(from, peer) && self.probe(peer, address) == order::Sign::Alive;
+                self.send(from, LOST, event::Event::Vouched(peer, instance, alive));
+            }
+            action::Action::Publish(update, _) => self.publish(from, *update),
+            action::Action::Notice(notice) => self.notices.push((from, notice)),
+        }
+    }
+
+    fn deliver_packet(&mut self, from: SocketAddr, packet: consensus::Packet) {
+        let to = core::address_of(&packet.to).expect("names are addresses");
+        if self.reaches(from, to) {
+            self.send(to, WAY, event::Event::Received(packet));
+        }
+    }
+
+    fn ask(
+        &mut self,
+        from: SocketAddr,
+        to: SocketAddr,
+        request: event::Request,
+        caller: Caller,
+    ) -> bool {
+        let reaches = self.reaches(from, to);
+        if reaches {
+            self.push(to, WAY, Delivery::Call(Box::new(request), caller));
+        }
+        reaches
+    }
+
+    fn reply(&mut self, from: SocketAddr, call: u64, reply: action::Reply) {
+        let caller = self.processes.get_mut(&from).and_then(|process| process.calls.remove(&call));
+        match (caller, reply) {
+            (Some(Caller::Outside(call)), reply) => drop(self.replies.insert(call, reply)),
+            (Some(Caller::Greeting(to)), action::Reply::Greeting(greeting)) => {
+                self.back(from, to, event::Event::Greeted(greeting));
+            }
+            (Some(Caller::Watch(to)), action::Reply::Watched(answer)) => {
+                self.back(from, to, event::Event::Watched { from, answer: Some(answer) });
+            }
+            (Some(Caller::Relay(to, call)), reply) => {
+                let taken = matches!(reply, action::Reply::Registered(_));
+                self.back(from, to, event::Event::Relayed { call, taken });
+            }
+            _ => {}
+        }
+    }
+
+    fn back(&mut self, from: SocketAddr, to: SocketAddr, event: event::Event) {
+        if self.reaches(from, to) {
+            self.send(to, WAY, event);
+        } else if let event::Event::Watched { from: leader, .. } = event {
+            self.send(to, LOST, event::Event::Watched { from: leader, answer: None });
+        }
+    }
+
+    fn publish(&mut self, address: SocketAddr, update: view::Update) {
+        let process = self.processes.get_mut(&address).expect("it acts");
+        let view = process.view.get_or_insert_default();
+        if let Some(document) = &update.document {
+            assert!(document.version > view.document, "no process goes back");
+            view.document = document.version;
+        }
+        if update.whole {
+            view.upstreams.clear();
+            view.groups.clear();
+        }
+        for (instance, upstream) in update.upstreams {
+            match upstream {
+                Some(upstream) => drop(view.upstreams.insert(instance, upstream)),
+                None => drop(view.upstreams.remove(&instance)),
+            }
+        }
+        for (name, group) in update.groups {
+            match group {
+                Some(group) => drop(view.groups.insert(name, group)),
+                None => drop(view.groups.remove(&name)),
+            }
+        }
+        view.out = update.out;
+    }
+
+    fn engine_at(&self, address: SocketAddr) -> Option<name::Instance> {
+        let at = |engine: &engine::Engine| engine.told.address == address;
+        self.engines.iter().find(|(_, engine)| at(engine)).map(|(instance, _)| instance.clone())
+    }
+
+    fn probe(&self, from: SocketAddr, to: SocketAddr) -> order::Sign {
+        let engine = self.engine_at(to).and_then(|instance| self.engines.get(&instance));
+        let alive = engine.is_some_and(|engine| engine.alive) && self.reaches(from, to);
+        if alive { order::Sign::Alive } else { order::Sign::Missing }
+    }
+
+    fn carry_order(&mut self, from: SocketAddr, order: order::Order) {
+        let reached = self.probe(from, order.address) == order::Sign::Alive;
+        let unknown = event::Event::Ordered(order.ticket, order::Outcome::Unknown);
+        match (reached, self.late_orders) {
+            (false, _) => self.send(from, LOST, unknown),
+            (true, Some(late)) => {
+                self.send(from, LOST, unknown);
+                self.push(order.address, late, Delivery::Order(from, order));
+            }
+            (true, None) => self.push(order.address, WAY, Delivery::Order(from, order)),
+        }
+    }
+
+    fn obey(&mut self, from: SocketAddr, order: &order::Order) {
+        let Some(instance) = self.engine_at(order.address) else { return };
+        if !self.engines[&instance].alive {
+            return;
+        }
+        self.check(&instance, order);
+        let now = self.now;
+        let engine = self.engines.get_mut(&instance).expect("it was found");
+        let outcome = engine.obey(now, order);
+        self.register(&instance);
+        self.send(from, WAY, event::Event::Ordered(order.ticket, outcome));
+    }
+
+    /// What must hold whoever leads: no engine joins another group while the head of its own is
+    /// open, and none opens before all its members were ready.
+    fn check(&self, instance: &name::Instance, order: &order::Order) {
+        let engine = &self.engines[instance];
+        match &order.task {
+            order::Task::Join { .. } => {
+                let Some(held) = &engine.told.membership else { return };
+                let other = (held.group.clone(), held.epoch) != (order.group.clone(), order.epoch);
+                let newer = order.epoch > held.epoch;
+                let open = |it: &engine::Engine| it.is_open_in(&held.group, held.epoch);
+                assert!(
+                    !(other && newer && self.engines.values().any(open)),
+                    "{instance} joins {} while the head of {} is open",
+                    order.group,
+                    held.group
+                );
+            }
+            order::Task::Open if engine.told.is_in(&order.group, order.epoch) => {
+                for member in &engine.members {
+                    let member = &self.engines[member];
+                    let gone = !member.alive || !member.told.is_in(&order.group, order.epoch);
+                    assert!(member.was_ready || gone, "{} opens without a member", order.group);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn run_engines(&mut self) {
+        let now = self.now;
+        let mut due = Vec::new();
+        for (instance, engine) in self.engines.iter_mut().filter(|(_, engine)| engine.alive) {
+            if engine.pass(now) || now.since(engine.called) >= HEARTBEAT {
+                due.push(instance.clone());
+            }
+        }
+        for instance in due {
+            self.register(&instance);
+        }
+    }
+
+    /// An engine calls the first process that it reaches.
+    fn register(&mut self, instance: &name::Instance) {
+        let now = self.now;
+        let leader = self.leader();
+        let engine = self.engines.get_mut(instance).expect("it is there");
+        engine.called = now;
+        engine.told.sequence += 1;
+        let told = engine.told.clone();
+        let others = self.processes.keys().copied();
+        let reached = leader.into_iter().chain(others).find(|to| self.reaches(told.address, *to));
+        if let Some(to) = reached {
+            self.call(to, event::announced(told));
+        }
+    }
+}
+
+/// Evidence of an entry that sees an upstream stand still.
+pub fn stalled(instance: &name::Instance) -> peer::Evidence {
+    peer::Evidence { stalled: vec![instance.clone()], traffic: true, ..peer::Evidence::default() }
+}
