--- /dev/null
+++ b/crates/hyssopfork-gateway/tests/gateway/budget.rs
@@ -0,0 +1,29 @@
+//! How often work is sent again.
+
+use crate::fixture::at;
+use hyssopfork_gateway::budget::{Bound, Budget};
+use std::time::Duration;
+
+const BOUND: Bound = Bound { ratio: 0.2, extra: 10.0, window: Duration::from_secs(10) };
+
+fn granted(budget: &mut Budget, millis: u64, asked: u32) -> usize {
+    (0..asked).filter(|_| budget.again(at(millis), BOUND)).count()
+}
+
+#[test]
+fn repeats_stay_below_a_share_of_the_requests_and_an_extra() {
+    let mut budget = Budget::default();
+    (0..100).for_each(|_| budget.first(at(0), BOUND));
+
+    // 0.8 of 0.2 times 100 and 10.
+    assert_eq!(granted(&mut budget, 10, 1_000), 24);
+}
+
+#[test]
+fn what_was_spent_counts_for_the_whole_window() {
+    let mut budget = Budget::default();
+    assert_eq!(granted(&mut budget, 0, 100), 8);
+    assert_eq!(granted(&mut budget, 9_000, 100), 0);
+
+    assert_eq!(granted(&mut budget, 12_000, 100), 8);
+}
--- /dev/null
+++ b/crates/hyssopfork-gateway/tests/gateway/fixture.rs
@@ -0,0 +1,215 @@
+//! An entry before one model with groups and one plain service.
+
+use hyssopfork_fleet::{announcement, declaration, view};
+use hyssopfork_gateway::{action, arrival, core, event, settings, target};
+use hyssopfork_wire::{clock, name, number};
+use std::net;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub const SLOTS: u32 = 8;
+
+pub fn at(millis: u64) -> clock::Instant {
+    clock::Instant::from_millis(millis)
+}
+
+pub fn instance(name: &str) -> name::Instance {
+    name::Instance::from(name)
+}
+
+fn route(name: &str, pool: &str, repetition: declaration::Repetition) -> declaration::Route {
+    declaration::Route {
+        name: name::Route::from(name),
+        host: "host".to_owned(),
+        prefix: format!("/{name}/"),
+        repetition,
+        timeout: Duration::from_secs(4),
+        objective: Duration::from_millis(300),
+        pause: Duration::from_millis(200),
+        priority: 1,
+        targets: vec![(name::Pool::from(pool), 1)],
+        attempts: if repetition == declaration::Repetition::Once { 1 } else { 2 },
+        anonymous: name == "open",
+    }
+}
+
+pub fn declaration() -> declaration::Declaration {
+    use declaration::Repetition;
+    let model = declaration::Model {
+        name: name::Model::from("large"),
+        size: 2,
+        share: 1.0,
+        load: Duration::from_secs(10),
+        warmup: Duration::from_secs(1),
+    };
+    let engine =
+        declaration::Engine { slots: SLOTS, models: vec![model], ..declaration::Engine::default() };
+    let cold = Some(declaration::Cold { per_second: 6.0 });
+    let engines = declaration::Pool { connections: 100, cold, engine: Some(engine) };
+    let plain = declaration::Pool { connections: 100, cold: None, engine: None };
+    let team = declaration::Team {
+        name: name::Team::from("team"),
+        keys: vec!["key".to_owned()],
+        priority: None,
+    };
+    declaration::Declaration {
+        version: 1,
+        routes: vec![
+            route("stream", "engines", Repetition::Resumable),
+            route("status", "plain", Repetition::Idempotent),
+            route("submit", "plain", Repetition::Once),
+            route("open", "plain", Repetition::Idempotent),
+        ],
+        pools: [(name::Pool::from("engines"), engines), (name::Pool::from("plain"), plain)].into(),
+        limits: declaration::Limits::default(),
+        teams: vec![team],
+    }
+}
+
+pub fn upstream(name: &str, pool: &str) -> (name::Instance, Option<view::Upstream>) {
+    let number = name.bytes().last().unwrap_or_default();
+    let announcement = announcement::Announcement {
+        instance: instance(name),
+        pool: name::Pool::from(pool),
+        address: net::SocketAddr::from(([10, 1, 0, number], 8_000)),
+        zone: name::Zone::new(format!("z{}", number % 2)),
+        domain: name::Domain::from("d1"),
+        slots: SLOTS,
+        draining: false,
+        cold: Duration::ZERO,
+        born: 1,
+        sequence: 1,
+        loaded: None,
+        staged: Vec::new(),
+        membership: None,
+    };
+    let upstream = view::Upstream { announcement, standing: view::Standing::Present };
+    (instance(name), Some(upstream))
+}
+
+pub fn group(name: &str, head: &str, epoch: u64) -> (name::Group, Option<view::Group>) {
+    let group = view::Group {
+        pool: name::Pool::from("engines"),
+        model: name::Model::from("large"),
+        members: vec![instance(head), instance("member")],
+        epoch,
+        serving: true,
+    };
+    (name::Group::from(name), Some(group))
+}
+
+/// Two groups with heads `e1` and `e2`, two plain upstreams `p1` and `p2`.
+pub fn view() -> view::Update {
+    view::Update {
+        stamp: view::Stamp { term: number::Term(1), revision: 1 },
+        whole: true,
+        upstreams: vec![
+            upstream("e1", "engines"),
+            upstream("e2", "engines"),
+            upstream("p1", "plain"),
+            upstream("p2", "plain"),
+        ],
+        groups: vec![group("g1", "e1", 1), group("g2", "e2", 2)],
+        entries: 1,
+        ..view::Update::default()
+    }
+}
+
+pub fn arrival(route: &str) -> arrival::Arrival {
+    arrival::Arrival {
+        identifier: "id".to_owned(),
+        host: "host".to_owned(),
+        path: format!("/{route}/x"),
+        key: Some("key".to_owned()),
+        model: Some(name::Model::from("large")),
+        last_event: None,
+        patience: Some(Duration::from_secs(6)),
+    }
+}
+
+/// An entry and its clock.
+pub struct Entry {
+    pub core: core::Core,
+    pub now: clock::Instant,
+    pub told: Vec<hyssopfork_fleet::peer::Evidence>,
+    count: u64,
+}
+
+impl Entry {
+    /// An entry that knows nothing yet.
+    pub fn blank() -> Entry {
+        let settings = settings::Settings {
+            zone: name::Zone::from("z1"),
+            retry_ratio: 0.2,
+            retry_extra: 100.0,
+            retry_window: Duration::from_secs(10),
+        };
+        let now = at(1_000);
+        Entry { core: core::Core::new(settings, 1, now), now, told: Vec::new(), count: 0 }
+    }
+
+    /// An entry that knows the fleet of this module.
+    pub fn ready() -> Entry {
+        let mut entry = Entry::blank();
+        entry.see(view());
+        entry
+    }
+
+    pub fn see(&mut self, update: view::Update) {
+        let declaration = Some(Arc::new(declaration()));
+        self.step(event::Event::Viewed(Box::new(update), declaration));
+    }
+
+    pub fn pass(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+    }
+
+    pub fn step(&mut self, event: event::Event) -> Option<action::Decision> {
+        let mut decision = None;
+        for action in self.core.step(self.now, event) {
+            match action {
+                action::Action::Decide(_, decided) => decision = Some(decided),
+                action::Action::Tell(evidence) => self.told.push(evidence),
+                action::Action::Notice(_) => {}
+            }
+        }
+        decision
+    }
+
+    /// A request arrives; its number and what is decided.
+    pub fn arrive(&mut self, arrival: arrival::Arrival) -> (u64, action::Decision) {
+        self.count += 1;
+        let arrived = event::Event::Arrived(self.count, Box::new(arrival));
+        (self.count, self.step(arrived).expect("each arrival is decided"))
+    }
+
+    /// A request that was sent; its number and upstream.
+    pub fn sent(&mut self, route: &str) -> (u64, name::Instance) {
+        let (number, decision) = self.arrive(arrival(route));
+        (number, started(&decision).instance.clone())
+    }
+
+    /// The first event of a stream comes, and is forwarded.
+    pub fn begin(&mut self, number: u64) {
+        let head = event::Head { status: 200, load: None };
+        assert_eq!(self.step(event::Event::Headed(number, head)), Some(action::Decision::Forward));
+        self.step(event::Event::Moved(number, Some(1)));
+    }
+}
+
+pub fn started(decision: &action::Decision) -> &action::Start {
+    match decision {
+        action::Decision::Start(start) => start,
+        other => panic!("not started: {other:?}"),
+    }
+}
+
+pub fn refused(decision: &action::Decision) -> action::Refusal {
+    match decision {
+        action::Decision::Refuse(refusal) => *refusal,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+/// Silence after which the tests ask what to do with a stream that had begun.
+pub const STALL_MS: u64 = target::STALL.as_millis() as u64;
--- /dev/null
+++ b/crates/hyssopfork-gateway/tests/gateway/main.rs
@@ -0,0 +1,14 @@
+//! The entry's decisions, driven without network or clock.
+
+mod answer;
+mod budget;
+mod choice;
+mod cold;
+mod fixture;
+mod health;
+mod limit;
+mod overload;
+mod returns;
+mod scanner;
+mod serve;
+mod table;
--- /dev/null
+++ b/crates/hyssopfork-gateway/tests/gateway/scanner.rs
@@ -0,0 +1,62 @@
+//! Whole events, each once and none left out.
+
+use hyssopfork_gateway::scanner::{OutOfOrder, Scanner};
+use proptest::prelude::*;
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: {}\n\n", "x".repeat(id as usize % 7))
+}
+
+#[test]
+fn the_beginning_of_an_event_waits_for_its_rest() {
+    let mut scanner = Scanner::new(None);
+    assert_eq!(scanner.feed(b"id: 1\ndata: a\n\nid: 2\nda"), Ok("id: 1\ndata: a\n\n".into()));
+    assert!(!scanner.is_clean());
+
+    assert_eq!(scanner.feed(b"ta: b\n\n"), Ok("id: 2\ndata: b\n\n".into()));
+    assert_eq!(scanner.last(), Some(2));
+}
+
+#[test]
+fn an_event_that_does_not_follow_is_refused() {
+    let mut scanner = Scanner::new(Some(4));
+
+    assert_eq!(scanner.feed(event(6).as_bytes()), Err(OutOfOrder { came: 6, last: 4 }));
+}
+
+#[test]
+fn a_stream_goes_on_after_a_break_where_it_stopped() {
+    let mut scanner = Scanner::new(None);
+    scanner.feed(b"id: 1\ndata: a\n\nid: 2\nda").expect("in order");
+    scanner.discard_partial();
+
+    assert_eq!(scanner.feed(event(2).as_bytes()), Ok(event(2).into()));
+}
+
+proptest! {
+    #[test]
+    fn any_cutting_of_the_bytes_gives_the_same_events(
+        count in 1_u64..12,
+        cuts in prop::collection::vec(1_usize..9, 1..80),
+    ) {
+        let whole: String = (1..=count).map(event).collect();
+        let mut scanner = Scanner::new(None);
+        let mut out = Vec::new();
+        let mut rest = whole.as_bytes();
+        let mut sizes = cuts.iter().cycle();
+        while !rest.is_empty() {
+            let size = (*sizes.next().expect("it cycles")).min(rest.len());
+            let (part, left) = rest.split_at(size);
+            out.extend_from_slice(&scanner.feed(part).expect("in order"));
+            rest = left;
+        }
+        prop_assert_eq!(out, whole.into_bytes());
+        prop_assert!(scanner.is_clean());
+        prop_assert_eq!(scanner.last(), Some(count));
+    }
+
+    #[test]
+    fn bytes_that_are_no_events_harm_nothing(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _whatever = Scanner::new(None).feed(&bytes);
+    }
+}
--- /dev/null
+++ b/crates/hyssopfork-gateway/tests/gateway/table.rs
@@ -0,0 +1,69 @@
+//! Where requests belong.
+
+use crate::fixture::{self, arrival};
+use hyssopfork_gateway::table::{self, Stray, Table};
+use hyssopfork_wire::name;
+use std::sync::Arc;
+
+fn table() -> Table {
+    let mut declaration = fixture::declaration();
+    let mut inner = declaration.routes[1].clone();
+    inner.name = name::Route::from("inner");
+    inner.prefix = "/status/inner/".to_owned();
+    declaration.routes.push(inner);
+    Table::new(Arc::new(declaration))
+}
+
+fn route_of(path: &str) -> Result<String, Stray> {
+    let arrival =
+        hyssopfork_gateway::arrival::Arrival { path: path.to_owned(), ..arrival("status") };
+    table().find(&arrival).map(|place| place.route.name.to_string())
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    assert_eq!(route_of("/status/inner/x"), Ok("inner".to_owned()));
+    assert_eq!(route_of("/status/inner"), Ok("status".to_owned()));
+    assert_eq!(route_of("/status"), Err(Stray::NoRoute));
+    assert_eq!(route_of("/statuses/x"), Err(Stray::NoRoute));
+}
+
+#[test]
+fn hosts_are_told_apart_without_regard_to_case() {
+    let mut other = arrival("status");
+    other.host = "HOST".to_owned();
+    assert!(table().find(&other).is_ok());
+    other.host = "another".to_owned();
+
+    assert_eq!(table().find(&other).err(), Some(Stray::NoRoute));
+}
+
+#[test]
+fn an_open_route_needs_no_key() {
+    let mut stranger = arrival("open");
+    stranger.key = None;
+    assert!(table().find(&stranger).is_ok_and(|place| place.team.is_none()));
+    stranger.path = "/status/x".to_owned();
+
+    assert_eq!(table().find(&stranger).err(), Some(Stray::NoKey));
+}
+
+#[test]
+fn weights_split_the_work() {
+    let mut route = fixture::declaration().routes[0].clone();
+    route.targets = vec![(name::Pool::from("a"), 90), (name::Pool::from("b"), 10)];
+
+    let taken = |draw| table::split(&route, draw).map(name::Pool::as_str);
+
+    assert_eq!(taken(0.0), Some("a"));
+    assert_eq!(taken(0.89), Some("a"));
+    assert_eq!(taken(0.91), Some("b"));
+}
+
+#[test]
+fn a_pool_without_weight_gets_nothing() {
+    let mut route = fixture::declaration().routes[0].clone();
+    route.targets = vec![(name::Pool::from("a"), 0), (name::Pool::from("b"), 1)];
+
+    assert_eq!(table::split(&route, 0.0).map(name::Pool::as_str), Some("b"));
+}
