--- a/crates/hyssopfork-consensus/tests/rules/main.rs
+++ b/crates/hyssopfork-consensus/tests/rules/main.rs
@@ -2,5 +2,6 @@
 
 mod entries;
 mod fixture;
+mod founding;
 mod members;
 mod votes;
--- a/crates/hyssopfork-daemon/src/edge/control.rs
+++ b/crates/hyssopfork-daemon/src/edge/control.rs
@@ -3,11 +3,13 @@
 use crate::edge::{engine, folder, peers, traffic};
 use crate::{clock, log, mailbox};
 use hyssopfork_fleet::{action, core, event};
+use hyssopfork_telemetry::metrics;
 use hyssopfork_wire::consensus;
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::net;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 
 /// Messages of the log on their way to one voter at once; more are dropped, which the log's rules
@@ -33,6 +35,7 @@
     folder: Option<folder::Writer>,
     mailbox: mailbox::Mailbox<Input>,
     news: mpsc::UnboundedSender<traffic::News>,
+    registry: Arc<metrics::Registry>,
     calls: HashMap<u64, oneshot::Sender<action::Reply>>,
     count: u64,
 }
@@ -45,6 +48,7 @@
         folder: Option<folder::Writer>,
         mailbox: mailbox::Mailbox<Input>,
         news: mpsc::UnboundedSender<traffic::News>,
+        registry: Arc<metrics::Registry>,
     ) -> Role {
         Role {
             core,
@@ -54,6 +58,7 @@
             folder,
             mailbox,
             news,
+            registry,
             calls: HashMap::new(),
             count: 0,
         }
@@ -167,6 +172,9 @@
 
     fn tick(&mut self) {
         self.step(event::Event::Tick);
+        if let Some((term, committed)) = self.core.progress() {
+            self.registry.consensus(term, committed, self.core.leads());
+        }
         let closed: Vec<u64> = self
             .calls
             .iter()
--- a/crates/hyssopfork-daemon/src/edge/doors.rs
+++ b/crates/hyssopfork-daemon/src/edge/doors.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use hyssopfork_fleet::{action, declaration, event, peer, view};
 use hyssopfork_platform::{operator, registration, reply};
+use hyssopfork_telemetry::metrics;
 use hyssopfork_wire::name;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -88,6 +89,15 @@
     web::Outgoing::whole(reply.status, headers.collect(), reply.body)
 }
 
+/// Answers a collector of metrics.
+pub async fn metrics(registry: Arc<metrics::Registry>, incoming: web::Incoming) -> web::Outgoing {
+    if incoming.request.path() != "/metrics" {
+        return outgoing(reply::fault(StatusCode::NOT_FOUND.as_u16(), "ask for /metrics"));
+    }
+    let kind = ("content-type".to_owned(), "text/plain; version=0.0.4".to_owned());
+    web::Outgoing::whole(StatusCode::OK.as_u16(), vec![kind], registry.encode().into())
+}
+
 /// Answers the balancer.
 pub async fn readiness(status: Arc<traffic::Status>, _incoming: web::Incoming) -> web::Outgoing {
     let ready = status.ready.load(Ordering::Relaxed);
--- a/crates/hyssopfork-daemon/src/edge/process.rs
+++ b/crates/hyssopfork-daemon/src/edge/process.rs
@@ -7,7 +7,7 @@
 use hyssopfork_gateway::{core as gateway, settings as entry};
 use hyssopfork_platform::operator;
 use hyssopfork_settings::edge;
-use hyssopfork_telemetry::log as telemetry;
+use hyssopfork_telemetry::{log as telemetry, metrics};
 use std::net;
 use std::path::Path;
 use std::rc::Rc;
@@ -53,7 +53,14 @@
     let (news, heard) = mpsc::unbounded_channel();
     let (phase, phases) = watch::channel(web::Phase::Serving);
     let status = Arc::<traffic::Status>::default();
-    let starter = Starter { settings, mailbox: &mailbox, phases: &phases, status: &status };
+    let registry = Arc::new(metrics::Registry::new());
+    let starter = Starter {
+        settings,
+        mailbox: &mailbox,
+        phases: &phases,
+        status: &status,
+        registry: &registry,
+    };
     starter.start_control(inputs, news)?;
     starter.start_traffic(heard)?;
     log::notice(&notice::Notice::Started(settings.instance.clone(), "edge".to_owned()));
@@ -125,6 +132,7 @@
     mailbox: &'a mailbox::Mailbox<control::Input>,
     phases: &'a watch::Receiver<web::Phase>,
     status: &'a Arc<traffic::Status>,
+    registry: &'a Arc<metrics::Registry>,
 }
 
 impl Starter<'_> {
@@ -154,8 +162,12 @@
         let door =
             doors::Control { mailbox: self.mailbox.clone(), port: settings.control_listen.port() };
         let (mailbox, phases) = (self.mailbox.clone(), self.phases.clone());
+        let registry = self.registry.clone();
+        let place = net::SocketAddr::new(settings.control_listen.ip(), settings.metrics_port);
+        let collector = listener::bind("metrics", place)?;
         Arbiter::new().spawn_fn(move || {
-            let role = control::Role::new(core, own, folder, mailbox.clone(), news);
+            let role =
+                control::Role::new(core, own, folder, mailbox.clone(), news, registry.clone());
             actix_rt::spawn(role.run(inputs));
             actix_rt::spawn(async move {
                 if let Err(error) = peers::serve(own, mailbox).await {
@@ -164,7 +176,8 @@
                 }
             });
             let shared = Rc::new(web::Shared::new(control_limits(), phases));
-            serve(listener, shared, move |incoming| door.clone().answer(incoming));
+            serve(listener, shared.clone(), move |incoming| door.clone().answer(incoming));
+            serve(collector, shared, move |incoming| doors::metrics(registry.clone(), incoming));
         });
         Ok(())
     }
@@ -186,11 +199,12 @@
         let balancer = listener::bind("the balancer", settings.readiness_listen)?;
         let (mailbox, status) = (self.mailbox.clone(), self.status.clone());
         let (own, phases) = (settings.peer_address(), self.phases.clone());
+        let registry = self.registry.clone();
         Arbiter::new().spawn_fn(move || {
             let limits = traffic::limits(&declaration::Limits::default());
             let shared = Rc::new(web::Shared::new(limits, phases.clone()));
             let asked = status.clone();
-            let traffic = Rc::new(traffic::Traffic::new(core, own, mailbox, status));
+            let traffic = Rc::new(traffic::Traffic::new(core, own, mailbox, status, registry));
             serve(balancer, Rc::new(web::Shared::new(limits, phases.clone())), move |incoming| {
                 doors::readiness(asked.clone(), incoming)
             });
--- a/crates/hyssopfork-daemon/src/edge/traffic.rs
+++ b/crates/hyssopfork-daemon/src/edge/traffic.rs
@@ -4,6 +4,8 @@
 use crate::{clock, log, mailbox};
 use hyssopfork_fleet::{declaration, event as fleet_event, view};
 use hyssopfork_gateway::{action, core, event};
+use hyssopfork_telemetry::metrics;
+use hyssopfork_wire::number;
 use std::cell::{Cell, RefCell};
 use std::net;
 use std::rc::Rc;
@@ -33,6 +35,7 @@
     own: net::SocketAddr,
     mailbox: mailbox::Mailbox<control::Input>,
     status: Arc<Status>,
+    registry: Arc<metrics::Registry>,
 }
 
 impl Traffic {
@@ -42,6 +45,7 @@
         own: net::SocketAddr,
         mailbox: mailbox::Mailbox<control::Input>,
         status: Arc<Status>,
+        registry: Arc<metrics::Registry>,
     ) -> Traffic {
         Traffic {
             core: RefCell::new(core),
@@ -50,6 +54,7 @@
             own,
             mailbox,
             status,
+            registry,
         }
     }
 
@@ -67,6 +72,7 @@
             match action {
                 action::Action::Decide(_, decided) => decision = Some(decided),
                 action::Action::Notice(notice) => log::notice(&notice),
+                action::Action::Measure(measure) => log::measure_edge(&self.registry, &measure),
                 action::Action::Tell(evidence) => {
                     let seen = fleet_event::Event::Seen(self.own, evidence);
                     self.mailbox.post(control::Input::Event(Box::new(seen)));
@@ -80,6 +86,11 @@
         let core = self.core.borrow();
         self.status.ready.store(core.is_ready(), Ordering::Relaxed);
         self.status.open.store(core.open(), Ordering::Relaxed);
+        self.registry.occupied(0, core.open());
+        if let Some(table) = core.table() {
+            let version = table.declaration().version;
+            self.registry.in_force(number::Configuration(version), number::Version(version));
+        }
     }
 }
 
--- a/crates/hyssopfork-daemon/src/log.rs
+++ b/crates/hyssopfork-daemon/src/log.rs
@@ -6,7 +6,7 @@
 use hyssopfork_control::notice as control;
 use hyssopfork_entry::{measure, notice as entry};
 use hyssopfork_fleet::notice as fleet;
-use hyssopfork_gateway::notice as gateway;
+use hyssopfork_gateway::{action as gateway_action, measure as gateway_measure, notice as gateway};
 use hyssopfork_telemetry::{log, metrics};
 use hyssopfork_watch::{notice as watch, watcher};
 use hyssopfork_wire::{level, refusal};
@@ -121,3 +121,37 @@
     let view = watcher.view();
     registry.in_force(view.configuration.number, view.version);
 }
+
+/// Adds a finished request of an edge process to the histograms.
+pub fn measure_edge(registry: &metrics::Registry, measure: &gateway_measure::Measure) {
+    if let gateway_measure::Outcome::Refused(reason) = measure.outcome {
+        registry.refused(measure.team.as_ref(), &refusal_of(reason));
+    }
+    let (Some(team), Some(class)) = (&measure.team, measure.class) else { return };
+    for _ in 1..measure.attempts {
+        registry.retried(team, class);
+    }
+    match measure.outcome {
+        gateway_measure::Outcome::Answered(first) => {
+            registry.first_token(team, class, first);
+            registry.answered(team, class, measure.whole);
+        }
+        gateway_measure::Outcome::Cut => registry.cut(team, class),
+        gateway_measure::Outcome::Refused(_) => {}
+    }
+}
+
+fn refusal_of(reason: gateway_action::Reason) -> refusal::Refusal {
+    use gateway_action::Reason;
+    let told = match reason {
+        Reason::NotReady => refusal::Reason::Stale,
+        Reason::NoRoute => refusal::Reason::NoRoute,
+        Reason::NoKey => refusal::Reason::Unauthorized,
+        Reason::NoUpstream | Reason::NotTaken => refusal::Reason::NoUpstream,
+        Reason::Overloaded => refusal::Reason::Overloaded,
+        Reason::TooLate | Reason::TimedOut => refusal::Reason::Deadline,
+        Reason::Failed => refusal::Reason::UpstreamFailed,
+    };
+    let ran = if reason.is_not_run() { refusal::Ran::NotRun } else { refusal::Ran::MayHaveRun };
+    refusal::Refusal { reason: told, ran, retry_after: None }
+}
--- /dev/null
+++ b/crates/hyssopfork-daemon/tests/edge/support.rs
@@ -0,0 +1,191 @@
+//! A process of its own, and an upstream that the test plays.
+
+use hyssopfork_test_support::http;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+use std::{fs, thread};
+
+/// Longest wait for anything.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn free_port() -> u16 {
+    let listener = http::free_listener().expect("a free port");
+    listener.local_addr().expect("it is bound").port()
+}
+
+/// A process.
+pub struct Edge {
+    child: Child,
+    folder: PathBuf,
+    pub callers: SocketAddr,
+    pub control: SocketAddr,
+    pub readiness: SocketAddr,
+    pub metrics: SocketAddr,
+}
+
+impl Edge {
+    /// Starts the only process of a system.
+    pub fn start(name: &str) -> Edge {
+        let folder = std::env::temp_dir().join(format!("hyssopfork-{name}-{}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder can be made");
+        let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        let [callers, control, readiness, metrics, peer] = [(); 5].map(|()| local(free_port()));
+        let settings = format!(
+            r#"{{
+              // The only process of a system.
+              "instance": "edge-1", "zone": "z1", "callers_listen": "{callers}",
+              "readiness_listen": "{readiness}", "control_listen": "{control}",
+              "peer_port": {}, "metrics_port": {}, "seeds": ["{control}"], "first_start": true,
+              "data_folder": "{}", "tolerated_losses": 0, "grace_seconds": 6,
+              "log": {{ "format": "json" }}
+            }}"#,
+            peer.port(),
+            metrics.port(),
+            folder.join("data").display()
+        );
+        let path = folder.join("settings.jsonc");
+        fs::write(&path, settings).expect("it can be written");
+        let child = Command::new(env!("CARGO_BIN_EXE_hyssopforkd"))
+            .args(["edge", "--settings"])
+            .arg(&path)
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("it starts");
+        Edge { child, folder, callers, control, readiness, metrics }
+    }
+
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        let process = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(process, rustix::process::Signal::TERM).expect("it runs");
+    }
+
+    /// Waits for the process's end and gives whether it was a success.
+    pub fn ended(&mut self) -> bool {
+        self.child.wait().expect("it was started").success()
+    }
+
+    /// Calls until `status` comes.
+    pub fn until(&self, to: SocketAddr, request: &str, status: u16) -> Answer {
+        let since = Instant::now();
+        loop {
+            let answer = call(to, request);
+            match answer {
+                Some(answer) if answer.status == status => return answer,
+                other => assert!(since.elapsed() < PATIENCE, "{request}: {other:?}"),
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
+impl Drop for Edge {
+    fn drop(&mut self) {
+        let _already_ended = self.child.kill();
+        let _already_waited = self.child.wait();
+        let _left_behind = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// An answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+/// A request with a body.
+pub fn request(method: &str, path: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: host\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Sends a request on a connection of its own; `None` when nobody answers whole.
+pub fn call(to: SocketAddr, request: &str) -> Option<Answer> {
+    let mut stream = TcpStream::connect(to).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    stream.write_all(request.as_bytes()).ok()?;
+    receive(&mut BufReader::new(stream))
+}
+
+/// Reads an answer with a length or chunks.
+pub fn receive(reader: &mut impl BufRead) -> Option<Answer> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let lower = head.to_lowercase();
+    let body = if lower.contains("transfer-encoding: chunked") {
+        chunks(reader)?
+    } else {
+        let length = lower.split("content-length: ").nth(1)?.split("\r\n").next()?.parse().ok()?;
+        let mut body = vec![0; length];
+        reader.read_exact(&mut body).ok()?;
+        String::from_utf8(body).ok()?
+    };
+    Some(Answer { status, head, body })
+}
+
+fn chunks(reader: &mut impl BufRead) -> Option<String> {
+    let mut whole = String::new();
+    loop {
+        let mut size = String::new();
+        reader.read_line(&mut size).ok()?;
+        let size = usize::from_str_radix(size.trim(), 16).ok()?;
+        let mut part = vec![0; size + 2];
+        reader.read_exact(&mut part).ok()?;
+        if size == 0 {
+            return Some(whole);
+        }
+        whole.push_str(std::str::from_utf8(&part[..size]).ok()?);
+    }
+}
+
+/// An upstream that answers every request with `answer` and counts the requests.
+pub fn upstream(answer: &'static str) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener: TcpListener = http::free_listener().expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    let count = Arc::<AtomicUsize>::default();
+    let counted = count.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let counted = counted.clone();
+            thread::spawn(move || serve(stream, answer, &counted));
+        }
+    });
+    (address, count)
+}
+
+fn serve(stream: TcpStream, answer: &str, count: &AtomicUsize) {
+    let mut writer = stream.try_clone().expect("it is open");
+    let mut reader = BufReader::new(stream);
+    loop {
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            if reader.read_line(&mut head).unwrap_or(0) == 0 {
+                return;
+            }
+        }
+        let lower = head.to_lowercase();
+        let length = lower.split("content-length: ").nth(1).and_then(|it| it.split("\r\n").next());
+        let mut body = vec![0; length.and_then(|it| it.parse().ok()).unwrap_or(0)];
+        if reader.read_exact(&mut body).is_err() {
+            return;
+        }
+        count.fetch_add(1, Ordering::SeqCst);
+        if writer.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/hyssopfork-daemon/tests/edge/web.rs
@@ -0,0 +1,166 @@
+//! The server that shows when a caller goes away.
+
+use crate::support;
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream;
+use hyssopfork_daemon::edge::web;
+use hyssopfork_test_support::http;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+const LIMITS: web::Limits = web::Limits {
+    head_bytes: 1_024,
+    body_bytes: 64,
+    head_timeout: Duration::from_millis(300),
+    idle_timeout: Duration::from_secs(5),
+};
+
+/// Counts when it is dropped.
+struct Dropped(Arc<AtomicUsize>);
+
+impl Drop for Dropped {
+    fn drop(&mut self) {
+        self.0.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+async fn answer(incoming: web::Incoming, dropped: Arc<AtomicUsize>) -> web::Outgoing {
+    let guard = Dropped(dropped);
+    match incoming.request.path() {
+        "/never" => std::future::pending().await,
+        "/parts" => {
+            let parts = ["one ", "", "two"].map(|part| Ok(Bytes::from(part)));
+            let body = web::Body::Parts(stream::iter(parts).boxed_local());
+            web::Outgoing { status: 200, headers: Vec::new(), body }
+        }
+        "/broken" => {
+            let parts = [Ok(Bytes::from("one")), Err(web::Broken)];
+            let body = web::Body::Parts(stream::iter(parts).boxed_local());
+            web::Outgoing { status: 200, headers: Vec::new(), body }
+        }
+        _ => {
+            drop(guard);
+            web::Outgoing::whole(200, Vec::new(), incoming.body)
+        }
+    }
+}
+
+/// A server on a thread of its own; its address, how many answers were dropped, and its phase.
+fn start() -> (SocketAddr, Arc<AtomicUsize>, watch::Sender<web::Phase>) {
+    let listener = http::free_listener().expect("a free port");
+    listener.set_nonblocking(true).expect("it is bound");
+    let address = listener.local_addr().expect("it is bound");
+    let (phase, phases) = watch::channel(web::Phase::Serving);
+    let dropped = Arc::<AtomicUsize>::default();
+    let counted = dropped.clone();
+    thread::spawn(move || {
+        actix_rt::System::new().block_on(async move {
+            let shared = Rc::new(web::Shared::new(LIMITS, phases));
+            let handle = move |incoming| answer(incoming, counted.clone());
+            web::serve(listener, shared, handle).await.expect("it listens");
+            std::future::pending::<()>().await;
+        });
+    });
+    (address, dropped, phase)
+}
+
+fn status(to: SocketAddr, request: &str) -> Option<u16> {
+    support::call(to, request).map(|answer| answer.status)
+}
+
+#[test]
+fn bodies_arrive_whole_however_they_are_framed() {
+    let (address, ..) = start();
+    let chunked = "POST /echo HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+
+    let sized = support::call(address, &support::request("POST", "/echo", "", "abcde"));
+    let chunked = support::call(address, chunked);
+
+    assert_eq!(sized.map(|answer| answer.body).as_deref(), Some("abcde"));
+    assert_eq!(chunked.map(|answer| answer.body).as_deref(), Some("abcde"));
+}
+
+/// An empty part in the middle: written as a chunk it would be the end mark, and the caller would
+/// take the first half of a stream for all of it.
+#[test]
+fn an_empty_part_does_not_end_the_answer() {
+    let (address, ..) = start();
+
+    let answer = support::call(address, &support::request("GET", "/parts", "", ""));
+
+    assert_eq!(answer.map(|answer| answer.body).as_deref(), Some("one two"));
+}
+
+#[test]
+fn a_broken_answer_does_not_look_whole() {
+    let (address, ..) = start();
+
+    assert!(support::call(address, &support::request("GET", "/broken", "", "")).is_none());
+}
+
+/// The caller closes while its request is worked on: the work is dropped at once, not when an answer
+/// fails to be written.
+#[test]
+fn work_ends_when_its_caller_has_gone() {
+    let (address, dropped, _) = start();
+    let mut stream = TcpStream::connect(address).expect("it listens");
+    stream.write_all(support::request("GET", "/never", "", "").as_bytes()).expect("it is read");
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(dropped.load(Ordering::SeqCst), 0);
+
+    drop(stream);
+
+    let since = Instant::now();
+    while dropped.load(Ordering::SeqCst) == 0 {
+        assert!(since.elapsed() < Duration::from_secs(5), "the work goes on");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+#[test]
+fn several_requests_on_one_connection_are_answered_in_order() {
+    let (address, ..) = start();
+    let mut stream = TcpStream::connect(address).expect("it listens");
+    let both =
+        support::request("POST", "/a", "", "first") + &support::request("POST", "/b", "", "second");
+    stream.write_all(both.as_bytes()).expect("it is read");
+    let mut reader = BufReader::new(stream);
+
+    let bodies = [(); 2].map(|()| support::receive(&mut reader).map(|answer| answer.body));
+
+    assert_eq!(bodies, [Some("first".to_owned()), Some("second".to_owned())]);
+}
+
+#[test]
+fn what_is_too_large_too_slow_or_malformed_is_refused() {
+    let (address, ..) = start();
+    let long = "x".repeat(80);
+    let wide = format!("X-Wide: {}\r\n", "x".repeat(3_000));
+
+    assert_eq!(status(address, &support::request("POST", "/a", "", &long)), Some(413));
+    assert_eq!(status(address, &format!("GET /a HTTP/1.1\r\nHost: h\r\n{wide}")), Some(431));
+    assert_eq!(status(address, "GET /a HT"), Some(408));
+    assert_eq!(status(address, "nonsense\r\n\r\n"), Some(400));
+}
+
+#[test]
+fn a_closing_server_takes_no_connections_and_closes_idle_ones() {
+    let (address, _, phase) = start();
+    let mut idle = TcpStream::connect(address).expect("it listens");
+    idle.write_all(support::request("GET", "/a", "", "").as_bytes()).expect("it is read");
+    let mut reader = BufReader::new(idle.try_clone().expect("it is open"));
+    assert_eq!(support::receive(&mut reader).map(|answer| answer.status), Some(200));
+
+    phase.send_replace(web::Phase::Closing);
+
+    assert_eq!(reader.read(&mut [0; 8]).expect("it is closed in order"), 0);
+    thread::sleep(Duration::from_millis(100));
+    assert!(TcpStream::connect(address).is_err());
+}
--- a/crates/hyssopfork-daemon/tests/events.rs
+++ b/crates/hyssopfork-daemon/tests/events.rs
@@ -5,13 +5,15 @@
 use std::path::{Path, PathBuf};
 
 /// Packages with numbered events, and the heading of their part of the catalogue.
-const PARTS: [(&str, &str); 6] = [
+const PARTS: [(&str, &str); 8] = [
     ("hyssopfork-consensus", "## Replicated log"),
     ("hyssopfork-control", "## Control"),
     ("hyssopfork-entry", "## Entry"),
     ("hyssopfork-agent", "## Agent"),
     ("hyssopfork-watch", "## Watcher"),
     ("hyssopfork-daemon", "## Daemon"),
+    ("hyssopfork-fleet", "## Fleet"),
+    ("hyssopfork-gateway", "## Gateway"),
 ];
 
 fn root() -> PathBuf {
--- a/crates/hyssopfork-exchange/tests/connection.rs
+++ b/crates/hyssopfork-exchange/tests/connection.rs
@@ -160,3 +160,54 @@
 
     assert!(matches!(refused, Err(error::Error::Unsendable("header value"))), "{refused:?}");
 }
+
+/// A peer that answers with `answer` as soon as the connection opens, and reads nothing.
+fn hasty(answer: &'static [u8]) -> net::SocketAddr {
+    let listener = http::free_listener().expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a caller comes");
+        stream.write_all(answer).expect("the caller is there");
+        thread::sleep(std::time::Duration::from_millis(300));
+    });
+    address
+}
+
+/// An answer without length and chunks lasts until the peer closes; a caller that asked for such
+/// answers gets all of it.
+#[actix_rt::test]
+async fn a_body_that_lasts_until_the_connection_closes_is_whole() {
+    let address = scripted(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it");
+    let mut connection = connection::Connection::open(address).await.expect("it listens");
+    connection.take_unframed();
+
+    connection.send(&LODGE, body()).await.expect("it is sent");
+    connection.head().await.expect("a head comes");
+
+    assert_eq!(connection.rest().await.expect("it is whole"), Bytes::from_static(b"all of it"));
+    assert!(!connection.is_reusable());
+}
+
+/// The peer answers before it has read a long request, and would read the rest as the start of
+/// another one. The caller gets the answer, and uses the connection for nothing else.
+#[actix_rt::test]
+async fn a_connection_whose_peer_answered_early_is_not_used_again() {
+    let address = hasty(b"HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n");
+    let mut connection = connection::Connection::open(address).await.expect("it listens");
+    let long = Bytes::from(vec![b'x'; 32 << 20]);
+
+    connection.send(&LODGE, long).await.expect("an answer ends the sending");
+    let head = connection.head().await.expect("it has come");
+
+    assert_eq!(head.status, 413);
+    assert!(!connection.is_reusable());
+}
+
+#[actix_rt::test]
+async fn bytes_between_two_answers_show() {
+    let address = hasty(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    let connection = connection::Connection::open(address).await.expect("it listens");
+    actix_rt::time::sleep(std::time::Duration::from_millis(50)).await;
+
+    assert!(!connection.is_quiet());
+}
--- a/crates/hyssopfork-fleet/src/core.rs
+++ b/crates/hyssopfork-fleet/src/core.rs
@@ -179,6 +179,8 @@
         for call in self.proposals.overdue(self.now) {
             self.reply(call, action::Reply::Unknown);
         }
+        let own = self.hello();
+        self.founding.note(&own);
         if self.founding.founder(self.now) == Some(self.settings.address) {
             self.found();
         }
@@ -233,6 +235,15 @@
         self.settings.first_start && blank
     }
 
+    /// What this process says of itself.
+    fn hello(&self) -> crate::peer::Hello {
+        crate::peer::Hello {
+            address: self.settings.address,
+            has_folder: self.settings.has_folder,
+            may_found: self.may_found(),
+        }
+    }
+
     /// Instances that may hold a voter's folder.
     fn listed(&self) -> Vec<name::Instance> {
         self.seeking.controls().iter().copied().map(instance_of).collect()
--- a/crates/hyssopfork-fleet/src/core/follow.rs
+++ b/crates/hyssopfork-fleet/src/core/follow.rs
@@ -10,11 +10,7 @@
     /// Greets everybody while no leader is known, and asks the leader for what is new.
     pub(super) fn seek(&mut self) {
         self.follow_log();
-        let hello = peer::Hello {
-            address: self.settings.address,
-            has_folder: self.settings.has_folder,
-            may_found: self.may_found(),
-        };
+        let hello = self.hello();
         for to in self.seeking.greet(self.now) {
             self.act(action::Action::Greet(to, hello.clone()));
         }
--- a/crates/hyssopfork-fleet/tests/fleet/replication.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/replication.rs
@@ -19,6 +19,25 @@
     }
 }
 
+#[test]
+fn one_process_alone_forms_the_log_and_serves() {
+    let mut world = world::World::start(1, 0);
+    world.run(6_000);
+
+    assert!(world.declare(1));
+}
+
+#[test]
+fn a_folder_at_one_process_that_is_no_seed_is_found() {
+    let mut world = world::World::start(0, 4);
+    let last = fixture::address(4);
+    world.processes.get_mut(&last).expect("it is there").has_folder = true;
+    world.boot(last, true);
+    world.run(6_000);
+
+    assert!(world.declare(1));
+}
+
 #[test]
 fn a_declaration_reaches_every_process() {
     let world = world::World::declared(3, 4);
--- a/crates/hyssopfork-gateway/src/action.rs
+++ b/crates/hyssopfork-gateway/src/action.rs
@@ -1,6 +1,6 @@
 //! What an entry does about an event.
 
-use crate::notice;
+use crate::{measure, notice};
 use hyssopfork_fleet::peer;
 use hyssopfork_wire::{clock, name};
 use std::net;
@@ -95,6 +95,8 @@
     Decide(u64, Decision),
     /// Tell the leader what was seen.
     Tell(peer::Evidence),
+    /// Measure a request that ended.
+    Measure(measure::Measure),
     /// Log a numbered event.
     Notice(notice::Notice),
 }
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -1,7 +1,9 @@
 //! A request's way from arrival to its end.
 
 use super::Core;
-use crate::{action, arrival, budget, choice, event, load, notice, request, table, target};
+use crate::{
+    action, arrival, budget, choice, event, load, measure, notice, request, table, target,
+};
 use hyssopfork_wire::{clock, name};
 use std::time::Duration;
 
@@ -209,6 +211,7 @@
     fn conclude(&mut self, number: u64, status: u16) {
         let Some(request) = self.requests.remove(&number) else { return };
         let begun = request.begun.unwrap_or(self.now);
+        self.measure(&request, measure::Outcome::Answered(begun.since(request.arrived)));
         self.note(notice::Notice::Answered {
             identifier: request.identifier,
             status,
@@ -397,10 +400,12 @@
         let after = self.now.since(request.arrived);
         if request.forwarded {
             self.decide(number, action::Decision::Cut);
+            self.measure(&request, measure::Outcome::Cut);
             let (identifier, attempts) = (request.identifier, request.tries);
             return self.note(notice::Notice::Cut { identifier, reason, attempts, after });
         }
         let retry_after = reason.is_not_run().then(|| self.book(&request, wait));
+        self.measure(&request, measure::Outcome::Refused(reason));
         let refusal = refusal(reason, retry_after);
         self.decide(number, action::Decision::Refuse(refusal));
         self.note(notice::Notice::Refused {
@@ -426,8 +431,25 @@
         returns.book(now, wait, spacing.min(MOST_RETRY)).clamp(LEAST_RETRY, MOST_RETRY)
     }
 
+    fn measure(&mut self, request: &request::Request, outcome: measure::Outcome) {
+        self.actions.push(action::Action::Measure(measure::Measure {
+            team: request.team.clone(),
+            class: Some(request.class()),
+            outcome,
+            attempts: request.tries,
+            whole: self.now.since(request.arrived),
+        }));
+    }
+
     /// Refuses a request that has no place.
     fn turn_away(&mut self, number: u64, identifier: String, refusal: action::Refusal) {
+        self.actions.push(action::Action::Measure(measure::Measure {
+            team: None,
+            class: None,
+            outcome: measure::Outcome::Refused(refusal.reason),
+            attempts: 0,
+            whole: Duration::ZERO,
+        }));
         self.decide(number, action::Decision::Refuse(refusal));
         self.note(notice::Notice::Refused {
             identifier,
--- a/crates/hyssopfork-gateway/src/lib.rs
+++ b/crates/hyssopfork-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod health;
 pub mod limit;
 pub mod load;
+pub mod measure;
 pub mod notice;
 pub mod request;
 pub mod returns;
--- a/crates/hyssopfork-gateway/src/request.rs
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -1,7 +1,7 @@
 //! Requests of an entry.
 
 use hyssopfork_fleet::declaration;
-use hyssopfork_wire::{clock, name};
+use hyssopfork_wire::{clock, configuration, name};
 use std::time::Duration;
 
 /// The attempt that is under way.
@@ -55,3 +55,16 @@
     /// When the first bytes came.
     pub begun: Option<clock::Instant>,
 }
+
+impl Request {
+    /// Class of the work, for metrics.
+    pub fn class(&self) -> configuration::Class {
+        match self.repetition {
+            declaration::Repetition::Idempotent => configuration::Class::Status,
+            declaration::Repetition::Once => configuration::Class::Interactive,
+            declaration::Repetition::Resumable | declaration::Repetition::Stream => {
+                configuration::Class::Batch
+            }
+        }
+    }
+}
--- a/crates/hyssopfork-gateway/tests/gateway/fixture.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/fixture.rs
@@ -170,7 +170,7 @@
             match action {
                 action::Action::Decide(_, decided) => decision = Some(decided),
                 action::Action::Tell(evidence) => self.told.push(evidence),
-                action::Action::Notice(_) => {}
+                action::Action::Notice(_) | action::Action::Measure(_) => {}
             }
         }
         decision
