Split the large modules of groups and of the entry by their jobs

No change of behaviour: group lifecycle and strangers stand apart from the orders, silence and endings apart from serving, the test world's invariants apart from its network.

--- /dev/null
+++ b/crates/hyssopfork-fleet/tests/fleet/invariants.rs
@@ -0,0 +1,38 @@
+//! What must hold for every order that reaches an engine.
+
+use crate::engine;
+use hyssopfork_fleet::groups::order;
+use hyssopfork_wire::name;
+use std::collections::BTreeMap;
+
+/// What must hold whoever leads: no engine joins another group while the head of its own is
+/// open, and none opens before all its members were ready.
+pub fn check(
+    engines: &BTreeMap<name::Instance, engine::Engine>,
+    instance: &name::Instance,
+    order: &order::Order,
+) {
+    let engine = &engines[instance];
+    match &order.task {
+        order::Task::Join { .. } => {
+            let Some(held) = &engine.told.membership else { return };
+            let other = (held.group.clone(), held.epoch) != (order.group.clone(), order.epoch);
+            let newer = order.epoch > held.epoch;
+            let open = |it: &engine::Engine| it.is_open_in(&held.group, held.epoch);
+            assert!(
+                !(other && newer && engines.values().any(open)),
+                "{instance} joins {} while the head of {} is open",
+                order.group,
+                held.group
+            );
+        }
+        order::Task::Open if engine.told.is_in(&order.group, order.epoch) => {
+            for member in &engine.members {
+                let member = &engines[member];
+                let gone = !member.alive || !member.told.is_in(&order.group, order.epoch);
+                assert!(member.was_ready || gone, "{} opens without a member", order.group);
+            }
+        }
+        _ => {}
+    }
+}
--- a/crates/hyssopfork-fleet/tests/fleet/main.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod groups;
 mod histories;
 mod inquiry;
+mod invariants;
 mod plan;
 mod proposals;
 mod registry;
--- a/crates/hyssopfork-fleet/tests/fleet/world.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/world.rs
@@ -1,6 +1,6 @@
 //! Processes, engines and the network between them, one millisecond after the other.
 
-use crate::{engine, fixture};
+use crate::{engine, fixture, invariants};
 use hyssopfork_consensus::node;
 use hyssopfork_fleet::groups::order;
 use hyssopfork_fleet::{action, core, event, notice, peer, settings, view};
@@ -443,7 +443,7 @@
         if !self.engines[&instance].alive {
             return;
         }
-        self.check(&instance, order);
+        invariants::check(&self.engines, &instance, order);
         let now = self.now;
         let engine = self.engines.get_mut(&instance).expect("it was found");
         let outcome = engine.obey(now, order);
@@ -451,34 +451,6 @@
         self.send(from, WAY, event::Event::Ordered(order.ticket, outcome));
     }
 
-    /// What must hold whoever leads: no engine joins another group while the head of its own is
-    /// open, and none opens before all its members were ready.
-    fn check(&self, instance: &name::Instance, order: &order::Order) {
-        let engine = &self.engines[instance];
-        match &order.task {
-            order::Task::Join { .. } => {
-                let Some(held) = &engine.told.membership else { return };
-                let other = (held.group.clone(), held.epoch) != (order.group.clone(), order.epoch);
-                let newer = order.epoch > held.epoch;
-                let open = |it: &engine::Engine| it.is_open_in(&held.group, held.epoch);
-                assert!(
-                    !(other && newer && self.engines.values().any(open)),
-                    "{instance} joins {} while the head of {} is open",
-                    order.group,
-                    held.group
-                );
-            }
-            order::Task::Open if engine.told.is_in(&order.group, order.epoch) => {
-                for member in &engine.members {
-                    let member = &self.engines[member];
-                    let gone = !member.alive || !member.told.is_in(&order.group, order.epoch);
-                    assert!(member.was_ready || gone, "{} opens without a member", order.group);
-                }
-            }
-            _ => {}
-        }
-    }
-
     fn run_engines(&mut self) {
         let now = self.now;
         let mut due = Vec::new();
--- a/crates/hyssopfork-gateway/src/action.rs
+++ b/crates/hyssopfork-gateway/src/action.rs
@@ -49,6 +49,13 @@
     pub retry_after: Option<Duration>,
 }
 
+impl Refusal {
+    /// A refusal for `reason`.
+    pub const fn new(reason: Reason, retry_after: Option<Duration>) -> Refusal {
+        Refusal { reason, retry_after }
+    }
+}
+
 /// An attempt to be made.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Start {
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -1,7 +1,9 @@
 //! The step function: events in, actions out.
 
+mod ending;
 mod follow;
 mod serve;
+mod silence;
 
 use crate::{action, budget, event, notice, request, returns, settings, table, target};
 use hyssopfork_fleet::{peer, view};
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -1,9 +1,7 @@
 //! A request's way from arrival to its end.
 
-use super::Core;
-use crate::{
-    action, arrival, budget, choice, event, load, measure, notice, request, table, target,
-};
+use super::{Core, ending, silence};
+use crate::{action, arrival, budget, choice, event, load, notice, request, table, target};
 use hyssopfork_wire::{clock, name};
 use std::time::Duration;
 
@@ -12,7 +10,7 @@
 const TRIES: u32 = 4;
 
 /// Time that must be left for another attempt to be worth its place.
-const LEAST_LEFT: Duration = Duration::from_millis(60);
+pub(super) const LEAST_LEFT: Duration = Duration::from_millis(60);
 
 /// When to come back where no upstream is there: a lost group is formed anew within a second, more
 /// often than not.
@@ -21,29 +19,12 @@
 /// When to come back to a process that has just started.
 const NOT_READY_RETRY: Duration = Duration::from_millis(300);
 
-/// Least time to come back after; a retry that is sooner finds the same state.
-const LEAST_RETRY: Duration = Duration::from_millis(150);
-
-/// Longest time to come back after: what is known now says little of what will be later.
-const MOST_RETRY: Duration = Duration::from_millis(1_500);
-
-/// Longest time without an answer for a request that others of its upstream do not share, in
-/// multiples of the objective, before it is tried elsewhere.
-const OVERDUE: u32 = 3;
-
-/// Least such time.
-const LEAST_OVERDUE: Duration = Duration::from_millis(250);
-
-/// Longest pause in the middle of a stream while others of its upstream go on. Callers give a
-/// stream up after two seconds.
-const PAUSE: Duration = Duration::from_millis(1_000);
-
 impl Core {
     pub(super) fn arrived(&mut self, number: u64, arrival: arrival::Arrival) {
         let draw = self.draw();
         let now = self.now;
         let Some(table) = &self.table else {
-            let refusal = refusal(action::Reason::NotReady, Some(NOT_READY_RETRY));
+            let refusal = action::Refusal::new(action::Reason::NotReady, Some(NOT_READY_RETRY));
             return self.turn_away(number, arrival.identifier, refusal);
         };
         let place = match table.find(&arrival) {
@@ -53,11 +34,15 @@
                     table::Stray::NoRoute => action::Reason::NoRoute,
                     table::Stray::NoKey => action::Reason::NoKey,
                 };
-                return self.turn_away(number, arrival.identifier, refusal(reason, None));
+                return self.turn_away(
+                    number,
+                    arrival.identifier,
+                    action::Refusal::new(reason, None),
+                );
             }
         };
         let Some(pool) = table::split(place.route, draw).cloned() else {
-            let refusal = refusal(action::Reason::NoUpstream, Some(NOBODY_RETRY));
+            let refusal = action::Refusal::new(action::Reason::NoUpstream, Some(NOBODY_RETRY));
             return self.turn_away(number, arrival.identifier, refusal);
         };
         let model = arrival.model.clone().filter(|_| table.engine(&pool).is_some());
@@ -68,7 +53,7 @@
     }
 
     /// Sends the request to an upstream, or ends it.
-    fn start(&mut self, number: u64, again: bool) {
+    pub(super) fn start(&mut self, number: u64, again: bool) {
         let now = self.now;
         let Some(request) = self.requests.get(&number) else { return };
         let want = choice::Want {
@@ -109,7 +94,7 @@
             last_event: request.last_event,
             fresh: !request.repetition.may_repeat(),
             streams: request.repetition.streams(),
-            quiet: first_quiet(request),
+            quiet: silence::first_quiet(request),
         };
         let told = notice::Notice::Sent {
             identifier: request.identifier.clone(),
@@ -208,19 +193,6 @@
         self.conclude(number, 200);
     }
 
-    fn conclude(&mut self, number: u64, status: u16) {
-        let Some(request) = self.requests.remove(&number) else { return };
-        let begun = request.begun.unwrap_or(self.now);
-        self.measure(&request, measure::Outcome::Answered(begun.since(request.arrived)));
-        self.note(notice::Notice::Answered {
-            identifier: request.identifier,
-            status,
-            attempts: request.tries,
-            first: begun.since(request.arrived),
-            after: self.now.since(request.arrived),
-        });
-    }
-
     pub(super) fn failed(&mut self, number: u64, fault: event::Fault, load: Option<load::Report>) {
         let now = self.now;
         let Some(request) = self.requests.get(&number) else { return };
@@ -261,11 +233,11 @@
             return self.start(number, true);
         }
         let reason = if ran { action::Reason::Failed } else { action::Reason::NotTaken };
-        self.end(number, reason, LEAST_RETRY);
+        self.end(number, reason, ending::LEAST_RETRY);
     }
 
     /// Whether another attempt may be made; spends from the budget when it may.
-    fn may_go_on(&mut self, number: u64) -> bool {
+    pub(super) fn may_go_on(&mut self, number: u64) -> bool {
         let now = self.now;
         let bound = self.bound();
         let Some(request) = self.requests.get(&number) else { return false };
@@ -278,110 +250,18 @@
     }
 
     /// Counts the newest attempt's upstream among those that may have run the request.
-    fn count_run(&mut self, number: u64) {
+    pub(super) fn count_run(&mut self, number: u64) {
         if let Some(request) = self.requests.get_mut(&number) {
             request.runs += 1;
         }
     }
 
-    pub(super) fn quiet(&mut self, number: u64) {
-        let now = self.now;
-        let Some(request) = self.requests.get(&number) else { return };
-        let Some(attempt) = &request.attempt else { return };
-        let silence = now.since(attempt.moved.unwrap_or(attempt.started));
-        let target = self.targets.get(&attempt.instance);
-        let all_silent = target
-            .map_or(silence, |target| now.since(target.moved.max(attempt.started)).min(silence));
-        if !request.repetition.may_repeat() {
-            let left = now.until(request.limit).max(LEAST_LEFT);
-            return self.decide(number, action::Decision::Wait(left));
-        }
-        let (stall, own) = limits(request, attempt);
-        let stalled = all_silent >= stall;
-        if !stalled && silence < own {
-            let instance = attempt.instance.clone();
-            let streams = request.repetition.streams();
-            if streams && attempt.moved.is_some() && all_silent >= target::SUSPECT {
-                self.suspect(&instance);
-            }
-            let wait = (stall - all_silent.min(stall)).min(own - silence).max(LEAST_LEFT);
-            return self.decide(number, action::Decision::Wait(wait));
-        }
-        let instance = attempt.instance.clone();
-        let told = notice::Notice::Moved {
-            identifier: request.identifier.clone(),
-            instance: instance.clone(),
-            silence: (silence, all_silent),
-        };
-        if stalled {
-            self.stall(&instance, all_silent);
-        }
-        self.take_away(number, told);
-    }
-
-    /// Tells the leader that an upstream may stand still.
-    fn suspect(&mut self, instance: &name::Instance) {
-        let Some(target) = self.targets.get_mut(instance) else { return };
-        if !std::mem::replace(&mut target.suspected, true) {
-            self.tell();
-        }
-    }
-
-    /// Notes that everything stands still on an upstream, and tells the leader at once.
-    fn stall(&mut self, instance: &name::Instance, silence: Duration) {
-        let now = self.now;
-        let Some(target) = self.targets.get_mut(instance) else { return };
-        if target.is_stalled(now) {
-            return;
-        }
-        target.stalled = Some(now);
-        self.note(notice::Notice::Stalled(instance.clone(), silence));
-        self.tell();
-    }
-
-    /// Takes a request away from its upstream, if it can go on elsewhere.
-    fn take_away(&mut self, number: u64, told: notice::Notice) {
-        let runs = self.requests.get(&number).map_or(0, |request| request.runs);
-        self.count_run(number);
-        let elsewhere = self.has_elsewhere(number) && self.may_go_on(number);
-        if !elsewhere {
-            if let Some(request) = self.requests.get_mut(&number) {
-                request.runs = runs;
-            }
-            return self.decide(number, action::Decision::Wait(target::STALL));
-        }
-        self.note(told);
-        if let Some(target) = self.target_of(number) {
-            target.health.failed(target.moved);
-        }
-        self.drop_attempt(number);
-        self.start(number, true);
-    }
-
-    /// Whether another upstream than the present one would take the request.
-    fn has_elsewhere(&self, number: u64) -> bool {
-        let Some(request) = self.requests.get(&number) else { return false };
-        let Some(attempt) = &request.attempt else { return false };
-        let mut excluded = request.excluded.clone();
-        excluded.push(attempt.instance.clone());
-        let want = choice::Want {
-            pool: &request.pool,
-            model: request.model.as_ref(),
-            zone: &self.settings.zone,
-            excluded: &excluded,
-            again: true,
-        };
-        let cold_rate = self.table.as_ref().and_then(|table| table.cold_rate(&request.pool));
-        let bounds = choice::Bounds { out: &self.out, cold_rate, entries: self.entries };
-        matches!(choice::choose(self.now, &self.targets, want, bounds), choice::Choice::Take(_))
-    }
-
     pub(super) fn expired(&mut self, number: u64) {
         let Some(request) = self.requests.get(&number) else { return };
         let sent = request.runs > 0 || request.attempt.is_some();
         let reason = if sent { action::Reason::TimedOut } else { action::Reason::TooLate };
         self.drop_attempt(number);
-        self.end(number, reason, LEAST_RETRY);
+        self.end(number, reason, ending::LEAST_RETRY);
     }
 
     pub(super) fn gone(&mut self, number: u64) {
@@ -391,75 +271,6 @@
         self.note(notice::Notice::Gone { identifier: request.identifier, after });
     }
 
-    /// Ends a request without an answer of an upstream. Once its head is out the answer can only be
-    /// broken off; once work may have run, "not run" would be a lie.
-    fn end(&mut self, number: u64, reason: action::Reason, wait: Duration) {
-        let Some(request) = self.requests.remove(&number) else { return };
-        let ran = request.runs > 0 && reason.is_not_run();
-        let reason = if ran { action::Reason::Failed } else { reason };
-        let after = self.now.since(request.arrived);
-        if request.forwarded {
-            self.decide(number, action::Decision::Cut);
-            self.measure(&request, measure::Outcome::Cut);
-            let (identifier, attempts) = (request.identifier, request.tries);
-            return self.note(notice::Notice::Cut { identifier, reason, attempts, after });
-        }
-        let retry_after = reason.is_not_run().then(|| self.book(&request, wait));
-        self.measure(&request, measure::Outcome::Refused(reason));
-        let refusal = refusal(reason, retry_after);
-        self.decide(number, action::Decision::Refuse(refusal));
-        self.note(notice::Notice::Refused {
-            identifier: request.identifier,
-            reason,
-            retry_after,
-            attempts: request.tries,
-            after,
-        });
-    }
-
-    /// When the caller of a refused request is to come back.
-    fn book(&mut self, request: &request::Request, wait: Duration) -> Duration {
-        let now = self.now;
-        let serves = |target: &&target::Target| {
-            target.pool == request.pool && target.model == request.model && !target.is_stalled(now)
-        };
-        let pace: f64 = self.targets.values().filter(serves).map(|it| it.load.pace()).sum();
-        let own = pace / f64::from(self.entries);
-        let spacing = if own > 0.0 { Duration::from_secs_f64(1.0 / own) } else { Duration::ZERO };
-        let key = (request.pool.clone(), request.model.clone());
-        let returns = self.returns.entry(key).or_default();
-        returns.book(now, wait, spacing.min(MOST_RETRY)).clamp(LEAST_RETRY, MOST_RETRY)
-    }
-
-    fn measure(&mut self, request: &request::Request, outcome: measure::Outcome) {
-        self.actions.push(action::Action::Measure(measure::Measure {
-            team: request.team.clone(),
-            class: Some(request.class()),
-            outcome,
-            attempts: request.tries,
-            whole: self.now.since(request.arrived),
-        }));
-    }
-
-    /// Refuses a request that has no place.
-    fn turn_away(&mut self, number: u64, identifier: String, refusal: action::Refusal) {
-        self.actions.push(action::Action::Measure(measure::Measure {
-            team: None,
-            class: None,
-            outcome: measure::Outcome::Refused(refusal.reason),
-            attempts: 0,
-            whole: Duration::ZERO,
-        }));
-        self.decide(number, action::Decision::Refuse(refusal));
-        self.note(notice::Notice::Refused {
-            identifier,
-            reason: refusal.reason,
-            retry_after: refusal.retry_after,
-            attempts: 0,
-            after: Duration::ZERO,
-        });
-    }
-
     /// The attempt ended by itself.
     fn leave_target(&mut self, number: u64, sound: bool) {
         let now = self.now;
@@ -476,13 +287,13 @@
         self.drop_attempt(number);
     }
 
-    fn target_of(&mut self, number: u64) -> Option<&mut target::Target> {
+    pub(super) fn target_of(&mut self, number: u64) -> Option<&mut target::Target> {
         let attempt = self.requests.get(&number)?.attempt.as_ref()?;
         self.targets.get_mut(&attempt.instance)
     }
 
     /// The attempt is over; its upstream is not asked again.
-    fn drop_attempt(&mut self, number: u64) {
+    pub(super) fn drop_attempt(&mut self, number: u64) {
         let Some(request) = self.requests.get_mut(&number) else { return };
         let Some(attempt) = request.attempt.take() else { return };
         if let Some(target) = self.targets.get_mut(&attempt.instance) {
@@ -521,23 +332,3 @@
         begun: None,
     }
 }
-
-fn refusal(reason: action::Reason, retry_after: Option<Duration>) -> action::Refusal {
-    action::Refusal { reason, retry_after }
-}
-
-/// Silence of all requests on the upstream, and of this one, that is borne now.
-fn limits(request: &request::Request, attempt: &request::Attempt) -> (Duration, Duration) {
-    let overdue = (request.objective * OVERDUE).max(LEAST_OVERDUE);
-    match (request.repetition.streams(), attempt.moved) {
-        (true, Some(_)) => (target::STALL, PAUSE),
-        (true, None) => (target::FIRST_STALL, overdue.max(target::FIRST_STALL)),
-        (false, _) => (overdue, overdue),
-    }
-}
-
-/// Silence after which a fresh attempt is looked at.
-fn first_quiet(request: &request::Request) -> Duration {
-    let overdue = (request.objective * OVERDUE).max(LEAST_OVERDUE);
-    if request.repetition.streams() { target::FIRST_STALL } else { overdue }
-}
