Wait for the free members of a broken group before taking a slower spare

Cause: when a member was lost, its group left and its other members were free a few milliseconds later, but the plan had formed the next group at once, from a reserve that had the weights only on its host. That engine takes 1.6 s to take them up, the members 0.2 s.

A domain where a group of the model leaves is now passed over for 0.3 s while the next group there would need such an engine. A test without network failed before (the next group left the free member out).

--- a/crates/hyssopfork-fleet/src/groups/planning.rs
+++ b/crates/hyssopfork-fleet/src/groups/planning.rs
@@ -25,6 +25,11 @@
 /// bursts; below, its own callers are refused.
 const RICH: f64 = 0.8;
 
+/// Longest wait for the members of a group that leaves, before an engine is taken in their place
+/// that has the model only on its host. That engine needs more than a second to take the weights
+/// up; the members, once they have left, need 0.2 s, and they leave within two trips of a message.
+const OWN_MEMBERS: Duration = Duration::from_millis(300);
+
 /// Most instances that each domain had lately.
 #[derive(Clone, Debug, Default)]
 pub struct Peaks(BTreeMap<(name::Pool, name::Domain), (usize, clock::Instant)>);
@@ -172,6 +177,10 @@
             ready.sort();
             ready.truncate(model.size);
         }
+        domains.retain(|domain, ready| {
+            let slow = ready.iter().any(|(readiness, _)| *readiness == Readiness::Staged);
+            !(slow && self.frees_members(scene, model, domain))
+        });
         let best = domains.into_iter().min_by_key(|(domain, ready)| {
             let slowest = ready.last().map(|(readiness, _)| *readiness);
             (self.count_in(scene, model, domain), slowest)
@@ -184,6 +193,17 @@
         true
     }
 
+    /// Whether members of the model are about to be free in the domain.
+    fn frees_members(&self, scene: &Scene<'_>, model: &plan::Model, domain: &name::Domain) -> bool {
+        self.groups.values().any(|group| {
+            group.pool == *scene.pool
+                && group.domain == *domain
+                && group.model == model.name
+                && group.stage == Stage::Leaving
+                && scene.now.since(group.since) < OWN_MEMBERS
+        })
+    }
+
     fn count_in(&self, scene: &Scene<'_>, model: &plan::Model, domain: &name::Domain) -> usize {
         let of_model = |group: &&super::Group| {
             group.pool == *scene.pool
--- a/crates/hyssopfork-fleet/tests/fleet/groups.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/groups.rs
@@ -55,6 +55,28 @@
     assert!(world.serving().iter().all(|group| !group.members.contains(&members[1])));
 }
 
+/// A member goes dark and callers of its model wait for the next group. The other member is free a
+/// few milliseconds later and has the weights; a group of two reserves, formed at once, would first
+/// take the weights up from the host for more than a second.
+#[test]
+fn the_next_group_waits_for_the_member_that_is_left() {
+    let mut world = grouped();
+    let members = a_large_group(&world);
+    let leader = world.leader().expect("somebody leads");
+
+    world.engines.get_mut(&members[1]).expect("it is there").alive = false;
+    world.run(300);
+    let seen = event::Event::Seen(fixture::address(5), world::stalled(&members[0]));
+    let core = world.processes.get_mut(&leader).and_then(|it| it.core.as_mut()).expect("it runs");
+    let _told = core.step(world.now, seen);
+    world.run(4_500);
+
+    let large = name::Model::from("large");
+    let served = world.serving();
+    let next = served.iter().filter(|group| group.model == large);
+    assert_eq!(next.filter(|group| group.members.contains(&members[0])).count(), 1);
+}
+
 /// The head of a group is cut off from every process of ours and stays open, serving nobody. Its
 /// members must leave it before they join others (the engines check that), and so must the head
 /// itself once it is heard of again.
