--- a/crates/hyssopfork-fleet/tests/fleet/main.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod histories;
 mod inquiry;
 mod invariants;
+mod loads;
 mod plan;
 mod proposals;
 mod registry;
