--- a/crates/hyssopfork-cli/tests/all/load.rs
+++ b/crates/hyssopfork-cli/tests/all/load.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use hyssopfork_cli::history;
 use hyssopfork_cli::load::{answer, caller, plan, run, schedule, summary};
-use hyssopfork_test_support::{disturbance, http, service};
+use hyssopfork_test_support::{http, impairment, service};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
@@ -190,11 +190,11 @@
     let listener = http::free_listener().expect("a free port");
     let profile = service::Profile { cold_bearing: 1_000, ..service::Profile::default() };
     let (server, service) = service::start(listener, profile).expect("it starts");
-    service.disturb(disturbance::Order::Stall);
+    service.impair(impairment::Order::Stall);
     let running = actix_rt::spawn(run::run(order(server.address())));
 
     actix_rt::time::sleep(Duration::from_millis(300)).await;
-    service.disturb(disturbance::Order::Heal);
+    service.impair(impairment::Order::Heal);
     let lines = running.await.expect("the run ends");
 
     let slow = lines.iter().filter(|line| line.answered_us - line.intended_us > 50_000).count();
@@ -208,7 +208,7 @@
     let listener = http::free_listener().expect("a free port");
     let (server, service) =
         service::start(listener, service::Profile::default()).expect("it starts");
-    service.disturb(disturbance::Order::Stall);
+    service.impair(impairment::Order::Stall);
     let limit = Duration::from_millis(700);
     let order = run::Order { outstanding: 5, limit, ..order(server.address()) };
 
--- a/crates/hyssopfork-daemon/tests/processes/at_most_once.rs
+++ b/crates/hyssopfork-daemon/tests/processes/at_most_once.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{caller, fleet, operator};
 use futures::future;
-use hyssopfork_test_support::{disturbance, service};
+use hyssopfork_test_support::{impairment, service};
 use hyssopfork_wire::patch;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -104,8 +104,8 @@
 #[actix_rt::test]
 async fn a_connection_closed_without_an_answer_may_have_run() {
     let (fleet, _) = served().await;
-    let cut = disturbance::Order::Cut(0);
-    fleet.services.iter().for_each(|upstream| upstream.fake.disturb(cut));
+    let cut = impairment::Order::Cut(0);
+    fleet.services.iter().for_each(|upstream| upstream.fake.impair(cut));
 
     let body = "{\"reference\":\"closed\"}";
     let got = caller::post(fleet.entry_addresses[0], "/lodge", None, body).await;
@@ -119,8 +119,8 @@
 #[actix_rt::test]
 async fn an_answer_that_breaks_off_is_not_passed_on_as_whole() {
     let (fleet, _) = served().await;
-    let cut = disturbance::Order::Cut(5);
-    fleet.services.iter().for_each(|upstream| upstream.fake.disturb(cut));
+    let cut = impairment::Order::Cut(5);
+    fleet.services.iter().for_each(|upstream| upstream.fake.impair(cut));
 
     let body = "{\"reference\":\"part\"}";
     let got = caller::post(fleet.entry_addresses[0], "/lodge", Some("part"), body).await;
--- a/crates/hyssopfork-daemon/tests/processes/cut_answers.rs
+++ b/crates/hyssopfork-daemon/tests/processes/cut_answers.rs
@@ -1,7 +1,7 @@
 //! Back ends that break off: before their answer's head, and within its body.
 
 use crate::support::{caller, fleet, operator};
-use hyssopfork_test_support::disturbance;
+use hyssopfork_test_support::impairment;
 use hyssopfork_wire::patch;
 use std::time::Duration;
 
@@ -29,7 +29,7 @@
 async fn a_connection_closed_before_the_head_is_work_that_may_have_run() {
     for key in [Some("k"), None] {
         let fleet = served(0).await;
-        fleet.services[0].fake.disturb(disturbance::Order::Cut(0));
+        fleet.services[0].fake.impair(impairment::Order::Cut(0));
 
         let got = lodge(&fleet, key).await;
 
@@ -45,7 +45,7 @@
 async fn an_answer_cut_before_its_length_is_not_given_as_whole() {
     for key in [Some("k"), None] {
         let fleet = served(0).await;
-        fleet.services[0].fake.disturb(disturbance::Order::Cut(5));
+        fleet.services[0].fake.impair(impairment::Order::Cut(5));
 
         let got = lodge(&fleet, key).await;
 
@@ -60,7 +60,7 @@
 async fn a_stream_cut_within_is_whole_in_the_end_or_marked() {
     let fleet = served(2).await;
     for engine in &fleet.engines {
-        engine.fake.disturb(disturbance::Order::Cut(3));
+        engine.fake.impair(impairment::Order::Cut(3));
     }
 
     let got =
@@ -86,7 +86,7 @@
 
     actix_rt::time::sleep(Duration::from_millis(400)).await;
     for engine in &fleet.engines {
-        engine.fake.disturb(disturbance::Order::Die(Duration::from_secs(60)));
+        engine.fake.impair(impairment::Order::Die(Duration::from_secs(60)));
     }
     let got = streamed.await.unwrap();
 
--- a/crates/hyssopfork-daemon/tests/processes/soak/chaos.rs
+++ b/crates/hyssopfork-daemon/tests/processes/soak/chaos.rs
@@ -2,7 +2,7 @@
 
 use super::record;
 use crate::support::{daemon, fleet};
-use hyssopfork_test_support::disturbance;
+use hyssopfork_test_support::impairment;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use std::cell::RefCell;
@@ -78,10 +78,10 @@
             End::Resume(process) => self.daemon(process).resume(),
             End::Restart(process) => self.daemon(process).restart(),
             End::HealEngine(place) => {
-                self.fleet.engines[place].fake.disturb(disturbance::Order::Heal)
+                self.fleet.engines[place].fake.impair(impairment::Order::Heal)
             }
             End::HealService(place) => {
-                self.fleet.services[place].fake.disturb(disturbance::Order::Heal)
+                self.fleet.services[place].fake.impair(impairment::Order::Heal)
             }
         }
         if matches!(end, End::Resume(Process::Control(_)) | End::Restart(Process::Control(_))) {
@@ -100,10 +100,10 @@
 
     fn begin(&mut self) {
         match self.random.random_range(0..10) {
-            0..=2 => self.disturb_process(),
-            3 => self.disturb_control(),
-            4..=6 => self.disturb_engine(),
-            _ => self.disturb_service(),
+            0..=2 => self.impair_process(),
+            3 => self.impair_control(),
+            4..=6 => self.impair_engine(),
+            _ => self.impair_service(),
         }
     }
 
@@ -112,18 +112,18 @@
         self.pending.push((Instant::now() + wait, end));
     }
 
-    fn is_disturbed(&self, process: Process) -> bool {
+    fn is_impaired(&self, process: Process) -> bool {
         let same = |end: &End| matches!(end, End::Resume(other) | End::Restart(other) if *other == process);
         self.pending.iter().any(|(_, end)| same(end))
     }
 
-    fn disturb_process(&mut self) {
+    fn impair_process(&mut self) {
         let process = match self.random.random_range(0..4) {
             0 => Process::Entry(self.random.random_range(0..self.fleet.entries.len())),
             1 | 2 => Process::EngineAgent(self.random.random_range(0..self.fleet.engines.len())),
             _ => Process::ServiceAgent(self.random.random_range(0..self.fleet.services.len())),
         };
-        if !self.is_disturbed(process) {
+        if !self.is_impaired(process) {
             self.kill_or_pause(process);
         }
     }
@@ -139,9 +139,9 @@
     }
 
     /// One control instance at a time, so that a quorum stays; its disk may be lost with it.
-    fn disturb_control(&mut self) {
+    fn impair_control(&mut self) {
         let places = 0..self.fleet.controls.len();
-        if places.clone().any(|place| self.is_disturbed(Process::Control(place))) {
+        if places.clone().any(|place| self.is_impaired(Process::Control(place))) {
             return;
         }
         let place = self.random.random_range(places);
@@ -156,34 +156,30 @@
         }
     }
 
-    fn disturb_engine(&mut self) {
+    fn impair_engine(&mut self) {
         let place = self.random.random_range(0..self.fleet.engines.len());
         let order = self.order();
-        if order == disturbance::Order::Cold {
+        if order == impairment::Order::Cold {
             *self.record.borrow_mut().silent_colds.entry(place).or_default() += 1;
         }
-        self.fleet.engines[place].fake.disturb(order);
+        self.fleet.engines[place].fake.impair(order);
         self.later(200, 1_500, End::HealEngine(place));
     }
 
-    fn disturb_service(&mut self) {
+    fn impair_service(&mut self) {
         let place = self.random.random_range(0..self.fleet.services.len());
         let order = self.order();
-        self.fleet.services[place].fake.disturb(order);
+        self.fleet.services[place].fake.impair(order);
         self.later(200, 1_500, End::HealService(place));
     }
 
-    fn order(&mut self) -> disturbance::Order {
+    fn order(&mut self) -> impairment::Order {
         match self.random.random_range(0..5) {
-            0 => disturbance::Order::Stall,
-            1 => disturbance::Order::Cold,
-            2 => {
-                disturbance::Order::Die(Duration::from_millis(self.random.random_range(50..1_500)))
-            }
-            3 => disturbance::Order::Cut(self.random.random_range(0..40)),
-            _ => {
-                disturbance::Order::Delay(Duration::from_millis(self.random.random_range(10..400)))
-            }
+            0 => impairment::Order::Stall,
+            1 => impairment::Order::Cold,
+            2 => impairment::Order::Die(Duration::from_millis(self.random.random_range(50..1_500))),
+            3 => impairment::Order::Cut(self.random.random_range(0..40)),
+            _ => impairment::Order::Delay(Duration::from_millis(self.random.random_range(10..400))),
         }
     }
 }
--- a/crates/hyssopfork-fleet/tests/fleet/histories.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/histories.rs
@@ -26,7 +26,7 @@
     }
 }
 
-fn disturb(world: &mut world::World, random: &mut Random) {
+fn impair(world: &mut world::World, random: &mut Random) {
     let processes: Vec<SocketAddr> = world.processes.keys().copied().collect();
     let engines: Vec<name::Instance> = world.engines.keys().cloned().collect();
     let process = random.pick(&processes);
@@ -81,7 +81,7 @@
     world.run(12_000);
     let mut acknowledged = 1;
     for round in 0..8 {
-        disturb(&mut world, &mut random);
+        impair(&mut world, &mut random);
         world.run(500 + random.below(3_000));
         let version = acknowledged + 1 + random.below(3);
         if world.declare(version) {
--- a/crates/hyssopfork-test-support/src/engine.rs
+++ b/crates/hyssopfork-test-support/src/engine.rs
@@ -1,6 +1,6 @@
 //! A model engine that batches, streams, goes cold and stalls.
 
-use crate::{disturbance, http, prefix, token};
+use crate::{http, impairment, prefix, token};
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response, StatusCode};
 use bytes::Bytes;
@@ -88,7 +88,7 @@
     newest_fence: u64,
     prefixes: prefix::Memory,
     counts: Counts,
-    disturbance: disturbance::Disturbance,
+    impairment: impairment::Impairment,
 }
 
 /// The engine.
@@ -107,7 +107,7 @@
             newest_fence: 0,
             prefixes: prefix::Memory::new(profile.prefixes),
             counts: Counts::default(),
-            disturbance: disturbance::Disturbance::default(),
+            impairment: impairment::Impairment::default(),
         };
         Engine { profile, state: Mutex::new(state) }
     }
@@ -127,12 +127,12 @@
     }
 
     /// Does what a test asks.
-    pub fn disturb(&self, order: disturbance::Order) {
+    pub fn impair(&self, order: impairment::Order) {
         let mut state = self.state();
-        state.disturbance.apply(order);
+        state.impairment.apply(order);
         match order {
-            disturbance::Order::Cold => state.since_start = 0,
-            disturbance::Order::Die(_) => restart(&mut state),
+            impairment::Order::Cold => state.since_start = 0,
+            impairment::Order::Die(_) => restart(&mut state),
             _ => {}
         }
     }
@@ -160,12 +160,12 @@
 }
 
 async fn answer(engine: Arc<Engine>, mut request: Request) -> Response<BoxBody> {
-    if let Some(order) = disturbance::parse(&request) {
-        engine.disturb(order);
+    if let Some(order) = impairment::parse(&request) {
+        engine.impair(order);
         return http::json(StatusCode::OK, &json!({ "done": true }));
     }
-    disturbance::wait_while_stalled(|| engine.state().disturbance.stalled).await;
-    if engine.state().disturbance.is_away() {
+    impairment::wait_while_stalled(|| engine.state().impairment.stalled).await;
+    if engine.state().impairment.is_away() {
         return http::broken(&request);
     }
     let body = http::read(&mut request).await;
--- a/crates/hyssopfork-test-support/src/engine/generation.rs
+++ b/crates/hyssopfork-test-support/src/engine/generation.rs
@@ -1,7 +1,7 @@
 //! One completion: prompt, tokens, end.
 
 use super::Engine;
-use crate::{disturbance, http, token};
+use crate::{http, impairment, token};
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response, StatusCode};
 use bytes::Bytes;
@@ -78,13 +78,13 @@
     if cold && state.running >= engine.profile.cold_bearing {
         state.counts.falls += 1;
         super::restart(&mut state);
-        state.disturbance.apply(disturbance::Order::Die(engine.profile.away));
+        state.impairment.apply(impairment::Order::Die(engine.profile.away));
         return Err(http::broken(request));
     }
     state.running += 1;
     state.counts.started += 1;
     let incarnation = state.incarnation;
-    let cut = state.disturbance.cut.take();
+    let cut = state.impairment.cut.take();
     drop(state);
     let count = parsed["max_tokens"].as_u64().unwrap_or(TOKENS);
     let stem = token::stem(prompt);
@@ -103,7 +103,7 @@
     fn prompt_time(&self, prompt: &str) -> Duration {
         let mut state = self.engine.state();
         let time = self.engine.profile.prompt_time;
-        let delay = state.disturbance.delay;
+        let delay = state.impairment.delay;
         if state.prefixes.touch(prompt) { delay + time / HELD_SPEEDUP } else { delay + time }
     }
 
@@ -117,7 +117,7 @@
     /// Waits for the next token; an error when the engine has fallen over since.
     async fn step(&self) -> Result<(), io::Error> {
         actix_rt::time::sleep(self.token_time()).await;
-        disturbance::wait_while_stalled(|| self.engine.state().disturbance.stalled).await;
+        impairment::wait_while_stalled(|| self.engine.state().impairment.stalled).await;
         if self.engine.state().incarnation == self.incarnation {
             Ok(())
         } else {
--- a/crates/hyssopfork-test-support/src/disturbance.rs
+++ b/crates/hyssopfork-test-support/src/impairment.rs
@@ -43,7 +43,7 @@
 
 /// What holds now.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Disturbance {
+pub struct Impairment {
     /// Whether nothing moves.
     pub stalled: bool,
     /// Added before each answer.
@@ -54,7 +54,7 @@
     pub away_until: Option<Instant>,
 }
 
-impl Disturbance {
+impl Impairment {
     /// Notes an order; [`Order::Cold`] and what dying forgets are the back end's own.
     pub fn apply(&mut self, order: Order) {
         match order {
@@ -63,7 +63,7 @@
             Order::Die(time) => self.away_until = Some(Instant::now() + time),
             Order::Cut(after) => self.cut = Some(after),
             Order::Delay(time) => self.delay = time,
-            Order::Heal => *self = Disturbance { away_until: self.away_until, ..Self::default() },
+            Order::Heal => *self = Impairment { away_until: self.away_until, ..Self::default() },
         }
     }
 
--- a/crates/hyssopfork-test-support/src/lib.rs
+++ b/crates/hyssopfork-test-support/src/lib.rs
@@ -3,10 +3,10 @@
 //! The fakes speak what real back ends speak (see docs/DEVELOPING.md, "Back ends") and take orders
 //! of tests under `/fake/`. They are no simulator of a cluster: each is one process's peer.
 
-pub mod disturbance;
 pub mod engine;
 pub mod fixture;
 pub mod http;
+pub mod impairment;
 pub mod layout;
 pub mod ports;
 pub mod prefix;
--- a/crates/hyssopfork-test-support/src/service.rs
+++ b/crates/hyssopfork-test-support/src/service.rs
@@ -1,6 +1,6 @@
 //! A plain service that counts what it ran, for each reference.
 
-use crate::{disturbance, http, token};
+use crate::{http, impairment, token};
 use actix_http::body::BoxBody;
 use actix_http::{Method, Request, Response, StatusCode};
 use bytes::Bytes;
@@ -34,7 +34,7 @@
     started: u64,
     falls: u64,
     ran: BTreeMap<String, u64>,
-    disturbance: disturbance::Disturbance,
+    impairment: impairment::Impairment,
 }
 
 /// The service.
@@ -52,7 +52,7 @@
             started: 0,
             falls: 0,
             ran: BTreeMap::new(),
-            disturbance: disturbance::Disturbance::default(),
+            impairment: impairment::Impairment::default(),
         };
         Service { profile, state: Mutex::new(state) }
     }
@@ -72,12 +72,12 @@
     }
 
     /// Does what a test asks.
-    pub fn disturb(&self, order: disturbance::Order) {
+    pub fn impair(&self, order: impairment::Order) {
         let mut state = self.state();
-        state.disturbance.apply(order);
+        state.impairment.apply(order);
         match order {
-            disturbance::Order::Cold => state.completed = 0,
-            disturbance::Order::Die(_) => restart(&mut state),
+            impairment::Order::Cold => state.completed = 0,
+            impairment::Order::Die(_) => restart(&mut state),
             _ => {}
         }
     }
@@ -101,12 +101,12 @@
 }
 
 async fn answer(service: Arc<Service>, mut request: Request) -> Response<BoxBody> {
-    if let Some(order) = disturbance::parse(&request) {
-        service.disturb(order);
+    if let Some(order) = impairment::parse(&request) {
+        service.impair(order);
         return http::json(StatusCode::OK, &json!({ "done": true }));
     }
-    disturbance::wait_while_stalled(|| service.state().disturbance.stalled).await;
-    if service.state().disturbance.is_away() {
+    impairment::wait_while_stalled(|| service.state().impairment.stalled).await;
+    if service.state().impairment.is_away() {
         return http::broken(&request);
     }
     match request.path() {
@@ -138,9 +138,9 @@
     let Some(incarnation) = begin(service, request, &reference) else {
         return http::broken(request);
     };
-    let delay = service.state().disturbance.delay;
+    let delay = service.state().impairment.delay;
     actix_rt::time::sleep(service.profile.time + delay).await;
-    disturbance::wait_while_stalled(|| service.state().disturbance.stalled).await;
+    impairment::wait_while_stalled(|| service.state().impairment.stalled).await;
     end(service, request, &reference, incarnation)
 }
 
@@ -173,7 +173,7 @@
     }
     state.running = state.running.saturating_sub(1);
     state.completed = state.completed.saturating_add(1);
-    let cut = state.disturbance.cut.take();
+    let cut = state.impairment.cut.take();
     let status = if request.method() == Method::GET { StatusCode::OK } else { StatusCode::CREATED };
     http::sized(status, Bytes::from(receipt(request, reference).to_string()), cut)
 }
--- a/crates/hyssopfork-test-support/tests/engine.rs
+++ b/crates/hyssopfork-test-support/tests/engine.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use hyssopfork_test_support::{disturbance, engine, http};
+use hyssopfork_test_support::{engine, http, impairment};
 use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -163,7 +163,7 @@
 #[actix_rt::test]
 async fn stalled_engine_answers_nothing_until_healed() {
     let (server, engine) = start(quick());
-    engine.disturb(disturbance::Order::Stall);
+    engine.impair(impairment::Order::Stall);
 
     let stalled = actix_rt::time::timeout(
         Duration::from_millis(60),
@@ -171,7 +171,7 @@
     );
 
     assert!(stalled.await.is_err());
-    engine.disturb(disturbance::Order::Heal);
+    engine.impair(impairment::Order::Heal);
     assert!(call("GET", server.address(), "/health", "").await.is_some());
 }
 
