Keep each domain's reserve, and give engines to the model farthest behind

Groups were formed wherever engines were ready first, so one domain stood without a reserve; a loss took both reserves of another domain instead of its survivor and one reserve; and while the survivor of a large group was leaving, groups of the small model took the engines that complete it.

Change: groups stand where the plan has them, once engines have stopped calling for the first time; members about to be free are waited for (300 ms at most), and nobody else is served meanwhile; a model that has what it can have with the instances that live takes none while another lacks groups; reserves are evened out before callers send; a stage gives its orders as it begins (0.1 s a repair). The plan's module is split by its jobs.

Ruled out: too few weights at hand (both models were on every host before traffic).

Two of the three tests failed before; a_loss_does_not_take_the_reserve_of_another_domain is a guard.

--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -9,13 +9,17 @@
 //!   has left. A head that is silent may be open where nobody hears it, so its silence frees nobody.
 //! - *An epoch is never used twice.* It begins with the leader's term, of which there is one leader.
 
+mod exchange;
+mod forming;
 pub mod group;
 pub mod inquiry;
 mod lifecycle;
 pub mod loads;
 pub mod order;
+mod peaks;
 pub mod plan;
 mod planning;
+mod reserves;
 mod strangers;
 
 use crate::{declaration, notice, peer, registry, view};
@@ -85,7 +89,7 @@
     traffic: bool,
     inquiry: inquiry::Inquiry,
     pace: loads::Pace,
-    peaks: planning::Peaks,
+    peaks: peaks::Peaks,
     /// Loads onto hosts that were ordered and have not shown yet.
     staging: BTreeMap<name::Instance, (name::Model, clock::Instant)>,
     tickets: BTreeMap<u64, Ticket>,
@@ -107,7 +111,7 @@
             traffic,
             inquiry: inquiry::Inquiry::default(),
             pace: loads::Pace::new(now),
-            peaks: planning::Peaks::default(),
+            peaks: peaks::Peaks::default(),
             staging: BTreeMap::new(),
             tickets: BTreeMap::new(),
             newest: 0,
--- a/crates/hyssopfork-fleet/src/groups/lifecycle.rs
+++ b/crates/hyssopfork-fleet/src/groups/lifecycle.rs
@@ -6,14 +6,23 @@
 use hyssopfork_wire::{clock, name};
 
 impl Groups {
-    /// Takes each group as far as its members' words allow.
+    /// Takes each group as far as its members' words allow: a stage that begins gives its orders at
+    /// once. Left to the next look, the order to open alone kept callers waiting 0.1 s longer.
     pub(super) fn advance(&mut self, now: clock::Instant, registry: &registry::Registry) {
         let names: Vec<name::Group> = self.groups.keys().cloned().collect();
         for name in names {
-            self.advance_one(now, &name, registry);
+            let mut stage = None;
+            while self.stage_of(&name) != stage {
+                stage = self.stage_of(&name);
+                self.advance_one(now, &name, registry);
+            }
         }
     }
 
+    fn stage_of(&self, name: &name::Group) -> Option<Stage> {
+        self.groups.get(name).map(|group| group.stage)
+    }
+
     fn advance_one(
         &mut self,
         now: clock::Instant,
--- a/crates/hyssopfork-fleet/src/groups/plan.rs
+++ b/crates/hyssopfork-fleet/src/groups/plan.rs
@@ -32,13 +32,15 @@
 /// How many groups of each model each domain is to have.
 pub type Layout = BTreeMap<(name::Domain, name::Model), usize>;
 
-/// Divides domains of so many instances among models.
+/// Divides domains of so many instances among models; `reserve` is the share of each domain that is
+/// in no group.
 ///
 /// Larger groups are placed first: one that needs most of a domain finds no place once smaller ones
 /// have taken a part of each.
-pub fn layout(domains: &BTreeMap<name::Domain, usize>, models: &[Model]) -> Layout {
+pub fn layout(domains: &BTreeMap<name::Domain, usize>, models: &[Model], reserve: f64) -> Layout {
+    let kept = |count: usize| (count as f64 * reserve).floor() as usize;
     let mut room: BTreeMap<&name::Domain, usize> =
-        domains.iter().map(|(domain, count)| (domain, count - reserve(*count))).collect();
+        domains.iter().map(|(domain, count)| (domain, count - kept(*count))).collect();
     let mut layout = Layout::new();
     let mut by_size: Vec<(&Model, usize)> =
         models.iter().zip(groups_by_share(room.values().sum(), models)).collect();
@@ -53,11 +55,6 @@
     layout
 }
 
-/// Instances of a domain that are in no group.
-fn reserve(count: usize) -> usize {
-    (count as f64 * RESERVE).floor() as usize
-}
-
 /// Groups of each model that `budget` instances make: each next one for the model that is farthest
 /// behind its share.
 fn groups_by_share(budget: usize, models: &[Model]) -> Vec<usize> {
@@ -83,13 +80,9 @@
     (*most.1 >= size).then_some(*most.0)
 }
 
-/// Groups of each model over all domains.
-pub fn totals(layout: &Layout) -> BTreeMap<name::Model, usize> {
-    let mut totals = BTreeMap::new();
-    for ((_, model), groups) in layout {
-        *totals.entry(model.clone()).or_default() += groups;
-    }
-    totals
+/// Groups of a model over all domains.
+pub fn total(layout: &Layout, model: &name::Model) -> usize {
+    layout.iter().filter(|((_, of), _)| of == model).map(|(_, groups)| groups).sum()
 }
 
 /// Instances that are for each model in one domain of `count`: those of its groups, and its part of
--- /dev/null
+++ b/crates/hyssopfork-fleet/src/groups/reserves.rs
@@ -0,0 +1,166 @@
+//! Keeping reserves: which engine takes up which model's weights, and which its host loads besides.
+
+use super::group::Stage;
+use super::planning::{Candidate, Scene};
+use super::{Groups, order, plan};
+use crate::registry;
+use hyssopfork_wire::name;
+
+impl Groups {
+    /// Has engines that belonged to no group in this life take up weights, each for the model that
+    /// its domain lacks most; those that its host holds go first.
+    pub(super) fn prepare(&mut self, scene: &Scene<'_>) {
+        for candidate in self.candidates(scene) {
+            if candidate.last.is_some() || self.group_of(&candidate.instance).is_some() {
+                continue;
+            }
+            let Some(model) = self.most_wanted(scene, &candidate) else { continue };
+            if candidate.staged.contains(&model) || self.may_load(scene) {
+                let members = vec![candidate.instance];
+                let domain = &candidate.domain;
+                self.form(scene.now, scene.pool, domain, &model, members, Stage::Preparing);
+            }
+        }
+    }
+
+    /// Has reserves change their model where their domain has one too many for it and one too few
+    /// for another. Engines call one by one and each is given the model that is then wanted most;
+    /// once all have called, some domains would hold two reserves of one model, and a loss of the
+    /// other would wait for weights to be taken up from a host: 1 s to 2 s instead of 0.2 s.
+    ///
+    /// Only before callers send: taking up a model from a host leaves the host with that one alone,
+    /// and its second model must be loaded again.
+    pub(super) fn exchange_reserves(&mut self, scene: &Scene<'_>) {
+        if self.traffic || self.peaks.grows(scene.now, scene.pool) {
+            return;
+        }
+        for domain in scene.peaks.keys() {
+            if let Some((reserve, model)) = self.misplaced(scene, domain) {
+                let members = self.groups.get(&reserve).map(|it| it.members.clone());
+                let members = members.unwrap_or_default();
+                self.take_reserves(&members);
+                self.form(scene.now, scene.pool, domain, &model, members, Stage::Preparing);
+            }
+        }
+    }
+
+    /// A reserve of the domain that should hold another model, and that model.
+    fn misplaced(
+        &self,
+        scene: &Scene<'_>,
+        domain: &name::Domain,
+    ) -> Option<(name::Group, name::Model)> {
+        let here = |group: &&super::Group| group.pool == *scene.pool && group.domain == *domain;
+        if self.groups.values().filter(here).any(|group| group.stage == Stage::Preparing) {
+            return None;
+        }
+        let count = scene.peaks.get(domain).copied().unwrap_or_default();
+        let wanted = plan::wanted(&scene.layout, domain, count, &scene.models);
+        let want = |model: &name::Model| wanted.get(model).copied().unwrap_or_default();
+        let lacks =
+            |model: &&plan::Model| self.held(scene, domain, &model.name) < want(&model.name);
+        let lacking = scene.models.iter().find(lacks)?;
+        let over = |(_, group): &(&name::Group, &super::Group)| {
+            here(group)
+                && group.stage == Stage::Prepared
+                && self.held(scene, domain, &group.model) > want(&group.model)
+                && group
+                    .members
+                    .iter()
+                    .filter_map(|it| scene.registry.get(it))
+                    .any(|record| record.announcement.staged.contains(&lacking.name))
+        };
+        let (reserve, _) = self.groups.iter().find(over)?;
+        Some((reserve.clone(), lacking.name.clone()))
+    }
+
+    fn most_wanted(&self, scene: &Scene<'_>, candidate: &Candidate) -> Option<name::Model> {
+        let count = scene.peaks.get(&candidate.domain).copied().unwrap_or_default();
+        let wanted = plan::wanted(&scene.layout, &candidate.domain, count, &scene.models);
+        let lack = |model: &&plan::Model| {
+            let wanted = wanted.get(&model.name).copied().unwrap_or_default();
+            let held = self.held(scene, &candidate.domain, &model.name);
+            if wanted == 0 { f64::MAX } else { held as f64 / wanted as f64 }
+        };
+        let staged = scene.models.iter().filter(|model| candidate.staged.contains(&model.name));
+        let at_hand = staged.min_by(|left, right| lack(left).total_cmp(&lack(right)));
+        let any = scene.models.iter().min_by(|left, right| lack(left).total_cmp(&lack(right)));
+        at_hand.or(any).map(|model| model.name.clone())
+    }
+
+    /// Engines of the domain that are for the model now.
+    fn held(&self, scene: &Scene<'_>, domain: &name::Domain, model: &name::Model) -> usize {
+        let holds = |group: &&super::Group| {
+            group.pool == *scene.pool
+                && group.domain == *domain
+                && group.model == *model
+                && group.stage != Stage::Leaving
+        };
+        self.groups.values().filter(holds).map(|group| group.members.len()).sum()
+    }
+
+    /// Has hosts load a second model beside the one of their engine's last group.
+    ///
+    /// Before callers send, every host does: the store has nothing else to do. Afterwards only
+    /// those in reserve, which take the place of others.
+    pub(super) fn stage(&mut self, scene: &Scene<'_>) {
+        let now = scene.now;
+        self.staging.retain(|instance, (model, sent)| {
+            let staged = |record: &registry::Record| record.announcement.staged.contains(model);
+            let done = scene.registry.get(instance).is_none_or(staged);
+            !done && now.since(*sent) < scene.load_time(model) * 2
+        });
+        let reserve: Vec<Candidate> =
+            if self.traffic { self.candidates(scene) } else { self.everybody(scene) };
+        for candidate in reserve {
+            let Some(last) = &candidate.last else { continue };
+            let other = scene.models.iter().find(|model| model.name != *last);
+            let Some(other) = other.map(|model| model.name.clone()) else { continue };
+            let staged = candidate.staged.contains(&other);
+            if staged || self.staging.contains_key(&candidate.instance) || !self.may_load(scene) {
+                continue;
+            }
+            let Some(record) = scene.registry.get(&candidate.instance) else { continue };
+            let address = record.announcement.address;
+            self.staging.insert(candidate.instance.clone(), (other.clone(), now));
+            let nobody = (name::Group::from(""), 0);
+            self.give(&candidate.instance, address, nobody, order::Task::Stage(other));
+        }
+    }
+
+    /// Every engine that lives, in a group or not.
+    fn everybody(&self, scene: &Scene<'_>) -> Vec<Candidate> {
+        let of_pool = scene
+            .registry
+            .iter()
+            .filter(|(_, record)| record.announcement.pool == *scene.pool && record.is_sound());
+        let candidate = |(instance, record): (&name::Instance, &registry::Record)| Candidate {
+            instance: instance.clone(),
+            domain: record.announcement.domain.clone(),
+            last: record.last.clone(),
+            staged: record.announcement.staged.clone(),
+        };
+        of_pool.map(candidate).collect()
+    }
+
+    /// Whether a load of weights may begin now.
+    ///
+    /// Before callers send, loads are many times faster and don't slow each other; afterwards the
+    /// store's limit of loads at once and its rate count.
+    fn may_load(&mut self, scene: &Scene<'_>) -> bool {
+        if !self.traffic {
+            return true;
+        }
+        let loads = |group: &&super::Group| {
+            let members = group.members.iter().filter_map(|it| scene.registry.get(it));
+            let lacks = |record: &registry::Record| {
+                !record.announcement.staged.contains(&group.model)
+                    && record.last.as_ref() != Some(&group.model)
+            };
+            group.stage == Stage::Preparing && members.into_iter().any(lacks)
+        };
+        let running = self.groups.values().filter(loads).count() + self.staging.len();
+        let room = running < scene.engine.loads_at_once.max(1) as usize;
+        room && self.pace.begin(scene.now, scene.engine.loads_per_second)
+    }
+}
--- a/crates/hyssopfork-fleet/tests/fleet/groups.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/groups.rs
@@ -223,3 +223,87 @@
     assert!(world.leader().is_some_and(|it| it != leader));
     assert!(!world.serving().is_empty());
 }
+
+/// Tells the leader, as an entry does, that everything stands still on these upstreams.
+fn tell_of_silence(world: &mut world::World, heads: &[name::Instance]) {
+    let leader = world.leader().expect("somebody leads");
+    let evidence = hyssopfork_fleet::peer::Evidence {
+        stalled: heads.to_vec(),
+        traffic: true,
+        ..Default::default()
+    };
+    let core = world.processes.get_mut(&leader).and_then(|it| it.core.as_mut()).expect("it runs");
+    let _told = core.step(world.now, event::Event::Seen(fixture::address(5), evidence));
+}
+
+fn free_engines(world: &world::World, domain: &str) -> usize {
+    let served = world.serving();
+    let engines = world.engines.values().filter(|it| it.told.domain == name::Domain::from(domain));
+    engines
+        .filter(|it| !served.iter().any(|group| group.members.contains(&it.told.instance)))
+        .count()
+}
+
+/// The engines of one domain have a model at hand and are ready seconds before those of the other.
+/// Were groups formed of whoever is first, that domain would keep no reserve, and the first loss in
+/// it would leave callers without a group for as long as a load takes.
+#[test]
+fn each_domain_keeps_a_reserve_whoever_is_ready_first() {
+    let mut world = world::World::declared(3, 1);
+    world.add_engines(1..=10, "d1");
+    world.add_engines(11..=20, "d2");
+    for engine in world.engines.values_mut() {
+        if engine.told.domain == name::Domain::from("d1") {
+            engine.told.staged = vec![name::Model::from("small")];
+        }
+    }
+
+    world.run(30_000);
+
+    assert_eq!((free_engines(&world, "d1"), free_engines(&world, "d2")), (2, 2));
+}
+
+/// A member goes dark while both domains have a reserve. The survivor is free a few milliseconds
+/// later; a group formed of the other domain's reserve meanwhile would leave nobody there for the
+/// next loss, and the survivor without a use.
+#[test]
+fn a_loss_does_not_take_the_reserve_of_another_domain() {
+    let mut world = world::World::declared(3, 1);
+    world.add_engines(1..=10, "d1");
+    world.add_engines(11..=20, "d2");
+    world.run(30_000);
+    let members = a_large_group(&world);
+    let domain = world.engines[&members[0]].told.domain.to_string();
+    let other = if domain == "d1" { "d2" } else { "d1" };
+
+    world.engines.get_mut(&members[1]).expect("it is there").alive = false;
+    world.run(300);
+    tell_of_silence(&mut world, &members[..1]);
+    world.run(4_500);
+
+    assert_eq!(of_model(&world, "large"), 4);
+    assert_eq!(free_engines(&world, other), 2);
+}
+
+/// A member of a large group and two small groups go dark at once. The large model has one group
+/// left of two and its survivor is free in a moment; small groups that took both reserves meanwhile
+/// would leave callers of the large model with half of what they need.
+#[test]
+fn the_model_farther_behind_gets_the_reserve() {
+    let mut world = grouped();
+    let large = a_large_group(&world);
+    let of_one = |group: &&hyssopfork_fleet::view::Group| group.members.len() == 1;
+    let served = world.serving();
+    let small: Vec<_> = served.iter().filter(of_one).take(2).collect();
+    let lost = [&large[1], &small[0].members[0], &small[1].members[0]];
+
+    for instance in lost {
+        world.engines.get_mut(instance).expect("it is there").alive = false;
+    }
+    world.run(300);
+    let heads = [large[0].clone(), lost[1].clone(), lost[2].clone()];
+    tell_of_silence(&mut world, &heads);
+    world.run(4_500);
+
+    assert_eq!(of_model(&world, "large"), 2);
+}
--- a/crates/hyssopfork-fleet/tests/fleet/plan.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/plan.rs
@@ -20,7 +20,7 @@
 fn models_are_spread_over_domains_by_their_shares() {
     let models = [model("large", 4, 0.5), model("small", 2, 0.5)];
 
-    let layout = plan::layout(&domains(&[10, 10, 10]), &models);
+    let layout = plan::layout(&domains(&[10, 10, 10]), &models, plan::RESERVE);
 
     for domain in domains(&[0, 0, 0]).into_keys() {
         let large = layout.get(&(domain.clone(), name::Model::from("large")));
@@ -34,9 +34,9 @@
 fn a_group_that_needs_most_of_a_domain_finds_its_place() {
     let models = [model("huge", 8, 0.5), model("small", 1, 0.5)];
 
-    let totals = plan::totals(&plan::layout(&domains(&[10, 10]), &models));
+    let layout = plan::layout(&domains(&[10, 10]), &models, plan::RESERVE);
 
-    assert_eq!(totals[&name::Model::from("huge")], 1);
+    assert_eq!(plan::total(&layout, &name::Model::from("huge")), 1);
 }
 
 proptest! {
@@ -52,7 +52,7 @@
             .collect();
         let domains = domains(&counts);
 
-        let layout = plan::layout(&domains, &models);
+        let layout = plan::layout(&domains, &models, plan::RESERVE);
 
         for (domain, count) in &domains {
             let used: usize = models
