Give no group up before a leader knows them all

Change: a leader gives a group up only once all upstreams have had the time to call it.

The test failed first.

--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -408,6 +408,11 @@
         }
     }
 
+    /// Whether every upstream has had the time to call this leader.
+    fn is_settled(&self, now: clock::Instant) -> bool {
+        now.since(self.started) >= SETTLE
+    }
+
     fn group_of(&self, instance: &name::Instance) -> Option<(&name::Group, &Group)> {
         self.groups.iter().find(|(_, group)| group.members.contains(instance))
     }
--- a/crates/hyssopfork-fleet/src/groups/exchange.rs
+++ b/crates/hyssopfork-fleet/src/groups/exchange.rs
@@ -14,10 +14,13 @@
     /// Closes a group of a model that has much of its plan, where its members complete a group of
     /// one that has little. One model's callers would otherwise be refused while another's groups
     /// are half empty.
+    ///
+    /// Not by a leader that has just started: after all processes were killed it knows the groups
+    /// whose heads have called, and would close those for a model whose heads are about to.
     pub(super) fn give_up_one(&mut self, scene: &Scene<'_>) {
         // Members of a group that is just ending will be free in a moment.
         let changes = |group: &super::Group| matches!(group.stage, Stage::Closing | Stage::Leaving);
-        if !self.traffic || self.groups.values().any(changes) {
+        if !self.traffic || !self.is_settled(scene.now) || self.groups.values().any(changes) {
             return;
         }
         let lacks = |model: &&plan::Model| self.lacks(scene, model);
--- a/crates/hyssopfork-fleet/src/groups/strangers.rs
+++ b/crates/hyssopfork-fleet/src/groups/strangers.rs
@@ -1,7 +1,7 @@
 //! Groups that a leader knows from their members' words alone, after one that it never followed.
 
+use super::Groups;
 use super::group::Stage;
-use super::{Groups, SETTLE};
 use crate::{announcement, declaration, registry, view};
 use hyssopfork_wire::{clock, name};
 use std::collections::BTreeMap;
@@ -16,7 +16,7 @@
         registry: &registry::Registry,
         declaration: &declaration::Declaration,
     ) {
-        let settled = now.since(self.started) >= SETTLE;
+        let settled = self.is_settled(now);
         self.provisional.clear();
         for (name, stranger) in self.strangers(now, registry) {
             let whole = stranger.size(declaration) == Some(stranger.members.len());
--- a/crates/hyssopfork-fleet/tests/fleet/groups.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/groups.rs
@@ -1,7 +1,8 @@
 //! Groups form, are mended and handed on, and never break what must hold.
 
 use crate::{fixture, world};
-use hyssopfork_fleet::event;
+use hyssopfork_fleet::groups::group;
+use hyssopfork_fleet::{event, notice};
 use hyssopfork_wire::name;
 use std::time::Duration;
 
@@ -165,6 +166,31 @@
     assert!(served.is_some(), "{members:?}");
 }
 
+/// Every process was killed at once, and the heads of one model call the new leader first. Groups of
+/// that model would be closed for the other, which has no group as far as the leader knows, while
+/// callers come back to all of them.
+#[test]
+fn a_leader_that_knows_few_groups_gives_none_up() {
+    let mut world = grouped();
+    let all: Vec<_> = world.processes.keys().copied().collect();
+    all.iter().for_each(|address| world.kill(*address));
+    all.iter().for_each(|address| world.boot(*address, false));
+    let now = world.now;
+    let large = name::Model::from("large");
+    for engine in world.engines.values_mut() {
+        let millis = if engine.told.loaded.as_ref() == Some(&large) { 2_600 } else { 1_500 };
+        engine.called = now + Duration::from_millis(millis - 1_200);
+    }
+    let before = world.notices.len();
+
+    world.run(4_000);
+
+    let closing = |(_, notice): &(_, notice::Notice)| {
+        matches!(notice, notice::Notice::Turned(_, group::Stage::Closing))
+    };
+    assert!(!world.notices[before..].iter().any(closing));
+}
+
 #[test]
 fn a_member_that_leaves_on_request_is_replaced() {
     let mut world = grouped();
