--- a/crates/hyssopfork-cli/src/command/mod.rs
+++ b/crates/hyssopfork-cli/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod check_history;
 pub mod config;
+pub mod explain;
 pub mod group;
 pub mod instance;
 pub mod load;
@@ -32,6 +33,7 @@
             watch::command(),
             load::command(),
             check_history::command(),
+            explain::command(),
         ])
 }
 
@@ -50,6 +52,7 @@
         Some(("watch", matches)) => watch::run(matches, context).await,
         Some(("load", matches)) => load::run(matches, context).await,
         Some(("check-history", matches)) => check_history::run(matches, context).await,
+        Some(("explain", matches)) => explain::run(matches, context).await,
         _ => Err(error::Error::Usage("name a command".into())),
     }
 }
--- a/crates/hyssopfork-cli/src/error.rs
+++ b/crates/hyssopfork-cli/src/error.rs
@@ -90,6 +90,15 @@
                 "the control instance answered another question; use the hyssopfork of its release"
             )
         }
+        /// None of so many log lines is about the request.
+        NoSuchRequest(request: String, lines: usize) {
+            display(
+                "none of {} lines is about request {}; check the identifier, and give the logs of \
+                 all processes that take callers' requests, at level info",
+                lines,
+                request
+            )
+        }
         /// A service that was asked for its counts did not answer.
         Counts(address: net::SocketAddr, cause: String) {
             display("cannot read counts from {}: {}; check --counts", address, cause)
@@ -107,6 +116,7 @@
             Error::Unreachable(..) | Error::Protocol(_) | Error::Unexpected => UNREACHABLE,
             Error::Counts(..) => UNREACHABLE,
             Error::OutcomeUnknown(..) => UNKNOWN,
+            Error::NoSuchRequest(..) => FOUND,
             Error::File(..) => FILE,
         }
     }
--- a/crates/hyssopfork-cli/src/lib.rs
+++ b/crates/hyssopfork-cli/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod context;
 pub mod declaration;
 pub mod error;
+pub mod explain;
 pub mod history;
 pub mod load;
 pub mod output;
--- a/crates/hyssopfork-cli/tests/all/main.rs
+++ b/crates/hyssopfork-cli/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod commands;
 mod declaration;
 mod examples;
+mod explain;
 mod history;
 mod load;
 mod program;
