Log what a refusal rests on, and the time left with each attempt

Sent carries the time left; Full names the upstream that came closest, its believed load, its limit and the age of its report.

--- a/crates/hyssopfork-cli/src/explain.rs
+++ b/crates/hyssopfork-cli/src/explain.rs
@@ -42,7 +42,7 @@
     pub const STALLED: u16 = 5220;
     /// How a request ends: refused, broken off, answered, given up by its caller.
     pub const ENDINGS: RangeInclusive<u16> = 5213..=5216;
-    /// A request is sent to an upstream.
+    /// A request is sent to an upstream: the third word names it.
     pub const SENT: u16 = 5210;
 }
 
--- a/crates/hyssopfork-gateway/src/choice.rs
+++ b/crates/hyssopfork-gateway/src/choice.rs
@@ -62,8 +62,13 @@
 pub enum Choice {
     /// This upstream.
     Take(name::Instance),
-    /// None has room; when one will.
-    Full(Duration),
+    /// None has room.
+    Full {
+        /// When one will.
+        wait: Duration,
+        /// The one that came closest; `None` where none could be asked at all.
+        best: Option<name::Instance>,
+    },
     /// There is none.
     Nobody,
 }
@@ -107,12 +112,16 @@
             left.0.cmp(&right.0).then(left.1.total_cmp(&right.1))
         });
     let Some((instance, target)) = best else {
-        return if candidates.is_empty() { Choice::Nobody } else { Choice::Full(Duration::ZERO) };
+        if candidates.is_empty() {
+            return Choice::Nobody;
+        }
+        return Choice::Full { wait: Duration::ZERO, best: None };
     };
     let room = if want.again { target.load.slots() * AGAIN } else { 0.0 };
     let over = target.load.estimate(now, bounds.part) + 1.0 - target.limit.get() - room;
     if over > 0.0 {
-        return Choice::Full(Duration::from_secs_f64(over / target.load.pace()));
+        let wait = Duration::from_secs_f64(over / target.load.pace());
+        return Choice::Full { wait, best: Some((*instance).clone()) };
     }
     Choice::Take((*instance).clone())
 }
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -66,11 +66,26 @@
         let bounds = self.bounds(&request.pool);
         match choice::choose(now, &self.targets, want, bounds) {
             choice::Choice::Take(instance) => self.send(number, &instance),
-            choice::Choice::Full(wait) => self.end(number, action::Reason::Overloaded, wait),
+            choice::Choice::Full { wait, best } => {
+                self.tell_of_full(number, best);
+                self.end(number, action::Reason::Overloaded, wait);
+            }
             choice::Choice::Nobody => self.end(number, action::Reason::NoUpstream, NOBODY_RETRY),
         }
     }
 
+    /// Logs what a refusal for want of room rests on.
+    fn tell_of_full(&mut self, number: u64, best: Option<name::Instance>) {
+        let now = self.now;
+        let Some(request) = self.requests.get(&number) else { return };
+        let target = best.as_ref().and_then(|best| self.targets.get(best));
+        let part = self.part(&request.pool);
+        let load = target.map(|it| (it.load.estimate(now, part), it.limit.get()));
+        let report_age = target.and_then(|it| it.load.age(now));
+        let identifier = request.identifier.clone();
+        self.note(notice::Notice::Full { identifier, best, load, report_age });
+    }
+
     fn send(&mut self, number: u64, instance: &name::Instance) {
         let now = self.now;
         let Some(request) = self.requests.get(&number) else { return };
@@ -106,6 +121,7 @@
             load,
             report_age: target.load.age(now),
             after: now.since(request.arrived),
+            left: now.until(request.limit),
         };
         let (pool, first) = (request.pool.clone(), request.tries == 1);
         let bound = self.bound();
--- a/crates/hyssopfork-gateway/src/notice.rs
+++ b/crates/hyssopfork-gateway/src/notice.rs
@@ -31,6 +31,19 @@
         report_age: Option<Duration>,
         /// Time since arrival.
         after: Duration,
+        /// Time until the request's time is over.
+        left: Duration,
+    },
+    /// No upstream has room for a request, which is refused with the next line.
+    Full {
+        /// The caller's identifier.
+        identifier: String,
+        /// Upstream that came closest; `None` where none could be asked at all.
+        best: Option<name::Instance>,
+        /// Requests that it was believed to have, and its limit.
+        load: Option<(f64, f64)>,
+        /// Age of its last report.
+        report_age: Option<Duration>,
     },
     /// An attempt failed.
     Failed {
@@ -114,6 +127,7 @@
             Notice::Cut { .. } => 5214,
             Notice::Answered { .. } => 5215,
             Notice::Gone { .. } => 5216,
+            Notice::Full { .. } => 5217,
             Notice::Stalled(..) => 5220,
             Notice::Leaving(..) => 5221,
         }
@@ -138,6 +152,7 @@
             Notice::Sent { identifier, .. }
             | Notice::Failed { identifier, .. }
             | Notice::Moved { identifier, .. }
+            | Notice::Full { identifier, .. }
             | Notice::Refused { identifier, .. }
             | Notice::Cut { identifier, .. }
             | Notice::Answered { identifier, .. }
@@ -151,13 +166,25 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Notice::InForce(version) => write!(formatter, "acts on declaration {version}"),
-            Notice::Sent { route, instance, attempt, load, report_age, after, .. } => write!(
+            Notice::Sent { route, instance, attempt, load, report_age, after, left, .. } => write!(
                 formatter,
-                "sent to {instance} as attempt {attempt} route={route} load={:.1} limit={:.1} report_age_ms={} after_ms={}",
+                "sent to {instance} as attempt {attempt} route={route} load={:.1} limit={:.1} report_age_ms={} after_ms={} left_ms={}",
                 load.0,
                 load.1,
-                report_age.map_or(-1, |age| age.as_millis() as i64),
-                after.as_millis()
+                millis(*report_age),
+                after.as_millis(),
+                left.as_millis()
+            ),
+            Notice::Full { best: Some(best), load: Some(load), report_age, .. } => write!(
+                formatter,
+                "no room: {best} comes closest load={:.1} limit={:.1} report_age_ms={}",
+                load.0,
+                load.1,
+                millis(*report_age)
+            ),
+            Notice::Full { .. } => write!(
+                formatter,
+                "no room: no upstream can be asked now (cold, silent or out of reach)"
             ),
             Notice::Failed { instance, fault, after, .. } => {
                 write!(
@@ -175,7 +202,7 @@
             Notice::Refused { reason, retry_after, attempts, after, .. } => write!(
                 formatter,
                 "refused: {reason} attempts={attempts} retry_after_ms={} after_ms={}",
-                retry_after.map_or(-1, |time| time.as_millis() as i64),
+                millis(*retry_after),
                 after.as_millis()
             ),
             Notice::Cut { reason, attempts, after, .. } => write!(
@@ -205,3 +232,8 @@
         }
     }
 }
+
+/// Milliseconds; -1 for none.
+fn millis(time: Option<Duration>) -> i64 {
+    time.map_or(-1, |time| time.as_millis() as i64)
+}
