Send callers back after 1.2 s where nobody serves

Cause: a group serves again 1.0 s (weights at hand) to 2 s after its member's death; callers who found no group were told 0.7 s, came back to none, and most come back once.

--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -12,9 +12,10 @@
 /// Time that must be left for another attempt to be worth its place.
 pub(super) const LEAST_LEFT: Duration = Duration::from_millis(60);
 
-/// When to come back where no upstream is there: a lost group is formed anew within a second, more
-/// often than not.
-const NOBODY_RETRY: Duration = Duration::from_millis(700);
+/// When to come back where no upstream is there. A lost group serves again 1 s after its member's
+/// death when the reserve has the weights at hand, 2 s when it takes them from a host; most callers
+/// come back once only, and after 0.7 s found nobody again.
+const NOBODY_RETRY: Duration = Duration::from_millis(1_200);
 
 /// When to come back to a process that has just started.
 const NOT_READY_RETRY: Duration = Duration::from_millis(300);
