Take an engine's failure for one, not for its answer

Change: a status of 500 and more of a group's engine ends the attempt as broken: the agent suspects its engine at once and the entry goes on elsewhere. Plain services' failures stay answers. A failing soak keeps the logs of all daemons and says which of the last requests got what.

--- a/crates/hyssopfork-daemon/src/agent/upstream.rs
+++ b/crates/hyssopfork-daemon/src/agent/upstream.rs
@@ -26,6 +26,14 @@
 /// Media type of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// Status from which on an engine's answer is a failure of its own: it restarted without its model,
+/// or is overloaded.
+///
+/// Passed on as an answer, the caller would get it in place of another engine's work, and the gate
+/// would stay open until the next probe: six requests went to an engine without a model. A service's
+/// failures are answers to its callers and pass.
+const SERVER_ERROR: u16 = 500;
+
 /// Last event of an engine's stream.
 const END_MARK: &[u8] = b"data: [DONE]";
 
@@ -105,6 +113,9 @@
         };
         connection.send(&request, self.body.clone()).await.map_err(fault)?;
         let head = connection.head().await.map_err(fault)?;
+        if self.offer.group.is_some() && head.status >= SERVER_ERROR {
+            return Err(event::Fault::Broken);
+        }
         let head = frame::Head { status: head.status, headers: travelling(head.headers) };
         let marked = is_event_stream(&head) && self.offer.group.is_some();
         self.answer.head(head);
--- a/crates/hyssopfork-daemon/tests/processes/cut_answers.rs
+++ b/crates/hyssopfork-daemon/tests/processes/cut_answers.rs
@@ -95,3 +95,25 @@
     let mark = text.rsplit("\n\n").find(|event| !event.is_empty()).unwrap_or_default();
     assert!(mark.starts_with("event: error") && got.says_may_have_run(), "{mark:?}");
 }
+
+// An idle engine starts anew between two probes of its agent and holds no model. The first request
+// finds out: the engine says 503 to it. Taken for an answer of the model's, that would be what the
+// caller gets, and the gate would stay open for the next requests until a probe tells.
+#[actix_rt::test]
+async fn an_engine_that_lost_its_model_is_found_out_by_the_first_request() {
+    let fleet = served(2).await;
+    for engine in &fleet.engines {
+        engine.fake.impair(impairment::Order::Die(Duration::from_millis(1)));
+    }
+    actix_rt::time::sleep(Duration::from_millis(5)).await;
+
+    for _ in 0..4 {
+        let body = caller::completion(4);
+        let got = caller::post(fleet.entry_addresses[0], "/v1/completions", None, &body).await;
+        assert!(!got.text().contains("holds no model"), "{got:?}");
+    }
+
+    let misdirected: u64 =
+        fleet.engines.iter().map(|engine| engine.fake.counts().misdirected).sum();
+    assert!(misdirected <= 1, "{misdirected} requests went to an engine without a model");
+}
--- a/crates/hyssopfork-daemon/tests/processes/soak/callers.rs
+++ b/crates/hyssopfork-daemon/tests/processes/soak/callers.rs
@@ -114,16 +114,22 @@
         }
     }
 
-    /// Whether this many requests of each kind are all answered.
-    pub async fn all_served(&self, requests: u64) -> bool {
-        let mut served = true;
+    /// Sends this many requests of each kind; gives what those got that were not answered.
+    pub async fn unserved(&self, requests: u64) -> Vec<String> {
+        let mut unserved = Vec::new();
         for number in 0..requests {
             let entry = self.entries[number as usize % self.entries.len()];
             let streamed = self.stream_one(entry, &format!("last-{number}"), 4).await;
+            if streamed != Told::Answered {
+                unserved.push(format!("stream {number} at {entry}: {streamed:?}"));
+            }
             let asked = caller::get(entry, "/status?reference=status").await;
-            served &= streamed == Told::Answered && asked.is_answer();
+            if !asked.is_answer() {
+                let told = record::told(&asked);
+                unserved.push(format!("status check {number} at {entry}: {told:?}"));
+            }
         }
-        served
+        unserved
     }
 }
 
--- a/crates/hyssopfork-daemon/tests/processes/soak/mod.rs
+++ b/crates/hyssopfork-daemon/tests/processes/soak/mod.rs
@@ -81,11 +81,14 @@
         record: record.clone(),
         end: Instant::now() + operator::PATIENCE,
     };
-    let served = last.all_served(LAST_REQUESTS).await;
+    let unserved = last.unserved(LAST_REQUESTS).await;
 
     let record = record.borrow();
     println!("seed {seed}: {record}");
     let faults = record.faults(&fleet);
+    if !faults.is_empty() || !unserved.is_empty() {
+        println!("seed {seed}: logs are kept in {}", fleet.keep_logs(seed).display());
+    }
     assert!(faults.is_empty(), "seed {seed}: {faults:#?}");
-    assert!(served, "seed {seed}: not every request was answered after the faults");
+    assert!(unserved.is_empty(), "seed {seed}: not answered after the faults: {unserved:#?}");
 }
--- a/crates/hyssopfork-daemon/tests/processes/support/fleet.rs
+++ b/crates/hyssopfork-daemon/tests/processes/support/fleet.rs
@@ -4,7 +4,9 @@
 use hyssopfork_test_support::{engine, http, service};
 use hyssopfork_wire::configuration;
 use sha2::{Digest, Sha256};
+use std::fs;
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -191,6 +193,20 @@
         daemons.map(daemon::Daemon::log).collect()
     }
 
+    /// Copies the logs of all daemons to a folder that outlasts the test.
+    pub fn keep_logs(&self, seed: u64) -> PathBuf {
+        let name = format!("hyssopfork-soak-{seed}-{}", std::process::id());
+        let kept = std::env::temp_dir().join(name);
+        fs::create_dir_all(&kept).unwrap();
+        for file in fs::read_dir(&self.layout.folder).unwrap() {
+            let path = file.unwrap().path();
+            if path.extension().is_some_and(|extension| extension == "log") {
+                fs::copy(&path, kept.join(path.file_name().unwrap())).unwrap();
+            }
+        }
+        kept
+    }
+
     /// An operator who knows all control instances.
     pub fn operator(&self) -> operator::Operator {
         operator::Operator::new(self.control_addresses.clone())
