Write once what waits for the log, and how changes go into a table

The bookkeeping of proposals stood in control::calls and in fleet::proposals, the merge of changes in both follow modules. Both now use consensus::proposals and fleet::view::merge; tests moved along.

--- a/crates/hyssopfork-consensus/src/lib.rs
+++ b/crates/hyssopfork-consensus/src/lib.rs
@@ -16,5 +16,6 @@
 mod log;
 pub mod node;
 pub mod notice;
+pub mod proposals;
 pub mod recovery;
 pub mod write;
--- a/crates/hyssopfork-control/src/calls.rs
+++ b/crates/hyssopfork-control/src/calls.rs
@@ -1,8 +1,8 @@
 //! Proposals that wait to be applied, and the calls that wait for them.
 
+use hyssopfork_consensus::proposals;
 use hyssopfork_wire::{clock, control, name, number};
-use std::collections::{BTreeMap, BTreeSet};
-use std::mem;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Most proposals that wait at once. Above it calls are refused before they are proposed.
@@ -37,73 +37,55 @@
     }
 }
 
-/// A proposal that waits.
-#[derive(Clone, Debug)]
-struct Waiting {
-    purpose: Purpose,
-    since: clock::Instant,
-}
-
 /// Proposals that wait.
 #[derive(Debug, Default)]
 pub struct Calls {
-    waiting: BTreeMap<u64, Waiting>,
-    /// Tickets by the index of their entry, with the term that it must have.
-    appended: BTreeMap<number::Index, (number::Term, u64)>,
+    proposals: proposals::Proposals<Purpose>,
     /// Calls whose connection closed while their proposal waits.
     abandoned: BTreeSet<u64>,
-    newest: u64,
 }
 
 impl Calls {
     /// Whether another proposal may wait.
     pub fn has_room(&self) -> bool {
-        self.waiting.len() < LIMIT
+        self.proposals.purposes().count() < LIMIT
     }
 
     /// Keeps a proposal's purpose and gives its ticket.
     pub fn wait(&mut self, now: clock::Instant, purpose: Purpose) -> u64 {
-        self.newest += 1;
-        self.waiting.insert(self.newest, Waiting { purpose, since: now });
-        self.newest
+        self.proposals.wait(now, purpose)
     }
 
     /// Notes where the proposal was appended.
     pub fn append(&mut self, ticket: u64, index: number::Index, term: number::Term) {
-        self.appended.insert(index, (term, ticket));
+        self.proposals.append(ticket, index, term);
     }
 
     /// Takes the purpose of a proposal that was never appended.
     pub fn reject(&mut self, ticket: u64) -> Option<Purpose> {
-        let purpose = self.waiting.remove(&ticket)?.purpose;
+        let purpose = self.proposals.reject(ticket)?;
         self.heard(purpose)
     }
 
     /// Takes the purpose of the proposal that was applied at `index`; `None` when another entry
     /// than the one proposed here stands there.
     pub fn apply(&mut self, index: number::Index, term: number::Term) -> Option<Purpose> {
-        let (proposed, ticket) = self.appended.remove(&index)?;
-        // Another leader's entry may stand at the index where this one was appended and lost: its
-        // reply would tell the caller that a stranger's patch was his.
-        if proposed != term {
-            return None;
-        }
-        let purpose = self.waiting.remove(&ticket)?.purpose;
+        let purpose = self.proposals.apply(index, term)?;
         self.heard(purpose)
     }
 
     /// Whether a proposal of the leader's own waits that `matches`.
     pub fn any(&self, matches: impl Fn(&Purpose) -> bool) -> bool {
-        self.waiting.values().any(|waiting| matches(&waiting.purpose))
+        self.proposals.purposes().any(matches)
     }
 
     /// Instances whose presence is proposed and not yet applied.
     pub fn instances(&self) -> BTreeSet<name::Instance> {
-        let presence = |waiting: &Waiting| match &waiting.purpose {
+        let presence = |purpose: &Purpose| match purpose {
             Purpose::Presence(instance) => Some(instance.clone()),
             _ => None,
         };
-        self.waiting.values().filter_map(presence).collect()
+        self.proposals.purposes().filter_map(presence).collect()
     }
 
     /// The call's connection closed: nobody waits for its answer.
@@ -115,17 +97,14 @@
 
     /// Takes the calls that have waited too long.
     pub fn due(&mut self, now: clock::Instant) -> Vec<u64> {
-        let late = |waiting: &Waiting| now.since(waiting.since) >= PATIENCE;
-        let due: Vec<Waiting> =
-            self.waiting.extract_if(.., |_, waiting| late(waiting)).map(|(_, it)| it).collect();
-        due.into_iter().filter_map(|waiting| self.heard(waiting.purpose)?.call()).collect()
+        let due = self.proposals.overdue(now, PATIENCE);
+        due.into_iter().filter_map(|purpose| self.heard(purpose)?.call()).collect()
     }
 
     /// Takes all calls; whatever waits will not be answered by this leader.
     pub fn drain(&mut self) -> Vec<u64> {
-        self.appended.clear();
-        let waiting = mem::take(&mut self.waiting);
-        waiting.into_values().filter_map(|it| self.heard(it.purpose)?.call()).collect()
+        let waiting = self.proposals.drain();
+        waiting.into_iter().filter_map(|purpose| self.heard(purpose)?.call()).collect()
     }
 
     /// The purpose, unless its call was abandoned.
--- a/crates/hyssopfork-fleet/src/core.rs
+++ b/crates/hyssopfork-fleet/src/core.rs
@@ -5,10 +5,10 @@
 mod lead;
 
 use crate::{
-    action, board, declaration, durable, event, founding, groups, notice, proposals, registry,
-    seeking, settings, view,
+    action, board, declaration, durable, event, founding, groups, notice, registry, seeking,
+    settings, view,
 };
-use hyssopfork_consensus::{action as log_action, event as log_event, node};
+use hyssopfork_consensus::{action as log_action, event as log_event, node, proposals};
 use hyssopfork_wire::{clock, consensus, name, number};
 use std::collections::{BTreeMap, VecDeque};
 use std::mem;
@@ -42,6 +42,11 @@
 /// Term of the quorum lease; shorter than [`ELECTION_TIMEOUT`] by more than clocks may differ.
 const QUORUM_LEASE: Duration = Duration::from_millis(380);
 
+/// Time after which a call is told that its end is unknown. Callers take a second without an answer
+/// for a loss and ask again; an election takes less than this, so what is still waiting then was
+/// lost with its leader.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+
 /// Reads a declaration out of an operator's document; `None` when it can't be read.
 pub type Decode = fn(&[u8]) -> Option<declaration::Declaration>;
 
@@ -85,7 +90,8 @@
     applied: (number::Index, number::Term),
     applied_since_snapshot: u64,
     bytes_since_snapshot: usize,
-    proposals: proposals::Proposals,
+    /// Calls that wait for their commands to be applied.
+    proposals: proposals::Proposals<u64>,
     seeking: seeking::Seeking,
     founding: founding::Founding,
     copy: Copy,
@@ -187,7 +193,7 @@
 
     fn tick(&mut self) {
         self.tell(log_event::Event::Tick);
-        for call in self.proposals.overdue(self.now) {
+        for call in self.proposals.overdue(self.now, PATIENCE) {
             self.reply(call, action::Reply::Unknown);
         }
         let own = self.hello();
--- a/crates/hyssopfork-fleet/src/core/follow.rs
+++ b/crates/hyssopfork-fleet/src/core/follow.rs
@@ -105,20 +105,8 @@
             self.copy.groups.clear();
         }
         self.copy.stamp = update.stamp;
-        merge(&mut self.copy.upstreams, &update.upstreams);
-        merge(&mut self.copy.groups, &update.groups);
+        view::merge(&mut self.copy.upstreams, update.upstreams.iter().cloned());
+        view::merge(&mut self.copy.groups, update.groups.iter().cloned());
         self.act(action::Action::Publish(Box::new(update), declaration));
     }
 }
-
-fn merge<K: Clone + Ord, T: Clone>(
-    table: &mut std::collections::BTreeMap<K, T>,
-    changes: &[(K, Option<T>)],
-) {
-    for (key, value) in changes {
-        match value {
-            Some(value) => drop(table.insert(key.clone(), value.clone())),
-            None => drop(table.remove(key)),
-        }
-    }
-}
--- a/crates/hyssopfork-fleet/src/lib.rs
+++ b/crates/hyssopfork-fleet/src/lib.rs
@@ -21,7 +21,6 @@
 pub mod groups;
 pub mod notice;
 pub mod peer;
-pub mod proposals;
 pub mod registry;
 pub mod seeking;
 pub mod settings;
--- a/crates/hyssopfork-fleet/src/view.rs
+++ b/crates/hyssopfork-fleet/src/view.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hyssopfork_wire::{name, number};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net;
 
 /// Place in the leader's sequence of publications.
@@ -74,6 +74,19 @@
     }
 }
 
+/// Takes changes into a table; `None` is for what is gone.
+pub fn merge<K: Ord, T>(
+    table: &mut BTreeMap<K, T>,
+    changes: impl IntoIterator<Item = (K, Option<T>)>,
+) {
+    for (key, value) in changes {
+        match value {
+            Some(value) => drop(table.insert(key, value)),
+            None => drop(table.remove(&key)),
+        }
+    }
+}
+
 /// What leads a follower on.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Update {
--- a/crates/hyssopfork-fleet/tests/fleet/main.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/main.rs
@@ -12,7 +12,6 @@
 mod invariants;
 mod loads;
 mod plan;
-mod proposals;
 mod registry;
 mod replication;
 mod world;
--- a/crates/hyssopfork-gateway/src/core/follow.rs
+++ b/crates/hyssopfork-gateway/src/core/follow.rs
@@ -22,8 +22,8 @@
             self.upstreams.clear();
             self.groups.clear();
         }
-        merge(&mut self.upstreams, update.upstreams);
-        merge(&mut self.groups, update.groups);
+        view::merge(&mut self.upstreams, update.upstreams);
+        view::merge(&mut self.groups, update.groups);
         self.out = update.out;
         self.entries = update.entries.max(1);
         self.rebuild();
@@ -94,12 +94,3 @@
         stalled: None,
     }
 }
-
-fn merge<K: Ord, T>(table: &mut BTreeMap<K, T>, changes: Vec<(K, Option<T>)>) {
-    for (key, value) in changes {
-        match value {
-            Some(value) => drop(table.insert(key, value)),
-            None => drop(table.remove(&key)),
-        }
-    }
-}
