Ask an upstream that bore nothing again after a quarter of a second

A report comes only with an answer to work, and a limit of 0 lets none be sent.

Change: a reported limit of 0 lapses after 0.25 s; one piece of work then finds out.

Ruled out: ejection (its terms end), the adaptive limit (1 at least), lost attempts (none in flight).

--- a/crates/hyssopfork-policy/src/balance.rs
+++ b/crates/hyssopfork-policy/src/balance.rs
@@ -27,6 +27,14 @@
 /// trace there let long jobs of other entries be forgotten while they ran.
 const OTHERS_LEAST: f64 = 0.5;
 
+/// Time after which an upstream that said that it bears nothing is tried with one piece of work.
+///
+/// An agent that suspects its engine says so with a refusal, and says otherwise only with its next
+/// answer to work. Believed for good, no work would ever be sent there again: callers waited out
+/// their deadlines before a group that served. An agent learns from a probe, every 0.2 s, whether
+/// its engine lives.
+pub const CLOSED_TERM: Duration = Duration::from_millis(250);
+
 /// Load, as a share of an upstream's limit, that staying in the own zone may cost. Crossing zones
 /// costs about a millisecond on requests of a tenth of a second and more, so little.
 pub const ZONE_WORTH: f64 = 0.1;
@@ -66,9 +74,15 @@
         self.others * (-age / HALF_LIFE.as_secs_f64() * std::f64::consts::LN_2).exp()
     }
 
-    /// Work that the upstream bears at once, as last reported.
-    pub fn limit(&self) -> u32 {
-        self.limit
+    /// Work that the upstream bears at once, as last reported; one piece where it is time to ask
+    /// again whether it bears anything.
+    pub fn limit(&self, now: clock::Instant) -> u32 {
+        if self.has_lapsed(now) { 1 } else { self.limit }
+    }
+
+    /// Whether it said that it bears nothing, too long ago to go by that or by what it then had.
+    fn has_lapsed(&self, now: clock::Instant) -> bool {
+        self.limit == 0 && now.since(self.reported) >= CLOSED_TERM
     }
 
     /// More work that it has room for, within `limit`.
@@ -76,7 +90,7 @@
         let others = self.others(now);
         let taken = f64::from(self.own) + others;
         let free = (f64::from(limit) - taken).max(0.0).floor() as u32;
-        let forgotten = self.own == 0 && others < OTHERS_LEAST;
+        let forgotten = self.own == 0 && (others < OTHERS_LEAST || self.has_lapsed(now));
         if forgotten { free.max(limit.min(1)) } else { free }
     }
 }
--- a/crates/hyssopfork-policy/src/choice.rs
+++ b/crates/hyssopfork-policy/src/choice.rs
@@ -239,7 +239,7 @@
             return 0;
         }
         let ramp = entry.ramp.as_ref().map_or(u32::MAX, ramp::Ramp::limit);
-        entry.load.limit().min(entry.limit.get()).min(ramp)
+        entry.load.limit(now).min(entry.limit.get()).min(ramp)
     }
 
     fn candidates(&self, now: clock::Instant, want: Want<'_>) -> Vec<balance::Candidate> {
--- a/crates/hyssopfork-policy/tests/choice.rs
+++ b/crates/hyssopfork-policy/tests/choice.rs
@@ -246,3 +246,22 @@
     assert!(delay >= Duration::from_millis(190), "{delay:?}");
     assert!(!early && !twice && due);
 }
+
+/// An engine fails and its agent refuses work: it bears nothing now. A moment later the engine serves
+/// again, and only an answer to work could say so. Were the refusal believed for good, callers would
+/// wait out their deadlines before an upstream that is free.
+#[test]
+fn an_upstream_that_bore_nothing_is_tried_again() {
+    let mut chooser = choice::Chooser::default();
+    let upstream =
+        choice::Upstream { instance: instance(0), zone: "zone-0".into(), concurrency: LIMIT };
+    chooser.insert(at(0), upstream);
+    chooser.report(at(0), &instance(0), load(5, 0));
+
+    let at_once = pick(&mut chooser, 10, None);
+    let later = pick(&mut chooser, 260, None);
+
+    assert_eq!(at_once, None);
+    assert_eq!(later, Some(instance(0)));
+    assert_eq!(chooser.room(at(260)).free, 1);
+}
