--- a/crates/hyssopfork-daemon/src/edge/peers.rs
+++ b/crates/hyssopfork-daemon/src/edge/peers.rs
@@ -13,6 +13,10 @@
 /// Time in which a greeting must be answered; it is sent again soon.
 const GREET_LIMIT: Duration = Duration::from_millis(300);
 
+/// Time in which a peer must say whether it reaches an upstream: its own question takes 80 ms. A
+/// peer that was lost with the upstream holds the verdict up for as long.
+const PROBE_LIMIT: Duration = Duration::from_millis(180);
+
 /// Time in which the leader must take an upstream's call: the upstream waits for a second.
 const REGISTER_LIMIT: Duration = Duration::from_millis(850);
 
@@ -54,8 +58,8 @@
     /// Has a peer ask an upstream for a sign of life; whether it got one.
     pub async fn probe(&self, to: net::SocketAddr, upstream: net::SocketAddr) -> bool {
         let Some((number, client)) = self.client(to).await else { return false };
-        let call = client.probe(link::until(GREET_LIMIT), envelope::Envelope::new(upstream));
-        self.0.settle(to, number, link::within(GREET_LIMIT, call).await).unwrap_or(false)
+        let call = client.probe(link::until(PROBE_LIMIT), envelope::Envelope::new(upstream));
+        self.0.settle(to, number, link::within(PROBE_LIMIT, call).await).unwrap_or(false)
     }
 
     /// Passes an upstream's call on to the leader; whether it has it.
