--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -9,7 +9,6 @@
 //!   has left. A head that is silent may be open where nobody hears it, so its silence frees nobody.
 //! - *An epoch is never used twice.* It begins with the leader's term, of which there is one leader.
 
-mod exchange;
 mod forming;
 pub mod group;
 pub mod inquiry;
@@ -19,6 +18,7 @@
 mod peaks;
 pub mod plan;
 mod planning;
+mod rebalance;
 mod reserves;
 mod strangers;
 
--- a/crates/hyssopfork-fleet/src/groups/planning.rs
+++ b/crates/hyssopfork-fleet/src/groups/planning.rs
@@ -101,8 +101,8 @@
         let present = plan::layout(&usable(now, pool, registry, out), &models, 0.0);
         let scene = Scene { now, pool, engine, registry, out, models, layout, present, peaks };
         self.form_groups(&scene);
-        self.give_up_one(&scene);
-        self.exchange_reserves(&scene);
+        self.rebalance(&scene);
+        self.even_out_reserves(&scene);
         self.prepare(&scene);
         self.stage(&scene);
     }
--- a/crates/hyssopfork-fleet/src/groups/exchange.rs
+++ b/crates/hyssopfork-fleet/src/groups/rebalance.rs
@@ -17,7 +17,7 @@
     ///
     /// Not by a leader that has just started: after all processes were killed it knows the groups
     /// whose heads have called, and would close those for a model whose heads are about to.
-    pub(super) fn give_up_one(&mut self, scene: &Scene<'_>) {
+    pub(super) fn rebalance(&mut self, scene: &Scene<'_>) {
         // Members of a group that is just ending will be free in a moment.
         let changes = |group: &super::Group| matches!(group.stage, Stage::Closing | Stage::Leaving);
         if !self.traffic || !self.is_settled(scene.now) || self.groups.values().any(changes) {
--- a/crates/hyssopfork-fleet/src/groups/reserves.rs
+++ b/crates/hyssopfork-fleet/src/groups/reserves.rs
@@ -30,7 +30,7 @@
     ///
     /// Only before callers send: taking up a model from a host leaves the host with that one alone,
     /// and its second model must be loaded again.
-    pub(super) fn exchange_reserves(&mut self, scene: &Scene<'_>) {
+    pub(super) fn even_out_reserves(&mut self, scene: &Scene<'_>) {
         if self.traffic || self.peaks.grows(scene.now, scene.pool) {
             return;
         }
