--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -76,6 +76,11 @@
 #[derive(Clone, Debug)]
 pub struct Groups {
     groups: BTreeMap<name::Group, Group>,
+    /// Group of each member. A look at hundreds of engines asks for it thousands of times: searched
+    /// for among all groups, looks took the leader's whole processor and others were elected.
+    ///
+    /// Invariant: names the members of `groups`, and no other.
+    by_member: BTreeMap<name::Instance, name::Group>,
     /// Open groups whose members have not all called a leader that has just started.
     provisional: BTreeMap<name::Group, view::Group>,
     /// Epochs that this leader has ended before they were told to open.
@@ -102,6 +107,7 @@
     pub fn new(now: clock::Instant, term: number::Term, traffic: bool) -> Groups {
         Groups {
             groups: BTreeMap::new(),
+            by_member: BTreeMap::new(),
             provisional: BTreeMap::new(),
             ended: BTreeSet::new(),
             left: BTreeSet::new(),
@@ -154,7 +160,7 @@
             sent: BTreeMap::new(),
         };
         self.commands.push(Command::Notice(notice::Notice::Adopted(name.clone(), stage)));
-        self.groups.insert(name.clone(), group);
+        self.add(name.clone(), group);
     }
 
     /// Takes what an entry saw.
@@ -388,7 +394,7 @@
             since: now,
             sent: BTreeMap::new(),
         };
-        self.groups.insert(name, group);
+        self.add(name, group);
     }
 
     fn turn(&mut self, now: clock::Instant, name: &name::Group, stage: Stage) {
@@ -400,7 +406,7 @@
     /// Ends a group. Members of one that was never told to open are free; of any other, those that
     /// have left.
     fn end(&mut self, name: &name::Group) {
-        if let Some(group) = self.groups.remove(name) {
+        if let Some(group) = self.take(name) {
             if group.stage.is_reserve() || group.stage == Stage::Joining {
                 self.ended.insert(group.epoch);
             }
@@ -413,8 +419,20 @@
         now.since(self.started) >= SETTLE
     }
 
+    fn add(&mut self, name: name::Group, group: Group) {
+        let members = group.members.iter().cloned();
+        self.by_member.extend(members.map(|member| (member, name.clone())));
+        self.groups.insert(name, group);
+    }
+
+    fn take(&mut self, name: &name::Group) -> Option<Group> {
+        let group = self.groups.remove(name)?;
+        group.members.iter().for_each(|member| drop(self.by_member.remove(member)));
+        Some(group)
+    }
+
     fn group_of(&self, instance: &name::Instance) -> Option<(&name::Group, &Group)> {
-        self.groups.iter().find(|(_, group)| group.members.contains(instance))
+        self.groups.get_key_value(self.by_member.get(instance)?)
     }
 
     fn note(&mut self, notice: notice::Notice) {
--- a/crates/hyssopfork-fleet/src/groups/lifecycle.rs
+++ b/crates/hyssopfork-fleet/src/groups/lifecycle.rs
@@ -187,6 +187,7 @@
     fn drop_member(&mut self, name: &name::Group, instance: &name::Instance) {
         let Some(group) = self.groups.get_mut(name) else { return };
         group.members.retain(|member| member != instance);
+        self.by_member.remove(instance);
         if group.members.is_empty() {
             self.end(name);
         }
--- a/crates/hyssopfork-fleet/src/groups/planning.rs
+++ b/crates/hyssopfork-fleet/src/groups/planning.rs
@@ -136,12 +136,16 @@
 
     /// Ends the reserves that `members` are.
     pub(super) fn take_reserves(&mut self, members: &[name::Instance]) {
-        let taken = |group: &super::Group| {
-            group.stage.is_reserve() && group.members.iter().any(|it| members.contains(it))
-        };
-        let reserves: Vec<super::Group> =
-            self.groups.extract_if(.., |_, group| taken(group)).map(|(_, group)| group).collect();
-        self.ended.extend(reserves.iter().map(|reserve| reserve.epoch));
+        let names: Vec<name::Group> = members
+            .iter()
+            .filter_map(|member| self.group_of(member))
+            .filter(|(_, group)| group.stage.is_reserve())
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in names {
+            let reserve = self.take(&name);
+            self.ended.extend(reserve.map(|reserve| reserve.epoch));
+        }
     }
 
     /// Whether the engine is in a group that this leader has not ended: it must leave that before
