--- a/crates/hyssopfork-fleet/src/groups/forming.rs
+++ b/crates/hyssopfork-fleet/src/groups/forming.rs
@@ -12,6 +12,9 @@
 /// up; the members, once they have left, need 0.2 s, and they leave within two trips of a message.
 const OWN_MEMBERS: Duration = Duration::from_millis(300);
 
+/// Engines for one group in each domain.
+type Ready = BTreeMap<name::Domain, Vec<(Readiness, name::Instance)>>;
+
 /// What came of forming a group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Forming {
@@ -100,21 +103,7 @@
     /// spent, the next loss there stopped a group for 5 s to 10 s instead of 1.5 s. For the same
     /// reason the members that a lost group of the domain is about to free are waited for.
     fn form_one(&mut self, scene: &Scene<'_>, model: &plan::Model) -> Forming {
-        let mut domains: BTreeMap<name::Domain, Vec<(Readiness, name::Instance)>> = BTreeMap::new();
-        for candidate in self.candidates(scene) {
-            if self.is_kept(scene, model, &candidate) {
-                continue;
-            }
-            if let Some(readiness) = candidate.readiness(&model.name) {
-                let ready = domains.entry(candidate.domain).or_default();
-                ready.push((readiness, candidate.instance));
-            }
-        }
-        domains.retain(|_, ready| ready.len() >= model.size);
-        for ready in domains.values_mut() {
-            ready.sort();
-            ready.truncate(model.size);
-        }
+        let mut domains = self.ready_engines(scene, model);
         let beyond = |domain: &name::Domain| {
             self.count_in(scene, model, domain) >= scene.planned(model, domain)
         };
@@ -143,6 +132,26 @@
         Forming::Formed
     }
 
+    /// Engines for one group of the model in each domain that has enough at hand, the readiest first.
+    fn ready_engines(&self, scene: &Scene<'_>, model: &plan::Model) -> Ready {
+        let mut domains = Ready::new();
+        for candidate in self.candidates(scene) {
+            if self.is_kept(scene, model, &candidate) {
+                continue;
+            }
+            if let Some(readiness) = candidate.readiness(&model.name) {
+                let ready = domains.entry(candidate.domain).or_default();
+                ready.push((readiness, candidate.instance));
+            }
+        }
+        domains.retain(|_, ready| ready.len() >= model.size);
+        for ready in domains.values_mut() {
+            ready.sort();
+            ready.truncate(model.size);
+        }
+        domains
+    }
+
     /// Whether members of the model are about to be free in the domain.
     fn frees_members(&self, scene: &Scene<'_>, model: &plan::Model, domain: &name::Domain) -> bool {
         self.groups.values().any(|group| {
