--- a/crates/hyssopfork-fleet/tests/fleet/groups.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/groups.rs
@@ -43,13 +43,10 @@
 fn a_lost_member_is_replaced_from_the_reserve() {
     let mut world = grouped();
     let members = a_large_group(&world);
-    let leader = world.leader().expect("somebody leads");
 
     world.engines.get_mut(&members[1]).expect("it is there").alive = false;
     world.run(300);
-    let seen = event::Event::Seen(fixture::address(5), world::stalled(&members[0]));
-    let core = world.processes.get_mut(&leader).and_then(|it| it.core.as_mut()).expect("it runs");
-    let _told = core.step(world.now, seen);
+    tell_of_silence(&mut world, &members[..1]);
     world.run(4_500);
 
     assert_eq!(of_model(&world, "large"), 2);
@@ -63,13 +60,10 @@
 fn the_next_group_waits_for_the_member_that_is_left() {
     let mut world = grouped();
     let members = a_large_group(&world);
-    let leader = world.leader().expect("somebody leads");
 
     world.engines.get_mut(&members[1]).expect("it is there").alive = false;
     world.run(300);
-    let seen = event::Event::Seen(fixture::address(5), world::stalled(&members[0]));
-    let core = world.processes.get_mut(&leader).and_then(|it| it.core.as_mut()).expect("it runs");
-    let _told = core.step(world.now, seen);
+    tell_of_silence(&mut world, &members[..1]);
     world.run(4_500);
 
     let large = name::Model::from("large");
