Let no attempt that was admitted before a failure be written after it

Now the check at the write counts what the back end has against the same limit. Test of the step function fails without it.

Ruled out: the probe's age (0.1 s) and the lease; both were good.

The request that finds out reaches the engine still, and doesn't run there.

--- a/crates/hyssopfork-agent/src/attempts.rs
+++ b/crates/hyssopfork-agent/src/attempts.rs
@@ -76,6 +76,12 @@
         self.live.values().filter(runs).count() as u32
     }
 
+    /// Attempts that the back end has.
+    pub fn forwarded(&self) -> u32 {
+        let forwarded = |attempt: &&Attempt| attempt.state == State::Forwarded;
+        self.live.values().filter(forwarded).count() as u32
+    }
+
     /// Identifiers of the attempts that are prepared or forwarded.
     pub fn unfinished(&self) -> Vec<attempt::Identifier> {
         let runs = |attempt: &Attempt| !matches!(attempt.state, State::Finished(_));
--- a/crates/hyssopfork-agent/src/offers.rs
+++ b/crates/hyssopfork-agent/src/offers.rs
@@ -29,7 +29,8 @@
     }
 
     /// The shell is about to write the first byte: everything is checked once more, since the
-    /// process may have been paused for any time since the offer was admitted.
+    /// process may have been paused for any time since the offer was admitted, and another attempt
+    /// may have found out that the back end is gone or came back cold.
     pub(crate) fn ready(
         &mut self,
         now: clock::Instant,
@@ -43,7 +44,11 @@
         if live.state != attempts::State::Prepared {
             return;
         }
-        match self.gate(now).check(&live.offer, live.arrived) {
+        let gate = self.gate(now);
+        let checked = gate
+            .check(&live.offer, live.arrived)
+            .and_then(|()| gate.check_room(self.attempts.forwarded()));
+        match checked {
             Ok(()) => {
                 self.attempts.forward(attempt, now);
                 actions.push(action::Action::Forward(attempt));
--- a/crates/hyssopfork-agent/tests/agent/gate.rs
+++ b/crates/hyssopfork-agent/tests/agent/gate.rs
@@ -191,6 +191,23 @@
     assert_eq!(trusted, None);
 }
 
+// Found by the soak (seed 71117): an idle engine started anew between two probes, without its model.
+// Two callers' requests were admitted before anybody knew. The first finds out; the second, whose
+// write comes 0.1 ms later, must not reach the engine as well: it is refused and goes elsewhere.
+#[test]
+fn an_attempt_that_was_admitted_before_a_failure_is_not_written_after_it() {
+    let mut agent = fixture::first_member();
+    agent.run(fixture::offer(1));
+    assert!(fixture::prepares(&agent.step(event::Event::Offered(fixture::offer(2)))));
+
+    agent.step(event::Event::Failed(fixture::identifier(1), event::Fault::Broken));
+    let actions = agent.step(event::Event::Ready(fixture::identifier(2)));
+
+    assert!(!fixture::forwards(&actions));
+    let refusal = fixture::refused(&actions).map(|refusal| (refusal.reason, refusal.ran));
+    assert_eq!(refusal, Some((refusal::Reason::Cold, NOT_RUN)));
+}
+
 fn complete(agent: &mut fixture::Agent, first: u64, count: u64) {
     for count in first..first + count {
         agent.step(event::Event::Ended(fixture::identifier(count)));
