Have engines that a new leader wants in a group say first what they are in

The histories' invariant shows it with a late call after all processes were killed: the new test fails without the change.

A leader now asks for a report before its first order to join, takes the engine only when report and newest call agree on its group, and names the number of orders that the engine had taken, so that it refuses if another leader's order came in between. Members of an earlier leader's group are out of it by their answer to the order to leave, no longer by a call that may be old.

Weighed: waiting until every engine has called twice, which stops repairs for 2.8 s after each change of leader; a report costs one short exchange an engine and term.

--- a/crates/hyssopfork-daemon/src/edge/control.rs
+++ b/crates/hyssopfork-daemon/src/edge/control.rs
@@ -125,6 +125,10 @@
                 let sign = engine::probe(to).await;
                 Some(event::Event::Probed(instance, sign))
             }),
+            action::Action::Ask(instance, to) => self.later(async move {
+                let report = engine::report(&instance, to).await?;
+                Some(event::Event::Reported(instance, report))
+            }),
             action::Action::AskPeer { peer, instance, address } => {
                 let peers = self.peers.clone();
                 self.later(async move {
--- a/crates/hyssopfork-daemon/src/edge/engine.rs
+++ b/crates/hyssopfork-daemon/src/edge/engine.rs
@@ -4,6 +4,7 @@
 use hyssopfork_exchange::{connection, error};
 use hyssopfork_fleet::groups::order;
 use hyssopfork_platform::{headers, order as wire};
+use hyssopfork_wire::name;
 use std::net;
 use std::time::Duration;
 use tokio::time;
@@ -26,7 +27,7 @@
     let request = connection::Request { method: "POST", path: wire::PATH, headers: &told };
     let body = Bytes::from(wire::body(order));
     match time::timeout(ORDER_LIMIT, exchange(order.address, &request, body)).await {
-        Ok(Ok(status)) => wire::outcome(status),
+        Ok(Ok((status, _))) => wire::outcome(status),
         Ok(Err(error::Error::Unreachable(..))) => order::Outcome::Unreachable,
         Ok(Err(_)) | Err(_) => order::Outcome::Unknown,
     }
@@ -42,12 +43,25 @@
     }
 }
 
+/// Asks an engine for its report; `None` when none comes: the leader asks again.
+pub async fn report(instance: &name::Instance, address: net::SocketAddr) -> Option<order::Report> {
+    let request = connection::Request { method: "GET", path: wire::REPORT_PATH, headers: &[] };
+    let (_, mut connection) =
+        time::timeout(PROBE_LIMIT, exchange(address, &request, Bytes::new())).await.ok()?.ok()?;
+    let body = time::timeout(PROBE_LIMIT, connection.rest()).await.ok()?.ok()?;
+    wire::report(&body)
+        .inspect_err(|error| tracing::warn!(%instance, %error, "an engine's report can't be read"))
+        .ok()
+}
+
+/// Sends a request on a connection of its own; its status, and the connection for the body.
 async fn exchange(
     address: net::SocketAddr,
     request: &connection::Request<'_>,
     body: Bytes,
-) -> Result<u16, error::Error> {
+) -> Result<(u16, connection::Connection), error::Error> {
     let mut connection = connection::Connection::open(address).await?;
     connection.send(request, body).await?;
-    Ok(connection.head().await?.status)
+    let status = connection.head().await?.status;
+    Ok((status, connection))
 }
--- a/crates/hyssopfork-fleet/src/action.rs
+++ b/crates/hyssopfork-fleet/src/action.rs
@@ -65,6 +65,8 @@
     Order(groups::order::Order),
     /// Ask an upstream for a sign of life.
     Probe(name::Instance, net::SocketAddr),
+    /// Ask an engine for its report.
+    Ask(name::Instance, net::SocketAddr),
     /// Have a peer ask an upstream for a sign of life.
     AskPeer {
         /// The peer.
--- a/crates/hyssopfork-fleet/src/core.rs
+++ b/crates/hyssopfork-fleet/src/core.rs
@@ -185,6 +185,7 @@
             event::Event::Seen(from, evidence) => self.seen(from, evidence),
             event::Event::Ordered(ticket, outcome) => self.ordered(ticket, outcome),
             event::Event::Probed(instance, sign) => self.probed(&instance, sign),
+            event::Event::Reported(instance, report) => self.reported(&instance, report),
             event::Event::Vouched(from, instance, alive) => self.vouched(from, &instance, alive),
             event::Event::Seeds(seeds) => self.seeking.set_seeds(seeds),
             event::Event::Stop => self.tell(log_event::Event::Resign),
--- a/crates/hyssopfork-fleet/src/core/calls.rs
+++ b/crates/hyssopfork-fleet/src/core/calls.rs
@@ -206,6 +206,17 @@
         self.command(commands);
     }
 
+    pub(super) fn reported(
+        &mut self,
+        instance: &name::Instance,
+        report: crate::groups::order::Report,
+    ) {
+        let now = self.now;
+        let Some(leadership) = &mut self.leadership else { return };
+        leadership.dirty = true;
+        leadership.groups.reported(now, instance, report);
+    }
+
     pub(super) fn probed(&mut self, instance: &name::Instance, sign: crate::groups::order::Sign) {
         let now = self.now;
         let Some(leadership) = &mut self.leadership else { return };
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -226,6 +226,7 @@
             let action = match command {
                 groups::Command::Order(order) => action::Action::Order(order),
                 groups::Command::Probe(instance, to) => action::Action::Probe(instance, to),
+                groups::Command::Ask(instance, to) => action::Action::Ask(instance, to),
                 groups::Command::AskPeer { peer, instance, address } => {
                     action::Action::AskPeer { peer, instance, address }
                 }
--- a/crates/hyssopfork-fleet/src/event.rs
+++ b/crates/hyssopfork-fleet/src/event.rs
@@ -78,6 +78,8 @@
     Ordered(u64, groups::order::Outcome),
     /// An upstream was asked for a sign of life.
     Probed(name::Instance, groups::order::Sign),
+    /// An engine was asked for its report and gave it.
+    Reported(name::Instance, groups::order::Report),
     /// A peer asked an upstream for a sign of life; `false` also when the peer can't be reached.
     Vouched(net::SocketAddr, name::Instance, bool),
     /// The settings name other seeds.
--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -19,10 +19,11 @@
 pub mod plan;
 mod planning;
 mod rebalance;
+pub mod reports;
 mod reserves;
 mod strangers;
 
-use crate::{declaration, notice, peer, registry, view};
+use crate::{announcement, declaration, notice, peer, registry, view};
 use group::{Group, Stage};
 use hyssopfork_wire::{clock, name, number};
 use std::collections::{BTreeMap, BTreeSet};
@@ -51,6 +52,8 @@
     Order(order::Order),
     /// Ask for a sign of life.
     Probe(name::Instance, net::SocketAddr),
+    /// Ask an engine for its report.
+    Ask(name::Instance, net::SocketAddr),
     /// Have a peer ask for a sign of life.
     AskPeer {
         /// The peer.
@@ -70,6 +73,9 @@
     instance: name::Instance,
     leaves: bool,
     stages: bool,
+    joins: bool,
+    /// Whether the order was given under a condition.
+    guarded: bool,
 }
 
 /// All groups, as one leader keeps them.
@@ -93,6 +99,7 @@
     /// Whether callers have begun to send: before, loads of weights have the store to themselves.
     traffic: bool,
     inquiry: inquiry::Inquiry,
+    reports: reports::Reports,
     pace: loads::Pace,
     peaks: peaks::Peaks,
     /// Loads onto hosts that were ordered and have not shown yet.
@@ -116,6 +123,7 @@
             started: now,
             traffic,
             inquiry: inquiry::Inquiry::default(),
+            reports: reports::Reports::default(),
             pace: loads::Pace::new(now),
             peaks: peaks::Peaks::default(),
             staging: BTreeMap::new(),
@@ -184,6 +192,8 @@
         let told = notice::Notice::Ordered(ticket.instance.clone(), ticket.group.clone(), outcome);
         self.note(told);
         match outcome {
+            order::Outcome::Accepted if ticket.joins => self.reports.joined(&ticket.instance),
+            order::Outcome::Accepted if ticket.stages => self.reports.doubt(&ticket.instance),
             order::Outcome::Accepted => {}
             order::Outcome::Unknown => {
                 // Given again at once: the order is idempotent under its epoch.
@@ -196,6 +206,11 @@
                     self.note(notice::Notice::Lost(ticket.instance.clone()));
                 }
             }
+            // It took an order that nobody here knew of, so it may be in another group by now.
+            order::Outcome::Unfit if ticket.guarded => {
+                self.reports.doubt(&ticket.instance);
+                self.end(&ticket.group);
+            }
             order::Outcome::Unfit => {}
             order::Outcome::Outdated if !ticket.leaves => self.end(&ticket.group),
             order::Outcome::Outdated => {}
@@ -206,6 +221,16 @@
         self.look_again(now, registry)
     }
 
+    /// Takes an engine's report.
+    pub fn reported(
+        &mut self,
+        now: clock::Instant,
+        instance: &name::Instance,
+        report: order::Report,
+    ) {
+        self.reports.told(now, instance, report);
+    }
+
     /// Takes what came of asking an upstream for a sign of life.
     pub fn probed(
         &mut self,
@@ -341,7 +366,9 @@
         }
         group.sent.insert(instance.clone(), now);
         let (epoch, address) = (group.epoch, record.announcement.address);
-        self.give(instance, address, (name.clone(), epoch), task);
+        let joins = matches!(task, order::Task::Join { .. });
+        let expected = self.reports.expected(&record.announcement).filter(|_| joins);
+        self.give(instance, address, (name.clone(), epoch), task, expected);
     }
 
     fn give(
@@ -350,13 +377,17 @@
         address: net::SocketAddr,
         (group, epoch): (name::Group, u64),
         task: order::Task,
+        expected: Option<u64>,
     ) {
         self.newest += 1;
+        let joins = matches!(task, order::Task::Join { .. });
         let ticket = Ticket {
             group: group.clone(),
             instance: instance.clone(),
             leaves: task == order::Task::Leave,
             stages: matches!(task, order::Task::Stage(_)),
+            joins,
+            guarded: expected.is_some(),
         };
         self.tickets.insert(self.newest, ticket);
         self.commands.push(Command::Order(order::Order {
@@ -366,6 +397,7 @@
             group,
             epoch,
             task,
+            expected,
         }));
     }
 
--- a/crates/hyssopfork-fleet/src/groups/lifecycle.rs
+++ b/crates/hyssopfork-fleet/src/groups/lifecycle.rs
@@ -160,14 +160,18 @@
         registry: &registry::Registry,
     ) {
         let Some(group) = self.groups.get(name) else { return };
+        let own = group.epoch >> super::EPOCH_BITS == self.term.0;
         let named: Vec<(name::Instance, Member)> =
             group.members.iter().cloned().zip(members.iter().copied()).collect();
         for (instance, member) in named {
             match member {
                 // One that is only cut off is still a member when it is heard of again.
                 Member::Lost => self.drop_member(name, &instance),
-                Member::Outside => self.leave(name, &instance),
-                Member::Departing(_) | Member::Inside(_) => {
+                // It was heard inside by this leader before, so this word is a newer one.
+                Member::Outside if own => self.leave(name, &instance),
+                // Of an earlier leader's group, its call may be older than its membership: the
+                // answer to the order tells.
+                Member::Outside | Member::Departing(_) | Member::Inside(_) => {
                     self.order(now, name, &instance, order::Task::Leave, registry);
                 }
             }
--- a/crates/hyssopfork-fleet/src/groups/order.rs
+++ b/crates/hyssopfork-fleet/src/groups/order.rs
@@ -1,5 +1,6 @@
 //! Orders to engines, and what comes back.
 
+use crate::announcement;
 use hyssopfork_wire::name;
 use std::net;
 
@@ -39,6 +40,18 @@
     pub epoch: u64,
     /// What to do.
     pub task: Task,
+    /// Orders that the engine has taken so far; it refuses this one if it has taken more or fewer.
+    /// `None` where that doesn't matter.
+    pub expected: Option<u64>,
+}
+
+/// What an engine says of itself when it is asked; as it was some hundred milliseconds before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Orders that it has taken since its process started.
+    pub orders: u64,
+    /// Its group, if it is in one.
+    pub membership: Option<announcement::Membership>,
 }
 
 /// What became of an order.
--- a/crates/hyssopfork-fleet/src/groups/planning.rs
+++ b/crates/hyssopfork-fleet/src/groups/planning.rs
@@ -6,7 +6,7 @@
 //! replace it.
 
 use super::group::Stage;
-use super::{Groups, plan};
+use super::{Command, Groups, plan};
 use crate::{announcement, declaration, registry};
 use hyssopfork_wire::{clock, name};
 use std::collections::{BTreeMap, BTreeSet};
@@ -100,6 +100,7 @@
         let layout = plan::layout(&peaks, &models, plan::RESERVE);
         let present = plan::layout(&usable(now, pool, registry, out), &models, 0.0);
         let scene = Scene { now, pool, engine, registry, out, models, layout, present, peaks };
+        self.ask_for_reports(&scene);
         self.form_groups(&scene);
         self.rebalance(&scene);
         self.even_out_reserves(&scene);
@@ -109,22 +110,43 @@
 
     /// Engines that a group may be formed of: free ones and those in reserve.
     pub(super) fn candidates(&self, scene: &Scene<'_>) -> Vec<Candidate> {
-        let candidate = |(instance, record): (&name::Instance, &registry::Record)| {
+        let known =
+            self.free(scene).filter(|(_, record)| self.reports.agrees(&record.announcement));
+        let candidate = |(instance, record): (&name::Instance, &registry::Record)| Candidate {
+            instance: instance.clone(),
+            domain: record.announcement.domain.clone(),
+            last: record.last.clone(),
+            staged: record.announcement.staged.clone(),
+        };
+        known.map(candidate).collect()
+    }
+
+    /// Engines that are free or in reserve by their calls.
+    fn free<'s>(
+        &self,
+        scene: &Scene<'s>,
+    ) -> impl Iterator<Item = (&'s name::Instance, &'s registry::Record)> {
+        let (now, registry) = (scene.now, scene.registry);
+        registry.iter().filter(move |(instance, record)| {
             let told = &record.announcement;
-            let usable = told.pool == *scene.pool
+            told.pool == *scene.pool
                 && record.is_sound()
                 && record.heard_here
                 && !scene.out.contains(&told.zone)
-                && !scene.registry.is_silent(scene.now, record)
-                && self.is_available(instance, told);
-            usable.then(|| Candidate {
-                instance: instance.clone(),
-                domain: told.domain.clone(),
-                last: record.last.clone(),
-                staged: told.staged.clone(),
-            })
-        };
-        scene.registry.iter().filter_map(candidate).collect()
+                && !registry.is_silent(now, record)
+                && self.is_available(instance, told)
+        })
+    }
+
+    /// Asks the engines that are free by their calls and have not been had join by this leader.
+    fn ask_for_reports(&mut self, scene: &Scene<'_>) {
+        let free: Vec<&registry::Record> = self.free(scene).map(|(_, record)| record).collect();
+        for record in free {
+            let told = &record.announcement;
+            if self.reports.ask(scene.now, told) {
+                self.commands.push(Command::Ask(told.instance.clone(), told.address));
+            }
+        }
     }
 
     fn is_available(&self, instance: &name::Instance, told: &announcement::Announcement) -> bool {
--- a/crates/hyssopfork-fleet/src/groups/reserves.rs
+++ b/crates/hyssopfork-fleet/src/groups/reserves.rs
@@ -124,7 +124,8 @@
             let address = record.announcement.address;
             self.staging.insert(candidate.instance.clone(), (other.clone(), now));
             let nobody = (name::Group::from(""), 0);
-            self.give(&candidate.instance, address, nobody, order::Task::Stage(other));
+            let task = order::Task::Stage(other);
+            self.give(&candidate.instance, address, nobody, task, None);
         }
     }
 
--- a/crates/hyssopfork-fleet/tests/fleet/engine.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/engine.rs
@@ -3,7 +3,7 @@
 
 use crate::fixture;
 use hyssopfork_fleet::announcement::{Announcement, Membership, State};
-use hyssopfork_fleet::groups::order::{Order, Outcome, Task};
+use hyssopfork_fleet::groups::order::{Order, Outcome, Report, Task};
 use hyssopfork_wire::{clock, name};
 use std::net;
 use std::time::Duration;
@@ -32,6 +32,8 @@
     open_at: Option<clock::Instant>,
     staging: Option<(name::Model, clock::Instant)>,
     newest_epoch: u64,
+    /// Orders that it has taken.
+    orders: u64,
 }
 
 impl Engine {
@@ -54,6 +56,7 @@
             open_at: None,
             staging: None,
             newest_epoch: 0,
+            orders: 0,
         }
     }
 
@@ -103,11 +106,24 @@
         self.told != before
     }
 
+    pub fn report(&self) -> Report {
+        Report { orders: self.orders, membership: self.told.membership.clone() }
+    }
+
     /// Carries out an order.
     pub fn obey(&mut self, now: clock::Instant, order: &Order) -> Outcome {
         if order.instance != self.told.instance {
             return Outcome::Stranger;
         }
+        if order.expected.is_some_and(|expected| expected != self.orders) {
+            return Outcome::Unfit;
+        }
+        let outcome = self.carry_out(now, order);
+        self.orders += u64::from(outcome == Outcome::Accepted);
+        outcome
+    }
+
+    fn carry_out(&mut self, now: clock::Instant, order: &Order) -> Outcome {
         match &order.task {
             Task::Join { model, members } => self.join(now, order, model, members),
             Task::Stage(model) => {
--- a/crates/hyssopfork-fleet/tests/fleet/groups.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/groups.rs
@@ -1,6 +1,7 @@
 //! Groups form, are mended and handed on, and never break what must hold.
 
 use crate::{fixture, world};
+use hyssopfork_fleet::announcement::Announcement;
 use hyssopfork_fleet::groups::group;
 use hyssopfork_fleet::{event, notice};
 use hyssopfork_wire::name;
@@ -244,6 +245,44 @@
     assert!(!world.serving().is_empty());
 }
 
+/// Every process was killed at once, and a call of a member that was held up since before it joined
+/// its group is the first that the new leader hears of it. The leader takes it for free and wants it
+/// in another group, while callers are served by the head of its own. It must find out before.
+#[test]
+fn a_call_older_than_its_membership_frees_no_member() {
+    let mut world = world::World::declared(3, 2);
+    world.add_engines(1..=10, "d1");
+    world.run(26_000);
+    let all: Vec<_> = world.processes.keys().copied().collect();
+    all.iter().for_each(|address| world.kill(*address));
+    all.iter().for_each(|address| world.boot(*address, false));
+    let members = a_large_group_of_engines(&world);
+    for engine in world.engines.values_mut() {
+        engine.called = world.now;
+    }
+    for engine in world.engines.values_mut().filter(|it| !it.told.instance.eq(&members[1])) {
+        engine.alive &= members.contains(&engine.told.instance);
+    }
+
+    let old = Announcement {
+        sequence: 1,
+        membership: None,
+        loaded: Some(name::Model::from("small")),
+        ..world.engines[&members[1]].told.clone()
+    };
+    world.run(1_150);
+    let leader = world.leader().expect("somebody leads");
+    world.call(leader, event::announced(old));
+    world.run(1_000);
+
+    let second = &world.engines[&members[1]].told;
+    let head = &world.engines[&members[0]].told;
+    assert_eq!(
+        second.membership.as_ref().map(|it| it.epoch),
+        head.membership.as_ref().map(|it| it.epoch)
+    );
+}
+
 /// Tells the leader, as an entry does, that everything stands still on these upstreams.
 fn tell_of_silence(world: &mut world::World, heads: &[name::Instance]) {
     let leader = world.leader().expect("somebody leads");
--- a/crates/hyssopfork-fleet/tests/fleet/world.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/world.rs
@@ -328,6 +328,12 @@
                 let after = if sign == order::Sign::Missing { LOST } else { WAY };
                 self.send(from, after, event::Event::Probed(instance, sign));
             }
+            action::Action::Ask(instance, to) => {
+                if self.probe(from, to) == order::Sign::Alive {
+                    let report = self.engines[&instance].report();
+                    self.send(from, WAY * 2, event::Event::Reported(instance, report));
+                }
+            }
             action::Action::AskPeer { peer, instance, address } => {
                 let alive =
                     self.reaches(from, peer) && self.probe(peer, address) == order::Sign::Alive;
