Let a new leader ask the engines, and leave loads to engines without a model

Now the leader keeps the number of orders itself, asks each engine as soon as it leads, and takes the report of one that has not called yet for its word.

Sooner repairs had survivors' hosts load second models at once: all six loads of the store were taken, and an engine that came at 15.2 s was given its first model at 27.1 s. Second models take half of the loads now.

--- a/crates/hyssopfork-fleet/src/core/calls.rs
+++ b/crates/hyssopfork-fleet/src/core/calls.rs
@@ -153,7 +153,7 @@
                 leadership.dirty |= leadership.registry.adopt(now, upstream);
             }
             for (name, group) in known.groups {
-                leadership.groups.adopt(now, &name, group, &leadership.registry);
+                leadership.groups.take_over(now, &name, group, &leadership.registry);
                 leadership.dirty = true;
             }
         }
@@ -214,7 +214,8 @@
         let now = self.now;
         let Some(leadership) = &mut self.leadership else { return };
         leadership.dirty = true;
-        leadership.groups.reported(now, instance, report);
+        let commands = leadership.groups.reported(now, instance, &report, &mut leadership.registry);
+        self.command(commands);
     }
 
     pub(super) fn probed(&mut self, instance: &name::Instance, sign: crate::groups::order::Sign) {
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -172,7 +172,7 @@
             registry.adopt(now, upstream);
         }
         for (name, group) in known {
-            groups.adopt(now, &name, group, &registry);
+            groups.take_over(now, &name, group, &registry);
         }
         self.leadership = Some(Leadership {
             term,
--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -23,7 +23,7 @@
 mod reserves;
 mod strangers;
 
-use crate::{announcement, declaration, notice, peer, registry, view};
+use crate::{declaration, notice, peer, registry, view};
 use group::{Group, Stage};
 use hyssopfork_wire::{clock, name, number};
 use std::collections::{BTreeMap, BTreeSet};
@@ -71,9 +71,8 @@
 struct Ticket {
     group: name::Group,
     instance: name::Instance,
-    leaves: bool,
+    kind: reports::Kind,
     stages: bool,
-    joins: bool,
     /// Whether the order was given under a condition.
     guarded: bool,
 }
@@ -93,6 +92,9 @@
     ended: BTreeSet<u64>,
     /// Engines that have left an epoch which others have not left yet.
     left: BTreeSet<(u64, name::Instance)>,
+    /// Epochs that were taken over: processes that follow this leader later tell of them as well,
+    /// when it may have ended them.
+    taken_over: BTreeSet<u64>,
     term: number::Term,
     formed: u64,
     started: clock::Instant,
@@ -118,6 +120,7 @@
             provisional: BTreeMap::new(),
             ended: BTreeSet::new(),
             left: BTreeSet::new(),
+            taken_over: BTreeSet::new(),
             term,
             formed: 0,
             started: now,
@@ -139,19 +142,33 @@
         formed.chain(self.provisional.clone()).collect()
     }
 
-    /// Takes over a group that an earlier leader formed.
-    pub fn adopt(
+    /// Takes over a group that a follower of an earlier leader knew, once.
+    pub fn take_over(
         &mut self,
         now: clock::Instant,
         name: &name::Group,
         known: view::Group,
         registry: &registry::Registry,
     ) {
+        let epoch = known.epoch;
+        if !self.taken_over.contains(&epoch) && self.adopt(now, name, known, registry) {
+            self.taken_over.insert(epoch);
+        }
+    }
+
+    /// Makes a group that an earlier leader formed one of this leader's; whether it is one now.
+    fn adopt(
+        &mut self,
+        now: clock::Instant,
+        name: &name::Group,
+        known: view::Group,
+        registry: &registry::Registry,
+    ) -> bool {
         let taken = known.members.iter().any(|member| self.group_of(member).is_some());
         if self.ended.contains(&known.epoch) || self.groups.contains_key(name) || taken {
-            return;
+            return false;
         }
-        let Some(head) = known.head().and_then(|head| registry.get(head)) else { return };
+        let Some(head) = known.head().and_then(|head| registry.get(head)) else { return false };
         let stage = match (known.serving, known.members.len()) {
             (true, _) => Stage::Serving,
             (false, 1) => Stage::Preparing,
@@ -169,6 +186,7 @@
         };
         self.commands.push(Command::Notice(notice::Notice::Adopted(name.clone(), stage)));
         self.add(name.clone(), group);
+        true
     }
 
     /// Takes what an entry saw.
@@ -192,9 +210,7 @@
         let told = notice::Notice::Ordered(ticket.instance.clone(), ticket.group.clone(), outcome);
         self.note(told);
         match outcome {
-            order::Outcome::Accepted if ticket.joins => self.reports.joined(&ticket.instance),
-            order::Outcome::Accepted if ticket.stages => self.reports.doubt(&ticket.instance),
-            order::Outcome::Accepted => {}
+            order::Outcome::Accepted => self.reports.took(&ticket.instance, ticket.kind),
             order::Outcome::Unknown => {
                 // Given again at once: the order is idempotent under its epoch.
                 if let Some(group) = self.groups.get_mut(&ticket.group) {
@@ -212,10 +228,12 @@
                 self.end(&ticket.group);
             }
             order::Outcome::Unfit => {}
-            order::Outcome::Outdated if !ticket.leaves => self.end(&ticket.group),
+            order::Outcome::Outdated if ticket.kind != reports::Kind::Leave => {
+                self.end(&ticket.group);
+            }
             order::Outcome::Outdated => {}
         }
-        if ticket.leaves && outcome != order::Outcome::Unknown {
+        if ticket.kind == reports::Kind::Leave && outcome != order::Outcome::Unknown {
             self.leave(&ticket.group, &ticket.instance);
         }
         self.look_again(now, registry)
@@ -226,9 +244,12 @@
         &mut self,
         now: clock::Instant,
         instance: &name::Instance,
-        report: order::Report,
-    ) {
-        self.reports.told(now, instance, report);
+        report: &order::Report,
+        registry: &mut registry::Registry,
+    ) -> Vec<Command> {
+        self.reports.told(instance, report);
+        registry.report(now, instance, report);
+        self.look_again(now, registry)
     }
 
     /// Takes what came of asking an upstream for a sign of life.
@@ -380,13 +401,16 @@
         expected: Option<u64>,
     ) {
         self.newest += 1;
-        let joins = matches!(task, order::Task::Join { .. });
+        let kind = match task {
+            order::Task::Join { .. } => reports::Kind::Join,
+            order::Task::Leave => reports::Kind::Leave,
+            order::Task::Open | order::Task::Close | order::Task::Stage(_) => reports::Kind::Other,
+        };
         let ticket = Ticket {
             group: group.clone(),
             instance: instance.clone(),
-            leaves: task == order::Task::Leave,
+            kind,
             stages: matches!(task, order::Task::Stage(_)),
-            joins,
             guarded: expected.is_some(),
         };
         self.tickets.insert(self.newest, ticket);
--- a/crates/hyssopfork-fleet/src/groups/planning.rs
+++ b/crates/hyssopfork-fleet/src/groups/planning.rs
@@ -7,7 +7,8 @@
 
 use super::group::Stage;
 use super::{Command, Groups, plan};
-use crate::{announcement, declaration, registry};
+use crate::announcement::{self, Membership};
+use crate::{declaration, registry};
 use hyssopfork_wire::{clock, name};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -110,50 +111,45 @@
 
     /// Engines that a group may be formed of: free ones and those in reserve.
     pub(super) fn candidates(&self, scene: &Scene<'_>) -> Vec<Candidate> {
-        let known =
-            self.free(scene).filter(|(_, record)| self.reports.agrees(&record.announcement));
+        let is_free = |(instance, record): &(&name::Instance, &registry::Record)| {
+            let told = &record.announcement;
+            told.pool == *scene.pool
+                && record.is_sound()
+                && !scene.out.contains(&told.zone)
+                && !scene.registry.is_silent(scene.now, record)
+                && self.is_available(instance, told)
+        };
         let candidate = |(instance, record): (&name::Instance, &registry::Record)| Candidate {
             instance: instance.clone(),
             domain: record.announcement.domain.clone(),
             last: record.last.clone(),
             staged: record.announcement.staged.clone(),
         };
-        known.map(candidate).collect()
-    }
-
-    /// Engines that are free or in reserve by their calls.
-    fn free<'s>(
-        &self,
-        scene: &Scene<'s>,
-    ) -> impl Iterator<Item = (&'s name::Instance, &'s registry::Record)> {
-        let (now, registry) = (scene.now, scene.registry);
-        registry.iter().filter(move |(instance, record)| {
-            let told = &record.announcement;
-            told.pool == *scene.pool
-                && record.is_sound()
-                && record.heard_here
-                && !scene.out.contains(&told.zone)
-                && !registry.is_silent(now, record)
-                && self.is_available(instance, told)
-        })
+        scene.registry.iter().filter(is_free).map(candidate).collect()
     }
 
-    /// Asks the engines that are free by their calls and have not been had join by this leader.
+    /// Asks the engines that this leader has not had join yet, those in groups as well: they are
+    /// free one day, and then a repair would wait for the answer. One that has not called yet is
+    /// asked for each change of its state.
     fn ask_for_reports(&mut self, scene: &Scene<'_>) {
-        let free: Vec<&registry::Record> = self.free(scene).map(|(_, record)| record).collect();
-        for record in free {
+        for (_, record) in scene.registry.iter() {
             let told = &record.announcement;
-            if self.reports.ask(scene.now, told) {
+            let reachable = told.pool == *scene.pool
+                && record.is_sound()
+                && !scene.registry.is_silent(scene.now, record);
+            if reachable && self.reports.ask(scene.now, told, !record.heard_here) {
                 self.commands.push(Command::Ask(told.instance.clone(), told.address));
             }
         }
     }
 
     fn is_available(&self, instance: &name::Instance, told: &announcement::Announcement) -> bool {
-        match self.group_of(instance) {
+        let is_bound = |membership: &Membership| self.is_bound(instance, membership);
+        let is_free = match self.group_of(instance) {
             Some((_, group)) => group.stage == Stage::Prepared,
-            None => !self.is_bound(instance, told),
-        }
+            None => !told.membership.as_ref().is_some_and(is_bound),
+        };
+        is_free && self.reports.frees(told, is_bound)
     }
 
     /// Ends the reserves that `members` are.
@@ -172,9 +168,8 @@
 
     /// Whether the engine is in a group that this leader has not ended: it must leave that before
     /// it joins another, since the group's head may be open where nobody hears it.
-    fn is_bound(&self, instance: &name::Instance, told: &announcement::Announcement) -> bool {
+    fn is_bound(&self, instance: &name::Instance, membership: &Membership) -> bool {
         use announcement::State;
-        let Some(membership) = &told.membership else { return false };
         let ended = self.ended.contains(&membership.epoch)
             || self.left.contains(&(membership.epoch, instance.clone()));
         let serves = matches!(membership.state, State::Open | State::Closing);
--- a/crates/hyssopfork-fleet/src/groups/reports.rs
+++ b/crates/hyssopfork-fleet/src/groups/reports.rs
@@ -1,15 +1,20 @@
-//! What engines say of themselves to a leader that has not had them join a group yet.
+//! What engines say of themselves when a leader asks them.
 //!
-//! A call that was held up may be older than its engine's membership. A leader that starts after
-//! all who knew better were killed would take that engine for free and have it join a group while
-//! the head of its own is open: two groups would hold one engine, and callers of the first would be
-//! served by a group that isn't whole. So a leader asks each engine before it has it join for the
-//! first time. The engine counts as free only when its report and its newest call agree; the order
-//! carries the number of orders that the engine had taken, and an engine that has taken another
-//! since refuses it.
+//! A leader that has just taken over must not wait for the engines' calls, and must not rest on them
+//! alone:
+//!
+//! - *They come late.* An engine calls the leader before, waits a second for an answer and then calls
+//!   another process. Groups that lost a member meanwhile would stand still for a second or two more.
+//! - *They may be old.* A call that was held up may be older than its engine's membership. A leader
+//!   that knows nothing else would take the engine for free and have it join a group while the head
+//!   of its own is open.
+//!
+//! So it asks each engine as soon as it knows of it. The first order to join names the number of
+//! orders that the engine had taken by its report: an engine that has taken another since refuses
+//! it. Later orders of the same leader need no such guard, since engines refuse older epochs.
 
 use super::order::Report;
-use crate::announcement::Announcement;
+use crate::announcement::{Announcement, Membership};
 use hyssopfork_wire::{clock, name};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -17,83 +22,109 @@
 /// Time before an engine is asked again: a report tells of a moment some hundred milliseconds ago.
 const ASK_AGAIN: Duration = Duration::from_millis(250);
 
+/// Kind of an order, as far as it changes what a report says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// It joins a group.
+    Join,
+    /// It leaves its group.
+    Leave,
+    /// Any other.
+    Other,
+}
+
 #[derive(Clone, Debug)]
 enum Knowledge {
-    /// It was asked.
-    Asked(clock::Instant),
-    /// It answered a question of this time.
-    Told(clock::Instant, Report),
+    /// It was asked and has not answered.
+    Asked,
+    /// It said this, and took the orders that were added to it since.
+    Told(Report),
     /// It has taken an order to join of this leader: it refuses those of earlier ones.
     Joined,
 }
 
+#[derive(Clone, Debug)]
+struct Entry {
+    /// Start of the process that it is known of.
+    born: u64,
+    asked: clock::Instant,
+    knowledge: Knowledge,
+}
+
 /// What is known of each engine's process.
 #[derive(Clone, Debug, Default)]
 pub struct Reports {
-    /// By instance, with the start of the process that it is known of.
-    known: BTreeMap<name::Instance, (u64, Knowledge)>,
+    known: BTreeMap<name::Instance, Entry>,
 }
 
 impl Reports {
-    /// Whether the engine may be had join a group, as far as its report goes.
-    pub fn agrees(&self, told: &Announcement) -> bool {
-        match self.get(told) {
+    /// Whether the engine may be had join a group as far as its report goes; `is_bound` says whether
+    /// a membership binds it.
+    pub fn frees(&self, told: &Announcement, is_bound: impl Fn(&Membership) -> bool) -> bool {
+        match self.get(told).map(|entry| &entry.knowledge) {
             Some(Knowledge::Joined) => true,
-            Some(Knowledge::Told(_, report)) => {
-                let named = |it: &super::announcement::Membership| (it.group.clone(), it.epoch);
-                report.membership.as_ref().map(named) == told.membership.as_ref().map(named)
-            }
-            Some(Knowledge::Asked(_)) | None => false,
+            Some(Knowledge::Told(report)) => !report.membership.as_ref().is_some_and(is_bound),
+            Some(Knowledge::Asked) | None => false,
         }
     }
 
-    /// Whether to ask the engine now; notes the question when so.
-    pub fn ask(&mut self, now: clock::Instant, told: &Announcement) -> bool {
-        let due = match self.get(told) {
-            None => true,
-            Some(Knowledge::Joined) => false,
-            Some(Knowledge::Asked(at) | Knowledge::Told(at, _)) => {
-                !self.agrees(told) && now.since(*at) >= ASK_AGAIN
-            }
-        };
+    /// Whether to ask the engine now; notes the question when so. One that `waits` for a change of
+    /// its state is asked again and again.
+    pub fn ask(&mut self, now: clock::Instant, told: &Announcement, waits: bool) -> bool {
+        let due = self.get(told).is_none_or(|entry| {
+            let unanswered = matches!(entry.knowledge, Knowledge::Asked);
+            (unanswered || waits) && now.since(entry.asked) >= ASK_AGAIN
+        });
         if due {
-            let known = (told.born, Knowledge::Asked(now));
-            self.known.insert(told.instance.clone(), known);
+            let fresh = || Entry { born: told.born, asked: now, knowledge: Knowledge::Asked };
+            let entry = self.known.entry(told.instance.clone()).or_insert_with(fresh);
+            if entry.born != told.born {
+                *entry = fresh();
+            }
+            entry.asked = now;
         }
         due
     }
 
     /// Takes an engine's report.
-    pub fn told(&mut self, now: clock::Instant, instance: &name::Instance, report: Report) {
-        if let Some((_, knowledge @ Knowledge::Asked(_))) = self.known.get_mut(instance) {
-            *knowledge = Knowledge::Told(now, report);
+    pub fn told(&mut self, instance: &name::Instance, report: &Report) {
+        let entry = self.known.get_mut(instance);
+        if let Some(entry) = entry.filter(|it| !matches!(it.knowledge, Knowledge::Joined)) {
+            entry.knowledge = Knowledge::Told(report.clone());
         }
     }
 
     /// Orders that the engine must have taken, no more and no less, to join for the first time.
     pub fn expected(&self, told: &Announcement) -> Option<u64> {
-        match self.get(told) {
-            Some(Knowledge::Told(_, report)) => Some(report.orders),
-            _ => None,
+        match &self.get(told)?.knowledge {
+            Knowledge::Told(report) => Some(report.orders),
+            Knowledge::Asked | Knowledge::Joined => None,
         }
     }
 
-    /// The engine has taken an order to join.
-    pub fn joined(&mut self, instance: &name::Instance) {
-        if let Some((_, knowledge)) = self.known.get_mut(instance) {
-            *knowledge = Knowledge::Joined;
+    /// The engine has taken an order of this leader. A new report would count it, but only after
+    /// some hundred milliseconds, in which a repair would wait.
+    pub fn took(&mut self, instance: &name::Instance, kind: Kind) {
+        let Some(entry) = self.known.get_mut(instance) else { return };
+        match (kind, &mut entry.knowledge) {
+            (Kind::Join, knowledge) => *knowledge = Knowledge::Joined,
+            // One that is in no group says yes to an order to leave, and doesn't count it.
+            (Kind::Leave, Knowledge::Told(report)) => {
+                report.orders += u64::from(report.membership.take().is_some());
+            }
+            (Kind::Other, Knowledge::Told(report)) => report.orders += 1,
+            (Kind::Leave | Kind::Other, Knowledge::Asked | Knowledge::Joined) => {}
         }
     }
 
-    /// The engine has taken an order that its report doesn't count.
+    /// The engine has taken an order that nobody here knows of.
     pub fn doubt(&mut self, instance: &name::Instance) {
-        if matches!(self.known.get(instance), Some((_, Knowledge::Told(..)))) {
-            self.known.remove(instance);
+        if let Some(entry) = self.known.get_mut(instance) {
+            entry.knowledge = Knowledge::Asked;
         }
     }
 
-    fn get(&self, told: &Announcement) -> Option<&Knowledge> {
-        let (born, knowledge) = self.known.get(&told.instance)?;
-        (*born == told.born).then_some(knowledge)
+    fn get(&self, told: &Announcement) -> Option<&Entry> {
+        self.known.get(&told.instance).filter(|entry| entry.born == told.born)
     }
 }
--- a/crates/hyssopfork-fleet/src/groups/reserves.rs
+++ b/crates/hyssopfork-fleet/src/groups/reserves.rs
@@ -6,6 +6,11 @@
 use crate::registry;
 use hyssopfork_wire::name;
 
+/// Part of the loads at once that second models may take while callers send. A load takes ten
+/// seconds and more; with all of them taken, an engine that had just come in a lost one's place
+/// waited that long for its first model.
+const SECOND_MODELS: f64 = 0.5;
+
 impl Groups {
     /// Has engines that belonged to no group in this life take up weights, each for the model that
     /// its domain lacks most; those that its host holds go first.
@@ -15,7 +20,7 @@
                 continue;
             }
             let Some(model) = self.most_wanted(scene, &candidate) else { continue };
-            if candidate.staged.contains(&model) || self.may_load(scene) {
+            if candidate.staged.contains(&model) || self.may_load(scene, 1.0) {
                 let members = vec![candidate.instance];
                 let domain = &candidate.domain;
                 self.form(scene.now, scene.pool, domain, &model, members, Stage::Preparing);
@@ -117,7 +122,8 @@
             let other = scene.models.iter().find(|model| model.name != *last);
             let Some(other) = other.map(|model| model.name.clone()) else { continue };
             let staged = candidate.staged.contains(&other);
-            if staged || self.staging.contains_key(&candidate.instance) || !self.may_load(scene) {
+            let known = staged || self.staging.contains_key(&candidate.instance);
+            if known || !self.may_load(scene, SECOND_MODELS) {
                 continue;
             }
             let Some(record) = scene.registry.get(&candidate.instance) else { continue };
@@ -144,11 +150,11 @@
         of_pool.map(candidate).collect()
     }
 
-    /// Whether a load of weights may begin now.
+    /// Whether a load of weights may begin now, of those that may take `part` of the loads at once.
     ///
     /// Before callers send, loads are many times faster and don't slow each other; afterwards the
     /// store's limit of loads at once and its rate count.
-    fn may_load(&mut self, scene: &Scene<'_>) -> bool {
+    fn may_load(&mut self, scene: &Scene<'_>, part: f64) -> bool {
         if !self.traffic {
             return true;
         }
@@ -161,7 +167,7 @@
             group.stage == Stage::Preparing && members.into_iter().any(lacks)
         };
         let running = self.groups.values().filter(loads).count() + self.staging.len();
-        let room = running < scene.engine.loads_at_once.max(1) as usize;
-        room && self.pace.begin(scene.now, scene.engine.loads_per_second)
+        let most = (f64::from(scene.engine.loads_at_once) * part).max(1.0);
+        (running as f64) < most && self.pace.begin(scene.now, scene.engine.loads_per_second)
     }
 }
--- a/crates/hyssopfork-fleet/src/registry.rs
+++ b/crates/hyssopfork-fleet/src/registry.rs
@@ -4,7 +4,7 @@
 //! their names or addresses. A call counts only when it tells something newer of its process, and a
 //! process only when it started after the one that was known before.
 
-use crate::{announcement, view};
+use crate::{announcement, groups::order, view};
 use hyssopfork_wire::{clock, name};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -144,6 +144,17 @@
         true
     }
 
+    /// Takes an engine's report, where it has not called this leader yet: its next call comes when
+    /// its time to wait for the leader before is over. Afterwards its calls, which come at once after
+    /// a change, are newer than its reports.
+    pub fn report(&mut self, now: clock::Instant, instance: &name::Instance, told: &order::Report) {
+        let Some(record) = self.records.get_mut(instance) else { return };
+        if !record.heard_here {
+            record.heard = now;
+            record.announcement.membership = told.membership.clone();
+        }
+    }
+
     /// Takes in that an upstream answers nothing; returns whether that is news.
     pub fn bury(&mut self, instance: &name::Instance) -> bool {
         let Some(record) = self.records.get_mut(instance) else { return false };
