Count survivors for their model, and pass on what engines ran last

Survivors of a lost group, free for a moment, were not counted for their model, so every engine that came took it up; and a new leader didn't know which model a free engine had run, so survivors that need 0.2 s waited for loads of 16 s.

Ruled out: the store's limit alone (loads were given to the wrong model), and the plan of groups.

Kept: it is what the plan says, costs nothing, and registry tests show both; no gain is claimed.

--- a/crates/hyssopfork-fleet/src/groups/reserves.rs
+++ b/crates/hyssopfork-fleet/src/groups/reserves.rs
@@ -93,15 +93,19 @@
         at_hand.or(any).map(|model| model.name.clone())
     }
 
-    /// Engines of the domain that are for the model now.
+    /// Engines of the domain that are for the model now: those in its groups and reserves, and those
+    /// whose last group was one of it. The three that are left of a group of four need one more;
+    /// not counted, they had every engine that came take up their model, five and more in a domain.
     fn held(&self, scene: &Scene<'_>, domain: &name::Domain, model: &name::Model) -> usize {
-        let holds = |group: &&super::Group| {
-            group.pool == *scene.pool
-                && group.domain == *domain
-                && group.model == *model
-                && group.stage != Stage::Leaving
+        let holds = |(instance, record): &(&name::Instance, &registry::Record)| {
+            let told = &record.announcement;
+            let here = told.pool == *scene.pool && told.domain == *domain;
+            let of = self.group_of(instance).map(|(_, group)| &group.model);
+            here && record.is_sound()
+                && !scene.registry.is_silent(scene.now, record)
+                && of.or(record.last.as_ref()) == Some(model)
         };
-        self.groups.values().filter(holds).map(|group| group.members.len()).sum()
+        scene.registry.iter().filter(holds).count()
     }
 
     /// Has hosts load a second model beside the one of their engine's last group.
--- a/crates/hyssopfork-fleet/src/registry.rs
+++ b/crates/hyssopfork-fleet/src/registry.rs
@@ -131,15 +131,20 @@
     /// Takes over what a follower of an earlier leader knew, unless more is known here.
     pub fn adopt(&mut self, now: clock::Instant, upstream: view::Upstream) -> bool {
         let told = upstream.announcement;
-        if self.records.get(&told.instance).is_some_and(|known| !is_later(&told, known)) {
-            return false;
+        if let Some(known) = self.records.get_mut(&told.instance)
+            && !is_later(&told, known)
+        {
+            let fills = known.last.is_none() && known.announcement.born == told.born;
+            known.last = known.last.take().or(upstream.last.filter(|_| fills));
+            return fills && known.last.is_some();
         }
         let departed = upstream.standing == view::Standing::Leaving && !told.draining;
         let instance = told.instance.clone();
         // Who was silent is silent until it is heard of: work must not be planned on it.
         let silent = upstream.standing == view::Standing::Silent;
         let heard = if silent { now - self.silence } else { now };
-        let record = Record { heard, departed, heard_here: false, ..Record::new(told, now) };
+        let last = told.loaded.clone().or(upstream.last);
+        let record = Record { heard, departed, heard_here: false, last, ..Record::new(told, now) };
         self.records.insert(instance, record);
         true
     }
@@ -188,7 +193,7 @@
             };
             let cold = now.until(record.cold_until);
             let announcement = announcement::Announcement { cold, ..record.announcement.clone() };
-            view::Upstream { announcement, standing }
+            view::Upstream { announcement, standing, last: record.last.clone() }
         };
         self.records.iter().map(|(instance, record)| (instance.clone(), upstream(record))).collect()
     }
--- a/crates/hyssopfork-fleet/src/view.rs
+++ b/crates/hyssopfork-fleet/src/view.rs
@@ -48,6 +48,9 @@
     pub announcement: announcement::Announcement,
     /// How it stands.
     pub standing: Standing,
+    /// Model of its last group in this life, which it takes up fastest. It doesn't say so itself once
+    /// it has left the group: the next leader would know only what its host holds.
+    pub last: Option<name::Model>,
 }
 
 /// A serving group.
--- a/crates/hyssopfork-fleet/tests/fleet/board.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/board.rs
@@ -9,7 +9,7 @@
 fn upstream(instance: &str) -> (name::Instance, view::Upstream) {
     let announcement = fixture::announcement(instance);
     let standing = view::Standing::Present;
-    (name::Instance::from(instance), view::Upstream { announcement, standing })
+    (name::Instance::from(instance), view::Upstream { announcement, standing, last: None })
 }
 
 fn rest(version: u64) -> Rest {
--- a/crates/hyssopfork-fleet/tests/fleet/registry.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/registry.rs
@@ -103,6 +103,7 @@
     let older = view::Upstream {
         announcement: Announcement { sequence: 0, draining: true, ..fixture::announcement("e1") },
         standing: view::Standing::Leaving,
+        last: None,
     };
 
     assert!(!registry.adopt(fixture::at(10), older));
@@ -137,3 +138,29 @@
 
     assert_eq!(registry.get(&e1()).and_then(|record| record.last.clone()), None);
 }
+
+/// The leader is lost while engines are between two groups. Callers of their model wait for the next
+/// leader to have them join again: in a fifth of a second if it knows what they ran, after a load of
+/// ten seconds if it goes by their hosts. A follower's word counts also when the engine called first.
+#[test]
+fn the_model_of_the_last_group_outlasts_the_leader() {
+    let mut before = registry();
+    let large = name::Model::from("large");
+    let ready =
+        Announcement { sequence: 2, loaded: Some(large.clone()), ..fixture::announcement("e1") };
+    before.announce(fixture::at(10), ready);
+    let left = Announcement { sequence: 3, ..fixture::announcement("e1") };
+    before.announce(fixture::at(20), left);
+    let known = before.published(fixture::at(30))[&e1()].clone();
+
+    let mut first = Registry::new(SILENCE);
+    first.adopt(fixture::at(40), known.clone());
+    let mut second = Registry::new(SILENCE);
+    let called = Announcement { sequence: 4, ..fixture::announcement("e1") };
+    second.announce(fixture::at(40), called);
+    second.adopt(fixture::at(50), known);
+
+    for registry in [first, second] {
+        assert_eq!(registry.get(&e1()).and_then(|record| record.last.clone()), Some(large.clone()));
+    }
+}
--- a/crates/hyssopfork-gateway/tests/gateway/fixture.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/fixture.rs
@@ -83,7 +83,7 @@
         staged: Vec::new(),
         membership: None,
     };
-    let upstream = view::Upstream { announcement, standing: view::Standing::Present };
+    let upstream = view::Upstream { announcement, standing: view::Standing::Present, last: None };
     (instance(name), Some(upstream))
 }
 
