Hold callers for a second while nobody is there to serve them

Requests come back once; those whose streams broke off came back to processes that had started a moment ago and knew no declaration, and those that had been refused for want of a group came back before it was replaced: refused for good, while engines were idle.

A process that has just started holds what arrives for up to 1.2 s and serves it when it knows the fleet; a request whose caller has come back is held for up to a second while no group of its model serves. Both are bounded by a quarter of the caller's time left and in number; the time counts against the caller's.

--- a/crates/hyssopfork-daemon/src/edge/conversation.rs
+++ b/crates/hyssopfork-daemon/src/edge/conversation.rs
@@ -87,6 +87,7 @@
                     self.quiet = quiet;
                     decision = self.receive().await;
                 }
+                action::Decision::Hold(patience) => decision = self.hold(patience).await,
                 action::Decision::Deliver => return self.deliver(),
                 action::Decision::Forward => return self.forward(),
                 action::Decision::Refuse(refusal) => return self.refuse(&refusal),
@@ -108,6 +109,19 @@
         decision
     }
 
+    /// Waits until the core decides about this request in the course of another's event.
+    async fn hold(&mut self, patience: Duration) -> action::Decision {
+        let mut decided = self.traffic.held(self.number);
+        match time::timeout(patience, &mut decided).await {
+            Ok(Ok(decision)) => decision,
+            // It may have been decided in the moment in which the time ended.
+            Ok(Err(_)) | Err(_) => match decided.try_recv() {
+                Ok(decision) => decision,
+                Err(_) => self.step(event::Event::Waited(self.number)),
+            },
+        }
+    }
+
     /// Makes an attempt and waits for its answer; an earlier attempt's connection closes.
     async fn begin(&mut self, start: &action::Start) -> action::Decision {
         self.attempt = None;
--- a/crates/hyssopfork-daemon/src/edge/traffic.rs
+++ b/crates/hyssopfork-daemon/src/edge/traffic.rs
@@ -7,11 +7,12 @@
 use hyssopfork_telemetry::metrics;
 use hyssopfork_wire::number;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time;
 
 /// What control hands to the entry.
@@ -32,6 +33,8 @@
     /// Idle connections to upstreams.
     pub idle: pool::Pool,
     count: Cell<u64>,
+    /// Conversations that are held, by their requests' numbers.
+    held: RefCell<HashMap<u64, oneshot::Sender<action::Decision>>>,
     own: net::SocketAddr,
     mailbox: mailbox::Mailbox<control::Input>,
     status: Arc<Status>,
@@ -51,6 +54,7 @@
             core: RefCell::new(core),
             idle: pool::Pool::default(),
             count: Cell::new(0),
+            held: RefCell::default(),
             own,
             mailbox,
             status,
@@ -64,13 +68,28 @@
         self.count.get()
     }
 
-    /// Hands an event to the core and gives what it decides about the event's request.
+    /// The next decision about a request that is held.
+    pub fn held(&self, number: u64) -> oneshot::Receiver<action::Decision> {
+        let (sender, receiver) = oneshot::channel();
+        self.held.borrow_mut().insert(number, sender);
+        receiver
+    }
+
+    /// Hands an event to the core and gives what it decides about the event's request. What it
+    /// decides about others goes to their conversations.
     pub fn step(&self, event: event::Event) -> Option<action::Decision> {
+        let number = event.request();
+        if let Some(number) = number {
+            self.held.borrow_mut().remove(&number);
+        }
         let actions = self.core.borrow_mut().step(clock::now(), event);
         let mut decision = None;
         for action in actions {
             match action {
-                action::Action::Decide(_, decided) => decision = Some(decided),
+                action::Action::Decide(of, decided) if Some(of) == number => {
+                    decision = Some(decided);
+                }
+                action::Action::Decide(of, decided) => self.wake(of, decided),
                 action::Action::Notice(notice) => log::notice(&notice),
                 action::Action::Measure(measure) => log::measure_edge(&self.registry, &measure),
                 action::Action::Tell(evidence) => {
@@ -82,6 +101,13 @@
         decision
     }
 
+    fn wake(&self, number: u64, decision: action::Decision) {
+        let held = self.held.borrow_mut().remove(&number);
+        if held.is_none_or(|held| held.send(decision).is_err()) {
+            tracing::error!(number, "a decision came for a request that waits for none");
+        }
+    }
+
     fn show(&self) {
         let core = self.core.borrow();
         self.status.ready.store(core.is_ready(), Ordering::Relaxed);
--- a/crates/hyssopfork-gateway/src/action.rs
+++ b/crates/hyssopfork-gateway/src/action.rs
@@ -89,6 +89,8 @@
     Deliver,
     /// Wait on; ask again after this long without bytes.
     Wait(Duration),
+    /// Hold the request until another decision about it comes, or ask again after this long.
+    Hold(Duration),
     /// Refuse.
     Refuse(Refusal),
     /// Break the answer off, so that it can't look whole.
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -2,6 +2,7 @@
 
 mod ending;
 mod follow;
+mod holds;
 mod serve;
 mod silence;
 
@@ -32,6 +33,7 @@
     /// This process's part of each pool's requests.
     parts: BTreeMap<name::Pool, load::Part>,
     returns: BTreeMap<(name::Pool, Option<name::Model>), returns::Returns>,
+    holds: holds::Holds,
     requests: BTreeMap<u64, request::Request>,
     /// Whether any request has come.
     traffic: bool,
@@ -55,6 +57,7 @@
             budgets: BTreeMap::new(),
             parts: BTreeMap::new(),
             returns: BTreeMap::new(),
+            holds: holds::Holds::default(),
             requests: BTreeMap::new(),
             traffic: false,
             stopping: false,
@@ -92,6 +95,7 @@
             event::Event::Ended(number) => self.ended(number),
             event::Event::Failed(number, fault, load) => self.failed(number, fault, load),
             event::Event::Quiet(number) => self.quiet(number),
+            event::Event::Waited(number) => self.waited(number),
             event::Event::Expired(number) => self.expired(number),
             event::Event::Gone(number) => self.gone(number),
             event::Event::Stop => self.stop(),
@@ -132,6 +136,17 @@
         self.parts.get(pool).copied().unwrap_or(load::Part::of(self.entries))
     }
 
+    /// What a request asks for; `again` when it was accepted before.
+    fn want<'a>(&'a self, request: &'a request::Request, again: bool) -> choice::Want<'a> {
+        choice::Want {
+            pool: &request.pool,
+            model: request.model.as_ref(),
+            zone: &self.settings.zone,
+            excluded: &request.excluded,
+            again,
+        }
+    }
+
     /// What bounds the choice of an upstream of the pool.
     fn bounds(&self, pool: &name::Pool) -> choice::Bounds<'_> {
         choice::Bounds {
--- a/crates/hyssopfork-gateway/src/core/follow.rs
+++ b/crates/hyssopfork-gateway/src/core/follow.rs
@@ -27,6 +27,7 @@
         self.out = update.out;
         self.entries = update.entries.max(1);
         self.rebuild();
+        self.try_held();
     }
 
     /// Makes the targets anew; one that is the same as before keeps its record.
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -15,7 +15,7 @@
 /// When to come back where no upstream is there. A lost group serves again 1 s after its member's
 /// death when the reserve has the weights at hand, 2 s when it takes them from a host; most callers
 /// come back once only, and after 0.7 s found nobody again.
-const NOBODY_RETRY: Duration = Duration::from_millis(1_200);
+pub(super) const NOBODY_RETRY: Duration = Duration::from_millis(1_200);
 
 /// When to come back to a process that has just started.
 const NOT_READY_RETRY: Duration = Duration::from_millis(300);
@@ -25,8 +25,10 @@
         let draw = self.draw();
         let now = self.now;
         let Some(table) = &self.table else {
-            let refusal = action::Refusal::new(action::Reason::NotReady, Some(NOT_READY_RETRY));
-            return self.turn_away(number, arrival.identifier, refusal);
+            if let Some(arrival) = self.hold_arrival(number, arrival) {
+                self.refuse_unready(number, arrival.identifier);
+            }
+            return;
         };
         let place = match table.find(&arrival) {
             Ok(place) => place,
@@ -57,24 +59,27 @@
     pub(super) fn start(&mut self, number: u64, again: bool) {
         let now = self.now;
         let Some(request) = self.requests.get(&number) else { return };
-        let want = choice::Want {
-            pool: &request.pool,
-            model: request.model.as_ref(),
-            zone: &self.settings.zone,
-            excluded: &request.excluded,
-            again,
-        };
         let bounds = self.bounds(&request.pool);
-        match choice::choose(now, &self.targets, want, bounds) {
+        match choice::choose(now, &self.targets, self.want(request, again), bounds) {
             choice::Choice::Take(instance) => self.send(number, &instance),
             choice::Choice::Full { wait, best } => {
                 self.tell_of_full(number, best);
                 self.end(number, action::Reason::Overloaded, wait);
             }
-            choice::Choice::Nobody => self.end(number, action::Reason::NoUpstream, NOBODY_RETRY),
+            choice::Choice::Nobody => {
+                if !self.hold_request(number) {
+                    self.end(number, action::Reason::NoUpstream, NOBODY_RETRY);
+                }
+            }
         }
     }
 
+    /// Refuses an arrival that no declaration is known for.
+    pub(super) fn refuse_unready(&mut self, number: u64, identifier: String) {
+        let refusal = action::Refusal::new(action::Reason::NotReady, Some(NOT_READY_RETRY));
+        self.turn_away(number, identifier, refusal);
+    }
+
     /// Logs what a refusal for want of room rests on.
     fn tell_of_full(&mut self, number: u64, best: Option<name::Instance>) {
         let now = self.now;
@@ -288,6 +293,7 @@
 
     pub(super) fn gone(&mut self, number: u64) {
         self.drop_attempt(number);
+        self.holds.release(number);
         let Some(request) = self.requests.remove(&number) else { return };
         let after = self.now.since(request.arrived);
         self.note(notice::Notice::Gone { identifier: request.identifier, after });
@@ -334,6 +340,8 @@
 ) -> request::Request {
     let route = place.route;
     let time = arrival.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+    // A caller that comes back waits as long as is left of its time, and counts from its first try.
+    let before = route.timeout - time;
     request::Request {
         identifier: arrival.identifier,
         route: route.name.clone(),
@@ -344,7 +352,9 @@
         attempts: route.attempts.max(1),
         objective: route.objective,
         arrived: now,
+        due: now + route.objective.saturating_sub(before),
         limit: now + time,
+        held: false,
         runs: 0,
         tries: 0,
         excluded: Vec::new(),
--- a/crates/hyssopfork-gateway/src/event.rs
+++ b/crates/hyssopfork-gateway/src/event.rs
@@ -57,6 +57,8 @@
     Failed(u64, Fault, Option<load::Report>),
     /// Nothing came for the time that was last given.
     Quiet(u64),
+    /// The time for which the request may wait for a place is over.
+    Waited(u64),
     /// The request's time is over.
     Expired(u64),
     /// The caller went away.
@@ -64,3 +66,22 @@
     /// The process is to stop.
     Stop,
 }
+
+impl Event {
+    /// Number of the request that it is about.
+    pub fn request(&self) -> Option<u64> {
+        match self {
+            Event::Arrived(number, _)
+            | Event::Headed(number, _)
+            | Event::Moved(number, _)
+            | Event::Answered(number, _)
+            | Event::Ended(number)
+            | Event::Failed(number, ..)
+            | Event::Quiet(number)
+            | Event::Waited(number)
+            | Event::Expired(number)
+            | Event::Gone(number) => Some(*number),
+            Event::Tick | Event::Viewed(..) | Event::Stop => None,
+        }
+    }
+}
--- a/crates/hyssopfork-gateway/src/notice.rs
+++ b/crates/hyssopfork-gateway/src/notice.rs
@@ -45,6 +45,13 @@
         /// Age of its last report.
         report_age: Option<Duration>,
     },
+    /// A request is held until somebody is there to serve it.
+    Held {
+        /// The caller's identifier.
+        identifier: String,
+        /// For how long at most.
+        time: Duration,
+    },
     /// An attempt failed.
     Failed {
         /// The caller's identifier.
@@ -128,6 +135,7 @@
             Notice::Answered { .. } => 5215,
             Notice::Gone { .. } => 5216,
             Notice::Full { .. } => 5217,
+            Notice::Held { .. } => 5218,
             Notice::Stalled(..) => 5220,
             Notice::Leaving(..) => 5221,
         }
@@ -153,6 +161,7 @@
             | Notice::Failed { identifier, .. }
             | Notice::Moved { identifier, .. }
             | Notice::Full { identifier, .. }
+            | Notice::Held { identifier, .. }
             | Notice::Refused { identifier, .. }
             | Notice::Cut { identifier, .. }
             | Notice::Answered { identifier, .. }
@@ -186,6 +195,9 @@
                 formatter,
                 "no room: no upstream can be asked now (cold, silent or out of reach)"
             ),
+            Notice::Held { time, .. } => {
+                write!(formatter, "held until somebody serves it, for_ms={}", time.as_millis())
+            }
             Notice::Failed { instance, fault, after, .. } => {
                 write!(
                     formatter,
--- a/crates/hyssopfork-gateway/src/request.rs
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -40,6 +40,10 @@
     pub objective: Duration,
     /// When it arrived.
     pub arrived: clock::Instant,
+    /// When its answer must have begun to be in time.
+    pub due: clock::Instant,
+    /// Whether it was held once because nobody served it.
+    pub held: bool,
     /// When its time is over.
     pub limit: clock::Instant,
     /// Upstreams that may have run it.
--- /dev/null
+++ b/crates/hyssopfork-gateway/tests/gateway/holds.rs
@@ -0,0 +1,97 @@
+//! Callers who come when nobody is there to serve them.
+
+use crate::fixture::{self, Entry, arrival, refused, started};
+use hyssopfork_fleet::view;
+use hyssopfork_gateway::{action, arrival::Arrival, event};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The view of the fixture without its groups.
+fn without_groups() -> view::Update {
+    view::Update { groups: Vec::new(), ..fixture::view() }
+}
+
+fn groups_serve() -> event::Event {
+    event::Event::Viewed(Box::new(fixture::view()), Some(Arc::new(fixture::declaration())))
+}
+
+/// A caller that was refused two seconds ago and has come back.
+fn returning() -> Arrival {
+    Arrival { patience: Some(Duration::from_secs(2)), ..arrival("stream") }
+}
+
+fn held_for(decision: &action::Decision) -> Duration {
+    match decision {
+        action::Decision::Hold(time) => *time,
+        other => panic!("not held: {other:?}"),
+    }
+}
+
+/// All processes were killed at once. A caller whose stream broke off comes back for the only time,
+/// to a process that started a moment ago. It is served when the process hears of the fleet half a
+/// second later, and the upstream is told what is left of the caller's time by then.
+#[test]
+fn callers_of_a_process_that_starts_are_served_once_it_knows_the_fleet() {
+    let mut entry = Entry::blank();
+    let (_, decision) = entry.arrive(returning());
+    held_for(&decision);
+
+    entry.pass(500);
+    let decision = entry.step(groups_serve()).expect("it is decided");
+
+    let left = started(&decision).limit.since(entry.now);
+    assert_eq!(left, Duration::from_millis(1_500));
+}
+
+/// The only group of a model lost a member. Who was refused and has come back would not come again:
+/// it is held for the second that a repair takes, and is served late in place of never.
+#[test]
+fn a_caller_that_came_back_is_held_until_a_group_serves() {
+    let mut entry = Entry::blank();
+    entry.see(without_groups());
+    let (_, decision) = entry.arrive(returning());
+    assert!(held_for(&decision) <= Duration::from_millis(500), "a part of what is left");
+
+    entry.pass(300);
+    let decision = entry.step(groups_serve()).expect("it is decided");
+
+    started(&decision);
+}
+
+/// Nobody came to serve it: it is refused, truly not run, and told when to come back.
+#[test]
+fn a_caller_for_whom_nobody_came_is_refused() {
+    let mut entry = Entry::blank();
+    entry.see(without_groups());
+    let (number, _) = entry.arrive(returning());
+
+    let decision = entry.step(event::Event::Waited(number)).expect("it is decided");
+
+    let refusal = refused(&decision);
+    assert_eq!(refusal.reason, action::Reason::NoUpstream);
+    assert!(refusal.retry_after.is_some());
+}
+
+/// A caller that goes away while it is held is not served: nothing would be left to answer.
+#[test]
+fn a_caller_that_left_is_not_started() {
+    let mut entry = Entry::blank();
+    let (number, _) = entry.arrive(returning());
+
+    entry.step(event::Event::Gone(number));
+
+    assert_eq!(entry.step(groups_serve()), None);
+    assert_eq!(entry.core.open(), 0);
+}
+
+/// Nobody serves for long. However many come, only so many are held; the others are told at once.
+#[test]
+fn the_number_of_held_callers_is_bounded() {
+    let mut entry = Entry::blank();
+
+    let decisions: Vec<_> = (0..1_000).map(|_| entry.arrive(returning()).1).collect();
+
+    let held = decisions.iter().filter(|it| matches!(it, action::Decision::Hold(_))).count();
+    assert!(held < 200, "{held}");
+    refused(decisions.last().expect("there are some"));
+}
--- a/crates/hyssopfork-gateway/tests/gateway/main.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod cold;
 mod fixture;
 mod health;
+mod holds;
 mod limit;
 mod overload;
 mod returns;
