Hold callers that come for the first time as well while nobody serves

Hypothesis: refused with 1.2 s to wait, a caller spends its one return on a group that may be lost again or full by then; held, it is served as soon as the group is replaced, and keeps its return.

--- a/crates/hyssopfork-gateway/src/core/holds.rs
+++ b/crates/hyssopfork-gateway/src/core/holds.rs
@@ -14,8 +14,8 @@
 /// *Without it.* They are refused for good while every engine is idle.
 const STARTING: Duration = Duration::from_millis(1_200);
 
-/// Time for which a request whose caller has come back before is held while no group of its model
-/// serves. A lost group is replaced within a second, and the caller won't come a third time.
+/// Time for which a request is held while nobody of its pool and model serves. A lost group is
+/// replaced within a second, and most callers come back once only.
 const NOBODY: Duration = Duration::from_millis(1_000);
 
 /// Part of a request's time left for which it is held at most.
@@ -62,12 +62,11 @@
         None
     }
 
-    /// Holds a request that nobody serves now, if its caller won't come back; whether it is held.
+    /// Holds a request that nobody serves now, once; whether it is held.
     pub(super) fn hold_request(&mut self, number: u64) -> bool {
         let now = self.now;
         let Some(request) = self.requests.get_mut(&number) else { return false };
-        let returned = now >= request.due && !request.forwarded;
-        if !returned || request.held || self.holds.held.len() >= MOST {
+        if request.held || request.forwarded || self.holds.held.len() >= MOST {
             return false;
         }
         let time = NOBODY.min(now.until(request.limit) / PART_OF_LEFT);
--- a/crates/hyssopfork-gateway/src/request.rs
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -40,8 +40,6 @@
     pub objective: Duration,
     /// When it arrived.
     pub arrived: clock::Instant,
-    /// When its answer must have begun to be in time.
-    pub due: clock::Instant,
     /// Whether it was held once because nobody served it.
     pub held: bool,
     /// When its time is over.
--- a/crates/hyssopfork-gateway/tests/gateway/holds.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/holds.rs
@@ -43,10 +43,10 @@
     assert_eq!(left, Duration::from_millis(1_500));
 }
 
-/// The only group of a model lost a member. Who was refused and has come back would not come again:
-/// it is held for the second that a repair takes, and is served late in place of never.
+/// The only group of a model lost a member. Callers are held for the second that a repair takes, and
+/// served late; refused, they would come back once, and who had come back before would not.
 #[test]
-fn a_caller_that_came_back_is_held_until_a_group_serves() {
+fn callers_are_held_until_a_group_serves() {
     let mut entry = Entry::blank();
     entry.see(without_groups());
     let (_, decision) = entry.arrive(returning());
