Have a new engine take up the model whose next group it completes soonest

A new engine took up the model that its domain lacked most by its share; four of a kind in one domain came together late or never.

While models lack groups, it now takes up the one whose next group in its domain lacks the fewest engines. A test of that loss fails without it.

--- a/crates/hyssopfork-fleet/src/groups/reserves.rs
+++ b/crates/hyssopfork-fleet/src/groups/reserves.rs
@@ -79,7 +79,45 @@
         Some((reserve.clone(), lacking.name.clone()))
     }
 
+    /// The model that the engine had best take up: while models lack groups, the one whose next group
+    /// in the domain lacks the fewest engines; otherwise the one that the domain's reserve lacks most.
     fn most_wanted(&self, scene: &Scene<'_>, candidate: &Candidate) -> Option<name::Model> {
+        self.completes_soonest(scene, candidate).or_else(|| self.most_lacked(scene, candidate))
+    }
+
+    /// The model whose next group in the candidate's domain lacks the fewest engines, among those that
+    /// lack groups. Spread over models by their shares, engines waited in threes for a fourth while
+    /// two of them would have made a smaller group.
+    fn completes_soonest(&self, scene: &Scene<'_>, candidate: &Candidate) -> Option<name::Model> {
+        if !self.traffic {
+            return None;
+        }
+        let lacking = scene.models.iter().filter(|model| self.lacks(scene, model));
+        let missing = |model: &plan::Model| {
+            let at_hand = self.held(scene, &candidate.domain, &model.name)
+                - self.grouped(scene, &candidate.domain, &model.name);
+            model.size - at_hand % model.size
+        };
+        let soonest = lacking.min_by(|left, right| {
+            let filled = |model: &plan::Model| self.filled(scene, model, 0);
+            missing(left).cmp(&missing(right)).then(filled(left).total_cmp(&filled(right)))
+        });
+        soonest.map(|model| model.name.clone())
+    }
+
+    /// Engines of the domain in groups of the model that serve or will in a moment.
+    fn grouped(&self, scene: &Scene<'_>, domain: &name::Domain, model: &name::Model) -> usize {
+        let groups = self.groups.values().filter(|group| {
+            group.pool == *scene.pool
+                && group.domain == *domain
+                && group.model == *model
+                && group.stage.counts()
+        });
+        let here = groups.flat_map(|group| &group.members).filter_map(|it| scene.registry.get(it));
+        here.filter(|it| it.is_sound() && !scene.registry.is_silent(scene.now, it)).count()
+    }
+
+    fn most_lacked(&self, scene: &Scene<'_>, candidate: &Candidate) -> Option<name::Model> {
         let count = scene.peaks.get(&candidate.domain).copied().unwrap_or_default();
         let wanted = plan::wanted(&scene.layout, &candidate.domain, count, &scene.models);
         let lack = |model: &&plan::Model| {
--- a/crates/hyssopfork-fleet/tests/fleet/groups.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/groups.rs
@@ -283,6 +283,38 @@
     );
 }
 
+/// Three of a large group of four are lost, the reserves and two small groups with them, and one new
+/// engine comes. The domain's large model has lost the most, but would need two engines more; given
+/// the small one, the engine serves callers as soon as it has loaded its weights.
+#[test]
+fn a_new_engine_goes_to_the_group_that_is_complete_soonest() {
+    let mut world = world::World::start(3, 1);
+    world.run(2_500);
+    assert!(world.declare(fixture::LARGE_OF_FOUR));
+    world.add_engines(1..=10, "d1");
+    world.run(36_000);
+    let served = world.serving();
+    let large = served.iter().find(|group| group.members.len() == 4).expect("one is there");
+    let small: Vec<_> = served.iter().filter(|group| group.members.len() == 1).collect();
+    let is_free =
+        |instance: &&name::Instance| !served.iter().any(|group| group.members.contains(instance));
+    let mut lost: Vec<name::Instance> = world.engines.keys().filter(is_free).cloned().collect();
+    lost.extend(large.members[1..].iter().cloned());
+    lost.extend(small[..2].iter().map(|group| group.members[0].clone()));
+    for instance in &lost {
+        world.engines.get_mut(instance).expect("it is there").alive = false;
+    }
+    let heads = [&large.members[0], &small[0].members[0], &small[1].members[0]].map(Clone::clone);
+    tell_of_silence(&mut world, &heads);
+    world.run(3_000);
+
+    world.add_engines(11..=11, "d1");
+    world.run(13_000);
+
+    let loaded = world.engines[&name::Instance::from("e11")].told.loaded.clone();
+    assert_eq!(loaded, Some(name::Model::from("small")));
+}
+
 /// Tells the leader, as an entry does, that everything stands still on these upstreams.
 fn tell_of_silence(world: &mut world::World, heads: &[name::Instance]) {
     let leader = world.leader().expect("somebody leads");
