Keep the last places for callers that can be served in time

Hypothesis: where more arrives than can be served, each refused caller comes back once, late. Served like all others, those who come back take the places of those who could be in time, who then come back late in turn: at 110 arrivals before 100 places, 77 in time and 23 late; with new callers first, 100 in time, and as many callers served.

A caller that has come back leaves a quarter of an upstream's limit free; it is known by the time that it still waits, which is less than its route's. Two tests: one fails without the rule, the other shows that with room it is served like anybody.

--- a/crates/hyssopfork-gateway/src/choice.rs
+++ b/crates/hyssopfork-gateway/src/choice.rs
@@ -8,7 +8,7 @@
 //! and none in time.
 //!
 //! *Rule.* The upstream with the smallest part of its [`limit`](crate::limit) taken, one of the own
-//! zone among equals. When even that is full, the request is refused at once and told when a place
+//! zone among equals. Requests that are late already leave room for those that can be in time. When even that is full, the request is refused at once and told when a place
 //! will be free.
 
 use crate::{load, target};
@@ -21,6 +21,11 @@
 /// and lost their upstream: to refuse them would break off what their callers have.
 const AGAIN: f64 = 0.5;
 
+/// Part of its limit that an upstream keeps from requests that are late already. Every refused caller
+/// comes back; were they served like all others, those who could be served in time would be refused
+/// in their place, and come back late in turn.
+const KEPT_FOR_IN_TIME: f64 = 0.25;
+
 /// Part of its slots by which an upstream of another zone must be emptier to go first: traffic
 /// between zones costs, but less than a late answer.
 const ZONE_WORTH: f64 = 0.06;
@@ -39,9 +44,20 @@
     pub zone: &'a name::Zone,
     /// Upstreams that it was sent to before.
     pub excluded: &'a [name::Instance],
-    /// Whether the request was accepted before and only goes on elsewhere: it is not refused for
-    /// want of room in the queue.
-    pub again: bool,
+    /// How it stands.
+    pub standing: Standing,
+}
+
+/// How a request stands, which decides how much room must be left for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Standing {
+    /// Its answer can still begin in time.
+    InTime,
+    /// Its answer will be late: its caller was refused before and has come back.
+    Late,
+    /// It was accepted before and goes on elsewhere.
+    Again,
 }
 
 /// What bounds the choice for all requests.
@@ -117,7 +133,11 @@
         }
         return Choice::Full { wait: Duration::ZERO, best: None };
     };
-    let room = if want.again { target.load.slots() * AGAIN } else { 0.0 };
+    let room = match want.standing {
+        Standing::InTime => 0.0,
+        Standing::Late => -target.limit.get() * KEPT_FOR_IN_TIME,
+        Standing::Again => target.load.slots() * AGAIN,
+    };
     let over = target.load.estimate(now, bounds.part) + 1.0 - target.limit.get() - room;
     if over > 0.0 {
         let wait = Duration::from_secs_f64(over / target.load.pace());
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -143,7 +143,7 @@
             model: request.model.as_ref(),
             zone: &self.settings.zone,
             excluded: &request.excluded,
-            again,
+            standing: request.standing(self.now, again),
         }
     }
 
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -340,6 +340,8 @@
 ) -> request::Request {
     let route = place.route;
     let time = arrival.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+    // A caller that comes back waits as long as is left of its time, and counts from its first try.
+    let before = route.timeout - time;
     request::Request {
         identifier: arrival.identifier,
         route: route.name.clone(),
@@ -350,6 +352,7 @@
         attempts: route.attempts.max(1),
         objective: route.objective,
         arrived: now,
+        due: now + route.objective.saturating_sub(before),
         limit: now + time,
         held: false,
         runs: 0,
--- a/crates/hyssopfork-gateway/src/core/silence.rs
+++ b/crates/hyssopfork-gateway/src/core/silence.rs
@@ -112,7 +112,7 @@
             model: request.model.as_ref(),
             zone: &self.settings.zone,
             excluded: &excluded,
-            again: true,
+            standing: choice::Standing::Again,
         };
         let bounds = self.bounds(&request.pool);
         matches!(choice::choose(self.now, &self.targets, want, bounds), choice::Choice::Take(_))
--- a/crates/hyssopfork-gateway/src/request.rs
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -1,5 +1,6 @@
 //! Requests of an entry.
 
+use crate::choice;
 use hyssopfork_fleet::declaration;
 use hyssopfork_wire::{clock, configuration, name};
 use std::time::Duration;
@@ -40,6 +41,8 @@
     pub objective: Duration,
     /// When it arrived.
     pub arrived: clock::Instant,
+    /// When its answer must have begun to be in time.
+    pub due: clock::Instant,
     /// Whether it was held once because nobody served it.
     pub held: bool,
     /// When its time is over.
@@ -61,6 +64,17 @@
 }
 
 impl Request {
+    /// How it stands among others; `again` when it was accepted before.
+    pub fn standing(&self, now: clock::Instant, again: bool) -> choice::Standing {
+        if again {
+            choice::Standing::Again
+        } else if now < self.due {
+            choice::Standing::InTime
+        } else {
+            choice::Standing::Late
+        }
+    }
+
     /// Class of the work, for metrics.
     pub fn class(&self) -> configuration::Class {
         match self.repetition {
--- a/crates/hyssopfork-gateway/tests/gateway/overload.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/overload.rs
@@ -5,7 +5,7 @@
 //! over wait; the objective is 0.3 s to the first event, of which a free slot needs 0.1 s.
 
 use crate::fixture::{self, Entry, arrival};
-use hyssopfork_gateway::{action, event, load};
+use hyssopfork_gateway::{action, arrival::Arrival, event, load};
 use hyssopfork_wire::name;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -139,3 +139,34 @@
     assert!(late * 3 < in_time * 2, "{late} late, {in_time} in time");
     assert!(in_time >= 28, "{in_time} served in time by sixteen slots in three seconds");
 }
+
+/// Groups that are nearly full get a new caller and one that was refused two seconds ago and has come
+/// back. The one that came back is late whatever happens. Were it taken, the next new caller would be
+/// refused in its place, and come back late in turn: of two that are served, none would be in time.
+#[test]
+fn the_last_places_are_kept_for_callers_that_can_be_served_in_time() {
+    let mut entry = Entry::ready();
+    let places = 2 * fixture::SLOTS;
+    for _ in 0..places - 3 {
+        entry.sent("stream");
+    }
+
+    let returning = Arrival { patience: Some(Duration::from_secs(2)), ..arrival("stream") };
+    let (_, late) = entry.arrive(returning);
+    let (_, in_time) = entry.arrive(arrival("stream"));
+
+    assert_eq!(fixture::refused(&late).reason, action::Reason::Overloaded);
+    fixture::started(&in_time);
+}
+
+/// Groups have room: a caller that has come back is served like any other.
+#[test]
+fn a_caller_that_came_back_is_served_where_there_is_room() {
+    let mut entry = Entry::ready();
+    entry.sent("stream");
+
+    let returning = Arrival { patience: Some(Duration::from_secs(2)), ..arrival("stream") };
+    let (_, late) = entry.arrive(returning);
+
+    fixture::started(&late);
+}
