--- a/crates/hyssopfork-gateway/src/load.rs
+++ b/crates/hyssopfork-gateway/src/load.rs
@@ -15,8 +15,7 @@
 use std::time::Duration;
 
 /// Age of a report at which it counts as much as what is concluded from this process's own requests:
-/// about the time to a first event. Of 1.5 s, 0.5 s, 0.25 s and 0.12 s, the last two served callers
-/// best and alike.
+/// about the time to a first event.
 const HALF_LIFE: Duration = Duration::from_millis(250);
 
 /// Weight of the newest report in this process's part of the requests. A process gets ten or more a
