Give each process of the edge tests ports that nobody else is given

The fixture chose a port by binding and letting it go; before its process bound it, a connection or a listener of another test had it. The process ended, and where the other had chosen the same port for its own process, the test talked to that (a_lodgement_whose_answer_is_no_answer_may_have_run, count 0).

Ports now come from a range that the kernel doesn't give away, each one once in a test program, and programs begin at different places. No assertion changed.

--- a/crates/hyssopfork-daemon/tests/edge/support.rs
+++ b/crates/hyssopfork-daemon/tests/edge/support.rs
@@ -6,16 +6,29 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use std::{fs, thread};
 
 /// Longest wait for anything.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// First of the ports that processes of this test listen on, and how many there are. They lie below
+/// those that the kernel gives away: a port of these, free for the moment between its choice and the
+/// process's start, was taken by a connection or a listener of another test. That process ended, and
+/// its test talked to the other test's process.
+const FIRST_PORT: u16 = 10_000;
+const PORTS: u16 = 20_000;
+
+/// Ports between those where two test programs begin to look, so that they choose different ones.
+const BLOCK: u32 = 128;
+
 fn free_port() -> u16 {
-    let listener = http::free_listener().expect("a free port");
-    listener.local_addr().expect("it is bound").port()
+    static CHOSEN: AtomicU16 = AtomicU16::new(0);
+    let begin = (std::process::id().wrapping_mul(BLOCK) % u32::from(PORTS)) as u16;
+    let next = || FIRST_PORT + (begin + CHOSEN.fetch_add(1, Ordering::Relaxed)) % PORTS;
+    let is_free = |port: &u16| TcpListener::bind(("127.0.0.1", *port)).is_ok();
+    std::iter::repeat_with(next).take(usize::from(PORTS)).find(is_free).expect("a free port")
 }
 
 /// A process.
