Tell the conversation of a held caller one decision only

The request ended as failed though nobody had it, and its place stayed counted.

A request that is tried again and finds nobody stays held without a word; its first wait bounds it. The new test fails without that.

--- a/crates/hyssopfork-gateway/src/core/holds.rs
+++ b/crates/hyssopfork-gateway/src/core/holds.rs
@@ -29,6 +29,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Holds {
     held: BTreeMap<u64, Hold>,
+    /// The request that is tried again just now. Its conversation waits already: told to wait once
+    /// more, it would miss the decision that follows.
+    trying: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -79,12 +82,15 @@
 
     fn hold(&mut self, number: u64, time: Duration, arrival: Option<Box<arrival::Arrival>>) {
         self.holds.held.insert(number, Hold { since: self.now, arrival });
-        self.decide(number, action::Decision::Hold(time));
+        if self.holds.trying != Some(number) {
+            self.decide(number, action::Decision::Hold(time));
+        }
     }
 
     /// Tries again for those who are held: the fleet's view has changed.
     pub(super) fn try_held(&mut self) {
         for (number, hold) in mem::take(&mut self.holds.held) {
+            self.holds.trying = Some(number);
             match hold.arrival {
                 Some(arrival) if self.table.is_some() => {
                     self.arrived(number, spent(*arrival, self.now.since(hold.since)));
@@ -93,6 +99,7 @@
                 arrival => drop(self.holds.held.insert(number, Hold { arrival, ..hold })),
             }
         }
+        self.holds.trying = None;
     }
 
     /// The time for which the request is held is over.
--- a/crates/hyssopfork-gateway/tests/gateway/holds.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/holds.rs
@@ -58,6 +58,22 @@
     started(&decision);
 }
 
+/// A process that has just started hears of the declaration and, a moment later, of its groups. The
+/// caller's conversation waits for one decision; told in between to wait on, it missed the second one,
+/// and the caller got a failure for work that nobody had.
+#[test]
+fn a_caller_that_is_held_gets_one_decision() {
+    let mut entry = Entry::blank();
+    entry.arrive(returning());
+
+    let declared =
+        event::Event::Viewed(Box::new(without_groups()), Some(Arc::new(fixture::declaration())));
+    assert_eq!(entry.step(declared), None);
+    let decision = entry.step(groups_serve()).expect("it is decided");
+
+    started(&decision);
+}
+
 /// Nobody came to serve it: it is refused, truly not run, and told when to come back.
 #[test]
 fn a_caller_for_whom_nobody_came_is_refused() {
