fleet: reproduce an outage of control by a large declaration (failing)

The simulated processes get links of limited bandwidth that carry one message after the other. With six voters at 100 Mbit/s and ten entries at 40 Mbit/s, a document of 4,200 routes takes the leader's quorum and reaches entries more than 2.5 s after its acknowledgement, as callers saw. Neither processor nor disk is limited in this model, so the link alone is enough.

--- a/crates/hyssopfork-fleet/tests/fleet/fixture.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/fixture.rs
@@ -85,8 +85,22 @@
     view::Document { version, bytes: Bytes::from(version.to_string()) }
 }
 
-/// Reads a document of [`document`].
+/// A document of `routes` routes, whose names and prefixes follow no pattern.
+pub fn large_document(version: u64, routes: u64) -> view::Document {
+    let mut text = format!("{version}\n");
+    let mut random: u64 = 1;
+    for _ in 0..routes {
+        random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        let (name, prefix) = (random >> 34, random & 0xffff_ffff);
+        text.push_str(&format!(
+            r#"{{"Name":"r-{name:x}","Host":"host.example","PathPrefix":"/{prefix:x}/","Kind":"streaming","TimeoutMs":6000,"TargetLatencyMs":300,"Priority":1,"Service":"engines","MaxAttempts":2,"Anonymous":false,"SessionAffinity":true}},"#
+        ));
+    }
+    view::Document { version, bytes: Bytes::from(text) }
+}
+
+/// Reads a document of [`document`] or [`large_document`].
 pub fn decode(bytes: &[u8]) -> Option<declaration::Declaration> {
-    let version = std::str::from_utf8(bytes).ok()?.parse().ok()?;
+    let version = std::str::from_utf8(bytes).ok()?.lines().next()?.parse().ok()?;
     Some(declaration(version))
 }
--- a/crates/hyssopfork-fleet/tests/fleet/main.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod histories;
 mod inquiry;
 mod invariants;
+mod large;
 mod loads;
 mod plan;
 mod registry;
--- a/crates/hyssopfork-fleet/tests/fleet/world.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/world.rs
@@ -5,6 +5,7 @@
 use hyssopfork_fleet::groups::order;
 use hyssopfork_fleet::{action, core, event, notice, peer, settings, view};
 use hyssopfork_wire::{clock, consensus, name};
+use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,6 +19,17 @@
 /// Time after which a call without an answer has failed.
 const LOST: Duration = Duration::from_millis(400);
 
+/// Bytes a second that a process's link carries in each direction.
+#[derive(Clone, Copy, Debug)]
+pub struct Bandwidth(pub u64);
+
+/// When the link of a process is free again, in each direction.
+#[derive(Clone, Copy, Debug, Default)]
+struct Link {
+    sending: Option<clock::Instant>,
+    receiving: Option<clock::Instant>,
+}
+
 /// A process.
 pub struct Process {
     pub core: Option<core::Core>,
@@ -32,6 +44,9 @@
     watch: u64,
     /// Counts its starts: what was on its way to an earlier one is lost.
     starts: u64,
+    /// `None` carries everything at once.
+    pub bandwidth: Option<Bandwidth>,
+    link: Link,
 }
 
 /// What an entry knows.
@@ -56,6 +71,8 @@
     Event(Box<event::Event>),
     Call(Box<event::Request>, Caller),
     Order(SocketAddr, order::Order),
+    /// The answer to the watch of this number.
+    Watched(u64, SocketAddr, Box<peer::Answer>),
     /// The time of a watch of this number is over.
     Overdue(u64, SocketAddr),
 }
@@ -102,6 +119,8 @@
                 calls: BTreeMap::new(),
                 watch: 0,
                 starts: 0,
+                bandwidth: None,
+                link: Link::default(),
             };
             world.processes.insert(host_address, process);
             world.wipe(host_address);
@@ -251,6 +270,24 @@
         self.queue.insert((self.now + after, self.count), (to, starts, delivery));
     }
 
+    /// Time until a message between two processes has arrived: each link carries one after the other.
+    fn transfer(&mut self, from: SocketAddr, to: SocketAddr, message: &impl Serialize) -> Duration {
+        let bytes = bincode::serialized_size(message).expect("messages are plain data");
+        let now = self.now;
+        let mut carry = |address: SocketAddr, at: clock::Instant, receives: bool| {
+            let Some(process) = self.processes.get_mut(&address) else { return at };
+            let Some(Bandwidth(rate)) = process.bandwidth else { return at };
+            let link = &mut process.link;
+            let free = if receives { &mut link.receiving } else { &mut link.sending };
+            let begins = free.map_or(at, |free| free.max(at));
+            let done = begins + Duration::from_micros(bytes * 1_000_000 / rate);
+            *free = Some(done);
+            done
+        };
+        let sent = carry(from, now, false);
+        carry(to, sent, true).since(now) + WAY
+    }
+
     fn reaches(&self, from: SocketAddr, to: SocketAddr) -> bool {
         !self.cuts.contains(&(from, to))
             && self.processes.get(&to).is_none_or(|it| it.core.is_some())
@@ -273,6 +310,14 @@
                     self.step(to, event::Event::Called { call, request: *request });
                 }
                 Delivery::Order(from, order) => self.obey(from, &order),
+                Delivery::Watched(number, from, answer) => {
+                    let process = self.processes.get_mut(&to).expect("it is there");
+                    if process.watch == number {
+                        process.watch = 0;
+                        let answer = Some(*answer);
+                        self.step(to, event::Event::Watched { from, answer });
+                    }
+                }
                 Delivery::Overdue(number, leader) => {
                     if self.processes.get(&to).is_some_and(|process| process.watch == number) {
                         let lost = event::Event::Watched { from: leader, answer: None };
@@ -347,7 +392,8 @@
     fn deliver_packet(&mut self, from: SocketAddr, packet: consensus::Packet) {
         let to = core::address_of(&packet.to).expect("names are addresses");
         if self.reaches(from, to) {
-            self.send(to, WAY, event::Event::Received(packet));
+            let after = self.transfer(from, to, &packet);
+            self.send(to, after, event::Event::Received(packet));
         }
     }
 
@@ -375,9 +421,8 @@
             (Some(Caller::Watch(to, number)), action::Reply::Watched(answer)) => {
                 let waits = self.processes[&to].watch == number;
                 if waits && self.reaches(from, to) {
-                    self.processes.get_mut(&to).expect("it is there").watch = 0;
-                    let answer = Some(answer);
-                    self.send(to, WAY, event::Event::Watched { from, answer });
+                    let after = self.transfer(from, to, &answer);
+                    self.push(to, after, Delivery::Watched(number, from, Box::new(answer)));
                 }
             }
             (Some(Caller::Relay(to, call)), reply) => {
