telemetry: tell a full link, a slow disk and a paused process apart

When leaders lost their quorum again and again, only the platform's own figures told why. No decision changes.

--- a/crates/hyssopfork-daemon/src/edge/control.rs
+++ b/crates/hyssopfork-daemon/src/edge/control.rs
@@ -88,6 +88,7 @@
                 }
             }
             action::Action::Reply(call, reply) => {
+                self.registry.published(reply.document_bytes());
                 if let Some(caller) = self.calls.remove(&call) {
                     let _caller_gone = caller.send(reply);
                 }
@@ -163,6 +164,7 @@
             return;
         }
         in_flight.set(in_flight.get() + 1);
+        self.registry.replicated(packet.message.bytes());
         let peers = self.peers.clone();
         actix_rt::spawn(async move {
             peers.deliver(to, packet).await;
--- a/crates/hyssopfork-daemon/src/edge/folder.rs
+++ b/crates/hyssopfork-daemon/src/edge/folder.rs
@@ -8,7 +8,7 @@
 use hyssopfork_consensus::{error, journal, write};
 use hyssopfork_fleet::event;
 use std::sync::mpsc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use std::{io, path, thread};
 
 /// Most writes that are synced together, besides the first.
@@ -17,6 +17,9 @@
 /// Time before a folder that can't be used is tried again.
 const RETRY: Duration = Duration::from_millis(300);
 
+/// Time from which on a sync is reported as slow.
+const SLOW_SYNC: Duration = Duration::from_millis(100);
+
 /// What the thread is to do.
 enum Task {
     Write(write::Write),
@@ -111,9 +114,15 @@
                     Task::Reopen => None,
                 })
                 .collect();
+            let begun = Instant::now();
             if let Err(error) = journal.write_all(&writes) {
                 return Some(error);
             }
+            let took = begun.elapsed();
+            if took >= SLOW_SYNC {
+                let millis = took.as_millis() as u64;
+                log::notice(&notice::Notice::SyncSlow(writes.len(), millis));
+            }
             if let Some(newest) = writes.last() {
                 self.post(event::Event::Persisted(newest.mark));
             }
--- a/crates/hyssopfork-daemon/src/notice.rs
+++ b/crates/hyssopfork-daemon/src/notice.rs
@@ -33,6 +33,8 @@
     CallRefused(String, String),
     /// The replicated log holds what this release cannot read: the process ends.
     LogUnreadable(String),
+    /// Writes were synced slowly: so many together, in so many milliseconds.
+    SyncSlow(usize, u64),
 }
 
 impl Notice {
@@ -50,6 +52,7 @@
             Notice::LinesDropped(_) => 4514,
             Notice::FolderUnusable(_) => 4515,
             Notice::CallRefused(..) => 4516,
+            Notice::SyncSlow(..) => 4517,
         }
     }
 
@@ -61,7 +64,8 @@
             | Notice::ReloadFailed(_)
             | Notice::LinesDropped(_)
             | Notice::FolderUnusable(_)
-            | Notice::CallRefused(..) => level::Level::Warn,
+            | Notice::CallRefused(..)
+            | Notice::SyncSlow(..) => level::Level::Warn,
             _ => level::Level::Info,
         }
     }
@@ -93,6 +97,9 @@
             Notice::LogUnreadable(reason) => {
                 write!(formatter, "{reason}; run a release that can read the log")
             }
+            Notice::SyncSlow(writes, millis) => {
+                write!(formatter, "journal sync slow writes={writes} after_ms={millis}")
+            }
         }
     }
 }
--- a/crates/hyssopfork-fleet/src/action.rs
+++ b/crates/hyssopfork-fleet/src/action.rs
@@ -37,6 +37,18 @@
     Watched(peer::Answer),
 }
 
+impl Reply {
+    /// Bytes of a declaration that it carries to a follower.
+    pub fn document_bytes(&self) -> usize {
+        match self {
+            Reply::Watched(peer::Answer::Updated(update)) => {
+                update.document.as_ref().map_or(0, |document| document.bytes.len())
+            }
+            _ => 0,
+        }
+    }
+}
+
 /// An action.
 #[derive(Clone, Debug)]
 pub enum Action {
--- a/crates/hyssopfork-telemetry/src/metrics.rs
+++ b/crates/hyssopfork-telemetry/src/metrics.rs
@@ -41,6 +41,8 @@
     term: gauge::Gauge,
     committed: gauge::Gauge,
     leads: gauge::Gauge,
+    replicated_bytes: counter::Counter,
+    published_bytes: counter::Counter,
 }
 
 impl Default for Registry {
@@ -75,6 +77,16 @@
             term: level(into, "consensus_term", "Term of the replicated log"),
             committed: level(into, "consensus_committed", "Committed index of the replicated log"),
             leads: level(into, "consensus_leads", "1 while this instance leads"),
+            replicated_bytes: total(
+                into,
+                "consensus_sent_bytes",
+                "Bytes of entries and snapshots sent to other voters, repeats included",
+            ),
+            published_bytes: total(
+                into,
+                "published_document_bytes",
+                "Bytes of declarations sent to followers, repeats included",
+            ),
             registry,
         }
     }
@@ -141,6 +153,16 @@
         self.leads.set(i64::from(leads));
     }
 
+    /// Entries or a part of a snapshot were sent to another voter.
+    pub fn replicated(&self, bytes: usize) {
+        self.replicated_bytes.inc_by(bytes as u64);
+    }
+
+    /// A declaration, or a part of it, was sent to a follower.
+    pub fn published(&self, bytes: usize) {
+        self.published_bytes.inc_by(bytes as u64);
+    }
+
     /// All metrics as text.
     pub fn encode(&self) -> String {
         let mut encoded = String::new();
@@ -183,6 +205,12 @@
     family
 }
 
+fn total(registry: &mut registry::Registry, name: &str, help: &str) -> counter::Counter {
+    let counter = counter::Counter::default();
+    registry.register(name, help, counter.clone());
+    counter
+}
+
 fn level(registry: &mut registry::Registry, name: &str, help: &str) -> gauge::Gauge {
     let gauge = gauge::Gauge::default();
     registry.register(name, help, gauge.clone());
--- a/crates/hyssopfork-telemetry/tests/metrics.rs
+++ b/crates/hyssopfork-telemetry/tests/metrics.rs
@@ -51,6 +51,19 @@
     assert!(text.contains("hyssopfork_consensus_leads 1\n"), "{text}");
 }
 
+#[test]
+fn bytes_sent_for_control_are_counted_by_purpose() {
+    let registry = metrics::Registry::new();
+
+    registry.replicated(3_000);
+    registry.published(500);
+    registry.published(200);
+
+    let text = registry.encode();
+    assert!(text.contains("hyssopfork_consensus_sent_bytes_total 3000\n"), "{text}");
+    assert!(text.contains("hyssopfork_published_document_bytes_total 700\n"), "{text}");
+}
+
 #[test]
 fn counts_from_several_threads_are_all_kept() {
     let registry = Arc::new(metrics::Registry::new());
--- a/crates/hyssopfork-wire/src/consensus.rs
+++ b/crates/hyssopfork-wire/src/consensus.rs
@@ -146,3 +146,26 @@
         folder: u64,
     },
 }
+
+impl Payload {
+    /// Bytes of its command; nothing else is large.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Payload::Command(command) => command.len(),
+            Payload::Empty | Payload::Voters(_) => 0,
+        }
+    }
+}
+
+impl Message {
+    /// Bytes of the log's content that it carries.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Message::Append { entries, .. } => {
+                entries.iter().map(|entry| entry.payload.bytes()).sum()
+            }
+            Message::Snapshot { data, .. } => data.len(),
+            _ => 0,
+        }
+    }
+}
