fleet: encode declarations against the version that the receiver holds

A document is now encoded with zstd against the one that the follower holds, where the leader still keeps that one, and on its own otherwise; the log carries it on its own, since the document in force when an entry is applied is not known before. A change of one route in 2,000 takes less than 1 KB.

--- a/crates/hyssopfork-fleet/src/board.rs
+++ b/crates/hyssopfork-fleet/src/board.rs
@@ -94,17 +94,23 @@
     /// Documents before the newest, the latest last. A follower completes the one that it has parts
     /// of: begun anew with each version, changes in quick succession would leave it without any.
     before: VecDeque<document::Document>,
+    /// Documents as they were encoded, by base and version. Most followers hold the same base.
+    ///
+    /// Invariant: of kept versions alone.
+    encodings: BTreeMap<(u64, u64), document::Encoding>,
     upstreams: Table<name::Instance, view::Upstream>,
     groups: Table<name::Group, view::Group>,
 }
 
 impl Board {
-    /// An empty board of `term`.
-    pub fn new(term: number::Term) -> Board {
+    /// An empty board of `term`. Followers that hold the document that is `known` from before it need
+    /// only what has changed since.
+    pub fn new(term: number::Term, known: Option<document::Document>) -> Board {
         Board {
             stamp: view::Stamp { term, revision: 0 },
             rest: Rest::default(),
-            before: VecDeque::new(),
+            before: known.into_iter().collect(),
+            encodings: BTreeMap::new(),
             upstreams: Table::new(),
             groups: Table::new(),
         }
@@ -136,6 +142,7 @@
             }
         }
         self.rest = rest;
+        self.forget_encodings();
         if changed {
             self.stamp.revision = revision;
         }
@@ -148,14 +155,44 @@
     }
 
     /// The part that a follower lacks next of a declaration newer than its own.
-    pub fn part(&self, held: document::Held) -> Option<document::Part> {
-        let newest = self.rest.document.as_ref().filter(|it| it.version > held.version)?;
-        let mut known = self.before.iter().chain([newest]);
-        let begun = known.find(|it| it.version == held.partial && it.version > held.version);
-        Some(match begun {
-            Some(document) => document.part(held.offset as usize),
-            None => newest.part(0),
-        })
+    pub fn part(&mut self, held: document::Held) -> Option<document::Part> {
+        let newest = self.version();
+        if newest <= held.version {
+            return None;
+        }
+        let begun = held.partial > held.version && self.document(held.partial).is_some();
+        let on_base = held.base == 0 || held.base == held.version && self.is_kept(held.base);
+        if begun && on_base {
+            let encoding = self.encoding(held.base, held.partial)?;
+            return Some(encoding.part(held.offset as usize));
+        }
+        let base = if self.is_kept(held.version) { held.version } else { 0 };
+        Some(self.encoding(base, newest)?.part(0))
+    }
+
+    fn document(&self, version: u64) -> Option<&document::Document> {
+        let kept = self.before.iter().chain(&self.rest.document);
+        kept.into_iter().find(|it| it.version == version)
+    }
+
+    fn is_kept(&self, version: u64) -> bool {
+        self.document(version).is_some()
+    }
+
+    /// The document of `version`, encoded against that of version `base`; 0 for none.
+    fn encoding(&mut self, base: u64, version: u64) -> Option<&document::Encoding> {
+        if !self.encodings.contains_key(&(base, version)) {
+            let encoding = self.document(version)?.encode(self.document(base));
+            self.encodings.insert((base, version), encoding);
+        }
+        self.encodings.get(&(base, version))
+    }
+
+    fn forget_encodings(&mut self) {
+        let mut encodings = std::mem::take(&mut self.encodings);
+        let kept = |version: u64| version == 0 || self.is_kept(version);
+        encodings.retain(|(base, version), _| kept(*base) && kept(*version));
+        self.encodings = encodings;
     }
 
     /// What a follower lacks that stands at `have`, declarations left aside.
--- a/crates/hyssopfork-fleet/src/core.rs
+++ b/crates/hyssopfork-fleet/src/core.rs
@@ -54,10 +54,10 @@
 struct Copy {
     upstreams: BTreeMap<name::Instance, view::Upstream>,
     groups: BTreeMap<name::Group, view::Group>,
-    /// Version of the declaration that this process's entry holds.
+    /// Document of the declaration that this process's entry holds.
     ///
-    /// Invariant: never goes down.
-    document: u64,
+    /// Invariant: its version never goes down.
+    document: Option<document::Document>,
     /// Parts of a newer document.
     partial: document::Partial,
     /// Publication that this process's entry holds.
@@ -105,6 +105,13 @@
     actions: Vec<action::Action>,
 }
 
+impl Copy {
+    /// Version of the declaration that this process's entry holds; 0 for none.
+    fn version(&self) -> u64 {
+        self.document.as_ref().map_or(0, |document| document.version)
+    }
+}
+
 impl Core {
     /// The control of a process that started at `now`.
     pub fn new(settings: settings::Settings, decode: Decode, now: clock::Instant) -> Core {
--- a/crates/hyssopfork-fleet/src/core/follow.rs
+++ b/crates/hyssopfork-fleet/src/core/follow.rs
@@ -22,7 +22,7 @@
         let watch = peer::Watch {
             from: self.settings.address,
             have: self.copy.stamp,
-            document: self.copy.partial.held(self.copy.document),
+            document: self.copy.partial.held(self.copy.version()),
             known: other.then(|| self.known()),
             evidence: mem::take(&mut self.evidence),
         };
@@ -74,7 +74,7 @@
                 }
                 self.seeking.answered(from, &update);
                 self.learn(update.controls.clone());
-                let document = update.document.clone().and_then(|it| self.copy.partial.take(it));
+                let document = update.document.clone().and_then(|part| self.receive(part));
                 self.publish(*update, document);
             }
             Some(peer::Answer::NotLeader(hint)) => self.seeking.lose(from, hint),
@@ -86,6 +86,18 @@
         self.ask();
     }
 
+    /// Takes a part of a document; gives the document once it is whole.
+    fn receive(&mut self, part: document::Part) -> Option<document::Document> {
+        let encoding = self.copy.partial.take(part)?;
+        match encoding.decode(self.copy.document.as_ref()) {
+            Ok(document) => Some(document),
+            Err(error) => {
+                self.notice(notice::Notice::DocumentDamaged(error.to_string()));
+                None
+            }
+        }
+    }
+
     /// Takes an update into this process's copy and hands it to its entry.
     ///
     /// An answer of an earlier leader that was held up would lead back; it is dropped.
@@ -93,11 +105,9 @@
         if update.stamp < self.copy.stamp {
             return;
         }
-        let document = document.filter(|it| it.version > self.copy.document);
-        if let Some(document) = &document {
-            self.copy.document = document.version;
-        }
-        let declaration = document.and_then(|document| self.declared(&document));
+        let document = document.filter(|it| it.version > self.copy.version());
+        let declaration = document.as_ref().and_then(|document| self.declared(document));
+        self.copy.document = document.or(self.copy.document.take());
         if update.whole {
             self.copy.upstreams.clear();
             self.copy.groups.clear();
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -212,7 +212,7 @@
             term,
             registry,
             groups,
-            board: board::Board::new(term),
+            board: board::Board::new(term, self.copy.document.clone()),
             watches: Watches::new(now),
             dirty: true,
             looked: now,
--- a/crates/hyssopfork-fleet/src/durable.rs
+++ b/crates/hyssopfork-fleet/src/durable.rs
@@ -40,17 +40,18 @@
     Changed,
     /// Nothing: it held already, or a part of a declaration waits for the others.
     Unchanged,
-    /// Nothing, and it never will: the declaration's other parts are not in the log.
+    /// Nothing, and it never will: the declaration's parts in the log don't make a whole.
     Incomplete,
 }
 
 impl Command {
-    /// The commands that declare `document`.
+    /// The commands that declare `document`. They rest on no other document: which one is in force
+    /// when they are applied is not known before.
     pub fn declare(document: document::Document) -> Vec<Command> {
         if document.bytes.len() <= document::PART_BYTES {
             return vec![Command::Declare(document)];
         }
-        document.parts().map(Command::DeclarePart).collect()
+        document.encode(None).parts().map(Command::DeclarePart).collect()
     }
 
     /// The command as the log carries it.
@@ -115,7 +116,8 @@
             Command::Declare(document) => self.declare(document),
             Command::DeclarePart(part) => {
                 let last = part.is_last();
-                match self.partial.take(part) {
+                let whole = self.partial.take(part);
+                match whole.and_then(|encoding| encoding.decode(None).ok()) {
                     Some(document) => self.declare(document),
                     None if last => return Applied::Incomplete,
                     None => false,
--- a/crates/hyssopfork-fleet/src/notice.rs
+++ b/crates/hyssopfork-fleet/src/notice.rs
@@ -58,6 +58,8 @@
     Unreadable(String),
     /// A vacant or silent seat of the log is given up.
     SeatRemoved(name::Instance),
+    /// The parts of a declaration don't make one.
+    DocumentDamaged(String),
 }
 
 impl Notice {
@@ -74,6 +76,7 @@
             Notice::Paused(..) => 5006,
             Notice::Unreadable(..) => 5007,
             Notice::SeatRemoved(..) => 5008,
+            Notice::DocumentDamaged(..) => 5009,
             Notice::Declared(..) => 5010,
             Notice::TakenOut(..) => 5011,
             Notice::BroughtIn(..) => 5012,
@@ -98,6 +101,7 @@
             | Notice::FolderFailed
             | Notice::Paused(..)
             | Notice::SeatRemoved(..)
+            | Notice::DocumentDamaged(..)
             | Notice::Lost(..) => level::Level::Warn,
             _ => level::Level::Info,
         }
@@ -185,6 +189,7 @@
             Notice::SeatRemoved(instance) => {
                 write!(formatter, "{instance} gave no sign and loses its seat in the log")
             }
+            Notice::DocumentDamaged(reason) => formatter.write_str(reason),
         }
     }
 }
--- a/crates/hyssopfork-fleet/tests/fleet/board.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/board.rs
@@ -23,7 +23,7 @@
 
 #[test]
 fn a_follower_gets_what_changed_since_it_was_told() {
-    let mut board = Board::new(number::Term(3));
+    let mut board = Board::new(number::Term(3), None);
     board.publish(rest(1), &BTreeMap::from([upstream("e1")]), &BTreeMap::new());
     let have = board.stamp();
     board.publish(rest(1), &BTreeMap::from([upstream("e1"), upstream("e2")]), &BTreeMap::new());
@@ -38,7 +38,7 @@
 
 #[test]
 fn what_is_gone_is_told_as_gone() {
-    let mut board = Board::new(number::Term(3));
+    let mut board = Board::new(number::Term(3), None);
     board.publish(rest(1), &BTreeMap::from([upstream("e1")]), &BTreeMap::new());
     let have = board.stamp();
 
@@ -50,7 +50,7 @@
 
 #[test]
 fn a_follower_of_another_leader_gets_everything() {
-    let mut board = Board::new(number::Term(3));
+    let mut board = Board::new(number::Term(3), None);
     board.publish(rest(1), &BTreeMap::from([upstream("e1")]), &BTreeMap::new());
     let other = view::Stamp { term: number::Term(2), revision: 40 };
 
@@ -63,7 +63,7 @@
 
 #[test]
 fn a_heartbeat_that_says_nothing_new_is_no_publication() {
-    let mut board = Board::new(number::Term(3));
+    let mut board = Board::new(number::Term(3), None);
     board.publish(rest(1), &BTreeMap::from([upstream("e1")]), &BTreeMap::new());
     let (instance, mut again) = upstream("e1");
     again.announcement.sequence = 9;
@@ -76,26 +76,39 @@
 /// Guards against followers that begin anew with each version and hold none of them.
 #[test]
 fn a_follower_completes_the_document_that_it_has_begun() {
-    let mut board = Board::new(number::Term(3));
+    let mut board = Board::new(number::Term(3), None);
     for version in [1, 2, 3] {
         let document = Some(fixture::large_document(version, 1_000));
         let rest = Rest { document, ..Rest::default() };
         board.publish(rest, &BTreeMap::new(), &BTreeMap::new());
     }
-    let begun = document::Held { version: 1, partial: 2, offset: document::PART_BYTES as u64 };
+    let begun = document::Held { version: 1, partial: 2, base: 1, offset: 10 };
 
     let part = board.part(begun).expect("a newer version is there");
 
-    assert_eq!((part.version, part.offset), (2, begun.offset));
+    assert_eq!((part.version, part.base, part.offset), (2, 1, begun.offset));
 }
 
 #[test]
 fn a_follower_with_parts_of_a_forgotten_document_begins_with_the_newest() {
-    let mut board = Board::new(number::Term(3));
+    let mut board = Board::new(number::Term(3), None);
     board.publish(rest(9), &BTreeMap::new(), &BTreeMap::new());
-    let begun = document::Held { version: 1, partial: 4, offset: 500 };
+    let begun = document::Held { version: 1, partial: 4, base: 0, offset: 500 };
 
     let part = board.part(begun).expect("a newer version is there");
 
     assert_eq!((part.version, part.offset), (9, 0));
 }
+
+#[test]
+fn a_follower_of_the_leader_before_gets_what_has_changed() {
+    let known = fixture::large_document(4, 2_000);
+    let mut board = Board::new(number::Term(3), Some(known));
+    let document = Some(fixture::large_document(5, 2_001));
+    board.publish(Rest { document, ..Rest::default() }, &BTreeMap::new(), &BTreeMap::new());
+
+    let part = board.part(held(4)).expect("a newer version is there");
+
+    assert_eq!(part.base, 4);
+    assert!(part.size < 1_000, "{} bytes for one route", part.size);
+}
--- a/crates/hyssopfork-fleet/tests/fleet/document.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/document.rs
@@ -5,8 +5,14 @@
 use hyssopfork_fleet::document;
 use proptest::prelude::*;
 
+/// A document that can't be compressed.
 fn document_of(size: usize) -> document::Document {
-    document::Document { version: 3, bytes: (0..size).map(|it| it as u8).collect() }
+    let mut random: u32 = 1;
+    let mut next = || {
+        random = random.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+        (random >> 24) as u8
+    };
+    document::Document { version: 3, bytes: (0..size).map(|_| next()).collect() }
 }
 
 #[test]
@@ -15,24 +21,28 @@
         let document = document_of(size);
         let mut partial = document::Partial::default();
 
-        let made: Vec<_> = document.parts().map(|part| partial.take(part)).collect();
+        let encoding = document.encode(None);
+        let made: Vec<_> = encoding.parts().map(|part| partial.take(part)).collect();
 
-        assert_eq!(made.last(), Some(&Some(document)), "size {size}");
+        let whole = made.into_iter().last().flatten().expect("the last part completes it");
+        assert_eq!(whole.decode(None).expect("it was just encoded"), document, "size {size}");
         assert!(partial.is_empty());
     }
 }
 
 #[test]
 fn no_part_is_longer_than_the_limit() {
-    let document = fixture::large_document(1, 4_200);
+    let encoding = document_of(200_000).encode(None);
 
-    assert!(document.parts().all(|part| part.bytes.len() <= document::PART_BYTES));
+    assert!(encoding.parts().count() > 1);
+    assert!(encoding.parts().all(|part| part.bytes.len() <= document::PART_BYTES));
 }
 
 #[test]
 fn a_document_beyond_the_limit_is_not_collected() {
     let size = document::MAX_BYTES as u64 + 1;
-    let part = document::Part { version: 1, size, offset: 0, bytes: Bytes::from_static(b"{") };
+    let bytes = Bytes::from_static(b"{");
+    let part = document::Part { version: 1, base: 0, size, offset: 0, bytes };
     let mut partial = document::Partial::default();
 
     assert_eq!(partial.take(part), None);
@@ -40,6 +50,39 @@
     assert!(partial.is_empty());
 }
 
+#[test]
+fn a_change_of_a_large_document_is_encoded_in_little() {
+    let base = fixture::large_document(4, 4_200);
+    let next = fixture::large_document(5, 4_201);
+
+    let encoding = next.encode(Some(&base));
+
+    assert_eq!(encoding.decode(Some(&base)).expect("it was just encoded"), next);
+    assert_eq!(encoding.parts().count(), 1);
+}
+
+/// Guards against a document made with another base than the one it was encoded against.
+#[test]
+fn an_encoding_is_read_with_its_own_base_alone() {
+    let base = fixture::large_document(4, 1_000);
+    let encoding = fixture::large_document(6, 1_010).encode(Some(&base));
+    let other = fixture::large_document(5, 1_000);
+    let renumbered = document::Document { version: 4, bytes: Bytes::from_static(b"{}") };
+
+    assert!(encoding.decode(None).is_err());
+    assert!(encoding.decode(Some(&other)).is_err());
+    assert!(encoding.decode(Some(&renumbered)).is_err());
+}
+
+/// Guards against an encoding that makes a process take memory without bound.
+#[test]
+fn an_encoding_of_too_long_a_document_is_not_read() {
+    let bytes = Bytes::from(vec![b' '; document::MAX_BYTES + 1]);
+    let encoding = document::Document { version: 1, bytes }.encode(None);
+
+    assert!(encoding.decode(None).is_err());
+}
+
 proptest! {
     /// Guards against a document of bytes that were never sent as one.
     #[test]
@@ -47,13 +90,14 @@
         order in prop::collection::vec(0_usize..6, 1..40),
     ) {
         let document = document_of(5 * document::PART_BYTES + 7);
-        let parts: Vec<document::Part> = document.parts().collect();
+        let encoding = document.encode(None);
+        let parts: Vec<document::Part> = encoding.parts().collect();
         let mut partial = document::Partial::default();
 
         for place in order {
             let made = partial.take(parts[place].clone());
 
-            prop_assert!(made.is_none_or(|made| made == document));
+            prop_assert!(made.is_none_or(|made| made == encoding));
         }
     }
 }
--- a/crates/hyssopfork-fleet/tests/fleet/durable.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/durable.rs
@@ -36,7 +36,7 @@
 
 #[test]
 fn a_long_declaration_is_in_force_with_its_last_part() {
-    let document = fixture::large_document(7, 1_000);
+    let document = fixture::large_document(7, 12_000);
     let commands = Command::declare(document.clone());
     assert!(commands.len() > 1);
     let mut state = State::default();
@@ -53,7 +53,7 @@
 /// Guards against an acknowledgement of a declaration of which the log lacks a part.
 #[test]
 fn a_declaration_that_lacks_a_part_is_incomplete() {
-    let mut commands = Command::declare(fixture::large_document(7, 1_000));
+    let mut commands = Command::declare(fixture::large_document(7, 12_000));
     commands.remove(1);
     let mut state = State::default();
 
@@ -66,8 +66,8 @@
 /// Guards against a document made of the parts of two leaders.
 #[test]
 fn parts_that_an_earlier_leader_left_are_dropped() {
-    let first = Command::declare(fixture::large_document(7, 1_000));
-    let second = Command::declare(fixture::large_document(7, 1_000));
+    let first = Command::declare(fixture::large_document(7, 12_000));
+    let second = Command::declare(fixture::large_document(7, 12_000));
     let mut state = State::default();
     let middle = first.len() / 2;
     first.into_iter().take(middle).for_each(|it| {
