fleet: reproduce a join while the engine's own group is open (failing)

The engines of the simulation can reset new connections while they serve those that are open. A member of a group is lost, the order to leave meets a reset at the head, and the leader takes the head for gone and for one that has left.

--- a/crates/hyssopfork-fleet/tests/fleet/groups.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/groups.rs
@@ -89,6 +89,25 @@
     assert_eq!(of_model(&world, "large"), 2);
 }
 
+/// Guards against an engine that joins a group while the head of its own is open.
+#[test]
+fn an_order_to_leave_that_a_reset_ended_frees_nobody() {
+    let mut world = grouped();
+    let members = a_large_group(&world);
+    let head = world.engines[&members[0]].told.address;
+
+    world.resets.insert(head);
+    world.engines.get_mut(&members[1]).expect("it is there").alive = false;
+    world.run(6_000);
+    world.resets.clear();
+    let next = a_large_group(&world);
+    world.engines.get_mut(&next[1]).expect("it is there").alive = false;
+    world.run(10_000);
+
+    let served = world.serving();
+    assert!(served.iter().any(|group| group.members.contains(&members[0])), "it is used again");
+}
+
 /// Orders get no answer and are carried out three seconds late, after newer ones. Nothing that must
 /// hold is broken meanwhile, and groups serve again afterwards.
 #[test]
--- a/crates/hyssopfork-fleet/tests/fleet/world.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/world.rs
@@ -84,6 +84,8 @@
     pub engines: BTreeMap<name::Instance, engine::Engine>,
     /// Pairs that don't reach each other, in this direction.
     pub cuts: BTreeSet<(SocketAddr, SocketAddr)>,
+    /// Engines at which new connections are reset while those of clients go on.
+    pub resets: BTreeSet<SocketAddr>,
     /// Engines' orders get no answer and are carried out this much later.
     pub late_orders: Option<Duration>,
     pub notices: Vec<(SocketAddr, notice::Notice)>,
@@ -101,6 +103,7 @@
             processes: BTreeMap::new(),
             engines: BTreeMap::new(),
             cuts: BTreeSet::new(),
+            resets: BTreeSet::new(),
             late_orders: None,
             notices: Vec::new(),
             replies: BTreeMap::new(),
@@ -476,19 +479,29 @@
     fn probe(&self, from: SocketAddr, to: SocketAddr) -> order::Sign {
         let engine = self.engine_at(to).and_then(|instance| self.engines.get(&instance));
         let alive = engine.is_some_and(|engine| engine.alive) && self.reaches(from, to);
-        if alive { order::Sign::Alive } else { order::Sign::Missing }
+        if !alive {
+            order::Sign::Missing
+        } else if self.resets.contains(&to) {
+            order::Sign::Refused
+        } else {
+            order::Sign::Alive
+        }
     }
 
     fn carry_order(&mut self, from: SocketAddr, order: order::Order) {
-        let reached = self.probe(from, order.address) == order::Sign::Alive;
-        let unknown = event::Event::Ordered(order.ticket, order::Outcome::Unknown);
-        match (reached, self.late_orders) {
-            (false, _) => self.send(from, LOST, unknown),
-            (true, Some(late)) => {
-                self.send(from, LOST, unknown);
+        let ended = |outcome| event::Event::Ordered(order.ticket, outcome);
+        match (self.probe(from, order.address), self.late_orders) {
+            (order::Sign::Missing, _) => self.send(from, LOST, ended(order::Outcome::Unknown)),
+            (order::Sign::Refused, _) => {
+                self.send(from, WAY, ended(order::Outcome::Unreachable));
+            }
+            (order::Sign::Alive, Some(late)) => {
+                self.send(from, LOST, ended(order::Outcome::Unknown));
                 self.push(order.address, late, Delivery::Order(from, order));
             }
-            (true, None) => self.push(order.address, WAY, Delivery::Order(from, order)),
+            (order::Sign::Alive, None) => {
+                self.push(order.address, WAY, Delivery::Order(from, order));
+            }
         }
     }
 
