fleet: count an engine as out of its group by its own answer alone

Seen by operators: an engine was in two groups at once, both formed by one leader.

Cause: an order to leave that met a refused or reset connection counted as carried out. The engine was taken for gone; when it called again, with its group open, nothing bound it any more and it was ordered to join another.

Now only an answer of the engine counts: accepted, an epoch that it has passed, or a refusal that its own announcement doesn't contradict. An engine that is merely unreachable stays bound until it has left.

--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -6,7 +6,8 @@
 //!   out after each member's own word; an engine's word carries group and epoch.
 //! - *No member joins another group while its group's head is open.* A member is free only when its
 //!   group was never told to open, or has closed by its head's own word, or when the member itself
-//!   has left. A head that is silent may be open where nobody hears it, so its silence frees nobody.
+//!   has left. A head that is silent, or at which connections are refused, may be open for others,
+//!   so neither frees it.
 //! - *An epoch is never used twice.* It begins with the leader's term, of which there is one leader.
 
 mod forming;
@@ -233,12 +234,32 @@
             }
             order::Outcome::Outdated => {}
         }
-        if ticket.kind == reports::Kind::Leave && outcome != order::Outcome::Unknown {
+        if ticket.kind == reports::Kind::Leave && self.has_left(&ticket, outcome, registry) {
             self.leave(&ticket.group, &ticket.instance);
         }
         self.look_again(now, registry)
     }
 
+    /// Whether an engine is out of its group by what became of the order to leave. An engine that the
+    /// order did not reach may serve clients with its group open: freed, it would join another.
+    fn has_left(
+        &self,
+        ticket: &Ticket,
+        outcome: order::Outcome,
+        registry: &registry::Registry,
+    ) -> bool {
+        match outcome {
+            order::Outcome::Accepted | order::Outcome::Outdated => true,
+            order::Outcome::Unfit => !self.groups.get(&ticket.group).is_some_and(|group| {
+                let told = registry.get(&ticket.instance).map(|record| &record.announcement);
+                told.is_some_and(|told| told.is_in(&ticket.group, group.epoch))
+            }),
+            order::Outcome::Stranger | order::Outcome::Unreachable | order::Outcome::Unknown => {
+                false
+            }
+        }
+    }
+
     /// Takes an engine's report.
     pub fn reported(
         &mut self,
--- a/crates/hyssopfork-fleet/tests/fleet/groups.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/groups.rs
@@ -89,7 +89,10 @@
     assert_eq!(of_model(&world, "large"), 2);
 }
 
-/// Guards against an engine that joins a group while the head of its own is open.
+/// An engine was in two groups at once, for a moment, under one leader. A member of its group had been
+/// lost while connections to the engine itself were reset: the order to leave ended at the reset and
+/// counted as carried out. Heard of again, with its group open, the engine was free to join another.
+/// Replayed with resets and crashes, the leader's log shows the two steps in this order (5034, 5020).
 #[test]
 fn an_order_to_leave_that_a_reset_ended_frees_nobody() {
     let mut world = grouped();
--- a/crates/hyssopfork-fleet/tests/fleet/invariants.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/invariants.rs
@@ -2,8 +2,9 @@
 
 use crate::engine;
 use hyssopfork_fleet::groups::order;
+use hyssopfork_fleet::view;
 use hyssopfork_wire::name;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What must hold whoever leads: no engine joins another group while the head of its own is
 /// open, and none opens before all its members were ready.
@@ -36,3 +37,13 @@
         _ => {}
     }
 }
+
+/// What must hold of every publication: no engine is a member of two groups.
+pub fn check_groups(groups: &BTreeMap<name::Group, view::Group>) {
+    let mut members = BTreeSet::new();
+    for (name, group) in groups {
+        for member in &group.members {
+            assert!(members.insert(member), "{member} is in {name} and in another group");
+        }
+    }
+}
--- a/crates/hyssopfork-fleet/tests/fleet/world.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/world.rs
@@ -86,6 +86,8 @@
     pub cuts: BTreeSet<(SocketAddr, SocketAddr)>,
     /// Engines at which new connections are reset while those of clients go on.
     pub resets: BTreeSet<SocketAddr>,
+    /// Engines whose answers to orders are this much later than what they announce.
+    pub slow_answers: BTreeMap<SocketAddr, Duration>,
     /// Engines' orders get no answer and are carried out this much later.
     pub late_orders: Option<Duration>,
     pub notices: Vec<(SocketAddr, notice::Notice)>,
@@ -104,6 +106,7 @@
             engines: BTreeMap::new(),
             cuts: BTreeSet::new(),
             resets: BTreeSet::new(),
+            slow_answers: BTreeMap::new(),
             late_orders: None,
             notices: Vec::new(),
             replies: BTreeMap::new(),
@@ -469,6 +472,7 @@
             }
         }
         view.out = update.out;
+        invariants::check_groups(&view.groups);
     }
 
     fn engine_at(&self, address: SocketAddr) -> Option<name::Instance> {
@@ -515,7 +519,8 @@
         let engine = self.engines.get_mut(&instance).expect("it was found");
         let outcome = engine.obey(now, order);
         self.register(&instance);
-        self.send(from, WAY, event::Event::Ordered(order.ticket, outcome));
+        let slow = self.slow_answers.get(&order.address).copied().unwrap_or_default();
+        self.send(from, WAY + slow, event::Event::Ordered(order.ticket, outcome));
     }
 
     fn run_engines(&mut self) {
