fleet: keep an engine's place in its new group when an old one's answer is late

Second cause of an engine in two groups at once, found by playing cuts with late orders: the engine's own announcement freed it, it was placed in another group, and then the answer to its order to leave erased its entry in the index of members, which by then named the new group. The engine was free for a third. Log of the play: two 'Formed' (5030) with one engine within 3 ms, the first group 'outdated' 0.4 s later.

Only a member of the group is taken out of the index. The new test fails without the change.

--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -342,7 +342,17 @@
         self.commands.extend(others.iter().map(ask));
     }
 
+    /// Whether `by_member` names the members of `groups`, each once, and no other.
+    fn is_indexed(&self) -> bool {
+        let members = self.groups.values().map(|group| group.members.len()).sum::<usize>();
+        let is_member = |(member, name): (&name::Instance, &name::Group)| {
+            self.groups.get(name).is_some_and(|group| group.members.contains(member))
+        };
+        self.by_member.len() == members && self.by_member.iter().all(is_member)
+    }
+
     fn look_again(&mut self, now: clock::Instant, registry: &registry::Registry) -> Vec<Command> {
+        debug_assert!(self.is_indexed(), "each member is in one group");
         self.advance(now, registry);
         std::mem::take(&mut self.commands)
     }
--- a/crates/hyssopfork-fleet/src/groups/lifecycle.rs
+++ b/crates/hyssopfork-fleet/src/groups/lifecycle.rs
@@ -190,7 +190,11 @@
 
     fn drop_member(&mut self, name: &name::Group, instance: &name::Instance) {
         let Some(group) = self.groups.get_mut(name) else { return };
+        let members = group.members.len();
         group.members.retain(|member| member != instance);
+        if group.members.len() == members {
+            return;
+        }
         self.by_member.remove(instance);
         if group.members.is_empty() {
             self.end(name);
--- a/crates/hyssopfork-fleet/tests/fleet/groups.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/groups.rs
@@ -89,6 +89,29 @@
     assert_eq!(of_model(&world, "large"), 2);
 }
 
+/// Guards against an engine that is free for a third group, since an answer of the first one erases
+/// its place in the second.
+#[test]
+fn an_answer_about_an_old_group_leaves_the_engine_in_its_new_one() {
+    let mut world = world::World::declared(3, 2);
+    assert!(world.declare(fixture::LARGE_OF_FOUR));
+    world.add_engines(1..=14, "d1");
+    world.run(26_000);
+    let members = a_large_group(&world);
+    let address = |member: &name::Instance| world.engines[member].told.address;
+    let (first, second) = (address(&members[0]), address(&members[1]));
+
+    world.slow_answers.insert(first, Duration::from_millis(390));
+    for process in world.processes.keys().copied() {
+        world.cuts.insert((process, second));
+    }
+    world.engines.get_mut(&members[3]).expect("it is there").alive = false;
+    world.run(8_000);
+
+    let served = world.serving();
+    assert!(served.iter().any(|group| group.members.contains(&members[0])), "it serves again");
+}
+
 /// An engine was in two groups at once, for a moment, under one leader. A member of its group had been
 /// lost while connections to the engine itself were reset: the order to leave ended at the reset and
 /// counted as carried out. Heard of again, with its group open, the engine was free to join another.
