fleet: let an engine's newer word outweigh orders that were carried out late

Third cause of an engine in two groups at once, found by playing cuts with late orders and traced in the leader's log: an order to join got no answer, was given again and taken; the engine left; then the first copy was carried out and put the engine back.

The class is an old order that acts on a newer state, and an old belief that outweighs a newer report. - What is known of an engine's leaving covers the announcements up to the next one, no later ones. - An engine with an unanswered order to join is asked for its report once it is freed, and the next order to join names the number of orders that it has taken, so that it refuses if an old one came between. - A head that is open binds its engine even where the leader had ended the group. - A group still being joined ends when a member says that another one binds it. - A refused copy of an order that was taken ends no group; one that may be open was ended by it.

The simulated engines now do what the platform's do: they take the same membership up again, and don't count an order that begins nothing.

--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -24,6 +24,7 @@
 mod reserves;
 mod strangers;
 
+use crate::announcement::{self, Membership, State};
 use crate::{declaration, notice, peer, registry, view};
 use group::{Group, Stage};
 use hyssopfork_wire::{clock, name, number};
@@ -72,6 +73,7 @@
 struct Ticket {
     group: name::Group,
     instance: name::Instance,
+    epoch: u64,
     kind: reports::Kind,
     stages: bool,
     /// Whether the order was given under a condition.
@@ -91,8 +93,9 @@
     provisional: BTreeMap<name::Group, view::Group>,
     /// Epochs that this leader has ended before they were told to open.
     ended: BTreeSet<u64>,
-    /// Engines that have left an epoch which others have not left yet.
-    left: BTreeSet<(u64, name::Instance)>,
+    /// Engines that have left an epoch, and the last announcement that may be from before. A later
+    /// one that shows them inside is the truth: an order to join that was held up has put them back.
+    left: BTreeMap<(u64, name::Instance), reports::Announced>,
     /// Epochs that were taken over: processes that follow this leader later tell of them as well,
     /// when it may have ended them.
     taken_over: BTreeSet<u64>,
@@ -120,7 +123,7 @@
             by_member: BTreeMap::new(),
             provisional: BTreeMap::new(),
             ended: BTreeSet::new(),
-            left: BTreeSet::new(),
+            left: BTreeMap::new(),
             taken_over: BTreeSet::new(),
             term,
             formed: 0,
@@ -211,8 +214,13 @@
         let told = notice::Notice::Ordered(ticket.instance.clone(), ticket.group.clone(), outcome);
         self.note(told);
         match outcome {
-            order::Outcome::Accepted => self.reports.took(&ticket.instance, ticket.kind),
+            order::Outcome::Accepted => {
+                self.reports.took(&ticket.instance, ticket.kind, ticket.epoch);
+            }
             order::Outcome::Unknown => {
+                if ticket.kind == reports::Kind::Join {
+                    self.reports.unanswered(&ticket.instance, ticket.epoch);
+                }
                 // Given again at once: the order is idempotent under its epoch.
                 if let Some(group) = self.groups.get_mut(&ticket.group) {
                     group.sent.remove(&ticket.instance);
@@ -226,20 +234,31 @@
             // It took an order that nobody here knew of, so it may be in another group by now.
             order::Outcome::Unfit if ticket.guarded => {
                 self.reports.doubt(&ticket.instance);
-                self.end(&ticket.group);
+                self.refused(&ticket, registry);
             }
-            order::Outcome::Unfit => {}
             order::Outcome::Outdated if ticket.kind != reports::Kind::Leave => {
-                self.end(&ticket.group);
+                self.refused(&ticket, registry);
             }
-            order::Outcome::Outdated => {}
+            order::Outcome::Unfit | order::Outcome::Outdated => {}
         }
         if ticket.kind == reports::Kind::Leave && self.has_left(&ticket, outcome, registry) {
-            self.leave(&ticket.group, &ticket.instance);
+            self.leave(&ticket.group, &ticket.instance, registry);
         }
         self.look_again(now, registry)
     }
 
+    /// Ends a group that an engine refused to join. Refused is also a copy of an order that it has
+    /// taken: then it is in the group, which may be told to open already.
+    fn refused(&mut self, ticket: &Ticket, registry: &registry::Registry) {
+        let joins = self
+            .groups
+            .get(&ticket.group)
+            .is_some_and(|group| matches!(group.stage, Stage::Preparing | Stage::Joining));
+        if joins && !is_in(ticket, registry) {
+            self.end(&ticket.group);
+        }
+    }
+
     /// Whether an engine is out of its group by what became of the order to leave. An engine that the
     /// order did not reach may serve clients with its group open: freed, it would join another.
     fn has_left(
@@ -250,10 +269,7 @@
     ) -> bool {
         match outcome {
             order::Outcome::Accepted | order::Outcome::Outdated => true,
-            order::Outcome::Unfit => !self.groups.get(&ticket.group).is_some_and(|group| {
-                let told = registry.get(&ticket.instance).map(|record| &record.announcement);
-                told.is_some_and(|told| told.is_in(&ticket.group, group.epoch))
-            }),
+            order::Outcome::Unfit => !is_in(ticket, registry),
             order::Outcome::Stranger | order::Outcome::Unreachable | order::Outcome::Unknown => {
                 false
             }
@@ -440,6 +456,7 @@
         let ticket = Ticket {
             group: group.clone(),
             instance: instance.clone(),
+            epoch,
             kind,
             stages: matches!(task, order::Task::Stage(_)),
             guarded: expected.is_some(),
@@ -501,6 +518,15 @@
         }
     }
 
+    /// Whether the membership that an engine tells of is over, or that of a group which was never told
+    /// to open.
+    fn is_over(&self, told: &announcement::Announcement, membership: &Membership) -> bool {
+        let left = self.left.get(&(membership.epoch, told.instance.clone()));
+        let serves = matches!(membership.state, State::Open | State::Closing);
+        left.is_some_and(|last| reports::Announced::of(told) <= *last)
+            || self.ended.contains(&membership.epoch) && !serves
+    }
+
     /// Whether every upstream has had the time to call this leader.
     fn is_settled(&self, now: clock::Instant) -> bool {
         now.since(self.started) >= SETTLE
@@ -526,3 +552,9 @@
         self.commands.push(Command::Notice(notice));
     }
 }
+
+/// Whether the engine says that it is in the group of the order.
+fn is_in(ticket: &Ticket, registry: &registry::Registry) -> bool {
+    let told = registry.get(&ticket.instance).map(|record| &record.announcement);
+    told.is_some_and(|told| told.is_in(&ticket.group, ticket.epoch))
+}
--- a/crates/hyssopfork-fleet/src/groups/lifecycle.rs
+++ b/crates/hyssopfork-fleet/src/groups/lifecycle.rs
@@ -1,7 +1,7 @@
 //! Each group's way from joining to its end, as far as its members' words allow.
 
 use super::group::{Member, Stage};
-use super::{CLOSE_LIMIT, Groups, order};
+use super::{CLOSE_LIMIT, Groups, order, reports};
 use crate::{announcement, registry};
 use hyssopfork_wire::{clock, name};
 
@@ -38,8 +38,10 @@
         if group.stage.is_reserve() && members.iter().any(Member::is_open) {
             return self.turn(now, name, Stage::Leaving);
         }
+        let bound = matches!(group.stage, Stage::Preparing | Stage::Joining)
+            && group.members.iter().any(|it| self.is_bound_elsewhere(name, it, registry));
         match group.stage {
-            Stage::Preparing | Stage::Joining if lost || departs => self.end(name),
+            Stage::Preparing | Stage::Joining if lost || departs || bound => self.end(name),
             Stage::Preparing => {
                 self.wait_for_members(now, name, &members, Stage::Prepared, registry)
             }
@@ -168,7 +170,7 @@
                 // One that is only cut off is still a member when it is heard of again.
                 Member::Lost => self.drop_member(name, &instance),
                 // It was heard inside by this leader before, so this word is a newer one.
-                Member::Outside if own => self.leave(name, &instance),
+                Member::Outside if own => self.leave(name, &instance, registry),
                 // Of an earlier leader's group, its call may be older than its membership: the
                 // answer to the order tells.
                 Member::Outside | Member::Departing(_) | Member::Inside(_) => {
@@ -179,12 +181,23 @@
     }
 
     /// A member is out of a group that ends.
-    pub(super) fn leave(&mut self, name: &name::Group, instance: &name::Instance) {
-        let Some(group) = self.groups.get_mut(name) else { return };
+    pub(super) fn leave(
+        &mut self,
+        name: &name::Group,
+        instance: &name::Instance,
+        registry: &registry::Registry,
+    ) {
+        let Some(group) = self.groups.get(name) else { return };
         if group.stage != Stage::Leaving {
             return;
         }
-        self.left.insert((group.epoch, instance.clone()));
+        if let Some(record) = registry.get(instance) {
+            let told = &record.announcement;
+            let last = reports::Announced::of(told);
+            // The engine tells of its leaving with its next announcement at the latest.
+            let last = if told.is_in(name, group.epoch) { last.next() } else { last };
+            self.left.insert((group.epoch, instance.clone()), last);
+        }
         self.drop_member(name, instance);
     }
 
@@ -196,6 +209,7 @@
             return;
         }
         self.by_member.remove(instance);
+        self.reports.freed(instance);
         if group.members.is_empty() {
             self.end(name);
         }
--- a/crates/hyssopfork-fleet/src/groups/planning.rs
+++ b/crates/hyssopfork-fleet/src/groups/planning.rs
@@ -144,7 +144,7 @@
     }
 
     fn is_available(&self, instance: &name::Instance, told: &announcement::Announcement) -> bool {
-        let is_bound = |membership: &Membership| self.is_bound(instance, membership);
+        let is_bound = |membership: &Membership| self.is_bound(told, membership);
         let is_free = match self.group_of(instance) {
             Some((_, group)) => group.stage == Stage::Prepared,
             None => !told.membership.as_ref().is_some_and(is_bound),
@@ -166,14 +166,28 @@
         }
     }
 
+    /// Whether a member that is still to join says that another group binds it. It was free when the
+    /// group was formed; an order of an earlier leader may have been carried out since.
+    pub(super) fn is_bound_elsewhere(
+        &self,
+        group: &name::Group,
+        member: &name::Instance,
+        registry: &registry::Registry,
+    ) -> bool {
+        let Some(record) = registry.get(member) else { return false };
+        let told = &record.announcement;
+        let other = told.membership.as_ref().filter(|membership| membership.group != *group);
+        other.is_some_and(|membership| self.is_bound(told, membership))
+    }
+
     /// Whether the engine is in a group that this leader has not ended: it must leave that before
     /// it joins another, since the group's head may be open where nobody hears it.
-    fn is_bound(&self, instance: &name::Instance, membership: &Membership) -> bool {
+    fn is_bound(&self, told: &announcement::Announcement, membership: &Membership) -> bool {
         use announcement::State;
-        let ended = self.ended.contains(&membership.epoch)
-            || self.left.contains(&(membership.epoch, instance.clone()));
         let serves = matches!(membership.state, State::Open | State::Closing);
-        !ended && membership.state != State::Broken && (membership.rank > 0 || serves)
+        !self.is_over(told, membership)
+            && membership.state != State::Broken
+            && (membership.rank > 0 || serves)
     }
 }
 
--- a/crates/hyssopfork-fleet/src/groups/reports.rs
+++ b/crates/hyssopfork-fleet/src/groups/reports.rs
@@ -12,6 +12,10 @@
 //! So it asks each engine as soon as it knows of it. The first order to join names the number of
 //! orders that the engine had taken by its report: an engine that has taken another since refuses
 //! it. Later orders of the same leader need no such guard, since engines refuse older epochs.
+//!
+//! An order to join that got no answer may still be carried out, also after the engine has left that
+//! epoch: engines take the same membership up again. Once such an engine is freed it is asked anew,
+//! and the next order to join names its number of orders.
 
 use super::order::Report;
 use crate::announcement::{Announcement, Membership};
@@ -49,6 +53,27 @@
     born: u64,
     asked: clock::Instant,
     knowledge: Knowledge,
+    /// Newest epoch of an order to join that got no answer, until one of a newer epoch is taken.
+    unanswered: Option<u64>,
+}
+
+/// Place of an announcement among those of one engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Announced {
+    born: u64,
+    sequence: u64,
+}
+
+impl Announced {
+    /// The place of `told`.
+    pub fn of(told: &Announcement) -> Announced {
+        Announced { born: told.born, sequence: told.sequence }
+    }
+
+    /// The place of the announcement after this one.
+    pub fn next(self) -> Announced {
+        Announced { sequence: self.sequence + 1, ..self }
+    }
 }
 
 /// What is known of each engine's process.
@@ -76,7 +101,12 @@
             (unanswered || waits) && now.since(entry.asked) >= ASK_AGAIN
         });
         if due {
-            let fresh = || Entry { born: told.born, asked: now, knowledge: Knowledge::Asked };
+            let fresh = || Entry {
+                born: told.born,
+                asked: now,
+                knowledge: Knowledge::Asked,
+                unanswered: None,
+            };
             let entry = self.known.entry(told.instance.clone()).or_insert_with(fresh);
             if entry.born != told.born {
                 *entry = fresh();
@@ -104,8 +134,11 @@
 
     /// The engine has taken an order of this leader. A new report would count it, but only after
     /// some hundred milliseconds, in which a repair would wait.
-    pub fn took(&mut self, instance: &name::Instance, kind: Kind) {
+    pub fn took(&mut self, instance: &name::Instance, kind: Kind, epoch: u64) {
         let Some(entry) = self.known.get_mut(instance) else { return };
+        if kind == Kind::Join {
+            entry.unanswered = entry.unanswered.filter(|unanswered| *unanswered >= epoch);
+        }
         match (kind, &mut entry.knowledge) {
             (Kind::Join, knowledge) => *knowledge = Knowledge::Joined,
             // One that is in no group says yes to an order to leave, and doesn't count it.
@@ -117,6 +150,21 @@
         }
     }
 
+    /// An order to join of `epoch` got no answer.
+    pub fn unanswered(&mut self, instance: &name::Instance, epoch: u64) {
+        if let Some(entry) = self.known.get_mut(instance) {
+            entry.unanswered = entry.unanswered.max(Some(epoch));
+        }
+    }
+
+    /// The engine is no member any more.
+    pub fn freed(&mut self, instance: &name::Instance) {
+        let entry = self.known.get_mut(instance);
+        if let Some(entry) = entry.filter(|entry| entry.unanswered.is_some()) {
+            entry.knowledge = Knowledge::Asked;
+        }
+    }
+
     /// The engine has taken an order that nobody here knows of.
     pub fn doubt(&mut self, instance: &name::Instance) {
         if let Some(entry) = self.known.get_mut(instance) {
--- a/crates/hyssopfork-fleet/src/groups/strangers.rs
+++ b/crates/hyssopfork-fleet/src/groups/strangers.rs
@@ -33,6 +33,8 @@
                 serving,
                 lost: false,
             };
+            // Its head is open although it was ended: an order of an earlier leader was held up.
+            self.ended.remove(&known.epoch);
             self.adopt(now, &name, known, registry);
             if let Some(group) = self.groups.get_mut(&name).filter(|_| !serving) {
                 group.turn(now, Stage::Leaving);
@@ -65,8 +67,7 @@
         for (instance, record) in registry.iter() {
             let Some(membership) = &record.announcement.membership else { continue };
             let heard = !record.dead && !registry.is_silent(now, record);
-            let known = self.ended.contains(&membership.epoch)
-                || self.left.contains(&(membership.epoch, instance.clone()))
+            let known = self.is_over(&record.announcement, membership)
                 || self.groups.contains_key(&membership.group)
                 || self.group_of(instance).is_some();
             if known || !heard || membership.state == announcement::State::Broken {
--- a/crates/hyssopfork-fleet/tests/fleet/engine.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/engine.rs
@@ -5,6 +5,7 @@
 use hyssopfork_fleet::announcement::{Announcement, Membership, State};
 use hyssopfork_fleet::groups::order::{Order, Outcome, Report, Task};
 use hyssopfork_wire::{clock, name};
+use std::collections::BTreeSet;
 use std::net;
 use std::time::Duration;
 
@@ -22,8 +23,10 @@
     pub alive: bool,
     /// Members of its group, in order.
     pub members: Vec<name::Instance>,
-    /// Whether it was ready under this membership.
+    /// Whether it is ready under this membership, or has been.
     pub was_ready: bool,
+    /// Epochs under which it has been ready in this life.
+    ready_epochs: BTreeSet<u64>,
     /// When it last called.
     pub called: clock::Instant,
     last: Option<name::Model>,
@@ -32,6 +35,7 @@
     open_at: Option<clock::Instant>,
     staging: Option<(name::Model, clock::Instant)>,
     newest_epoch: u64,
+    newest_members: Vec<name::Instance>,
     /// Orders that it has taken.
     orders: u64,
 }
@@ -49,6 +53,7 @@
             alive: true,
             members: Vec::new(),
             was_ready: false,
+            ready_epochs: BTreeSet::new(),
             called: now,
             last: None,
             model: None,
@@ -56,6 +61,7 @@
             open_at: None,
             staging: None,
             newest_epoch: 0,
+            newest_members: Vec::new(),
             orders: 0,
         }
     }
@@ -87,12 +93,18 @@
             })
     }
 
+    /// Whether it has been ready under this epoch, also if it has left it since.
+    pub fn has_been_ready(&self, epoch: u64) -> bool {
+        self.ready_epochs.contains(&epoch)
+    }
+
     /// Lets time pass; whether anything changed that is told at once.
     pub fn pass(&mut self, now: clock::Instant) -> bool {
         let before = self.told.clone();
         if self.ready_at.take_if(|at| *at <= now).is_some() {
             self.set(State::Ready);
             self.was_ready = true;
+            self.ready_epochs.extend(self.told.membership.as_ref().map(|it| it.epoch));
             self.last = self.model.clone();
             self.told.loaded = self.model.clone();
             self.stage(self.model.clone());
@@ -118,11 +130,30 @@
         if order.expected.is_some_and(|expected| expected != self.orders) {
             return Outcome::Unfit;
         }
-        let outcome = self.carry_out(now, order);
-        self.orders += u64::from(outcome == Outcome::Accepted);
+        let holds = self.holds(order);
+        let outcome = if holds { Outcome::Accepted } else { self.carry_out(now, order) };
+        self.orders += u64::from(outcome == Outcome::Accepted && !holds);
         outcome
     }
 
+    /// Whether the order would begin something.
+    pub fn takes(&self, now: clock::Instant, order: &Order) -> bool {
+        !self.holds(order) && self.clone().obey(now, order) == Outcome::Accepted
+    }
+
+    /// Whether the order would begin nothing: such an order is answered with yes and not counted.
+    fn holds(&self, order: &Order) -> bool {
+        let state = self.told.membership.as_ref().map(|membership| membership.state);
+        match &order.task {
+            Task::Join { members, .. } => self.is_in(order) && self.members == *members,
+            Task::Open => {
+                self.is_in(order) && (self.open_at.is_some() || state == Some(State::Open))
+            }
+            Task::Leave => state.is_none(),
+            Task::Close | Task::Stage(_) => false,
+        }
+    }
+
     fn carry_out(&mut self, now: clock::Instant, order: &Order) -> Outcome {
         match &order.task {
             Task::Join { model, members } => self.join(now, order, model, members),
@@ -154,10 +185,8 @@
         model: &name::Model,
         members: &[name::Instance],
     ) -> Outcome {
-        if self.is_in(order) && self.members == members {
-            return Outcome::Accepted;
-        }
-        if order.epoch <= self.newest_epoch {
+        let other = order.epoch == self.newest_epoch && self.newest_members != members;
+        if order.epoch < self.newest_epoch || other {
             return Outcome::Outdated;
         }
         let rank = members.iter().position(|it| *it == self.told.instance);
@@ -171,6 +200,7 @@
         };
         self.drop_membership();
         self.newest_epoch = order.epoch;
+        self.newest_members = members.to_vec();
         self.members = members.to_vec();
         self.model = Some(model.clone());
         self.ready_at = Some(now + time);
--- a/crates/hyssopfork-fleet/tests/fleet/invariants.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/invariants.rs
@@ -31,7 +31,8 @@
             for member in &engine.members {
                 let member = &engines[member];
                 let gone = !member.alive || !member.told.is_in(&order.group, order.epoch);
-                assert!(member.was_ready || gone, "{} opens without a member", order.group);
+                let was_ready = member.has_been_ready(order.epoch);
+                assert!(was_ready || gone, "{} opens without a member", order.group);
             }
         }
         _ => {}
--- a/crates/hyssopfork-fleet/tests/fleet/world.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/world.rs
@@ -1,6 +1,6 @@
 //! Processes, engines and the network between them, one millisecond after the other.
 
-use crate::{engine, fixture, invariants};
+use crate::{engine, fixture, invariants, random};
 use hyssopfork_consensus::node;
 use hyssopfork_fleet::groups::order;
 use hyssopfork_fleet::{action, core, event, notice, peer, settings, view};
@@ -30,6 +30,23 @@
     receiving: Option<clock::Instant>,
 }
 
+/// A part of the orders gets no answer, and each of these is carried out at a time of its own.
+#[derive(Clone, Debug)]
+pub struct OrderFaults {
+    pub random: random::Random,
+    /// Orders of a hundred that are late.
+    pub percent: u64,
+    /// Longest time by which an order is late, in milliseconds.
+    pub most: u64,
+}
+
+impl OrderFaults {
+    fn draw(&mut self) -> Option<Duration> {
+        let late = self.random.below(100) < self.percent;
+        late.then(|| Duration::from_millis(self.random.below(self.most)))
+    }
+}
+
 /// A process.
 pub struct Process {
     pub core: Option<core::Core>,
@@ -90,6 +107,8 @@
     pub slow_answers: BTreeMap<SocketAddr, Duration>,
     /// Engines' orders get no answer and are carried out this much later.
     pub late_orders: Option<Duration>,
+    /// Each order meets a fault of its own.
+    pub order_faults: Option<OrderFaults>,
     pub notices: Vec<(SocketAddr, notice::Notice)>,
     pub replies: BTreeMap<u64, action::Reply>,
     queue: BTreeMap<(clock::Instant, u64), (SocketAddr, u64, Delivery)>,
@@ -108,6 +127,7 @@
             resets: BTreeSet::new(),
             slow_answers: BTreeMap::new(),
             late_orders: None,
+            order_faults: None,
             notices: Vec::new(),
             replies: BTreeMap::new(),
             queue: BTreeMap::new(),
@@ -494,7 +514,8 @@
 
     fn carry_order(&mut self, from: SocketAddr, order: order::Order) {
         let ended = |outcome| event::Event::Ordered(order.ticket, outcome);
-        match (self.probe(from, order.address), self.late_orders) {
+        let drawn = self.order_faults.as_mut().and_then(OrderFaults::draw);
+        match (self.probe(from, order.address), drawn.or(self.late_orders)) {
             (order::Sign::Missing, _) => self.send(from, LOST, ended(order::Outcome::Unknown)),
             (order::Sign::Refused, _) => {
                 self.send(from, WAY, ended(order::Outcome::Unreachable));
@@ -514,8 +535,10 @@
         if !self.engines[&instance].alive {
             return;
         }
-        invariants::check(&self.engines, &instance, order);
         let now = self.now;
+        if self.engines[&instance].takes(now, order) {
+            invariants::check(&self.engines, &instance, order);
+        }
         let engine = self.engines.get_mut(&instance).expect("it was found");
         let outcome = engine.obey(now, order);
         self.register(&instance);
