gateway: deny no route or key on a declaration that may be outdated

Entries that had not received an accepted declaration, or that were cut off from every leader, answered 404 and 401 for what it added; clients don't come back after these.

Each update now names the newest accepted version. Where the entry holds an older one, or has heard nothing of a leader for 1.5 s, a request without a route or key waits for the next view as it does at a process that has just started, within the same bounds, and is refused with 503 and a time to come back. A leader's own entry is told each 0.4 s that it still leads. Three tests; the first two fail without the change.

--- a/crates/hyssopfork-fleet/src/board.rs
+++ b/crates/hyssopfork-fleet/src/board.rs
@@ -204,6 +204,7 @@
         view::Update {
             stamp: self.stamp,
             whole: !known,
+            declared: self.version(),
             document: None,
             out: self.rest.out.clone(),
             upstreams: self.upstreams.since(revision),
--- a/crates/hyssopfork-fleet/src/core.rs
+++ b/crates/hyssopfork-fleet/src/core.rs
@@ -75,6 +75,8 @@
     /// Whether something may have changed that followers are to be told.
     dirty: bool,
     looked: clock::Instant,
+    /// When this process's own entry was last told.
+    published: clock::Instant,
     seats: lead::Seats,
 }
 
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -216,6 +216,7 @@
             watches: Watches::new(now),
             dirty: true,
             looked: now,
+            published: now,
             seats: Seats::default(),
         });
         self.notice(notice::Notice::Serving(term));
@@ -285,7 +286,10 @@
         let upstreams = leadership.registry.published(now);
         let groups = leadership.groups.published();
         leadership.board.publish(rest, &upstreams, &groups);
-        if leadership.board.stamp() != self.copy.stamp {
+        // Also when nothing is new: the entry tells by it that this process still leads.
+        let due = now.since(leadership.published) >= action::HOLD;
+        if due || leadership.board.stamp() != self.copy.stamp {
+            leadership.published = now;
             let update = leadership.board.since(self.copy.stamp);
             self.publish(update, self.state.document.clone());
         }
--- a/crates/hyssopfork-fleet/src/view.rs
+++ b/crates/hyssopfork-fleet/src/view.rs
@@ -87,6 +87,8 @@
     pub stamp: Stamp,
     /// Whether upstreams and groups that are not named here are gone.
     pub whole: bool,
+    /// Version of the newest declaration that was accepted; 0 for none.
+    pub declared: u64,
     /// The next part of a declaration that is newer than the follower's.
     pub document: Option<document::Part>,
     /// Zones that are out.
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -24,6 +24,10 @@
 pub struct Core {
     settings: settings::Settings,
     table: Option<table::Table>,
+    /// Version of the newest declaration that was accepted, as far as is known.
+    declared: u64,
+    /// When the last view came.
+    viewed_at: clock::Instant,
     out: BTreeSet<name::Zone>,
     entries: u32,
     upstreams: BTreeMap<name::Instance, view::Upstream>,
@@ -49,6 +53,8 @@
         Core {
             settings,
             table: None,
+            declared: 0,
+            viewed_at: now,
             out: BTreeSet::new(),
             entries: 1,
             upstreams: BTreeMap::new(),
--- a/crates/hyssopfork-gateway/src/core/follow.rs
+++ b/crates/hyssopfork-gateway/src/core/follow.rs
@@ -7,8 +7,20 @@
 use std::collections::BTreeMap;
 use std::mem;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Age of the view from which on it may lack a declaration that is due to be in force here: a leader
+/// is heard of each 0.4 s, and a change is in force everywhere two seconds after its acknowledgement.
+const MAX_VIEW_AGE: Duration = Duration::from_millis(1_500);
 
 impl Core {
+    /// Whether a newer declaration than the one held may be in force. What this one lacks is then no
+    /// reason to tell a caller that it doesn't exist.
+    pub(super) fn may_be_outdated(&self) -> bool {
+        let held = self.table.as_ref().map_or(0, |table| table.declaration().version);
+        held < self.declared || self.now.since(self.viewed_at) >= MAX_VIEW_AGE
+    }
+
     pub(super) fn viewed(
         &mut self,
         update: view::Update,
@@ -18,6 +30,8 @@
             self.note(notice::Notice::InForce(declaration.version));
             self.table = Some(table::Table::new(declaration));
         }
+        self.declared = self.declared.max(update.declared);
+        self.viewed_at = self.now;
         if update.whole {
             self.upstreams.clear();
             self.groups.clear();
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -32,6 +32,12 @@
         };
         let place = match table.find(&arrival) {
             Ok(place) => place,
+            Err(_) if self.may_be_outdated() => {
+                if let Some(arrival) = self.hold_arrival(number, arrival) {
+                    self.refuse_unready(number, arrival.identifier);
+                }
+                return;
+            }
             Err(stray) => {
                 let reason = match stray {
                     table::Stray::NoRoute => action::Reason::NoRoute,
@@ -74,7 +80,7 @@
         }
     }
 
-    /// Refuses an arrival that no declaration is known for.
+    /// Refuses an arrival that no declaration is known for, or an outdated one.
     pub(super) fn refuse_unready(&mut self, number: u64, identifier: String) {
         let refusal = action::Refusal::new(action::Reason::NotReady, Some(NOT_READY_RETRY));
         self.turn_away(number, identifier, refusal);
--- a/crates/hyssopfork-gateway/tests/gateway/holds.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/holds.rs
@@ -111,3 +111,51 @@
     assert!(held < 200, "{held}");
     refused(decisions.last().expect("there are some"));
 }
+
+/// An arrival on a route that the fixture's declaration lacks.
+fn unrouted() -> Arrival {
+    arrival("added")
+}
+
+/// Guards against a 404 for a route whose declaration has been accepted and is on its way here.
+#[test]
+fn a_route_of_a_newer_declaration_is_waited_for() {
+    let mut entry = Entry::blank();
+    entry.see(view::Update { declared: fixture::declaration().version + 1, ..fixture::view() });
+
+    let (number, decision) = entry.arrive(unrouted());
+
+    held_for(&decision);
+    let decision = entry.step(event::Event::Waited(number)).expect("it is decided");
+    assert_eq!(refused(&decision).reason, action::Reason::NotReady);
+    assert!(refused(&decision).retry_after.is_some());
+}
+
+/// Guards against a 404 of an entry that is cut off from every leader and holds an old declaration.
+#[test]
+fn an_entry_without_a_recent_view_denies_no_route() {
+    let mut entry = Entry::blank();
+    entry.see(fixture::view());
+    let (_, decision) = entry.arrive(unrouted());
+    assert_eq!(refused(&decision).reason, action::Reason::NoRoute);
+
+    entry.pass(2_000);
+    let (_, decision) = entry.arrive(unrouted());
+
+    held_for(&decision);
+}
+
+#[test]
+fn a_held_arrival_is_denied_once_the_newest_declaration_lacks_its_route() {
+    let mut entry = Entry::blank();
+    let version = fixture::declaration().version;
+    entry.see(view::Update { declared: version, ..fixture::view() });
+    entry.pass(2_000);
+    entry.arrive(unrouted());
+
+    let update = view::Update { declared: version, ..fixture::view() };
+    let seen = event::Event::Viewed(Box::new(update), None);
+    let decision = entry.step(seen).expect("it is decided");
+
+    assert_eq!(refused(&decision).reason, action::Reason::NoRoute);
+}
