--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -10,6 +10,7 @@
 //!   so neither frees it.
 //! - *An epoch is never used twice.* It begins with the leader's term, of which there is one leader.
 
+mod dispatch;
 mod forming;
 pub mod group;
 pub mod inquiry;
@@ -32,10 +33,6 @@
 use std::net;
 use std::time::Duration;
 
-/// Time after which an order that shows no effect is given again: an answer takes milliseconds, an
-/// engine tells of a change at once, and one call of it may be lost.
-const RESEND: Duration = Duration::from_millis(700);
-
 /// Time that a group whose member leaves on request may take to end what it has. An engine that
 /// leaves stays for its group's work for ten seconds at most.
 const CLOSE_LIMIT: Duration = Duration::from_secs(8);
@@ -69,17 +66,6 @@
     Notice(notice::Notice),
 }
 
-#[derive(Clone, Debug)]
-struct Ticket {
-    group: name::Group,
-    instance: name::Instance,
-    epoch: u64,
-    kind: reports::Kind,
-    stages: bool,
-    /// Whether the order was given under a condition.
-    guarded: bool,
-}
-
 /// All groups, as one leader keeps them.
 #[derive(Clone, Debug)]
 pub struct Groups {
@@ -110,7 +96,7 @@
     peaks: peaks::Peaks,
     /// Loads onto hosts that were ordered and have not shown yet.
     staging: BTreeMap<name::Instance, (name::Model, clock::Instant)>,
-    tickets: BTreeMap<u64, Ticket>,
+    tickets: BTreeMap<u64, dispatch::Ticket>,
     newest: u64,
     commands: Vec<Command>,
 }
@@ -199,83 +185,6 @@
         self.inquiry.saw(now, from, evidence);
     }
 
-    /// Takes what became of an order.
-    pub fn ordered(
-        &mut self,
-        now: clock::Instant,
-        number: u64,
-        outcome: order::Outcome,
-        registry: &mut registry::Registry,
-    ) -> Vec<Command> {
-        let Some(ticket) = self.tickets.remove(&number) else { return Vec::new() };
-        if ticket.stages && outcome != order::Outcome::Accepted {
-            self.staging.remove(&ticket.instance);
-        }
-        let told = notice::Notice::Ordered(ticket.instance.clone(), ticket.group.clone(), outcome);
-        self.note(told);
-        match outcome {
-            order::Outcome::Accepted => {
-                self.reports.took(&ticket.instance, ticket.kind, ticket.epoch);
-            }
-            order::Outcome::Unknown => {
-                if ticket.kind == reports::Kind::Join {
-                    self.reports.unanswered(&ticket.instance, ticket.epoch);
-                }
-                // Given again at once: the order is idempotent under its epoch.
-                if let Some(group) = self.groups.get_mut(&ticket.group) {
-                    group.sent.remove(&ticket.instance);
-                }
-            }
-            order::Outcome::Stranger | order::Outcome::Unreachable => {
-                if registry.bury(&ticket.instance) {
-                    self.note(notice::Notice::Lost(ticket.instance.clone()));
-                }
-            }
-            // It took an order that nobody here knew of, so it may be in another group by now.
-            order::Outcome::Unfit if ticket.guarded => {
-                self.reports.doubt(&ticket.instance);
-                self.refused(&ticket, registry);
-            }
-            order::Outcome::Outdated if ticket.kind != reports::Kind::Leave => {
-                self.refused(&ticket, registry);
-            }
-            order::Outcome::Unfit | order::Outcome::Outdated => {}
-        }
-        if ticket.kind == reports::Kind::Leave && self.has_left(&ticket, outcome, registry) {
-            self.leave(&ticket.group, &ticket.instance, registry);
-        }
-        self.look_again(now, registry)
-    }
-
-    /// Ends a group that an engine refused to join. Refused is also a copy of an order that it has
-    /// taken: then it is in the group, which may be told to open already.
-    fn refused(&mut self, ticket: &Ticket, registry: &registry::Registry) {
-        let joins = self
-            .groups
-            .get(&ticket.group)
-            .is_some_and(|group| matches!(group.stage, Stage::Preparing | Stage::Joining));
-        if joins && !is_in(ticket, registry) {
-            self.end(&ticket.group);
-        }
-    }
-
-    /// Whether an engine is out of its group by what became of the order to leave. An engine that the
-    /// order did not reach may serve clients with its group open: freed, it would join another.
-    fn has_left(
-        &self,
-        ticket: &Ticket,
-        outcome: order::Outcome,
-        registry: &registry::Registry,
-    ) -> bool {
-        match outcome {
-            order::Outcome::Accepted | order::Outcome::Outdated => true,
-            order::Outcome::Unfit => !is_in(ticket, registry),
-            order::Outcome::Stranger | order::Outcome::Unreachable | order::Outcome::Unknown => {
-                false
-            }
-        }
-    }
-
     /// Takes an engine's report.
     pub fn reported(
         &mut self,
@@ -418,61 +327,6 @@
         }
     }
 
-    /// Gives an order, unless it was given just now.
-    fn order(
-        &mut self,
-        now: clock::Instant,
-        name: &name::Group,
-        instance: &name::Instance,
-        task: order::Task,
-        registry: &registry::Registry,
-    ) {
-        let Some(record) = registry.get(instance) else { return };
-        let Some(group) = self.groups.get_mut(name) else { return };
-        if group.sent.get(instance).is_some_and(|sent| now.since(*sent) < RESEND) {
-            return;
-        }
-        group.sent.insert(instance.clone(), now);
-        let (epoch, address) = (group.epoch, record.announcement.address);
-        let joins = matches!(task, order::Task::Join { .. });
-        let expected = self.reports.expected(&record.announcement).filter(|_| joins);
-        self.give(instance, address, (name.clone(), epoch), task, expected);
-    }
-
-    fn give(
-        &mut self,
-        instance: &name::Instance,
-        address: net::SocketAddr,
-        (group, epoch): (name::Group, u64),
-        task: order::Task,
-        expected: Option<u64>,
-    ) {
-        self.newest += 1;
-        let kind = match task {
-            order::Task::Join { .. } => reports::Kind::Join,
-            order::Task::Leave => reports::Kind::Leave,
-            order::Task::Open | order::Task::Close | order::Task::Stage(_) => reports::Kind::Other,
-        };
-        let ticket = Ticket {
-            group: group.clone(),
-            instance: instance.clone(),
-            epoch,
-            kind,
-            stages: matches!(task, order::Task::Stage(_)),
-            guarded: expected.is_some(),
-        };
-        self.tickets.insert(self.newest, ticket);
-        self.commands.push(Command::Order(order::Order {
-            ticket: self.newest,
-            instance: instance.clone(),
-            address,
-            group,
-            epoch,
-            task,
-            expected,
-        }));
-    }
-
     /// Forms a group, or puts an instance in reserve.
     fn form(
         &mut self,
@@ -552,9 +406,3 @@
         self.commands.push(Command::Notice(notice));
     }
 }
-
-/// Whether the engine says that it is in the group of the order.
-fn is_in(ticket: &Ticket, registry: &registry::Registry) -> bool {
-    let told = registry.get(&ticket.instance).map(|record| &record.announcement);
-    told.is_some_and(|told| told.is_in(&ticket.group, ticket.epoch))
-}
