--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -9,33 +9,33 @@
 use std::time::Duration;
 
 /// Time between two looks at the groups when nothing has happened.
-const LOOK: Duration = Duration::from_millis(100);
+const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time without a watch after which a process no longer counts among the entries. They ask again
 /// within [`action::HOLD`].
-const ENTRY_LIMIT: Duration = Duration::from_secs(3);
+const ENTRY_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Followers that know of an upstream's leaving before its call is answered. The leader may be lost
 /// with the answer; whoever follows it learns the news of those who had it.
-const WITNESSES: usize = 2;
+const MIN_WITNESSES: usize = 2;
 
 /// Time after which such a call is not answered with success any more: the caller turns elsewhere
 /// after a second.
-const WITNESS_LIMIT: Duration = Duration::from_millis(700);
+const WITNESS_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Processes that are asked whether they reach an upstream: enough that some are in every zone,
 /// few enough for a fleet of hundreds.
-const PEERS_ASKED: usize = 16;
+const MAX_PEERS_ASKED: usize = 16;
 
 /// Silence of a voter after which its seat is given up, where enough others answer: longer than a
 /// restart.
-const SEAT_LIMIT: Duration = Duration::from_secs(4);
+const SEAT_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Silence up to which a voter counts as answering.
-const SEAT_ANSWERS: Duration = Duration::from_secs(1);
+const MAX_ANSWER_AGE: Duration = Duration::from_secs(1);
 
 /// Time between two looks at the voters.
-const SEAT_LOOK: Duration = Duration::from_millis(500);
+const SEAT_REVIEW_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Followers that are sent parts of a document at once. With the parts that voters are sent, this
 /// bounds how long a heartbeat waits at the leader's link.
@@ -145,9 +145,9 @@
         let (mut done, mut late) = (Vec::new(), Vec::new());
         self.registrations.retain_mut(|held| {
             let revision = *held.revision.get_or_insert(stamp.revision);
-            if known(revision) >= WITNESSES.min(followers) {
+            if known(revision) >= MIN_WITNESSES.min(followers) {
                 done.push(held.call);
-            } else if now.since(held.since) >= WITNESS_LIMIT {
+            } else if now.since(held.since) >= WITNESS_TIMEOUT {
                 late.push(held.call);
             } else {
                 return true;
@@ -159,11 +159,11 @@
 
     /// Processes that can be asked about an upstream.
     fn peers(&self) -> BTreeSet<net::SocketAddr> {
-        self.entries.keys().copied().take(PEERS_ASKED).collect()
+        self.entries.keys().copied().take(MAX_PEERS_ASKED).collect()
     }
 
     fn count_entries(&mut self, now: clock::Instant) -> u32 {
-        self.entries.retain(|_, (seen, _)| now.since(*seen) < ENTRY_LIMIT);
+        self.entries.retain(|_, (seen, _)| now.since(*seen) < ENTRY_TIMEOUT);
         self.entries.len() as u32 + 1
     }
 }
@@ -229,10 +229,9 @@
         }
         let now = self.now;
         let own = std::mem::take(&mut self.evidence);
-        let due = self
-            .leadership
-            .as_ref()
-            .is_some_and(|leadership| leadership.dirty || now.since(leadership.looked) >= LOOK);
+        let due = self.leadership.as_ref().is_some_and(|leadership| {
+            leadership.dirty || now.since(leadership.looked) >= REVIEW_INTERVAL
+        });
         let document = self.state.document.clone().filter(|_| due);
         let declaration = document.and_then(|document| self.declared(&document));
         let Some(leadership) = &mut self.leadership else { return };
@@ -328,7 +327,7 @@
         let now = self.now;
         let (Some(leadership), Some(node)) = (&mut self.leadership, &self.node) else { return };
         let seats = &mut leadership.seats;
-        if seats.looked.is_some_and(|looked| now.since(looked) < SEAT_LOOK) {
+        if seats.looked.is_some_and(|looked| now.since(looked) < SEAT_REVIEW_INTERVAL) {
             return;
         }
         seats.looked = Some(now);
@@ -340,13 +339,13 @@
             seats.vacant.entry(instance).or_insert(now);
         }
         let mut silences = node.silences(now);
-        let answer = |(_, silence): &&(name::Instance, Duration)| *silence < SEAT_ANSWERS;
+        let answer = |(_, silence): &&(name::Instance, Duration)| *silence < MAX_ANSWER_AGE;
         let answering = silences.iter().filter(answer).count() + 1;
         if answering < self.settings.enough_voters() {
             return;
         }
         silences.extend(seats.vacant.iter().map(|(it, since)| (it.clone(), now.since(*since))));
-        let gone = silences.into_iter().find(|(_, silence)| *silence >= SEAT_LIMIT);
+        let gone = silences.into_iter().find(|(_, silence)| *silence >= SEAT_TIMEOUT);
         if let Some((instance, _)) = gone {
             let change = change::Change::Remove(instance.clone());
             self.notice(notice::Notice::SeatRemoved(instance));
--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -193,7 +193,7 @@
         report: &order::Report,
         registry: &mut registry::Registry,
     ) -> Vec<Command> {
-        self.reports.told(instance, report);
+        self.reports.record_report(instance, report);
         registry.report(now, instance, report);
         self.look_again(now, registry)
     }
--- a/crates/hyssopfork-fleet/src/groups/dispatch.rs
+++ b/crates/hyssopfork-fleet/src/groups/dispatch.rs
@@ -40,11 +40,11 @@
         self.note(told);
         match outcome {
             order::Outcome::Accepted => {
-                self.reports.took(&ticket.instance, ticket.kind, ticket.epoch);
+                self.reports.record_order(&ticket.instance, ticket.kind, ticket.epoch);
             }
             order::Outcome::Unknown => {
                 if ticket.kind == reports::Kind::Join {
-                    self.reports.unanswered(&ticket.instance, ticket.epoch);
+                    self.reports.record_unanswered(&ticket.instance, ticket.epoch);
                 }
                 // Given again at once: the order is idempotent under its epoch.
                 if let Some(group) = self.groups.get_mut(&ticket.group) {
@@ -58,7 +58,7 @@
             }
             // It took an order that nobody here knew of, so it may be in another group by now.
             order::Outcome::Unfit if ticket.guarded => {
-                self.reports.doubt(&ticket.instance);
+                self.reports.invalidate(&ticket.instance);
                 self.refused(&ticket, registry);
             }
             order::Outcome::Outdated if ticket.kind != reports::Kind::Leave => {
--- a/crates/hyssopfork-fleet/src/groups/inquiry.rs
+++ b/crates/hyssopfork-fleet/src/groups/inquiry.rs
@@ -14,19 +14,19 @@
 
 /// Unanswered questions of the leader in a row after which only others' word can save an upstream.
 /// One is lost with a packet or two; three in 0.5 s are not, at a loss of one packet in twenty.
-const MISSES: u32 = 3;
+const MAX_MISSED_PROBES: u32 = 3;
 
 /// Age up to which bytes that an entry got show that an upstream lives. A step takes tens of
 /// milliseconds, so that one that serves anybody sends bytes more often than this. Just below the
 /// silence after which entries tell of an upstream: with more, their word would count only later.
-const MOVING: Duration = Duration::from_millis(190);
+const MAX_ACTIVITY_AGE: Duration = Duration::from_millis(190);
 
 /// Time before an upstream that answered is asked again for the same reason. A pause over long
 /// prompts leads to a question now and then; a death in the next moment is known later by this much.
-const AGAIN: Duration = Duration::from_millis(300);
+const REPROBE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Time after which a question that was not settled is asked anew.
-const SETTLED: Duration = Duration::from_millis(1_500);
+const PROBE_EXPIRY: Duration = Duration::from_millis(1_500);
 
 #[derive(Clone, Debug)]
 struct Question {
@@ -101,7 +101,7 @@
         others: &BTreeSet<net::SocketAddr>,
     ) -> bool {
         let due = |question: &Question| {
-            let time = if question.open { SETTLED } else { AGAIN };
+            let time = if question.open { PROBE_EXPIRY } else { REPROBE_INTERVAL };
             now.since(question.asked) >= time
         };
         if self.questions.get(instance).is_some_and(|question| !due(question)) {
@@ -128,10 +128,10 @@
                 question.open = false;
                 return Verdict::Alive;
             }
-            order::Sign::Refused => question.misses = MISSES,
+            order::Sign::Refused => question.misses = MAX_MISSED_PROBES,
             order::Sign::Missing => question.misses += 1,
         }
-        let again = question.misses < MISSES;
+        let again = question.misses < MAX_MISSED_PROBES;
         if !std::mem::replace(&mut question.spread, true) && !question.pending.is_empty() {
             return Verdict::Spread { others: question.pending.clone(), again };
         }
@@ -169,11 +169,11 @@
         if self.is_moving(now, instance) {
             return Verdict::Alive;
         }
-        let settled = question.misses >= MISSES && question.pending.is_empty();
+        let settled = question.misses >= MAX_MISSED_PROBES && question.pending.is_empty();
         if settled { Verdict::Dead } else { Verdict::Wait }
     }
 
     fn is_moving(&self, now: clock::Instant, instance: &name::Instance) -> bool {
-        self.moving.get(instance).is_some_and(|seen| now.since(*seen) < MOVING)
+        self.moving.get(instance).is_some_and(|seen| now.since(*seen) < MAX_ACTIVITY_AGE)
     }
 }
--- a/crates/hyssopfork-fleet/src/groups/lifecycle.rs
+++ b/crates/hyssopfork-fleet/src/groups/lifecycle.rs
@@ -209,7 +209,7 @@
             return;
         }
         self.by_member.remove(instance);
-        self.reports.freed(instance);
+        self.reports.on_freed(instance);
         if group.members.is_empty() {
             self.end(name);
         }
--- a/crates/hyssopfork-fleet/src/groups/planning.rs
+++ b/crates/hyssopfork-fleet/src/groups/planning.rs
@@ -149,7 +149,7 @@
             Some((_, group)) => group.stage == Stage::Prepared,
             None => !told.membership.as_ref().is_some_and(is_bound),
         };
-        is_free && self.reports.frees(told, is_bound)
+        is_free && self.reports.is_joinable(told, is_bound)
     }
 
     /// Ends the reserves that `members` are.
--- a/crates/hyssopfork-fleet/src/groups/reports.rs
+++ b/crates/hyssopfork-fleet/src/groups/reports.rs
@@ -1,21 +1,17 @@
-//! What engines say of themselves when a leader asks them.
+//! Engine state reports, requested by a new leader.
 //!
-//! A leader that has just taken over must not wait for the engines' calls, and must not rest on them
+//! A leader that has just been elected can't wait for the engines' announcements, nor rely on them
 //! alone:
 //!
-//! - *They come late.* An engine calls the leader before, waits a second for an answer and then calls
-//!   another process. Groups that lost a member meanwhile would stand still for a second or two more.
-//! - *They may be old.* A call that was held up may be older than its engine's membership. A leader
-//!   that knows nothing else would take the engine for free and have it join a group while the head
-//!   of its own is open.
+//! - They arrive late: an engine calls the previous leader first and waits a second for an answer.
+//! - They may be stale: one that was delayed may predate its engine's membership, and a join based on
+//!   it could take the engine out of a group whose head is open.
 //!
-//! So it asks each engine as soon as it knows of it. The first order to join names the number of
-//! orders that the engine had taken by its report: an engine that has taken another since refuses
-//! it. Later orders of the same leader need no such guard, since engines refuse older epochs.
-//!
-//! An order to join that got no answer may still be carried out, also after the engine has left that
-//! epoch: engines take the same membership up again. Once such an engine is freed it is asked anew,
-//! and the next order to join names its number of orders.
+//! So each engine is asked for a report. The first order to join carries the number of orders that the
+//! engine had accepted by then; an engine that has accepted another since rejects it. Later joins of the
+//! same leader need no such guard, since engines reject older epochs, with one exception: a join without
+//! an answer may still be carried out after the engine has left that epoch, because engines accept the
+//! same membership again. Such an engine is asked again once it is freed, and its next join is guarded.
 
 use super::order::Report;
 use crate::announcement::{Announcement, Membership};
@@ -24,7 +20,7 @@
 use std::time::Duration;
 
 /// Time before an engine is asked again: a report tells of a moment some hundred milliseconds ago.
-const ASK_AGAIN: Duration = Duration::from_millis(250);
+const REPORT_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Kind of an order, as far as it changes what a report says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,7 +38,7 @@
     /// It was asked and has not answered.
     Asked,
     /// It said this, and took the orders that were added to it since.
-    Told(Report),
+    Reported(Report),
     /// It has taken an order to join of this leader: it refuses those of earlier ones.
     Joined,
 }
@@ -85,10 +81,10 @@
 impl Reports {
     /// Whether the engine may be had join a group as far as its report goes; `is_bound` says whether
     /// a membership binds it.
-    pub fn frees(&self, told: &Announcement, is_bound: impl Fn(&Membership) -> bool) -> bool {
+    pub fn is_joinable(&self, told: &Announcement, is_bound: impl Fn(&Membership) -> bool) -> bool {
         match self.get(told).map(|entry| &entry.knowledge) {
             Some(Knowledge::Joined) => true,
-            Some(Knowledge::Told(report)) => !report.membership.as_ref().is_some_and(is_bound),
+            Some(Knowledge::Reported(report)) => !report.membership.as_ref().is_some_and(is_bound),
             Some(Knowledge::Asked) | None => false,
         }
     }
@@ -98,7 +94,7 @@
     pub fn ask(&mut self, now: clock::Instant, told: &Announcement, waits: bool) -> bool {
         let due = self.get(told).is_none_or(|entry| {
             let unanswered = matches!(entry.knowledge, Knowledge::Asked);
-            (unanswered || waits) && now.since(entry.asked) >= ASK_AGAIN
+            (unanswered || waits) && now.since(entry.asked) >= REPORT_RETRY_INTERVAL
         });
         if due {
             let fresh = || Entry {
@@ -117,24 +113,24 @@
     }
 
     /// Takes an engine's report.
-    pub fn told(&mut self, instance: &name::Instance, report: &Report) {
+    pub fn record_report(&mut self, instance: &name::Instance, report: &Report) {
         let entry = self.known.get_mut(instance);
         if let Some(entry) = entry.filter(|it| !matches!(it.knowledge, Knowledge::Joined)) {
-            entry.knowledge = Knowledge::Told(report.clone());
+            entry.knowledge = Knowledge::Reported(report.clone());
         }
     }
 
     /// Orders that the engine must have taken, no more and no less, to join for the first time.
     pub fn expected(&self, told: &Announcement) -> Option<u64> {
         match &self.get(told)?.knowledge {
-            Knowledge::Told(report) => Some(report.orders),
+            Knowledge::Reported(report) => Some(report.orders),
             Knowledge::Asked | Knowledge::Joined => None,
         }
     }
 
     /// The engine has taken an order of this leader. A new report would count it, but only after
     /// some hundred milliseconds, in which a repair would wait.
-    pub fn took(&mut self, instance: &name::Instance, kind: Kind, epoch: u64) {
+    pub fn record_order(&mut self, instance: &name::Instance, kind: Kind, epoch: u64) {
         let Some(entry) = self.known.get_mut(instance) else { return };
         if kind == Kind::Join {
             entry.unanswered = entry.unanswered.filter(|unanswered| *unanswered >= epoch);
@@ -142,23 +138,23 @@
         match (kind, &mut entry.knowledge) {
             (Kind::Join, knowledge) => *knowledge = Knowledge::Joined,
             // One that is in no group says yes to an order to leave, and doesn't count it.
-            (Kind::Leave, Knowledge::Told(report)) => {
+            (Kind::Leave, Knowledge::Reported(report)) => {
                 report.orders += u64::from(report.membership.take().is_some());
             }
-            (Kind::Other, Knowledge::Told(report)) => report.orders += 1,
+            (Kind::Other, Knowledge::Reported(report)) => report.orders += 1,
             (Kind::Leave | Kind::Other, Knowledge::Asked | Knowledge::Joined) => {}
         }
     }
 
     /// An order to join of `epoch` got no answer.
-    pub fn unanswered(&mut self, instance: &name::Instance, epoch: u64) {
+    pub fn record_unanswered(&mut self, instance: &name::Instance, epoch: u64) {
         if let Some(entry) = self.known.get_mut(instance) {
             entry.unanswered = entry.unanswered.max(Some(epoch));
         }
     }
 
     /// The engine is no member any more.
-    pub fn freed(&mut self, instance: &name::Instance) {
+    pub fn on_freed(&mut self, instance: &name::Instance) {
         let entry = self.known.get_mut(instance);
         if let Some(entry) = entry.filter(|entry| entry.unanswered.is_some()) {
             entry.knowledge = Knowledge::Asked;
@@ -166,7 +162,7 @@
     }
 
     /// The engine has taken an order that nobody here knows of.
-    pub fn doubt(&mut self, instance: &name::Instance) {
+    pub fn invalidate(&mut self, instance: &name::Instance) {
         if let Some(entry) = self.known.get_mut(instance) {
             entry.knowledge = Knowledge::Asked;
         }
--- a/crates/hyssopfork-fleet/src/groups/strangers.rs
+++ b/crates/hyssopfork-fleet/src/groups/strangers.rs
@@ -1,4 +1,4 @@
-//! Groups that a leader knows from their members' words alone, after one that it never followed.
+//! Recovery of groups from member announcements.
 
 use super::Groups;
 use super::group::Stage;
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -101,7 +101,7 @@
             event::Event::Ended(number) => self.ended(number),
             event::Event::Failed(number, fault, load) => self.failed(number, fault, load),
             event::Event::Quiet(number) => self.quiet(number),
-            event::Event::Waited(number) => self.waited(number),
+            event::Event::Waited(number) => self.on_queue_timeout(number),
             event::Event::Expired(number) => self.expired(number),
             event::Event::Gone(number) => self.gone(number),
             event::Event::Stop => self.stop(),
--- a/crates/hyssopfork-gateway/src/core/holds.rs
+++ b/crates/hyssopfork-gateway/src/core/holds.rs
@@ -1,4 +1,4 @@
-//! Requests that are held until somebody is there to serve them.
+//! Queue for requests that have no serving upstream yet.
 
 use super::{Core, serve};
 use crate::{action, arrival, choice, notice};
@@ -7,23 +7,18 @@
 use std::mem;
 use std::time::Duration;
 
-/// Time for which a process that has just started holds requests: it knows the fleet within a second.
-///
-/// *Pattern.* All processes are killed at once. Callers whose streams broke off come back a moment
-/// later, to processes that know no declaration yet, and most come back once only.
-/// *Without it.* They are refused for good while every engine is idle.
-const STARTING: Duration = Duration::from_millis(1_200);
+/// Longest wait at a process that holds no current declaration. After all processes were killed,
+/// clients whose streams broke come back a moment later, and most of them only once.
+const NO_DECLARATION_QUEUE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// Time for which a request is held while nobody of its pool and model serves. A lost group is
-/// replaced within a second, and most callers come back once only.
-const NOBODY: Duration = Duration::from_millis(1_000);
+/// Longest wait while no upstream of the pool and model serves: a lost group is replaced within it.
+const NO_UPSTREAM_QUEUE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Part of a request's time left for which it is held at most.
-const PART_OF_LEFT: u32 = 4;
+/// Part of a request's remaining time that it waits at most.
+const QUEUE_TIMEOUT_DIVISOR: u32 = 4;
 
-/// Requests that are held at once. Beyond that, those who are held fill the upstreams when these are
-/// back, and more would be refused late.
-const MOST: usize = 128;
+/// Most requests in the queue. More would fill the upstreams once these are back, and be rejected late.
+const MAX_QUEUED_REQUESTS: usize = 128;
 
 /// Requests that are held, by number.
 #[derive(Debug, Default)]
@@ -54,11 +49,13 @@
         number: u64,
         arrival: arrival::Arrival,
     ) -> Option<arrival::Arrival> {
-        if self.holds.held.len() >= MOST {
+        if self.holds.held.len() >= MAX_QUEUED_REQUESTS {
             return Some(arrival);
         }
-        let left = arrival.patience.map_or(STARTING, |patience| patience / PART_OF_LEFT);
-        let time = STARTING.min(left);
+        let left = arrival
+            .patience
+            .map_or(NO_DECLARATION_QUEUE_TIMEOUT, |patience| patience / QUEUE_TIMEOUT_DIVISOR);
+        let time = NO_DECLARATION_QUEUE_TIMEOUT.min(left);
         let identifier = arrival.identifier.clone();
         self.hold(number, time, Some(Box::new(arrival)));
         self.note(notice::Notice::Held { identifier, time });
@@ -69,10 +66,10 @@
     pub(super) fn hold_request(&mut self, number: u64) -> bool {
         let now = self.now;
         let Some(request) = self.requests.get_mut(&number) else { return false };
-        if request.held || request.forwarded || self.holds.held.len() >= MOST {
+        if request.held || request.forwarded || self.holds.held.len() >= MAX_QUEUED_REQUESTS {
             return false;
         }
-        let time = NOBODY.min(now.until(request.limit) / PART_OF_LEFT);
+        let time = NO_UPSTREAM_QUEUE_TIMEOUT.min(now.until(request.limit) / QUEUE_TIMEOUT_DIVISOR);
         let identifier = request.identifier.clone();
         request.held = true;
         self.hold(number, time, None);
@@ -95,15 +92,15 @@
                 Some(arrival) if self.table.is_some() => {
                     self.arrived(number, spent(*arrival, self.now.since(hold.since)));
                 }
-                None if self.is_served(number) => self.start(number, false),
+                None if self.has_upstream(number) => self.start(number, false),
                 arrival => drop(self.holds.held.insert(number, Hold { arrival, ..hold })),
             }
         }
         self.holds.trying = None;
     }
 
-    /// The time for which the request is held is over.
-    pub(super) fn waited(&mut self, number: u64) {
+    /// Rejects a request whose wait has ended.
+    pub(super) fn on_queue_timeout(&mut self, number: u64) {
         let Some(hold) = self.holds.held.remove(&number) else { return };
         match hold.arrival {
             Some(arrival) => self.refuse_unready(number, arrival.identifier),
@@ -111,7 +108,7 @@
         }
     }
 
-    fn is_served(&self, number: u64) -> bool {
+    fn has_upstream(&self, number: u64) -> bool {
         let Some(request) = self.requests.get(&number) else { return true };
         let bounds = self.bounds(&request.pool);
         let chosen = choice::choose(self.now, &self.targets, self.want(request, false), bounds);
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -38,10 +38,10 @@
                 }
                 return;
             }
-            Err(stray) => {
-                let reason = match stray {
-                    table::Stray::NoRoute => action::Reason::NoRoute,
-                    table::Stray::NoKey => action::Reason::NoKey,
+            Err(error) => {
+                let reason = match error {
+                    table::Error::RouteNotFound => action::Reason::NoRoute,
+                    table::Error::KeyNotFound => action::Reason::NoKey,
                 };
                 return self.turn_away(
                     number,
--- a/crates/hyssopfork-gateway/src/table.rs
+++ b/crates/hyssopfork-gateway/src/table.rs
@@ -18,11 +18,11 @@
 
 /// Why a request has no place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stray {
+pub enum Error {
     /// No route covers its host and path.
-    NoRoute,
+    RouteNotFound,
     /// Its route needs a key, and it shows none that is known.
-    NoKey,
+    KeyNotFound,
 }
 
 /// Where a request belongs.
@@ -55,12 +55,13 @@
     }
 
     /// Finds where a request belongs.
-    pub fn find(&self, arrival: &arrival::Arrival) -> Result<Place<'_>, Stray> {
-        let route = self.route(&arrival.host, &arrival.path).ok_or(Stray::NoRoute)?;
+    pub fn find(&self, arrival: &arrival::Arrival) -> Result<Place<'_>, Error> {
+        let route = self.route(&arrival.host, &arrival.path).ok_or(Error::RouteNotFound)?;
         if route.anonymous || self.declaration.teams.is_empty() {
             return Ok(Place { route, team: None });
         }
-        let place = arrival.key.as_ref().and_then(|key| self.keys.get(key)).ok_or(Stray::NoKey)?;
+        let place =
+            arrival.key.as_ref().and_then(|key| self.keys.get(key)).ok_or(Error::KeyNotFound)?;
         Ok(Place { route, team: Some(&self.declaration.teams[*place]) })
     }
 
--- a/crates/hyssopfork-gateway/tests/gateway/holds.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/holds.rs
@@ -1,4 +1,4 @@
-//! Callers who come when nobody is there to serve them.
+//! Requests that arrive while no upstream is available.
 
 use crate::fixture::{self, Entry, arrival, refused, started};
 use hyssopfork_fleet::view;
--- a/crates/hyssopfork-gateway/tests/gateway/table.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/table.rs
@@ -1,7 +1,7 @@
 //! Where requests belong.
 
 use crate::fixture::{self, arrival};
-use hyssopfork_gateway::table::{self, Stray, Table};
+use hyssopfork_gateway::table::{self, Error, Table};
 use hyssopfork_wire::name;
 use std::sync::Arc;
 
@@ -14,7 +14,7 @@
     Table::new(Arc::new(declaration))
 }
 
-fn route_of(path: &str) -> Result<String, Stray> {
+fn route_of(path: &str) -> Result<String, Error> {
     let arrival =
         hyssopfork_gateway::arrival::Arrival { path: path.to_owned(), ..arrival("status") };
     table().find(&arrival).map(|place| place.route.name.to_string())
@@ -24,8 +24,8 @@
 fn the_longest_prefix_wins() {
     assert_eq!(route_of("/status/inner/x"), Ok("inner".to_owned()));
     assert_eq!(route_of("/status/inner"), Ok("status".to_owned()));
-    assert_eq!(route_of("/status"), Err(Stray::NoRoute));
-    assert_eq!(route_of("/statuses/x"), Err(Stray::NoRoute));
+    assert_eq!(route_of("/status"), Err(Error::RouteNotFound));
+    assert_eq!(route_of("/statuses/x"), Err(Error::RouteNotFound));
 }
 
 #[test]
@@ -35,7 +35,7 @@
     assert!(table().find(&other).is_ok());
     other.host = "another".to_owned();
 
-    assert_eq!(table().find(&other).err(), Some(Stray::NoRoute));
+    assert_eq!(table().find(&other).err(), Some(Error::RouteNotFound));
 }
 
 #[test]
@@ -45,7 +45,7 @@
     assert!(table().find(&stranger).is_ok_and(|place| place.team.is_none()));
     stranger.path = "/status/x".to_owned();
 
-    assert_eq!(table().find(&stranger).err(), Some(Stray::NoKey));
+    assert_eq!(table().find(&stranger).err(), Some(Error::KeyNotFound));
 }
 
 #[test]
