--- a/crates/hyssopfork-daemon/tests/edge/support.rs
+++ b/crates/hyssopfork-daemon/tests/edge/support.rs
@@ -23,7 +23,8 @@
 /// Ports between those where two test programs begin to look, so that they choose different ones.
 const BLOCK: u32 = 128;
 
-fn free_port() -> u16 {
+/// A port that no other process of the tests is given.
+pub fn free_port() -> u16 {
     static CHOSEN: AtomicU16 = AtomicU16::new(0);
     let begin = (std::process::id().wrapping_mul(BLOCK) % u32::from(PORTS)) as u16;
     let next = || FIRST_PORT + (begin + CHOSEN.fetch_add(1, Ordering::Relaxed)) % PORTS;
@@ -123,8 +124,13 @@
 
 /// Sends a request on a connection of its own; `None` when nobody answers whole.
 pub fn call(to: SocketAddr, request: &str) -> Option<Answer> {
-    let mut stream = TcpStream::connect(to).ok()?;
-    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    call_within(to, request, PATIENCE)
+}
+
+/// Sends a request on a connection of its own; `None` when nobody answers whole within `time`.
+pub fn call_within(to: SocketAddr, request: &str, time: Duration) -> Option<Answer> {
+    let mut stream = TcpStream::connect_timeout(&to, time).ok()?;
+    stream.set_read_timeout(Some(time)).ok()?;
     stream.write_all(request.as_bytes()).ok()?;
     receive(&mut BufReader::new(stream))
 }
