fleet: move groups on in the review alone, not after each answer

Each answer of an engine moved all groups on, and the review that follows in the same step did so again. With hundreds of engines the first of the two took what the review left of the processor.

--- a/crates/hyssopfork-fleet/src/core/calls.rs
+++ b/crates/hyssopfork-fleet/src/core/calls.rs
@@ -195,10 +195,9 @@
     }
 
     pub(super) fn ordered(&mut self, ticket: u64, outcome: crate::groups::order::Outcome) {
-        let now = self.now;
         let Some(leadership) = &mut self.leadership else { return };
         leadership.dirty = true;
-        let commands = leadership.groups.ordered(now, ticket, outcome, &mut leadership.registry);
+        let commands = leadership.groups.ordered(ticket, outcome, &mut leadership.registry);
         self.command(commands);
     }
 
--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -195,7 +195,7 @@
     ) -> Vec<Command> {
         self.reports.record_report(instance, report);
         registry.report(now, instance, report);
-        self.look_again(now, registry)
+        self.take_commands()
     }
 
     /// Takes what came of asking an upstream for a sign of life.
@@ -207,7 +207,7 @@
         registry: &mut registry::Registry,
     ) -> Vec<Command> {
         let verdict = self.inquiry.answered(now, instance, sign);
-        self.judge(now, instance, verdict, registry)
+        self.judge(instance, verdict, registry)
     }
 
     /// Takes what came of a peer's asking an upstream for a sign of life.
@@ -220,12 +220,11 @@
         registry: &mut registry::Registry,
     ) -> Vec<Command> {
         let verdict = self.inquiry.vouched(now, from, instance, alive);
-        self.judge(now, instance, verdict, registry)
+        self.judge(instance, verdict, registry)
     }
 
     fn judge(
         &mut self,
-        now: clock::Instant,
         instance: &name::Instance,
         verdict: inquiry::Verdict,
         registry: &mut registry::Registry,
@@ -243,7 +242,7 @@
                 }
             }
         }
-        self.look_again(now, registry)
+        self.take_commands()
     }
 
     /// Asks an upstream for a sign of life, and has `others` ask it.
@@ -276,9 +275,9 @@
         self.by_member.len() == members && self.by_member.iter().all(is_member)
     }
 
-    fn look_again(&mut self, now: clock::Instant, registry: &registry::Registry) -> Vec<Command> {
+    /// What is to be done at once. The groups move on with the next review.
+    fn take_commands(&mut self) -> Vec<Command> {
         debug_assert!(self.is_indexed(), "each member is in one group");
-        self.advance(now, registry);
         std::mem::take(&mut self.commands)
     }
 
--- a/crates/hyssopfork-fleet/src/groups/dispatch.rs
+++ b/crates/hyssopfork-fleet/src/groups/dispatch.rs
@@ -27,7 +27,6 @@
     /// Takes what became of an order.
     pub fn ordered(
         &mut self,
-        now: clock::Instant,
         number: u64,
         outcome: order::Outcome,
         registry: &mut registry::Registry,
@@ -69,7 +68,7 @@
         if ticket.kind == reports::Kind::Leave && self.has_left(&ticket, outcome, registry) {
             self.leave(&ticket.group, &ticket.instance, registry);
         }
-        self.look_again(now, registry)
+        self.take_commands()
     }
 
     /// Ends a group that an engine refused to join. Refused is also a copy of an order that it has
