--- a/crates/hyssopfork-fleet/tests/fleet/histories.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/histories.rs
@@ -120,7 +120,7 @@
     }
     let (percent, most) = (30 + random.below(50), 1_000 + random.below(8_000));
     let random = random::Random(random.below(1 << 30));
-    world.order_faults = Some(world::OrderFaults { random, percent, most });
+    world.order_faults = Some(world::engines::OrderFaults { random, percent, most });
 }
 
 fn order_history(seed: u64) {
