--- a/crates/hyssopfork-daemon/tests/edge/soak.rs
+++ b/crates/hyssopfork-daemon/tests/edge/soak.rs
@@ -1,8 +1,8 @@
 //! Declarations of thousands of routes while processes are killed, paused and stopped in series.
 //!
-//! Checked while it runs: nobody reads an older declaration back than one acknowledged two seconds
-//! before, and a route that every declaration has is never denied. Checked in each calm: every process
-//! serves the newest acknowledged route.
+//! Invariants during faults: no read returns an older declaration than one acknowledged two seconds
+//! before it, and a route that every declaration has is never denied. After each series of faults: every
+//! process serves the newest acknowledged route.
 
 use crate::{fleet, support};
 use rustix::process::Signal;
--- a/crates/hyssopfork-daemon/tests/edge/support.rs
+++ b/crates/hyssopfork-daemon/tests/edge/support.rs
@@ -127,7 +127,7 @@
     call_within(to, request, PATIENCE)
 }
 
-/// Sends a request on a connection of its own; `None` when nobody answers whole within `time`.
+/// Sends a request on a connection of its own; `None` without a complete answer within `time`.
 pub fn call_within(to: SocketAddr, request: &str, time: Duration) -> Option<Answer> {
     let mut stream = TcpStream::connect_timeout(&to, time).ok()?;
     stream.set_read_timeout(Some(time)).ok()?;
--- a/crates/hyssopfork-fleet/src/groups/dispatch.rs
+++ b/crates/hyssopfork-fleet/src/groups/dispatch.rs
@@ -55,7 +55,7 @@
                     self.note(notice::Notice::Lost(ticket.instance.clone()));
                 }
             }
-            // It took an order that nobody here knew of, so it may be in another group by now.
+            // It has accepted an order unknown to this leader and may be in another group.
             order::Outcome::Unfit if ticket.guarded => {
                 self.reports.invalidate(&ticket.instance);
                 self.refused(&ticket, registry);
--- a/crates/hyssopfork-fleet/src/groups/reports.rs
+++ b/crates/hyssopfork-fleet/src/groups/reports.rs
@@ -161,7 +161,7 @@
         }
     }
 
-    /// The engine has taken an order that nobody here knows of.
+    /// Drops what is known of the engine, which has accepted an unknown order.
     pub fn invalidate(&mut self, instance: &name::Instance) {
         if let Some(entry) = self.known.get_mut(instance) {
             entry.knowledge = Knowledge::Asked;
--- a/crates/hyssopfork-gateway/src/choice.rs
+++ b/crates/hyssopfork-gateway/src/choice.rs
@@ -19,16 +19,15 @@
 
 /// Part of its slots beyond its limit that an upstream takes of requests that were accepted before
 /// and lost their upstream: to refuse them would break off what their callers have.
-const AGAIN: f64 = 0.5;
+const RETRY_OVERSHOOT: f64 = 0.5;
 
-/// Part of its limit that an upstream keeps from requests that are late already. Every refused caller
-/// comes back; were they served like all others, those who could be served in time would be refused
-/// in their place, and come back late in turn.
-const KEPT_FOR_IN_TIME: f64 = 0.25;
+/// Part of its limit that an upstream reserves for requests that can still be answered on time.
+/// Otherwise retries of rejected requests, which are late already, displace these.
+const RESERVED_FOR_ON_TIME: f64 = 0.25;
 
 /// Part of its slots by which an upstream of another zone must be emptier to go first: traffic
 /// between zones costs, but less than a late answer.
-const ZONE_WORTH: f64 = 0.06;
+const ZONE_PREFERENCE: f64 = 0.06;
 
 /// Time for which an upstream that the leader doesn't hear counts as good after it has answered.
 const VOUCHED: Duration = Duration::from_secs(2);
@@ -135,8 +134,8 @@
     };
     let room = match want.standing {
         Standing::InTime => 0.0,
-        Standing::Late => -target.limit.get() * KEPT_FOR_IN_TIME,
-        Standing::Again => target.load.slots() * AGAIN,
+        Standing::Late => -target.limit.get() * RESERVED_FOR_ON_TIME,
+        Standing::Again => target.load.slots() * RETRY_OVERSHOOT,
     };
     let over = target.load.estimate(now, bounds.part) + 1.0 - target.limit.get() - room;
     if over > 0.0 {
@@ -166,5 +165,5 @@
 
 fn score(now: clock::Instant, target: &target::Target, zone: &name::Zone, part: load::Part) -> f64 {
     let taken = target.load.estimate(now, part) / target.limit.get();
-    if target.zone == *zone { taken } else { taken + ZONE_WORTH }
+    if target.zone == *zone { taken } else { taken + ZONE_PREFERENCE }
 }
--- a/crates/hyssopfork-gateway/src/core/holds.rs
+++ b/crates/hyssopfork-gateway/src/core/holds.rs
@@ -62,7 +62,7 @@
         None
     }
 
-    /// Holds a request that nobody serves now, once; whether it is held.
+    /// Queues a request without a serving upstream, once; whether it is queued.
     pub(super) fn hold_request(&mut self, number: u64) -> bool {
         let now = self.now;
         let Some(request) = self.requests.get_mut(&number) else { return false };
@@ -104,7 +104,7 @@
         let Some(hold) = self.holds.held.remove(&number) else { return };
         match hold.arrival {
             Some(arrival) => self.refuse_unready(number, arrival.identifier),
-            None => self.end(number, action::Reason::NoUpstream, serve::NOBODY_RETRY),
+            None => self.end(number, action::Reason::NoUpstream, serve::NO_UPSTREAM_RETRY_AFTER),
         }
     }
 
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -7,18 +7,18 @@
 
 /// Attempts of one request, those counted that surely have not run: more would only find the same
 /// upstreams full again.
-const TRIES: u32 = 4;
+const MAX_TRIES: u32 = 4;
 
 /// Time that must be left for another attempt to be worth its place.
-pub(super) const LEAST_LEFT: Duration = Duration::from_millis(60);
+pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(60);
 
 /// When to come back where no upstream is there. A lost group serves again 1 s after its member's
 /// death when the reserve has the weights at hand, 2 s when it takes them from a host; most callers
 /// come back once only, and after 0.7 s found nobody again.
-pub(super) const NOBODY_RETRY: Duration = Duration::from_millis(1_200);
+pub(super) const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(1_200);
 
 /// When to come back to a process that has just started.
-const NOT_READY_RETRY: Duration = Duration::from_millis(300);
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 impl Core {
     pub(super) fn arrived(&mut self, number: u64, arrival: arrival::Arrival) {
@@ -51,7 +51,8 @@
             }
         };
         let Some(pool) = table::split(place.route, draw).cloned() else {
-            let refusal = action::Refusal::new(action::Reason::NoUpstream, Some(NOBODY_RETRY));
+            let refusal =
+                action::Refusal::new(action::Reason::NoUpstream, Some(NO_UPSTREAM_RETRY_AFTER));
             return self.turn_away(number, arrival.identifier, refusal);
         };
         let model = arrival.model.clone().filter(|_| table.engine(&pool).is_some());
@@ -74,7 +75,7 @@
             }
             choice::Choice::Nobody => {
                 if !self.hold_request(number) {
-                    self.end(number, action::Reason::NoUpstream, NOBODY_RETRY);
+                    self.end(number, action::Reason::NoUpstream, NO_UPSTREAM_RETRY_AFTER);
                 }
             }
         }
@@ -82,7 +83,7 @@
 
     /// Refuses an arrival that no declaration is known for, or an outdated one.
     pub(super) fn refuse_unready(&mut self, number: u64, identifier: String) {
-        let refusal = action::Refusal::new(action::Reason::NotReady, Some(NOT_READY_RETRY));
+        let refusal = action::Refusal::new(action::Reason::NotReady, Some(NOT_READY_RETRY_AFTER));
         self.turn_away(number, identifier, refusal);
     }
 
@@ -274,8 +275,8 @@
         let now = self.now;
         let bound = self.bound();
         let Some(request) = self.requests.get(&number) else { return false };
-        let left = now.until(request.limit) >= LEAST_LEFT;
-        if !left || request.runs >= request.attempts || request.tries >= TRIES {
+        let left = now.until(request.limit) >= MIN_TIME_LEFT;
+        if !left || request.runs >= request.attempts || request.tries >= MAX_TRIES {
             return false;
         }
         let pool = request.pool.clone();
--- a/crates/hyssopfork-gateway/src/core/silence.rs
+++ b/crates/hyssopfork-gateway/src/core/silence.rs
@@ -27,7 +27,7 @@
         let all_silent = target
             .map_or(silence, |target| now.since(target.moved.max(attempt.started)).min(silence));
         if !request.repetition.may_repeat() {
-            let left = now.until(request.limit).max(serve::LEAST_LEFT);
+            let left = now.until(request.limit).max(serve::MIN_TIME_LEFT);
             return self.decide(number, action::Decision::Wait(left));
         }
         let (stall, own) = limits(request, attempt);
@@ -40,7 +40,7 @@
                 self.suspect(&instance);
             }
             let wait = (stall - all_silent.min(stall)).min(own - silence).min(target::LOOK);
-            let wait = wait.max(serve::LEAST_LEFT);
+            let wait = wait.max(serve::MIN_TIME_LEFT);
             return self.decide(number, action::Decision::Wait(wait));
         }
         let instance = attempt.instance.clone();
