--- a/crates/hyssopfork-gateway/src/choice.rs
+++ b/crates/hyssopfork-gateway/src/choice.rs
@@ -53,7 +53,7 @@
 pub enum Standing {
     /// Its answer can still begin in time.
     InTime,
-    /// Its answer will be late: its caller was refused before and has come back.
+    /// Its answer will be late: it is a retry of a rejected request.
     Late,
     /// It was accepted before and goes on elsewhere.
     Again,
--- a/crates/hyssopfork-gateway/src/core/holds.rs
+++ b/crates/hyssopfork-gateway/src/core/holds.rs
@@ -7,8 +7,8 @@
 use std::mem;
 use std::time::Duration;
 
-/// Longest wait at a process that holds no current declaration. After all processes were killed,
-/// clients whose streams broke come back a moment later, and most of them only once.
+/// Longest wait at a process that holds no current declaration. Clients whose streams broke retry
+/// shortly after all processes were killed, and most of them only once.
 const NO_DECLARATION_QUEUE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Longest wait while no upstream of the pool and model serves: a lost group is replaced within it.
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -347,7 +347,7 @@
 ) -> request::Request {
     let route = place.route;
     let time = arrival.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
-    // A caller that comes back waits as long as is left of its time, and counts from its first try.
+    // A retry waits for its remaining time, which counts from the first attempt.
     let before = route.timeout - time;
     request::Request {
         identifier: arrival.identifier,
--- a/crates/hyssopfork-gateway/src/notice.rs
+++ b/crates/hyssopfork-gateway/src/notice.rs
@@ -45,7 +45,7 @@
         /// Age of its last report.
         report_age: Option<Duration>,
     },
-    /// A request is held until somebody is there to serve it.
+    /// A request is queued until an upstream is available.
     Held {
         /// The caller's identifier.
         identifier: String,
--- a/crates/hyssopfork-gateway/src/request.rs
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -43,7 +43,7 @@
     pub arrived: clock::Instant,
     /// When its answer must have begun to be in time.
     pub due: clock::Instant,
-    /// Whether it was held once because nobody served it.
+    /// Whether it was queued once for lack of an upstream.
     pub held: bool,
     /// When its time is over.
     pub limit: clock::Instant,
--- a/crates/hyssopfork-gateway/tests/gateway/holds.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/holds.rs
@@ -15,7 +15,7 @@
     event::Event::Viewed(Box::new(fixture::view()), Some(Arc::new(fixture::declaration())))
 }
 
-/// A caller that was refused two seconds ago and has come back.
+/// A retry with two seconds left.
 fn returning() -> Arrival {
     Arrival { patience: Some(Duration::from_secs(2)), ..arrival("stream") }
 }
@@ -27,9 +27,7 @@
     }
 }
 
-/// All processes were killed at once. A caller whose stream broke off comes back for the only time,
-/// to a process that started a moment ago. It is served when the process hears of the fleet half a
-/// second later, and the upstream is told what is left of the caller's time by then.
+/// Guards against rejecting retries at a process that knows the fleet half a second later.
 #[test]
 fn callers_of_a_process_that_starts_are_served_once_it_knows_the_fleet() {
     let mut entry = Entry::blank();
@@ -43,8 +41,7 @@
     assert_eq!(left, Duration::from_millis(1_500));
 }
 
-/// The only group of a model lost a member. Callers are held for the second that a repair takes, and
-/// served late; refused, they would come back once, and who had come back before would not.
+/// Guards against rejecting requests during the second that the repair of a group takes.
 #[test]
 fn callers_are_held_until_a_group_serves() {
     let mut entry = Entry::blank();
@@ -58,9 +55,7 @@
     started(&decision);
 }
 
-/// A process that has just started hears of the declaration and, a moment later, of its groups. The
-/// caller's conversation waits for one decision; told in between to wait on, it missed the second one,
-/// and the caller got a failure for work that nobody had.
+/// Guards against a second decision to wait, which makes the first decision to send go unheard.
 #[test]
 fn a_caller_that_is_held_gets_one_decision() {
     let mut entry = Entry::blank();
@@ -74,7 +69,7 @@
     started(&decision);
 }
 
-/// Nobody came to serve it: it is refused, truly not run, and told when to come back.
+/// Guards against a rejection that claims the request may have run or names no time to retry.
 #[test]
 fn a_caller_for_whom_nobody_came_is_refused() {
     let mut entry = Entry::blank();
@@ -88,7 +83,7 @@
     assert!(refusal.retry_after.is_some());
 }
 
-/// A caller that goes away while it is held is not served: nothing would be left to answer.
+/// Guards against work for a client that has disconnected.
 #[test]
 fn a_caller_that_left_is_not_started() {
     let mut entry = Entry::blank();
@@ -100,7 +95,7 @@
     assert_eq!(entry.core.open(), 0);
 }
 
-/// Nobody serves for long. However many come, only so many are held; the others are told at once.
+/// Guards against a queue without bound.
 #[test]
 fn the_number_of_held_callers_is_bounded() {
     let mut entry = Entry::blank();
