fleet: count groups once for each plan, and publish only changed upstreams

Cause: a review of the leader compared each free engine with each group, formed its list of free engines anew for each group that it formed, and cloned every announcement twice to publish it. Its cost grew with the square of the engines; leaders of 380 lost their lease while these announced themselves.

Change: a tally of groups is made once for a plan and kept up while groups are formed; layouts are made anew only where engines or models have changed; the registry keeps what it published and makes anew what has changed.

--- a/crates/hyssopfork-fleet/src/announcement.rs
+++ b/crates/hyssopfork-fleet/src/announcement.rs
@@ -71,8 +71,33 @@
 impl Announcement {
     /// Whether `other` says the same but for its number and the time that has passed.
     pub fn says_the_same(&self, other: &Announcement) -> bool {
-        let like = Announcement { sequence: other.sequence, cold: other.cold, ..self.clone() };
-        like == *other && self.cold.is_zero() == other.cold.is_zero()
+        let Announcement {
+            instance,
+            pool,
+            address,
+            zone,
+            domain,
+            slots,
+            draining,
+            cold,
+            born,
+            sequence: _,
+            loaded,
+            staged,
+            membership,
+        } = self;
+        *born == other.born
+            && *instance == other.instance
+            && *membership == other.membership
+            && *draining == other.draining
+            && cold.is_zero() == other.cold.is_zero()
+            && *loaded == other.loaded
+            && *staged == other.staged
+            && *address == other.address
+            && *slots == other.slots
+            && *pool == other.pool
+            && *zone == other.zone
+            && *domain == other.domain
     }
 
     /// Whether it is in this epoch of the group.
--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -24,6 +24,7 @@
 pub mod reports;
 mod reserves;
 mod strangers;
+mod tally;
 
 use crate::announcement::{self, Membership, State};
 use crate::{declaration, notice, peer, registry, view};
@@ -94,6 +95,7 @@
     reports: reports::Reports,
     pace: loads::Pace,
     peaks: peaks::Peaks,
+    layouts: plan::Layouts,
     /// Loads onto hosts that were ordered and have not shown yet.
     staging: BTreeMap<name::Instance, (name::Model, clock::Instant)>,
     tickets: BTreeMap<u64, dispatch::Ticket>,
@@ -119,6 +121,7 @@
             reports: reports::Reports::default(),
             pace: loads::Pace::new(now),
             peaks: peaks::Peaks::default(),
+            layouts: plan::Layouts::default(),
             staging: BTreeMap::new(),
             tickets: BTreeMap::new(),
             newest: 0,
--- a/crates/hyssopfork-fleet/src/groups/forming.rs
+++ b/crates/hyssopfork-fleet/src/groups/forming.rs
@@ -5,12 +5,6 @@
 use super::{Groups, plan};
 use hyssopfork_wire::name;
 use std::collections::BTreeMap;
-use std::time::Duration;
-
-/// Longest wait for the members of a group that leaves, before an engine is taken in their place
-/// that has the model only on its host. That engine needs more than a second to take the weights
-/// up; the members, once they have left, need 0.2 s, and they leave within two trips of a message.
-const OWN_MEMBERS: Duration = Duration::from_millis(300);
 
 /// Engines for one group in each domain.
 type Ready = BTreeMap<name::Domain, Vec<(Readiness, name::Instance)>>;
@@ -29,26 +23,28 @@
 impl Groups {
     /// Part of the groups that it can have that the model has, were there `more` of it.
     pub(super) fn filled(&self, scene: &Scene<'_>, model: &plan::Model, more: i64) -> f64 {
-        let groups = self.count(scene, &model.name) as i64 + more;
+        let groups = scene.tally.serving(&model.name) as i64 + more;
         groups as f64 / scene.attainable(model).max(1) as f64
     }
 
     /// Forms groups of engines that have the weights at hand, each next one for the model that is
     /// then farthest behind and can have one.
-    pub(super) fn form_groups(&mut self, scene: &Scene<'_>) {
+    pub(super) fn form_groups(&mut self, scene: &mut Scene<'_>) {
         if !self.traffic && self.peaks.grows(scene.now, scene.pool) {
             return;
         }
-        while self.form_next(scene) {}
+        let mut candidates = self.candidates(scene);
+        while self.form_next(scene, &mut candidates) {}
     }
 
     /// Forms one group, if one can be formed now.
-    fn form_next(&mut self, scene: &Scene<'_>) -> bool {
-        for model in self.behind(scene) {
+    fn form_next(&mut self, scene: &mut Scene<'_>, candidates: &mut Vec<Candidate>) -> bool {
+        let behind: Vec<plan::Model> = self.behind(scene).into_iter().cloned().collect();
+        for model in &behind {
             if self.leaves_engines(scene, model) {
                 continue;
             }
-            match self.form_one(scene, model) {
+            match self.form_one(scene, model, candidates) {
                 Forming::Formed => return true,
                 // Another model would take the reserve that completes this one's group.
                 Forming::Waits => return false,
@@ -81,7 +77,7 @@
 
     /// Whether the model has fewer groups than it can have now.
     pub(super) fn lacks(&self, scene: &Scene<'_>, model: &plan::Model) -> bool {
-        self.count(scene, &model.name) < scene.attainable(model)
+        scene.tally.serving(&model.name) < scene.attainable(model)
     }
 
     /// Models that lack groups, the one farthest behind its plan first.
@@ -95,18 +91,23 @@
     }
 
     fn is_behind(&self, scene: &Scene<'_>, model: &plan::Model) -> bool {
-        self.count(scene, &model.name) < scene.total(model)
+        scene.tally.serving(&model.name) < scene.total(model)
     }
 
     /// Forms a group of the model, where the plan has it if that can be. Elsewhere it takes the place
     /// of the reserve, so only while callers need it or a zone is out: with the reserve of a domain
     /// spent, the next loss there stopped a group for 5 s to 10 s instead of 1.5 s. For the same
     /// reason the members that a lost group of the domain is about to free are waited for.
-    fn form_one(&mut self, scene: &Scene<'_>, model: &plan::Model) -> Forming {
-        let mut domains = self.ready_engines(scene, model);
-        let beyond = |domain: &name::Domain| {
-            self.count_in(scene, model, domain) >= scene.planned(model, domain)
-        };
+    fn form_one(
+        &mut self,
+        scene: &mut Scene<'_>,
+        model: &plan::Model,
+        candidates: &mut Vec<Candidate>,
+    ) -> Forming {
+        let mut domains = self.ready_engines(scene, model, candidates);
+        let placed =
+            |domain: &name::Domain| scene.tally.placed(&(domain.clone(), model.name.clone()));
+        let beyond = |domain: &name::Domain| placed(domain) >= scene.planned(model, domain);
         if !self.traffic && scene.out.is_empty() {
             domains.retain(|domain, _| !beyond(domain));
         }
@@ -115,33 +116,41 @@
         };
         let frees = |domain: &name::Domain| {
             let at_hand = domains.get(domain).is_some_and(|ready| !slow(ready));
-            !at_hand && !beyond(domain) && self.frees_members(scene, model, domain)
+            let frees = scene.tally.frees_members(&(domain.clone(), model.name.clone()));
+            frees && !at_hand && !beyond(domain)
         };
         if scene.peaks.keys().any(frees) {
             return Forming::Waits;
         }
         let best = domains.into_iter().min_by_key(|(domain, ready)| {
             let slowest = ready.last().map(|(readiness, _)| *readiness);
-            (beyond(domain), self.count_in(scene, model, domain), slowest)
+            (beyond(domain), placed(domain), slowest)
         });
         let Some((domain, ready)) = best else { return Forming::Impossible };
         let members: Vec<name::Instance> =
             ready.into_iter().map(|(_, instance)| instance).collect();
+        candidates.retain(|candidate| !members.contains(&candidate.instance));
         self.take_reserves(&members);
         self.form(scene.now, scene.pool, &domain, &model.name, members, Stage::Joining);
+        scene.tally.add((domain, model.name.clone()));
         Forming::Formed
     }
 
     /// Engines for one group of the model in each domain that has enough at hand, the readiest first.
-    fn ready_engines(&self, scene: &Scene<'_>, model: &plan::Model) -> Ready {
+    fn ready_engines(
+        &self,
+        scene: &Scene<'_>,
+        model: &plan::Model,
+        candidates: &[Candidate],
+    ) -> Ready {
         let mut domains = Ready::new();
-        for candidate in self.candidates(scene) {
-            if self.is_kept(scene, model, &candidate) {
+        for candidate in candidates {
+            if self.is_kept(scene, model, candidate) {
                 continue;
             }
             if let Some(readiness) = candidate.readiness(&model.name) {
-                let ready = domains.entry(candidate.domain).or_default();
-                ready.push((readiness, candidate.instance));
+                let ready = domains.entry(candidate.domain.clone()).or_default();
+                ready.push((readiness, candidate.instance.clone()));
             }
         }
         domains.retain(|_, ready| ready.len() >= model.size);
@@ -151,36 +160,4 @@
         }
         domains
     }
-
-    /// Whether members of the model are about to be free in the domain.
-    fn frees_members(&self, scene: &Scene<'_>, model: &plan::Model, domain: &name::Domain) -> bool {
-        self.groups.values().any(|group| {
-            group.pool == *scene.pool
-                && group.domain == *domain
-                && group.model == model.name
-                && group.stage == Stage::Leaving
-                && scene.now.since(group.since) < OWN_MEMBERS
-        })
-    }
-
-    fn count_in(&self, scene: &Scene<'_>, model: &plan::Model, domain: &name::Domain) -> usize {
-        let of_model = |group: &&super::Group| {
-            group.pool == *scene.pool
-                && group.domain == *domain
-                && group.model == model.name
-                && group.stage.counts()
-        };
-        self.groups.values().filter(of_model).count()
-    }
-
-    /// Groups of the model that serve or will in a moment.
-    pub(super) fn count(&self, scene: &Scene<'_>, model: &name::Model) -> usize {
-        let counts = |group: &&super::Group| {
-            group.pool == *scene.pool
-                && group.model == *model
-                && group.stage.counts()
-                && scene.is_in(group)
-        };
-        self.groups.values().filter(counts).count()
-    }
 }
--- a/crates/hyssopfork-fleet/src/groups/plan.rs
+++ b/crates/hyssopfork-fleet/src/groups/plan.rs
@@ -55,6 +55,49 @@
     layout
 }
 
+/// Layouts that were made last, of each pool and reserve. Instances and models are mostly as they were.
+#[derive(Clone, Debug, Default)]
+pub struct Layouts {
+    made: Vec<Made>,
+}
+
+/// A layout, and what it was made from.
+#[derive(Clone, Debug)]
+struct Made {
+    pool: name::Pool,
+    reserve: f64,
+    domains: BTreeMap<name::Domain, usize>,
+    models: Vec<Model>,
+    layout: Layout,
+}
+
+impl Layouts {
+    /// The [`layout`] of these domains, made anew only where they or the models have changed.
+    pub fn of(
+        &mut self,
+        pool: &name::Pool,
+        reserve: f64,
+        domains: &BTreeMap<name::Domain, usize>,
+        models: &[Model],
+    ) -> Layout {
+        let of_pool = |made: &Made| made.pool == *pool && made.reserve == reserve;
+        let known = self.made.iter().find(|made| of_pool(made));
+        if let Some(made) = known.filter(|it| it.domains == *domains && it.models == models) {
+            return made.layout.clone();
+        }
+        let layout = layout(domains, models, reserve);
+        self.made.retain(|made| !of_pool(made));
+        self.made.push(Made {
+            pool: pool.clone(),
+            reserve,
+            domains: domains.clone(),
+            models: models.to_vec(),
+            layout: layout.clone(),
+        });
+        layout
+    }
+}
+
 /// Groups of each model that `budget` instances make: each next one for the model that is farthest
 /// behind its share.
 fn groups_by_share(budget: usize, models: &[Model]) -> Vec<usize> {
--- a/crates/hyssopfork-fleet/src/groups/planning.rs
+++ b/crates/hyssopfork-fleet/src/groups/planning.rs
@@ -6,7 +6,7 @@
 //! replace it.
 
 use super::group::Stage;
-use super::{Command, Groups, plan};
+use super::{Command, Groups, plan, tally};
 use crate::announcement::{self, Membership};
 use crate::{declaration, registry};
 use hyssopfork_wire::{clock, name};
@@ -56,6 +56,8 @@
     present: plan::Layout,
     /// Instances of each domain by which the plan was made.
     pub(super) peaks: BTreeMap<name::Domain, usize>,
+    /// Groups that there are.
+    pub(super) tally: tally::Tally,
 }
 
 impl Scene<'_> {
@@ -98,12 +100,16 @@
         let models: Vec<plan::Model> = engine.models.iter().map(model).collect();
         let nowhere_out = BTreeSet::new();
         let peaks = self.peaks.follow(now, pool, &usable(now, pool, registry, &nowhere_out));
-        let layout = plan::layout(&peaks, &models, plan::RESERVE);
-        let present = plan::layout(&usable(now, pool, registry, out), &models, 0.0);
-        let scene = Scene { now, pool, engine, registry, out, models, layout, present, peaks };
+        let layout = self.layouts.of(pool, plan::RESERVE, &peaks, &models);
+        let present = self.layouts.of(pool, 0.0, &usable(now, pool, registry, out), &models);
+        let tally = tally::Tally::default();
+        let mut scene =
+            Scene { now, pool, engine, registry, out, models, layout, present, peaks, tally };
+        scene.tally = self.tally(&scene);
         self.ask_for_reports(&scene);
-        self.form_groups(&scene);
+        self.form_groups(&mut scene);
         self.rebalance(&scene);
+        scene.tally = self.tally(&scene);
         self.even_out_reserves(&scene);
         self.prepare(&scene);
         self.stage(&scene);
@@ -112,12 +118,7 @@
     /// Engines that a group may be formed of: free ones and those in reserve.
     pub(super) fn candidates(&self, scene: &Scene<'_>) -> Vec<Candidate> {
         let is_free = |(instance, record): &(&name::Instance, &registry::Record)| {
-            let told = &record.announcement;
-            told.pool == *scene.pool
-                && record.is_sound()
-                && !scene.out.contains(&told.zone)
-                && !scene.registry.is_silent(scene.now, record)
-                && self.is_available(instance, told)
+            self.is_free(scene, instance, record)
         };
         let candidate = |(instance, record): (&name::Instance, &registry::Record)| Candidate {
             instance: instance.clone(),
@@ -128,6 +129,21 @@
         scene.registry.iter().filter(is_free).map(candidate).collect()
     }
 
+    /// Whether a group may be formed of the engine.
+    pub(super) fn is_free(
+        &self,
+        scene: &Scene<'_>,
+        instance: &name::Instance,
+        record: &registry::Record,
+    ) -> bool {
+        let told = &record.announcement;
+        told.pool == *scene.pool
+            && record.is_sound()
+            && !scene.out.contains(&told.zone)
+            && !scene.registry.is_silent(scene.now, record)
+            && self.is_available(instance, told)
+    }
+
     /// Asks the engines that this leader has not had join yet, those in groups as well: they are
     /// free one day, and then a repair would wait for the answer. One that has not called yet is
     /// asked for each change of its state.
@@ -198,12 +214,16 @@
     registry: &registry::Registry,
     out: &BTreeSet<name::Zone>,
 ) -> BTreeMap<name::Domain, usize> {
-    let mut counts = BTreeMap::new();
+    let mut counts: BTreeMap<name::Domain, usize> = BTreeMap::new();
     for (_, record) in registry.iter().filter(|(_, record)| record.announcement.pool == *pool) {
         let usable = record.is_sound()
             && !registry.is_silent(now, record)
             && !out.contains(&record.announcement.zone);
-        *counts.entry(record.announcement.domain.clone()).or_insert(0) += usize::from(usable);
+        let domain = &record.announcement.domain;
+        match counts.get_mut(domain) {
+            Some(count) => *count += usize::from(usable),
+            None => drop(counts.insert(domain.clone(), usize::from(usable))),
+        }
     }
     counts
 }
--- a/crates/hyssopfork-fleet/src/groups/reserves.rs
+++ b/crates/hyssopfork-fleet/src/groups/reserves.rs
@@ -6,6 +6,7 @@
 use crate::registry;
 use hyssopfork_wire::name;
 use std::collections::BTreeMap;
+use std::net;
 
 /// Part of the loads at once that second models may take while callers send. A load takes ten
 /// seconds and more; with all of them taken, an engine that had just come in a lost one's place
@@ -25,9 +26,12 @@
             return;
         }
         let mut holdings = self.holdings(scene);
+        let mut loading = self.loading(scene);
         for candidate in candidates {
             let Some(model) = self.most_wanted(scene, &holdings, &candidate) else { continue };
-            if candidate.staged.contains(&model) || self.may_load(scene, 1.0) {
+            let staged = candidate.staged.contains(&model);
+            if staged || self.may_load(scene, loading, 1.0) {
+                loading += usize::from(!staged);
                 let members = vec![candidate.instance];
                 let domain = &candidate.domain;
                 self.form(scene.now, scene.pool, domain, &model, members, Stage::Preparing);
@@ -158,58 +162,76 @@
             let done = scene.registry.get(instance).is_none_or(staged);
             !done && now.since(*sent) < scene.load_time(model) * 2
         });
-        let reserve: Vec<Candidate> =
-            if self.traffic { self.candidates(scene) } else { self.everybody(scene) };
-        for candidate in reserve {
-            let Some(last) = &candidate.last else { continue };
-            let other = scene.models.iter().find(|model| model.name != *last);
-            let Some(other) = other.map(|model| model.name.clone()) else { continue };
-            let staged = candidate.staged.contains(&other);
-            let known = staged || self.staging.contains_key(&candidate.instance);
-            if known || !self.may_load(scene, SECOND_MODELS) {
-                continue;
+        let lacking: Vec<(name::Instance, net::SocketAddr, name::Model)> = scene
+            .registry
+            .iter()
+            .filter(|(instance, record)| self.is_to_stage(scene, instance, record))
+            .filter_map(|(instance, record)| {
+                let other = self.second_model(scene, instance, record)?;
+                Some((instance.clone(), record.announcement.address, other))
+            })
+            .collect();
+        let loading = self.loading(scene);
+        for (instance, address, model) in lacking {
+            if !self.may_load(scene, loading, SECOND_MODELS) {
+                break;
             }
-            let Some(record) = scene.registry.get(&candidate.instance) else { continue };
-            let address = record.announcement.address;
-            self.staging.insert(candidate.instance.clone(), (other.clone(), now));
+            self.staging.insert(instance.clone(), (model.clone(), now));
             let nobody = (name::Group::from(""), 0);
-            let task = order::Task::Stage(other);
-            self.give(&candidate.instance, address, nobody, task, None);
+            self.give(&instance, address, nobody, order::Task::Stage(model), None);
         }
     }
 
-    /// Every engine that lives, in a group or not.
-    fn everybody(&self, scene: &Scene<'_>) -> Vec<Candidate> {
-        let of_pool = scene
-            .registry
-            .iter()
-            .filter(|(_, record)| record.announcement.pool == *scene.pool && record.is_sound());
-        let candidate = |(instance, record): (&name::Instance, &registry::Record)| Candidate {
-            instance: instance.clone(),
-            domain: record.announcement.domain.clone(),
-            last: record.last.clone(),
-            staged: record.announcement.staged.clone(),
+    /// Whether the engine's host is to hold a second model.
+    fn is_to_stage(
+        &self,
+        scene: &Scene<'_>,
+        instance: &name::Instance,
+        record: &registry::Record,
+    ) -> bool {
+        if self.traffic {
+            return self.is_free(scene, instance, record);
+        }
+        record.announcement.pool == *scene.pool && record.is_sound()
+    }
+
+    /// The model beside that of its last group which the engine's host lacks.
+    fn second_model(
+        &self,
+        scene: &Scene<'_>,
+        instance: &name::Instance,
+        record: &registry::Record,
+    ) -> Option<name::Model> {
+        let last = record.last.as_ref()?;
+        let other = scene.models.iter().find(|model| model.name != *last)?;
+        let known =
+            record.announcement.staged.contains(&other.name) || self.staging.contains_key(instance);
+        (!known).then(|| other.name.clone())
+    }
+
+    /// Engines in reserve that load weights.
+    fn loading(&self, scene: &Scene<'_>) -> usize {
+        let loads = |group: &&super::Group| {
+            let lacks = |record: &registry::Record| {
+                !record.announcement.staged.contains(&group.model)
+                    && record.last.as_ref() != Some(&group.model)
+            };
+            let mut members = group.members.iter().filter_map(|it| scene.registry.get(it));
+            group.stage == Stage::Preparing && members.any(lacks)
         };
-        of_pool.map(candidate).collect()
+        self.groups.values().filter(loads).count()
     }
 
-    /// Whether a load of weights may begin now, of those that may take `part` of the loads at once.
+    /// Whether a load of weights may begin now beside `loading` reserves, of those that may take `part`
+    /// of the loads at once.
     ///
     /// Before callers send, loads are many times faster and don't slow each other; afterwards the
     /// store's limit of loads at once and its rate count.
-    fn may_load(&mut self, scene: &Scene<'_>, part: f64) -> bool {
+    fn may_load(&mut self, scene: &Scene<'_>, loading: usize, part: f64) -> bool {
         if !self.traffic {
             return true;
         }
-        let loads = |group: &&super::Group| {
-            let members = group.members.iter().filter_map(|it| scene.registry.get(it));
-            let lacks = |record: &registry::Record| {
-                !record.announcement.staged.contains(&group.model)
-                    && record.last.as_ref() != Some(&group.model)
-            };
-            group.stage == Stage::Preparing && members.into_iter().any(lacks)
-        };
-        let running = self.groups.values().filter(loads).count() + self.staging.len();
+        let running = loading + self.staging.len();
         let most = (f64::from(scene.engine.loads_at_once) * part).max(1.0);
         (running as f64) < most && self.pace.begin(scene.now, scene.engine.loads_per_second)
     }
--- a/crates/hyssopfork-fleet/src/groups/strangers.rs
+++ b/crates/hyssopfork-fleet/src/groups/strangers.rs
@@ -67,9 +67,9 @@
         for (instance, record) in registry.iter() {
             let Some(membership) = &record.announcement.membership else { continue };
             let heard = !record.dead && !registry.is_silent(now, record);
-            let known = self.is_over(&record.announcement, membership)
+            let known = self.group_of(instance).is_some()
                 || self.groups.contains_key(&membership.group)
-                || self.group_of(instance).is_some();
+                || self.is_over(&record.announcement, membership);
             if known || !heard || membership.state == announcement::State::Broken {
                 continue;
             }
--- a/crates/hyssopfork-fleet/src/registry.rs
+++ b/crates/hyssopfork-fleet/src/registry.rs
@@ -6,7 +6,7 @@
 
 use crate::{announcement, groups::order, view};
 use hyssopfork_wire::{clock, name};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Time for which an upstream that left or fell silent is remembered, so that a late call of it is
@@ -76,6 +76,10 @@
 #[derive(Clone, Debug)]
 pub struct Registry {
     records: BTreeMap<name::Instance, Record>,
+    /// The upstreams as followers were last told of them.
+    published: BTreeMap<name::Instance, view::Upstream>,
+    /// Upstreams whose records may differ from what was published, by more than their silence.
+    changed: BTreeSet<name::Instance>,
     /// Silence after which an upstream counts as silent.
     silence: Duration,
 }
@@ -83,7 +87,12 @@
 impl Registry {
     /// An empty registry.
     pub fn new(silence: Duration) -> Registry {
-        Registry { records: BTreeMap::new(), silence }
+        Registry {
+            records: BTreeMap::new(),
+            published: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            silence,
+        }
     }
 
     /// An upstream's record.
@@ -112,10 +121,10 @@
             return Taken::Late;
         }
         self.evict(&told);
-        let instance = told.instance.clone();
         let cold_until = now + told.cold;
-        let Some(known) = self.records.get_mut(&instance) else {
-            self.records.insert(instance, Record::new(told, now));
+        let Some(known) = self.records.get_mut(&told.instance) else {
+            self.changed.insert(told.instance.clone());
+            self.records.insert(told.instance.clone(), Record::new(told, now));
             return Taken::News;
         };
         let reborn = known.announcement.born != told.born;
@@ -128,13 +137,19 @@
         known.heard_here = true;
         known.cold_until = cold_until;
         known.dead = false;
-        if same { Taken::Known } else { Taken::News }
+        if same {
+            return Taken::Known;
+        }
+        let instance = known.announcement.instance.clone();
+        self.changed.insert(instance);
+        Taken::News
     }
 
     /// Takes an upstream's word that it leaves; returns whether that is news.
     pub fn depart(&mut self, now: clock::Instant, instance: &name::Instance) -> bool {
         let Some(record) = self.records.get_mut(instance) else { return false };
         record.heard = now;
+        self.changed.insert(instance.clone());
         !std::mem::replace(&mut record.departed, true)
     }
 
@@ -146,7 +161,11 @@
         {
             let fills = known.last.is_none() && known.announcement.born == told.born;
             known.last = known.last.take().or(upstream.last.filter(|_| fills));
-            return fills && known.last.is_some();
+            let learned = fills && known.last.is_some();
+            if learned {
+                self.changed.insert(told.instance);
+            }
+            return learned;
         }
         let departed = upstream.standing == view::Standing::Leaving && !told.draining;
         let instance = told.instance.clone();
@@ -155,6 +174,7 @@
         let heard = if silent { now - self.silence } else { now };
         let last = told.loaded.clone().or(upstream.last);
         let record = Record { heard, departed, heard_here: false, last, ..Record::new(told, now) };
+        self.changed.insert(instance.clone());
         self.records.insert(instance, record);
         true
     }
@@ -167,12 +187,14 @@
         if !record.heard_here {
             record.heard = now;
             record.announcement.membership = told.membership.clone();
+            self.changed.insert(instance.clone());
         }
     }
 
     /// Takes in that an upstream answers nothing; returns whether that is news.
     pub fn bury(&mut self, instance: &name::Instance) -> bool {
         let Some(record) = self.records.get_mut(instance) else { return false };
+        self.changed.insert(instance.clone());
         !std::mem::replace(&mut record.dead, true)
     }
 
@@ -191,21 +213,22 @@
         self.records.retain(|_, record| now.since(record.heard) < MEMORY);
     }
 
-    /// The upstreams as followers are told of them.
-    pub fn published(&self, now: clock::Instant) -> BTreeMap<name::Instance, view::Upstream> {
-        let upstream = |record: &Record| {
-            let standing = if record.is_leaving() {
-                view::Standing::Leaving
-            } else if record.dead || self.is_silent(now, record) {
-                view::Standing::Silent
-            } else {
-                view::Standing::Present
-            };
+    /// The upstreams as followers are told of them. Made anew are those that have changed.
+    pub fn published(&mut self, now: clock::Instant) -> &BTreeMap<name::Instance, view::Upstream> {
+        let changed = std::mem::take(&mut self.changed);
+        self.published.retain(|instance, _| self.records.contains_key(instance));
+        for (instance, record) in &self.records {
+            let standing = standing(record, now.since(record.heard) >= self.silence);
+            let known = self.published.get(instance);
+            if !changed.contains(instance) && known.is_some_and(|it| it.standing == standing) {
+                continue;
+            }
             let cold = now.until(record.cold_until);
             let announcement = announcement::Announcement { cold, ..record.announcement.clone() };
-            view::Upstream { announcement, standing, last: record.last.clone() }
-        };
-        self.records.iter().map(|(instance, record)| (instance.clone(), upstream(record))).collect()
+            let upstream = view::Upstream { announcement, standing, last: record.last.clone() };
+            self.published.insert(instance.clone(), upstream);
+        }
+        &self.published
     }
 
     fn is_newer(&self, now: clock::Instant, told: &announcement::Announcement) -> bool {
@@ -237,6 +260,17 @@
     }
 }
 
+/// How an upstream stands, where nothing was heard of it for too long if `silent`.
+fn standing(record: &Record, silent: bool) -> view::Standing {
+    if record.is_leaving() {
+        view::Standing::Leaving
+    } else if record.dead || silent {
+        view::Standing::Silent
+    } else {
+        view::Standing::Present
+    }
+}
+
 fn is_later(told: &announcement::Announcement, known: &Record) -> bool {
     let known = &known.announcement;
     (told.born, told.sequence) > (known.born, known.sequence)
