gateway: take a lower patience of a first attempt for no retry, and refuse only what has no room

Cause of 500 refusals a second in a burst of the large installation, with 70 of 100 places taken: clients wait 85 to 100 in 100 of the route's timeout for a first attempt, so that most counted as retries that are late already and were kept out of the last quarter of the places. Seen in the log: refused at a believed load of 18 to 23 of 28, on arrival, with 5.1 to 5.9 s of 6 s left. A fifth of the timeout is now allowed for.

--- a/crates/hyssopfork-gateway/src/choice.rs
+++ b/crates/hyssopfork-gateway/src/choice.rs
@@ -7,11 +7,12 @@
 //! *Without it.* Requests queue at upstreams until their objective has passed: all are served late,
 //! and none in time.
 //!
-//! *Rule.* The upstream with the smallest part of its [`limit`](crate::limit) taken, one of the own
-//! zone among equals. Requests that are late already leave room for those that can be in time. When even that is full, the request is refused at once and told when a place
-//! will be free.
+//! *Rule.* Of the upstreams with room, the one with the smallest part of its [`limit`](crate::limit)
+//! taken, one of the own zone or one that this process prefers among equals. Requests that are late
+//! already leave room for those that can be in time. Where none has room, the request is refused at once
+//! and told when a place will be free.
 
-use crate::target;
+use crate::{load, target};
 use hyssopfork_fleet::view;
 use hyssopfork_wire::{clock, name};
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,6 +26,10 @@
 /// Otherwise retries of rejected requests, which are late already, displace these.
 const RESERVED_FOR_ON_TIME: f64 = 0.25;
 
+/// Deviations of the estimate that are kept free: what is sent to an upstream that is fuller than it
+/// seems waits there until it is late.
+const DOUBT: f64 = 0.5;
+
 /// Part of its slots by which an upstream of another zone must be emptier to go first: traffic
 /// between zones costs, but less than a late answer.
 const ZONE_PREFERENCE: f64 = 0.06;
@@ -69,8 +74,8 @@
 pub struct Bounds<'a> {
     /// Zones that are out.
     pub out: &'a BTreeSet<name::Zone>,
-    /// Requests of others that an upstream of the pool and model has on average.
-    pub others: f64,
+    /// What the upstreams of the pool and model have on average.
+    pub average: load::Average,
 }
 
 /// The choice.
@@ -116,32 +121,64 @@
         !target.health.is_away(now) && (!silent || target.health.answered_within(now, VOUCHED))
     };
     let candidates: Vec<_> = targets.iter().filter(fits).collect();
-    let best = candidates
+    let usable: Vec<Candidate<'_>> = candidates
         .iter()
         .filter(|candidate| open(candidate))
         .filter(|(_, target)| bears(now, target))
-        .map(|(instance, target)| {
-            let score = score(now, target, want.zone, bounds);
-            (class(now, target), score, instance, target)
-        })
-        .min_by(|left, right| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)));
-    let Some((_, _, instance, target)) = best else {
-        if candidates.is_empty() {
-            return Choice::Nobody;
+        .map(|(instance, target)| Candidate::new(now, instance, target, want, bounds))
+        .collect();
+    let class = usable.iter().map(|candidate| candidate.class).min();
+    let wanted = usable.iter().filter(|candidate| Some(candidate.class) == class);
+    let free = wanted.clone().filter(|candidate| candidate.excess <= 0.0);
+    let first = free.min_by(|left, right| left.score.total_cmp(&right.score));
+    if let Some(candidate) = first {
+        return Choice::Take(candidate.instance.clone());
+    }
+    if candidates.is_empty() {
+        return Choice::Nobody;
+    }
+    let best = wanted.min_by_key(|candidate| candidate.wait);
+    Choice::Full {
+        wait: best.map_or(Duration::ZERO, |candidate| candidate.wait),
+        best: best.map(|candidate| candidate.instance.clone()),
+    }
+}
+
+/// An upstream that can be asked.
+struct Candidate<'a> {
+    instance: &'a name::Instance,
+    class: Class,
+    score: f64,
+    /// Requests that it would have beyond what it may have.
+    excess: f64,
+    /// Time until it has room.
+    wait: Duration,
+}
+
+impl<'a> Candidate<'a> {
+    fn new(
+        now: clock::Instant,
+        instance: &'a name::Instance,
+        target: &target::Target,
+        want: Want<'_>,
+        bounds: Bounds<'_>,
+    ) -> Candidate<'a> {
+        let load = target.load.estimate(now, bounds.average);
+        let room = match want.standing {
+            Standing::InTime => 0.0,
+            Standing::Late => -target.limit.get() * RESERVED_FOR_ON_TIME,
+            Standing::Again => target.load.slots() * RETRY_OVERSHOOT,
+        };
+        let doubt = target.load.deviation(now, bounds.average) * DOUBT;
+        let excess = load + 1.0 + doubt - target.limit.get() - room;
+        Candidate {
+            instance,
+            class: class(now, target),
+            score: score(now, target, load, want.zone),
+            excess,
+            wait: Duration::from_secs_f64(excess.max(0.0) / target.load.pace()),
         }
-        return Choice::Full { wait: Duration::ZERO, best: None };
-    };
-    let room = match want.standing {
-        Standing::InTime => 0.0,
-        Standing::Late => -target.limit.get() * RESERVED_FOR_ON_TIME,
-        Standing::Again => target.load.slots() * RETRY_OVERSHOOT,
-    };
-    let over = target.load.estimate(now, bounds.others) + 1.0 - target.limit.get() - room;
-    if over > 0.0 {
-        let wait = Duration::from_secs_f64(over / target.load.pace());
-        return Choice::Full { wait, best: Some((*instance).clone()) };
     }
-    Choice::Take((*instance).clone())
 }
 
 /// Whether the upstream bears another request now.
@@ -162,14 +199,9 @@
     }
 }
 
-fn score(
-    now: clock::Instant,
-    target: &target::Target,
-    zone: &name::Zone,
-    bounds: Bounds<'_>,
-) -> f64 {
-    let taken = target.load.estimate(now, bounds.others) / target.limit.get();
+/// Part of the limit that is taken, with what makes the upstream less welcome than others.
+fn score(now: clock::Instant, target: &target::Target, load: f64, zone: &name::Zone) -> f64 {
     let elsewhere = if target.zone == *zone { 0.0 } else { ZONE_PREFERENCE };
     let unknown = 1.0 - target.load.freshness(now);
-    taken + elsewhere + target.preference * unknown * AFFINITY
+    load / target.limit.get() + elsewhere + target.preference * unknown * AFFINITY
 }
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -150,18 +150,23 @@
         self.entries.len().max(1)
     }
 
-    /// This process's requests at all upstreams of the pool and model, and how many those are.
-    fn own_load(&self, pool: &name::Pool, model: Option<&name::Model>) -> (u32, usize) {
+    /// This process's requests at the upstreams of the pool and model.
+    fn own_load(&self, pool: &name::Pool, model: Option<&name::Model>) -> load::Own {
         let of_kind = |it: &&target::Target| it.pool == *pool && it.model.as_ref() == model;
         let loads = self.targets.values().filter(of_kind).map(|target| target.load.own);
-        loads.fold((0, 0), |(own, count), load| (own + load, count + 1))
+        let none = load::Own { requests: 0, upstreams: 0 };
+        loads.fold(none, |own, load| load::Own {
+            requests: own.requests + load,
+            upstreams: own.upstreams + 1,
+        })
     }
 
-    /// Requests of others that an upstream of the pool and model has on average.
-    fn others(&self, pool: &name::Pool, model: Option<&name::Model>) -> f64 {
-        let (own, upstreams) = self.own_load(pool, model);
+    /// What the upstreams of the pool and model have on average.
+    fn average(&self, pool: &name::Pool, model: Option<&name::Model>) -> load::Average {
+        let own = self.own_load(pool, model);
         let share = self.shares.get(&(pool.clone(), model.cloned())).copied();
-        share.unwrap_or_else(|| load::Share::of(self.entry_count(), upstreams)).others(own)
+        let share = share.unwrap_or_else(|| load::Share::of(self.entry_count()));
+        load::Average { own, others: share.others(own) }
     }
 
     /// What a request asks for; `again` when it was accepted before.
@@ -179,7 +184,7 @@
     fn bounds(&self, request: &request::Request) -> choice::Bounds<'_> {
         choice::Bounds {
             out: &self.out,
-            others: self.others(&request.pool, request.model.as_ref()),
+            average: self.average(&request.pool, request.model.as_ref()),
         }
     }
 
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -9,6 +9,10 @@
 /// upstreams full again.
 const MAX_TRIES: u32 = 4;
 
+/// Part of a route's timeout by which clients wait less for a first attempt already. Taken for retries
+/// by the time that they have left, most first attempts would be rejected as late.
+const PATIENCE_DIVISOR: u32 = 5;
+
 /// Time that must be left for another attempt to be worth its place.
 pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(60);
 
@@ -94,8 +98,8 @@
         let now = self.now;
         let Some(request) = self.requests.get(&number) else { return };
         let target = best.as_ref().and_then(|best| self.targets.get(best));
-        let others = self.others(&request.pool, request.model.as_ref());
-        let load = target.map(|it| (it.load.estimate(now, others), it.limit.get()));
+        let average = self.average(&request.pool, request.model.as_ref());
+        let load = target.map(|it| (it.load.estimate(now, average), it.limit.get()));
         let report_age = target.and_then(|it| it.load.age(now));
         let identifier = request.identifier.clone();
         self.note(notice::Notice::Full { identifier, best, load, report_age });
@@ -104,10 +108,10 @@
     fn send(&mut self, number: u64, instance: &name::Instance) {
         let now = self.now;
         let Some(request) = self.requests.get(&number) else { return };
-        let others = self.others(&request.pool, request.model.as_ref());
+        let average = self.average(&request.pool, request.model.as_ref());
         let Some(request) = self.requests.get_mut(&number) else { return };
         let Some(target) = self.targets.get_mut(instance) else { return };
-        let load = (target.load.estimate(now, others), target.limit.get());
+        let load = (target.load.estimate(now, average), target.limit.get());
         target.load.own += 1;
         target.recent.note(now);
         request.tries += 1;
@@ -184,20 +188,23 @@
             self.moves.entry(target.pool.clone()).or_default().earn();
         }
         if let Some(report) = report {
-            target.load.report(now, report);
-            let (others, kind) =
-                (target.load.others(), (target.pool.clone(), target.model.clone()));
-            self.learn_share(kind, others);
+            let instance = attempt.instance.clone();
+            self.reported(&instance, report);
         }
     }
 
-    /// Takes in that others have so many requests at an upstream of the pool and model.
-    fn learn_share(&mut self, kind: (name::Pool, Option<name::Model>), others: f64) {
+    /// Takes in what an upstream says of its load.
+    fn reported(&mut self, instance: &name::Instance, report: load::Report) {
         let now = self.now;
-        let (own, upstreams) = self.own_load(&kind.0, kind.1.as_ref());
+        let Some(target) = self.targets.get(instance) else { return };
+        let kind = (target.pool.clone(), target.model.clone());
+        let own = self.own_load(&kind.0, kind.1.as_ref());
+        let Some(target) = self.targets.get_mut(instance) else { return };
+        target.load.report(now, report, own);
+        let others = target.load.others();
         let entries = self.entry_count();
         let share = self.shares.entry(kind);
-        share.or_insert_with(|| load::Share::of(entries, upstreams)).learn(now, own, others);
+        share.or_insert_with(|| load::Share::of(entries)).learn(now, own, others);
     }
 
     pub(super) fn answered(&mut self, number: u64, head: event::Head) {
@@ -257,9 +264,9 @@
                 event::Fault::NotRun => {}
                 event::Fault::Broken | event::Fault::Wrong => target.health.failed(now),
             }
-            if let Some(load) = load {
-                target.load.report(now, load);
-            }
+        }
+        if let Some(load) = load {
+            self.reported(&attempt.instance, load);
         }
         self.drop_attempt(number);
         if !fault.is_not_run() {
@@ -366,7 +373,7 @@
     let route = place.route;
     let time = arrival.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
     // A retry waits for its remaining time, which counts from the first attempt.
-    let before = route.timeout - time;
+    let before = (route.timeout - time).saturating_sub(route.timeout / PATIENCE_DIVISOR);
     request::Request {
         identifier: arrival.identifier,
         route: route.name.clone(),
--- a/crates/hyssopfork-gateway/src/load.rs
+++ b/crates/hyssopfork-gateway/src/load.rs
@@ -39,39 +39,62 @@
     pub slots: u32,
 }
 
-/// Requests at the upstreams of one pool and model: this process's, and those of others for each
-/// upstream.
+/// This process's requests at the upstreams of one pool and model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Own {
+    /// Requests at all of them.
+    pub requests: u32,
+    /// How many upstreams there are.
+    pub upstreams: usize,
+}
+
+impl Own {
+    /// Requests at one upstream on average.
+    fn mean(self) -> f64 {
+        (f64::from(self.requests) + CHANCE) / self.upstreams.max(1) as f64
+    }
+}
+
+/// Requests at one upstream of a pool and model on average: this process's, and those of others.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Share {
-    /// Average of this process's requests at all upstreams, when others' were reported.
     own: f64,
-    /// Average of others' requests at one upstream.
     others: f64,
     reported: Option<clock::Instant>,
 }
 
 impl Share {
     /// The share before any report, where so many processes send: as much as each other's.
-    pub fn of(entries: usize, upstreams: usize) -> Share {
-        let others = (entries.max(1) - 1) as f64 / upstreams.max(1) as f64;
-        Share { own: 1.0, others, reported: None }
+    pub fn of(entries: usize) -> Share {
+        Share { own: 1.0, others: (entries.max(1) - 1) as f64, reported: None }
     }
 
-    /// Takes in that others had so many requests at one upstream while this process had `own` at all.
-    pub fn learn(&mut self, now: clock::Instant, own: u32, others: f64) {
+    /// Takes in that others had so many requests at one upstream while this process had `own`.
+    pub fn learn(&mut self, now: clock::Instant, own: Own, others: f64) {
         let age = self.reported.replace(now).map(|reported| now.since(reported));
         let weight = age.map_or(1.0, |age| 1.0 - decay(age, AVERAGE_HALF_LIFE)).max(MIN_SAMPLE);
-        self.own += (f64::from(own) - self.own) * weight;
+        self.own += (own.mean() - self.own) * weight;
         self.others += (others - self.others) * weight;
     }
 
-    /// Requests of others at one upstream, now that this process has `own` at all.
-    pub fn others(&self, own: u32) -> f64 {
-        let chance = if self.reported.is_some() { CHANCE } else { 0.0 };
-        self.others * (f64::from(own) + chance) / (self.own + chance)
+    /// Requests of others at one upstream, now that this process has `own`.
+    pub fn others(&self, own: Own) -> f64 {
+        match self.reported {
+            Some(_) => self.others * own.mean() / self.own,
+            None => self.others * f64::from(own.requests) / own.upstreams.max(1) as f64,
+        }
     }
 }
 
+/// What an upstream of one pool and model has on average.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Average {
+    /// This process's requests at all of them.
+    pub own: Own,
+    /// Requests of others at one of them.
+    pub others: f64,
+}
+
 /// What is left after `age` of something that halves in `half_life`.
 fn decay(age: Duration, half_life: Duration) -> f64 {
     0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
@@ -84,6 +107,8 @@
     pub own: u32,
     /// Requests of others there, when they were last reported.
     others: f64,
+    /// This process's requests at an upstream of its kind then, on average.
+    own_mean: f64,
     reported: Option<clock::Instant>,
     slots: u32,
     time: f64,
@@ -92,11 +117,19 @@
 impl Load {
     /// An upstream of so many slots of which nothing is known.
     pub fn new(slots: u32) -> Load {
-        Load { own: 0, others: 0.0, reported: None, slots, time: TYPICAL.as_secs_f64() }
+        Load {
+            own: 0,
+            others: 0.0,
+            own_mean: 1.0,
+            reported: None,
+            slots,
+            time: TYPICAL.as_secs_f64(),
+        }
     }
 
-    /// Takes a report.
-    pub fn report(&mut self, now: clock::Instant, report: Report) {
+    /// Takes a report that came while this process had `own` requests.
+    pub fn report(&mut self, now: clock::Instant, report: Report, own: Own) {
+        self.own_mean = own.mean();
         let total = f64::from(report.running + report.waiting);
         self.others = (total - f64::from(self.own)).max(0.0);
         self.reported = Some(now);
@@ -115,10 +148,17 @@
         self.others
     }
 
-    /// Requests there now, where an upstream of its kind has `others` requests of others on average.
-    pub fn estimate(&self, now: clock::Instant, others: f64) -> f64 {
+    /// Requests there now. Others' requests are taken to have grown since the last report as this
+    /// process's own have.
+    pub fn estimate(&self, now: clock::Instant, average: Average) -> f64 {
         let fresh = self.freshness(now);
-        f64::from(self.own) + self.others * fresh + others * (1.0 - fresh)
+        let reported = self.others * average.own.mean() / self.own_mean;
+        f64::from(self.own) + reported * fresh + average.others * (1.0 - fresh)
+    }
+
+    /// How much the estimate may be wrong: others' requests vary about the average as arrivals do.
+    pub fn deviation(&self, now: clock::Instant, average: Average) -> f64 {
+        (average.others.max(0.0) * (1.0 - self.freshness(now))).sqrt()
     }
 
     /// Weight of the last report: 1 when it has just come, 0 where there was none.
