gateway: let own requests at an upstream say of others' there, as far as there are several

A report of 0.7 s ago outweighed them as well.

Change: the average is a prior that own requests correct; preference counts less the more a process has at each upstream; reports halve in 0.25 s again; a quarter of a deviation is kept free.

--- a/crates/hyssopfork-gateway/src/choice.rs
+++ b/crates/hyssopfork-gateway/src/choice.rs
@@ -28,7 +28,7 @@
 
 /// Deviations of the estimate that are kept free: what is sent to an upstream that is fuller than it
 /// seems waits there until it is late.
-const DOUBT: f64 = 0.5;
+const DOUBT: f64 = 0.25;
 
 /// Part of its slots by which an upstream of another zone must be emptier to go first: traffic
 /// between zones costs, but less than a late answer.
@@ -174,7 +174,7 @@
         Candidate {
             instance,
             class: class(now, target),
-            score: score(now, target, load, want.zone),
+            score: score(now, target, load, want.zone, bounds),
             excess,
             wait: Duration::from_secs_f64(excess.max(0.0) / target.load.pace()),
         }
@@ -200,8 +200,15 @@
 }
 
 /// Part of the limit that is taken, with what makes the upstream less welcome than others.
-fn score(now: clock::Instant, target: &target::Target, load: f64, zone: &name::Zone) -> f64 {
+fn score(
+    now: clock::Instant,
+    target: &target::Target,
+    load: f64,
+    zone: &name::Zone,
+    bounds: Bounds<'_>,
+) -> f64 {
     let elsewhere = if target.zone == *zone { 0.0 } else { ZONE_PREFERENCE };
-    let unknown = 1.0 - target.load.freshness(now);
+    // Who has several requests at each upstream knows all of them.
+    let unknown = (1.0 - target.load.freshness(now)) / (1.0 + bounds.average.own.plain_mean());
     load / target.limit.get() + elsewhere + target.preference * unknown * AFFINITY
 }
--- a/crates/hyssopfork-gateway/src/load.rs
+++ b/crates/hyssopfork-gateway/src/load.rs
@@ -10,11 +10,15 @@
 use std::time::Duration;
 
 /// Age of a report at which it counts as much as the average: about the time of a request.
-const HALF_LIFE: Duration = Duration::from_millis(700);
+const HALF_LIFE: Duration = Duration::from_millis(250);
 
 /// Age at which a report counts half in the averages of its pool and model.
 const AVERAGE_HALF_LIFE: Duration = Duration::from_millis(700);
 
+/// Own requests at an upstream by which the average outweighs what they say of others' there: who has
+/// several at each upstream sees by them which are fuller.
+const PRIOR: f64 = 0.5;
+
 /// Least weight of a report in the averages: several may come at the same moment.
 const MIN_SAMPLE: f64 = 0.02;
 
@@ -50,6 +54,11 @@
 
 impl Own {
     /// Requests at one upstream on average.
+    pub fn plain_mean(self) -> f64 {
+        f64::from(self.requests) / self.upstreams.max(1) as f64
+    }
+
+    /// The same, with [`CHANCE`].
     fn mean(self) -> f64 {
         (f64::from(self.requests) + CHANCE) / self.upstreams.max(1) as f64
     }
@@ -81,7 +90,7 @@
     pub fn others(&self, own: Own) -> f64 {
         match self.reported {
             Some(_) => self.others * own.mean() / self.own,
-            None => self.others * f64::from(own.requests) / own.upstreams.max(1) as f64,
+            None => self.others * own.plain_mean(),
         }
     }
 }
@@ -153,7 +162,9 @@
     pub fn estimate(&self, now: clock::Instant, average: Average) -> f64 {
         let fresh = self.freshness(now);
         let reported = self.others * average.own.mean() / self.own_mean;
-        f64::from(self.own) + reported * fresh + average.others * (1.0 - fresh)
+        let own = f64::from(self.own);
+        let likely = average.others * (own + PRIOR) / (average.own.plain_mean() + PRIOR);
+        own + reported * fresh + likely * (1.0 - fresh)
     }
 
     /// How much the estimate may be wrong: others' requests vary about the average as arrivals do.
