gateway: let averages of load fade, so that no entry rejects everything for good

An entry hears of an upstream only with its answers, and one that sends nothing hears nothing.

Change: after 1.5 s without a report of its kind the average halves each second. The test fails without it.

--- a/crates/hyssopfork-gateway/src/choice.rs
+++ b/crates/hyssopfork-gateway/src/choice.rs
@@ -28,7 +28,7 @@
 
 /// Deviations of the estimate that are kept free: what is sent to an upstream that is fuller than it
 /// seems waits there until it is late.
-const DOUBT: f64 = 0.25;
+const DOUBT: f64 = 0.3;
 
 /// Part of its slots by which an upstream of another zone must be emptier to go first: traffic
 /// between zones costs, but less than a late answer.
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -166,7 +166,7 @@
         let own = self.own_load(pool, model);
         let share = self.shares.get(&(pool.clone(), model.cloned())).copied();
         let share = share.unwrap_or_else(|| load::Share::of(self.entry_count()));
-        load::Average { own, others: share.others(own) }
+        load::Average { own, others: share.others(self.now, own) }
     }
 
     /// What a request asks for; `again` when it was accepted before.
--- a/crates/hyssopfork-gateway/src/load.rs
+++ b/crates/hyssopfork-gateway/src/load.rs
@@ -9,12 +9,18 @@
 use hyssopfork_wire::clock;
 use std::time::Duration;
 
-/// Age of a report at which it counts as much as the average: about the time of a request.
+/// Age of a report at which it counts as much as the average: about the time to a first event.
 const HALF_LIFE: Duration = Duration::from_millis(250);
 
 /// Age at which a report counts half in the averages of its pool and model.
 const AVERAGE_HALF_LIFE: Duration = Duration::from_millis(700);
 
+/// Age of the last report up to which the averages count whole.
+const MAX_AVERAGE_AGE: Duration = Duration::from_millis(1_500);
+
+/// Time after that in which what is left of them halves.
+const FADE_HALF_LIFE: Duration = Duration::from_secs(1);
+
 /// Own requests at an upstream by which the average outweighs what they say of others' there: who has
 /// several at each upstream sees by them which are fuller.
 const PRIOR: f64 = 0.5;
@@ -86,10 +92,15 @@
         self.others += (others - self.others) * weight;
     }
 
-    /// Requests of others at one upstream, now that this process has `own`.
-    pub fn others(&self, own: Own) -> f64 {
+    /// Requests of others at one upstream, now that this process has `own`. Without new reports they
+    /// fade: a process that sends nothing since all seem full would get none.
+    pub fn others(&self, now: clock::Instant, own: Own) -> f64 {
         match self.reported {
-            Some(_) => self.others * own.mean() / self.own,
+            Some(reported) => {
+                let stale = now.since(reported).saturating_sub(MAX_AVERAGE_AGE);
+                let left = decay(stale, FADE_HALF_LIFE);
+                self.others * left * own.mean() / self.own
+            }
             None => self.others * own.plain_mean(),
         }
     }
--- a/crates/hyssopfork-gateway/tests/gateway/overload.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/overload.rs
@@ -219,6 +219,24 @@
     fixture::started(&decision);
 }
 
+/// Guards against an entry that rejects everything for good: all upstreams were full when it last heard
+/// of them, and it hears of them only with answers.
+#[test]
+fn upstreams_that_were_full_are_tried_again() {
+    let mut entry = Entry::ready();
+    let report = load::Report { running: fixture::SLOTS, waiting: 8, slots: fixture::SLOTS };
+    let (number, _) = entry.sent("stream");
+    entry.step(event::Event::Headed(number, event::Head { status: 200, load: Some(report) }));
+    entry.step(event::Event::Ended(number));
+    let (_, full) = entry.arrive(arrival("stream"));
+
+    entry.pass(5_000);
+    let (_, decision) = entry.arrive(arrival("stream"));
+
+    fixture::refused(&full);
+    fixture::started(&decision);
+}
+
 /// Groups have room: a caller that has come back is served like any other.
 #[test]
 fn a_caller_that_came_back_is_served_where_there_is_room() {
