--- a/crates/hyssopfork-fleet/benches/review.rs
+++ b/crates/hyssopfork-fleet/benches/review.rs
@@ -58,7 +58,7 @@
     }
 }
 
-/// A leader and its engines, which do at once what they are told.
+/// A leader and its engines, which carry out orders at once.
 struct Fleet {
     declaration: declaration::Declaration,
     registry: registry::Registry,
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -162,7 +162,7 @@
         due
     }
 
-    /// Registrations that are held are told of by `revision`, unless an earlier one told of them.
+    /// Records that `revision` is the first to publish the pending registrations.
     fn published(&mut self, revision: u64) {
         for held in &mut self.registrations {
             held.revision.get_or_insert(revision);
--- a/crates/hyssopfork-fleet/src/groups/tally.rs
+++ b/crates/hyssopfork-fleet/src/groups/tally.rs
@@ -13,7 +13,7 @@
 /// Longest wait for the members of a group that leaves, before an engine is taken in their place
 /// that has the model only on its host. That engine needs more than a second to take the weights
 /// up; the members, once they have left, need 0.2 s, and they leave within two trips of a message.
-const OWN_MEMBERS: Duration = Duration::from_millis(300);
+const MAX_MEMBER_WAIT: Duration = Duration::from_millis(300);
 
 /// A model in a domain.
 pub(super) type Place = (name::Domain, name::Model);
@@ -56,7 +56,7 @@
         if group.stage.counts() {
             *self.serving.entry(group.model.clone()).or_default() += usize::from(is_in);
             *self.placed.entry(place()).or_default() += 1;
-        } else if group.stage == Stage::Leaving && now.since(group.since) < OWN_MEMBERS {
+        } else if group.stage == Stage::Leaving && now.since(group.since) < MAX_MEMBER_WAIT {
             self.freeing.insert(place());
         }
     }
--- a/crates/hyssopfork-fleet/src/registry.rs
+++ b/crates/hyssopfork-fleet/src/registry.rs
@@ -76,7 +76,7 @@
 #[derive(Clone, Debug)]
 pub struct Registry {
     records: BTreeMap<name::Instance, Record>,
-    /// The upstreams as followers were last told of them.
+    /// The upstreams as last published.
     published: BTreeMap<name::Instance, view::Upstream>,
     /// Upstreams whose records may differ from what was published, by more than their silence.
     changed: BTreeSet<name::Instance>,
@@ -213,7 +213,7 @@
         self.records.retain(|_, record| now.since(record.heard) < MEMORY);
     }
 
-    /// The upstreams as followers are told of them. Made anew are those that have changed.
+    /// The upstreams as published to followers. Only those that have changed are built anew.
     pub fn published(&mut self, now: clock::Instant) -> &BTreeMap<name::Instance, view::Upstream> {
         let changed = std::mem::take(&mut self.changed);
         self.published.retain(|instance, _| self.records.contains_key(instance));
--- a/crates/hyssopfork-gateway/src/choice.rs
+++ b/crates/hyssopfork-gateway/src/choice.rs
@@ -1,16 +1,9 @@
-//! Which upstream gets a request, and whether any may.
+//! Choice of an upstream for a request, or of rejection.
 //!
-//! *Pattern.* Groups of one model, each with its slots; a few processes send to all of them, each
-//! knowing its own requests and what the upstreams report now and then. Bursts of half as much
-//! again, and losses of a group at a time.
-//!
-//! *Without it.* Requests queue at upstreams until their objective has passed: all are served late,
-//! and none in time.
-//!
-//! *Rule.* Of the upstreams with room, the one with the smallest part of its [`limit`](crate::limit)
-//! taken, one of the own zone or one that this process prefers among equals. Requests that are late
-//! already leave room for those that can be in time. Where none has room, the request is refused at once
-//! and told when a place will be free.
+//! Of the upstreams with room, the request goes to the one with the smallest part of its
+//! [`limit`](crate::limit) taken, one of the own zone or one that this process prefers among equals. Late
+//! requests leave room for those that can be in time: otherwise requests queue at upstreams until all
+//! are served late. Where no upstream has room, the request is rejected at once with a `Retry-After`.
 
 use crate::{load, target};
 use hyssopfork_fleet::view;
--- a/crates/hyssopfork-gateway/src/core/ending.rs
+++ b/crates/hyssopfork-gateway/src/core/ending.rs
@@ -7,8 +7,8 @@
 /// Least time to come back after; a retry that is sooner finds the same state.
 pub(super) const LEAST_RETRY: Duration = Duration::from_millis(150);
 
-/// Least time to come back after for a request that will be late in any case.
-const LATE_RETRY: Duration = Duration::from_millis(600);
+/// Least `Retry-After` of a request that will be late in any case.
+const MIN_LATE_RETRY_AFTER: Duration = Duration::from_millis(600);
 
 /// Longest time to come back after: what is known now says little of what will be later.
 const MOST_RETRY: Duration = Duration::from_millis(1_500);
@@ -62,8 +62,9 @@
         let pace: f64 = self.targets.values().filter(serves).map(|it| it.load.pace()).sum();
         let own = pace / self.entry_count() as f64;
         let spacing = if own > 0.0 { Duration::from_secs_f64(1.0 / own) } else { Duration::ZERO };
-        // What can't be in time any more had better find room than return soon.
-        let wait = if request.due < now + LEAST_RETRY { wait.max(LATE_RETRY) } else { wait };
+        // A request that can't be in time any more gains by finding room, not by returning soon.
+        let wait =
+            if request.due < now + LEAST_RETRY { wait.max(MIN_LATE_RETRY_AFTER) } else { wait };
         let key = (request.pool.clone(), request.model.clone());
         let returns = self.returns.entry(key).or_default();
         returns.book(now, wait, spacing.min(MOST_RETRY)).clamp(LEAST_RETRY, MOST_RETRY)
--- a/crates/hyssopfork-gateway/src/lib.rs
+++ b/crates/hyssopfork-gateway/src/lib.rs
@@ -3,12 +3,16 @@
 //! It stands where no process of the system runs beside an upstream. Each request gets one final
 //! answer: the upstream's whole answer, a refusal that is true, or a broken connection.
 //!
-//! Where each decision stands: [`table`] (whose a request is and where it may go), [`choice`]
-//! (which upstream gets it, and whether any may), [`load`] (how full an upstream is), [`limit`] (how
-//! full it may be), [`health`]
-//! (whether it answers), [`moves`] (how many requests leave an upstream on suspicion), [`returns`] (when refused callers come back), [`cold`] (what it bears after a start), [`rendezvous`] (which
-//! entries share an upstream), [`budget`] (how often work may be sent again), [`core`] (a request's way from arrival to its end), [`scanner`] (whole events of a
-//! stream).
+//! Where each decision stands:
+//!
+//! - [`table`]: whose a request is and where it may go
+//! - [`choice`]: which upstream gets it, and whether any may
+//! - [`load`]: how full an upstream is; [`limit`]: how full it may be
+//! - [`rendezvous`]: which upstreams an entry prefers, and which entries share one
+//! - [`cold`]: how much an upstream gets after a start
+//! - [`health`]: whether it answers; [`moves`]: how many requests leave one on suspicion
+//! - [`budget`]: how often work may be sent again; [`returns`]: when rejected requests return
+//! - [`core`]: a request's way from arrival to its end; [`scanner`]: whole events of a stream
 
 pub mod action;
 pub mod answer;
--- a/crates/hyssopfork-gateway/tests/gateway/overload.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/overload.rs
@@ -1,4 +1,4 @@
-//! More work than the groups can take, judged by what callers get.
+//! More work than the groups can take, judged by what clients get.
 //!
 //! The load is that of a day on which a zone of three is out: groups with slots for half of what
 //! arrives. A toy group ends each request after a second when its slots suffice, and lets what is
