gateway, fleet: keep an upstream cold until the leader says otherwise

An upstream that turns cold again before it is warm changes nothing that is published, so the entry would have sent it full load at the end of the first time. As before the change, an upstream is cold until the published view says that it isn't; the leader publishes that when the last cold time is over.

--- a/crates/hyssopfork-fleet/src/registry.rs
+++ b/crates/hyssopfork-fleet/src/registry.rs
@@ -219,8 +219,11 @@
         self.published.retain(|instance, _| self.records.contains_key(instance));
         for (instance, record) in &self.records {
             let standing = standing(record, now.since(record.heard) >= self.silence);
-            let known = self.published.get(instance);
-            if !changed.contains(instance) && known.is_some_and(|it| it.standing == standing) {
+            let is_warm = now >= record.cold_until;
+            let holds = |known: &view::Upstream| {
+                known.standing == standing && known.announcement.cold.is_zero() == is_warm
+            };
+            if !changed.contains(instance) && self.published.get(instance).is_some_and(holds) {
                 continue;
             }
             let cold = now.until(record.cold_until);
--- a/crates/hyssopfork-fleet/tests/fleet/registry.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/registry.rs
@@ -164,3 +164,25 @@
         assert_eq!(registry.get(&e1()).and_then(|record| record.last.clone()), Some(large.clone()));
     }
 }
+
+/// Guards against an upstream that turns cold again before it was warm and is published as warm at the end
+/// of its first cold time.
+#[test]
+fn an_upstream_is_published_as_cold_until_its_last_cold_time_ends() {
+    let mut registry = Registry::new(Duration::from_secs(4));
+    let cold = |sequence, millis| Announcement {
+        sequence,
+        cold: Duration::from_millis(millis),
+        ..fixture::announcement("e1")
+    };
+    registry.announce(fixture::at(0), cold(1, 500));
+    registry.published(fixture::at(0));
+    registry.announce(fixture::at(400), cold(2, 3_000));
+
+    let mut is_cold =
+        |millis| !registry.published(fixture::at(millis))[&e1()].announcement.cold.is_zero();
+
+    assert!(is_cold(600));
+    assert!(is_cold(3_300));
+    assert!(!is_cold(3_400));
+}
--- a/crates/hyssopfork-gateway/src/choice.rs
+++ b/crates/hyssopfork-gateway/src/choice.rs
@@ -176,10 +176,7 @@
 
 /// Whether the upstream bears another request now.
 fn bears(now: clock::Instant, target: &target::Target) -> bool {
-    match target.cold_part {
-        Some(part) if now < target.cold_until => target.recent.has_room(now, part),
-        _ => true,
-    }
+    target.cold_part.is_none_or(|part| target.recent.has_room(now, part))
 }
 
 fn class(now: clock::Instant, target: &target::Target) -> Class {
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -32,7 +32,7 @@
     out: BTreeSet<name::Zone>,
     /// Entries that share the fleet's limits.
     entries: BTreeMap<net::SocketAddr, ()>,
-    upstreams: BTreeMap<name::Instance, follow::Upstream>,
+    upstreams: BTreeMap<name::Instance, view::Upstream>,
     groups: BTreeMap<name::Group, view::Group>,
     /// Serving group of each head.
     heads: BTreeMap<name::Instance, name::Group>,
--- a/crates/hyssopfork-gateway/src/core/follow.rs
+++ b/crates/hyssopfork-gateway/src/core/follow.rs
@@ -84,13 +84,7 @@
         &mut self,
         changes: Vec<(name::Instance, Option<view::Upstream>)>,
     ) -> Vec<name::Instance> {
-        let now = self.now;
-        let known = |told: view::Upstream| {
-            let cold_until = now + told.announcement.cold;
-            Upstream { told, cold_until }
-        };
         let changed = changes.iter().map(|(instance, _)| instance.clone()).collect();
-        let changes = changes.into_iter().map(|(instance, told)| (instance, told.map(known)));
         view::merge(&mut self.upstreams, changes);
         changed
     }
@@ -101,7 +95,7 @@
         let (Some(table), Some(upstream)) = (&self.table, self.upstreams.get(instance)) else {
             return;
         };
-        let told = &upstream.told.announcement;
+        let told = &upstream.announcement;
         let group = self.heads.get(instance).and_then(|group| self.groups.get(group));
         let engine = table.engine(&told.pool);
         if engine.is_some() && group.is_none() {
@@ -116,12 +110,12 @@
         let slots = engine.map_or(told.slots, |engine| engine.slots);
         let mut target = known.unwrap_or_else(|| fresh(incarnation, slots, told));
         target.model = group.map(|group| group.model.clone());
-        target.standing = upstream.told.standing;
-        target.cold_until = upstream.cold_until;
+        target.standing = upstream.standing;
         let rank = rendezvous::rank(self.settings.address, self.entries.keys(), instance);
         let entries = self.entry_count();
         target.preference = rank as f64 / entries as f64;
-        let rate = table.cold_rate(&told.pool).filter(|_| self.now < upstream.cold_until);
+        // Cold until the leader says otherwise: it may turn cold again meanwhile.
+        let rate = table.cold_rate(&told.pool).filter(|_| !told.cold.is_zero());
         target.cold_part = rate.map(|rate| cold::part(rate, rank, entries));
         // Requests that were sent before the target was left out, or its group formed anew, still run.
         let runs = |request: &&request::Request| {
@@ -132,14 +126,6 @@
     }
 }
 
-/// An upstream as the view tells of it.
-#[derive(Clone, Debug)]
-pub(super) struct Upstream {
-    told: view::Upstream,
-    /// Until when it bears little, counted from when it was told.
-    cold_until: clock::Instant,
-}
-
 fn fresh(
     incarnation: target::Incarnation,
     slots: u32,
@@ -155,7 +141,6 @@
         limit: limit::Limit::new(slots),
         health: health::Health::default(),
         recent: Default::default(),
-        cold_until: clock::Instant::ORIGIN,
         cold_part: None,
         preference: 0.0,
         moved: clock::Instant::ORIGIN,
--- a/crates/hyssopfork-gateway/src/target.rs
+++ b/crates/hyssopfork-gateway/src/target.rs
@@ -61,11 +61,9 @@
     pub health: health::Health,
     /// Sends in the last second.
     pub recent: cold::Recent,
-    /// Until when it bears little.
-    pub cold_until: clock::Instant,
     /// Place of this entry among all in the upstream's order of them, between 0, the first, and 1.
     pub preference: f64,
-    /// Requests in a second that this entry may send until then; `None` for any number.
+    /// Requests in a second that this entry may send while it is cold; `None` for any number.
     pub cold_part: Option<usize>,
     /// When bytes last came of any of its streams.
     pub moved: clock::Instant,
--- a/crates/hyssopfork-gateway/tests/gateway/cold.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/cold.rs
@@ -49,6 +49,24 @@
     assert!(sent.values().sum::<u32>() >= 80, "{sent:?}");
 }
 
+/// Guards against full load on an upstream that turned cold again: only the leader knows of it.
+#[test]
+fn an_upstream_is_cold_until_the_leader_says_otherwise() {
+    let mut update = fixture::view();
+    for (_, upstream) in update.upstreams.iter_mut().take(2) {
+        upstream.as_mut().expect("it is there").announcement.cold = Duration::from_millis(100);
+    }
+    let mut entry = Entry::all_before(1, &update).remove(0);
+    entry.pass(3_000);
+
+    let cold = (0..16).filter(|_| entry.is_sent("stream")).count();
+    entry.see(fixture::view());
+    let warm = (0..16).filter(|_| entry.is_sent("stream")).count();
+
+    assert_eq!(cold, 12);
+    assert!(warm > 0);
+}
+
 #[test]
 fn one_entry_more_moves_few_places() {
     let before: Vec<_> = (0..39).map(fixture::entry_address).collect();
--- a/crates/hyssopfork-gateway/tests/gateway/fixture.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/fixture.rs
@@ -237,6 +237,11 @@
         (number, started(&decision).instance.clone())
     }
 
+    /// Whether a request that arrives is sent.
+    pub fn is_sent(&mut self, route: &str) -> bool {
+        matches!(self.arrive(arrival(route)).1, action::Decision::Start(_))
+    }
+
     /// The first event of a stream comes, and is forwarded.
     pub fn begin(&mut self, number: u64) {
         let head = event::Head { status: 200, load: None };
