--- a/crates/hyssopfork-gateway/tests/gateway/overload.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/overload.rs
@@ -152,7 +152,7 @@
     assert!(in_time >= 28, "{in_time} served in time by sixteen slots in three seconds");
 }
 
-/// Forty entries before twenty groups, of which half is taken. Each entry has a request at a
+/// Forty entries before twenty groups, of which five eighths are taken. Each entry has a request at a
 /// group now and then, and the last report of one is older than the requests that it counted.
 ///
 /// Guards against work that piles up at some groups, and is rejected at entries, while others have room.
@@ -162,7 +162,7 @@
     let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(1);
 
     // The balancer divides clients unevenly: half of the entries get twice what the others do.
-    let seen = play(20_000, entries, |now, _| now + 12, |_| random.random_range(0..60) % 40);
+    let seen = play(20_000, entries, |now, _| now + 10, |_| random.random_range(0..60) % 40);
 
     let missed = seen.late + seen.refused;
     assert!(missed * 20 < seen.in_time + missed, "{} late, {} refused", seen.late, seen.refused);
