gateway: log the fingerprint of broken requests and the end of upstreams

A request is logged by the identifier of one attempt of its client, so the logs could not tell whether the streams that break with one upstream after another carry the same work, nor whether the process ended or only a connection. A broken request now logs a hash of its team, path, query and body, and the entry opens one connection to the upstream: an address that refuses it has ended (5222).

No routing depends on it.

--- a/crates/hyssopfork-daemon/src/edge/conversation.rs
+++ b/crates/hyssopfork-daemon/src/edge/conversation.rs
@@ -14,7 +14,7 @@
 /// Holds the conversation up to the answer's head; a stream's events follow in its body.
 pub async fn hold(traffic: Rc<traffic::Traffic>, incoming: web::Incoming) -> web::Outgoing {
     let head = incoming.request.head();
-    let arrival = caller::arrival(head);
+    let arrival = caller::arrival(head, incoming.body.clone());
     let outbound = attempt::Outbound {
         method: head.method.as_str().to_owned(),
         path: head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
--- a/crates/hyssopfork-daemon/src/edge/engine.rs
+++ b/crates/hyssopfork-daemon/src/edge/engine.rs
@@ -5,8 +5,8 @@
 use hyssopfork_fleet::groups::order;
 use hyssopfork_platform::{headers, order as wire};
 use hyssopfork_wire::name;
-use std::net;
 use std::time::Duration;
+use std::{io, net};
 use tokio::time;
 
 /// Time in which an order must be answered; it is idempotent and given again.
@@ -43,6 +43,16 @@
     }
 }
 
+/// Whether an address refuses connections: its instance is up, and nothing listens there.
+pub async fn refuses(address: net::SocketAddr) -> bool {
+    match time::timeout(PROBE_LIMIT, connection::Connection::open(address)).await {
+        Ok(Err(error::Error::Unreachable(_, cause))) => {
+            cause.kind() == io::ErrorKind::ConnectionRefused
+        }
+        Ok(_) | Err(_) => false,
+    }
+}
+
 /// Asks an engine for its report; `None` when none comes: the leader asks again.
 pub async fn report(instance: &name::Instance, address: net::SocketAddr) -> Option<order::Report> {
     let request = connection::Request { method: "GET", path: wire::REPORT_PATH, headers: &[] };
--- a/crates/hyssopfork-daemon/src/edge/process.rs
+++ b/crates/hyssopfork-daemon/src/edge/process.rs
@@ -205,7 +205,7 @@
             let limits = traffic::limits(&declaration::Limits::default());
             let shared = Rc::new(web::Shared::new(limits, phases.clone()));
             let asked = status.clone();
-            let traffic = Rc::new(traffic::Traffic::new(core, own, mailbox, status, registry));
+            let traffic = traffic::Traffic::new(core, own, mailbox, status, registry);
             serve(balancer, Rc::new(web::Shared::new(limits, phases.clone())), move |incoming| {
                 doors::readiness(asked.clone(), incoming)
             });
--- a/crates/hyssopfork-daemon/src/edge/traffic.rs
+++ b/crates/hyssopfork-daemon/src/edge/traffic.rs
@@ -1,15 +1,15 @@
 //! The traffic thread's state: the entry's core and what its conversations share.
 
-use crate::edge::{control, conversation, pool, web};
+use crate::edge::{control, conversation, engine, pool, web};
 use crate::{clock, log, mailbox};
-use hyssopfork_fleet::{declaration, event as fleet_event, view};
+use hyssopfork_fleet::{declaration, event as fleet_event, quarantine, view};
 use hyssopfork_gateway::{action, core, event};
 use hyssopfork_telemetry::metrics;
 use hyssopfork_wire::number;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -29,6 +29,7 @@
 
 /// The entry.
 pub struct Traffic {
+    own_handle: Weak<Traffic>,
     core: RefCell<core::Core>,
     /// Idle connections to upstreams.
     pub idle: pool::Pool,
@@ -49,8 +50,9 @@
         mailbox: mailbox::Mailbox<control::Input>,
         status: Arc<Status>,
         registry: Arc<metrics::Registry>,
-    ) -> Traffic {
-        Traffic {
+    ) -> Rc<Traffic> {
+        Rc::new_cyclic(|own_handle| Traffic {
+            own_handle: own_handle.clone(),
             core: RefCell::new(core),
             idle: pool::Pool::default(),
             count: Cell::new(0),
@@ -59,7 +61,7 @@
             mailbox,
             status,
             registry,
-        }
+        })
     }
 
     /// Number for another request.
@@ -90,6 +92,7 @@
                     decision = Some(decided);
                 }
                 action::Action::Decide(of, decided) => self.wake(of, decided),
+                action::Action::Probe(process, address) => self.probe(process, address),
                 action::Action::Notice(notice) => log::notice(&notice),
                 action::Action::Measure(measure) => log::measure_edge(&self.registry, &measure),
                 action::Action::Tell(evidence) => {
@@ -101,6 +104,14 @@
         decision
     }
 
+    fn probe(&self, process: quarantine::Process, address: net::SocketAddr) {
+        let Some(traffic) = self.own_handle.upgrade() else { return };
+        actix_rt::spawn(async move {
+            let refused = engine::refuses(address).await;
+            traffic.step(event::Event::Probed(process, refused));
+        });
+    }
+
     fn wake(&self, number: u64, decision: action::Decision) {
         let held = self.held.borrow_mut().remove(&number);
         if held.is_none_or(|held| held.send(decision).is_err()) {
--- a/crates/hyssopfork-fleet/src/lib.rs
+++ b/crates/hyssopfork-fleet/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod groups;
 pub mod notice;
 pub mod peer;
+pub mod quarantine;
 pub mod registry;
 pub mod seeking;
 pub mod settings;
--- a/crates/hyssopfork-gateway/src/action.rs
+++ b/crates/hyssopfork-gateway/src/action.rs
@@ -1,7 +1,7 @@
 //! What an entry does about an event.
 
 use crate::{measure, notice};
-use hyssopfork_fleet::peer;
+use hyssopfork_fleet::{peer, quarantine};
 use hyssopfork_wire::{clock, name};
 use std::net;
 use std::time::Duration;
@@ -102,6 +102,8 @@
 pub enum Action {
     /// Do this about a request.
     Decide(u64, Decision),
+    /// Open a connection to the process's address, to learn whether it refuses any.
+    Probe(quarantine::Process, net::SocketAddr),
     /// Tell the leader what was seen.
     Tell(peer::Evidence),
     /// Measure a request that ended.
--- a/crates/hyssopfork-gateway/src/arrival.rs
+++ b/crates/hyssopfork-gateway/src/arrival.rs
@@ -1,17 +1,16 @@
 //! A caller's request as it arrives.
 
+use crate::content;
 use hyssopfork_wire::name;
 use std::time::Duration;
 
-/// What decides about a request; its method, headers and body travel beside it.
+/// What decides about a request; its method and headers travel beside it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Arrival {
     /// Identifier that the caller gave this try of its request.
     pub identifier: String,
-    /// Host that the caller named, without a port.
-    pub host: String,
-    /// Path, without the query.
-    pub path: String,
+    /// What is asked for; its host is without a port.
+    pub content: content::Content,
     /// Key that the caller showed. A secret: never logged.
     pub key: Option<String>,
     /// Model that the work is for; `None` for a plain service.
--- /dev/null
+++ b/crates/hyssopfork-gateway/src/content.rs
@@ -0,0 +1,43 @@
+//! What a request asks for, apart from the attempt that carries it.
+
+use bytes::Bytes;
+use hyssopfork_fleet::quarantine;
+use hyssopfork_wire::name;
+use sha2::{Digest, Sha256};
+
+/// Content of a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Content {
+    /// Host that the client named.
+    pub host: String,
+    /// Path, without the query.
+    pub path: String,
+    /// Query; empty for none.
+    pub query: String,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Content {
+    /// Bytes of the body, as fingerprints count them.
+    pub fn length(&self) -> u64 {
+        self.body.len() as u64
+    }
+
+    /// The fingerprint of this content when `team` sends it. Teams don't share fingerprints, so that
+    /// none can have another's requests rejected.
+    pub fn fingerprint(&self, team: Option<&name::Team>) -> quarantine::Fingerprint {
+        let team = team.map_or("", |team| team.as_str());
+        let host = self.host.to_ascii_lowercase();
+        let mut hasher = Sha256::new();
+        for field in [team, &host, &self.path, &self.query] {
+            hasher.update((field.len() as u64).to_be_bytes());
+            hasher.update(field);
+        }
+        hasher.update(&self.body);
+        let hash = hasher.finalize();
+        let mut digest = [0; 16];
+        digest.copy_from_slice(&hash[..16]);
+        quarantine::Fingerprint { length: self.length(), digest }
+    }
+}
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -1,5 +1,6 @@
 //! The step function: events in, actions out.
 
+mod crash;
 mod ending;
 mod follow;
 mod holds;
@@ -43,6 +44,7 @@
     shares: BTreeMap<(name::Pool, Option<name::Model>), load::Share>,
     returns: BTreeMap<(name::Pool, Option<name::Model>), returns::Returns>,
     holds: holds::Holds,
+    crashes: crash::Crashes,
     requests: BTreeMap<u64, request::Request>,
     /// Whether any request has come.
     traffic: bool,
@@ -71,6 +73,7 @@
             shares: BTreeMap::new(),
             returns: BTreeMap::new(),
             holds: holds::Holds::default(),
+            crashes: crash::Crashes::default(),
             requests: BTreeMap::new(),
             traffic: false,
             stopping: false,
@@ -99,7 +102,7 @@
     pub fn step(&mut self, now: clock::Instant, event: event::Event) -> Vec<action::Action> {
         self.now = self.now.max(now);
         match event {
-            event::Event::Tick => self.tell(),
+            event::Event::Tick => self.tick(),
             event::Event::Viewed(update, declaration) => self.viewed(*update, declaration),
             event::Event::Arrived(number, arrival) => self.arrived(number, *arrival),
             event::Event::Headed(number, head) => self.headed(number, head),
@@ -107,6 +110,7 @@
             event::Event::Answered(number, head) => self.answered(number, head),
             event::Event::Ended(number) => self.ended(number),
             event::Event::Failed(number, fault, load) => self.failed(number, fault, load),
+            event::Event::Probed(process, refused) => self.probed(&process, refused),
             event::Event::Quiet(number) => self.quiet(number),
             event::Event::Waited(number) => self.on_queue_timeout(number),
             event::Event::Expired(number) => self.expired(number),
@@ -122,6 +126,11 @@
         self.note(notice::Notice::Leaving(open));
     }
 
+    fn tick(&mut self) {
+        self.forget_crashes();
+        self.tell();
+    }
+
     /// Tells the leader what was seen.
     fn tell(&mut self) {
         let named = |chosen: &dyn Fn(&target::Target) -> bool| {
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -117,7 +117,7 @@
         request.tries += 1;
         request.attempt = Some(request::Attempt {
             instance: instance.clone(),
-            epoch: target.incarnation.epoch,
+            incarnation: target.incarnation.clone(),
             started: now,
             load: load.0,
             moved: None,
@@ -250,12 +250,18 @@
         let now = self.now;
         let Some(request) = self.requests.get(&number) else { return };
         let Some(attempt) = request.attempt.clone() else { return };
+        let broken = fault == event::Fault::Broken;
+        let fingerprint = broken.then(|| request.fingerprint());
         self.note(notice::Notice::Failed {
             identifier: request.identifier.clone(),
             instance: attempt.instance.clone(),
             fault,
             after: now.since(attempt.started),
+            fingerprint,
         });
+        if let Some(fingerprint) = fingerprint {
+            self.suspect_crash(&attempt, fingerprint);
+        }
         if let Some(target) = self.targets.get_mut(&attempt.instance) {
             match fault {
                 event::Fault::Unreachable | event::Fault::Stranger => {
@@ -378,6 +384,7 @@
         identifier: arrival.identifier,
         route: route.name.clone(),
         team: place.team.map(|team| team.name.clone()),
+        content: arrival.content,
         pool,
         model,
         repetition: route.repetition,
--- a/crates/hyssopfork-gateway/src/core/silence.rs
+++ b/crates/hyssopfork-gateway/src/core/silence.rs
@@ -32,7 +32,7 @@
         }
         let (stall, own) = limits(request, attempt);
         let stalled = all_silent >= stall;
-        let lost = silence >= target::LOST && self.is_lost(attempt.epoch);
+        let lost = silence >= target::LOST && self.is_lost(attempt.incarnation.epoch);
         if !stalled && !lost && silence < own {
             let instance = attempt.instance.clone();
             let streams = request.repetition.streams();
--- a/crates/hyssopfork-gateway/src/event.rs
+++ b/crates/hyssopfork-gateway/src/event.rs
@@ -1,7 +1,7 @@
 //! What happens to an entry.
 
 use crate::{arrival, load};
-use hyssopfork_fleet::{declaration, view};
+use hyssopfork_fleet::{declaration, quarantine, view};
 use std::sync::Arc;
 
 /// Head of an upstream's answer.
@@ -55,6 +55,8 @@
     Ended(u64),
     /// The newest attempt failed.
     Failed(u64, Fault, Option<load::Report>),
+    /// A process was probed; whether its address refuses connections.
+    Probed(quarantine::Process, bool),
     /// Nothing came for the time that was last given.
     Quiet(u64),
     /// The time for which the request may wait for a place is over.
@@ -81,7 +83,7 @@
             | Event::Waited(number)
             | Event::Expired(number)
             | Event::Gone(number) => Some(*number),
-            Event::Tick | Event::Viewed(..) | Event::Stop => None,
+            Event::Tick | Event::Viewed(..) | Event::Probed(..) | Event::Stop => None,
         }
     }
 }
--- a/crates/hyssopfork-gateway/src/lib.rs
+++ b/crates/hyssopfork-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod budget;
 pub mod choice;
 pub mod cold;
+pub mod content;
 pub mod core;
 pub mod event;
 pub mod health;
--- a/crates/hyssopfork-gateway/src/notice.rs
+++ b/crates/hyssopfork-gateway/src/notice.rs
@@ -1,6 +1,7 @@
 //! Numbered events of an entry that sends straight to upstreams, 5200 to 5399.
 
 use crate::{action, event};
+use hyssopfork_fleet::quarantine;
 use hyssopfork_wire::{level, name};
 use std::fmt;
 use std::time::Duration;
@@ -62,6 +63,8 @@
         fault: event::Fault,
         /// Time since the attempt began.
         after: Duration,
+        /// Fingerprint of the request, where the connection broke off.
+        fingerprint: Option<quarantine::Fingerprint>,
     },
     /// A request was taken away from an upstream that stands still.
     Moved {
@@ -116,6 +119,13 @@
         /// Time since arrival.
         after: Duration,
     },
+    /// An upstream's process ended while requests ran there.
+    Crashed {
+        /// Upstream.
+        instance: name::Instance,
+        /// Requests of this entry that broke off.
+        requests: usize,
+    },
     /// Everything stands still on an upstream.
     Stalled(name::Instance, Duration),
     /// The entry takes no new connections.
@@ -138,13 +148,14 @@
             Notice::Held { .. } => 5218,
             Notice::Stalled(..) => 5220,
             Notice::Leaving(..) => 5221,
+            Notice::Crashed { .. } => 5222,
         }
     }
 
     /// How much it matters.
     pub const fn level(&self) -> level::Level {
         match self {
-            Notice::Cut { .. } | Notice::Stalled(..) => level::Level::Warn,
+            Notice::Cut { .. } | Notice::Crashed { .. } | Notice::Stalled(..) => level::Level::Warn,
             _ => level::Level::Info,
         }
     }
@@ -166,7 +177,10 @@
             | Notice::Cut { identifier, .. }
             | Notice::Answered { identifier, .. }
             | Notice::Gone { identifier, .. } => Some(identifier),
-            Notice::InForce(..) | Notice::Stalled(..) | Notice::Leaving(..) => None,
+            Notice::InForce(..)
+            | Notice::Crashed { .. }
+            | Notice::Stalled(..)
+            | Notice::Leaving(..) => None,
         }
     }
 }
@@ -198,12 +212,16 @@
             Notice::Held { time, .. } => {
                 write!(formatter, "held until somebody serves it, for_ms={}", time.as_millis())
             }
-            Notice::Failed { instance, fault, after, .. } => {
-                write!(
-                    formatter,
-                    "attempt at {instance} ended: {fault} after_ms={}",
-                    after.as_millis()
-                )
+            Notice::Failed { instance, fault, after, fingerprint, .. } => {
+                let after = after.as_millis();
+                write!(formatter, "attempt at {instance} ended: {fault} after_ms={after}")?;
+                match fingerprint {
+                    Some(fingerprint) => write!(formatter, " fingerprint={fingerprint}"),
+                    None => Ok(()),
+                }
+            }
+            Notice::Crashed { instance, requests } => {
+                write!(formatter, "{instance} ended while it ran {requests} requests of this entry")
             }
             Notice::Moved { instance, silence, .. } => write!(
                 formatter,
--- a/crates/hyssopfork-gateway/src/request.rs
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -1,7 +1,7 @@
 //! Requests of an entry.
 
-use crate::choice;
-use hyssopfork_fleet::declaration;
+use crate::{choice, content, target};
+use hyssopfork_fleet::{declaration, quarantine};
 use hyssopfork_wire::{clock, configuration, name};
 use std::time::Duration;
 
@@ -10,8 +10,8 @@
 pub struct Attempt {
     /// Upstream.
     pub instance: name::Instance,
-    /// Epoch of the group that it heads; 0 for a plain service.
-    pub epoch: u64,
+    /// Process and group that the request was sent to.
+    pub incarnation: target::Incarnation,
     /// When it was started.
     pub started: clock::Instant,
     /// Requests that the upstream was believed to have then.
@@ -29,6 +29,8 @@
     pub route: name::Route,
     /// Team.
     pub team: Option<name::Team>,
+    /// What it asks for.
+    pub content: content::Content,
     /// Pool that does the work.
     pub pool: name::Pool,
     /// Model.
@@ -64,6 +66,11 @@
 }
 
 impl Request {
+    /// Fingerprint of the work, the same for each repeat of it.
+    pub fn fingerprint(&self) -> quarantine::Fingerprint {
+        self.content.fingerprint(self.team.as_ref())
+    }
+
     /// How it stands among others; `again` when it was accepted before.
     pub fn standing(&self, now: clock::Instant, again: bool) -> choice::Standing {
         if again {
--- a/crates/hyssopfork-gateway/src/table.rs
+++ b/crates/hyssopfork-gateway/src/table.rs
@@ -56,7 +56,8 @@
 
     /// Finds where a request belongs.
     pub fn find(&self, arrival: &arrival::Arrival) -> Result<Place<'_>, Error> {
-        let route = self.route(&arrival.host, &arrival.path).ok_or(Error::RouteNotFound)?;
+        let route =
+            self.route(&arrival.content.host, &arrival.content.path).ok_or(Error::RouteNotFound)?;
         if route.anonymous || self.declaration.teams.is_empty() {
             return Ok(Place { route, team: None });
         }
--- a/crates/hyssopfork-gateway/tests/gateway/fixture.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/fixture.rs
@@ -1,7 +1,7 @@
 //! An entry before one model with groups and one plain service.
 
-use hyssopfork_fleet::{announcement, declaration, view};
-use hyssopfork_gateway::{action, arrival, core, event, settings, target};
+use hyssopfork_fleet::{announcement, declaration, quarantine, view};
+use hyssopfork_gateway::{action, arrival, content, core, event, settings, target};
 use hyssopfork_wire::{clock, name, number};
 use std::net;
 use std::sync::Arc;
@@ -134,10 +134,18 @@
 }
 
 pub fn arrival(route: &str) -> arrival::Arrival {
+    arrival_at(&format!("/{route}/x"))
+}
+
+/// A request for this path.
+pub fn arrival_at(path: &str) -> arrival::Arrival {
     arrival::Arrival {
         identifier: "id".to_owned(),
-        host: "host".to_owned(),
-        path: format!("/{route}/x"),
+        content: content::Content {
+            host: "host".to_owned(),
+            path: path.to_owned(),
+            ..content::Content::default()
+        },
         key: Some("key".to_owned()),
         model: Some(name::Model::from("large")),
         last_event: None,
@@ -150,6 +158,7 @@
     pub core: core::Core,
     pub now: clock::Instant,
     pub told: Vec<hyssopfork_fleet::peer::Evidence>,
+    pub probes: Vec<quarantine::Process>,
     count: u64,
 }
 
@@ -169,7 +178,13 @@
             retry_window: Duration::from_secs(10),
         };
         let now = at(1_000);
-        Entry { core: core::Core::new(settings, 1, now), now, told: Vec::new(), count: 0 }
+        Entry {
+            core: core::Core::new(settings, 1, now),
+            now,
+            told: Vec::new(),
+            probes: Vec::new(),
+            count: 0,
+        }
     }
 
     /// An entry that knows the fleet of this module.
@@ -209,6 +224,7 @@
             match action {
                 action::Action::Decide(_, decided) => decision = Some(decided),
                 action::Action::Tell(evidence) => self.told.push(evidence),
+                action::Action::Probe(process, _) => self.probes.push(process),
                 action::Action::Notice(_) | action::Action::Measure(_) => {}
             }
         }
--- a/crates/hyssopfork-gateway/tests/gateway/main.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod choice;
 mod cold;
+mod crash;
 mod fixture;
 mod health;
 mod holds;
--- a/crates/hyssopfork-gateway/tests/gateway/table.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/table.rs
@@ -15,8 +15,7 @@
 }
 
 fn route_of(path: &str) -> Result<String, Error> {
-    let arrival =
-        hyssopfork_gateway::arrival::Arrival { path: path.to_owned(), ..arrival("status") };
+    let arrival = fixture::arrival_at(path);
     table().find(&arrival).map(|place| place.route.name.to_string())
 }
 
@@ -31,9 +30,9 @@
 #[test]
 fn hosts_are_told_apart_without_regard_to_case() {
     let mut other = arrival("status");
-    other.host = "HOST".to_owned();
+    other.content.host = "HOST".to_owned();
     assert!(table().find(&other).is_ok());
-    other.host = "another".to_owned();
+    other.content.host = "another".to_owned();
 
     assert_eq!(table().find(&other).err(), Some(Error::RouteNotFound));
 }
@@ -43,7 +42,7 @@
     let mut stranger = arrival("open");
     stranger.key = None;
     assert!(table().find(&stranger).is_ok_and(|place| place.team.is_none()));
-    stranger.path = "/status/x".to_owned();
+    stranger.content.path = "/status/x".to_owned();
 
     assert_eq!(table().find(&stranger).err(), Some(Error::KeyNotFound));
 }
