gateway, fleet: quarantine requests that crash upstreams

Clients saw up to half of a kind of request fail for 15 s at a time. Cause: a request that crashes whatever runs it was sent on by every entry that its client turned to, twice by each (the stream is resumed elsewhere within one answer). An entry bounded its own attempts of one request; nothing went from a request to its repeat, nor from one entry to another. Class: a conclusion that all must obey, kept by nobody.

Entries report the fingerprints of requests that were in flight at an upstream whose process ended. The leader counts crashes for each; with the third, all entries reject the request with 503 and a time to return, recall attempts that still wait, and resume none. A request that was there by chance is told apart: it completes elsewhere (reported from the second crash on), crashes at one moment count once, a crash with a quarantined request in flight counts against no other, and one attempt is let through after 15 s, 1 min, 4 min and so on, by one entry after the other. Verdicts are in the leader's memory and in the view of all entries, from which the next leader takes them; a restart of all processes forgets them. Without crashes no request is hashed.

Ruled out: upstreams that end by themselves (one fingerprint broke 36 times, no other more than twice); resets, planned ends, zones without power (the address doesn't refuse connections, or the upstream leaves).

--- a/crates/hyssopfork-daemon/src/log.rs
+++ b/crates/hyssopfork-daemon/src/log.rs
@@ -150,7 +150,7 @@
         Reason::NoUpstream | Reason::NotTaken => refusal::Reason::NoUpstream,
         Reason::Overloaded => refusal::Reason::Overloaded,
         Reason::TooLate | Reason::TimedOut => refusal::Reason::Deadline,
-        Reason::Failed => refusal::Reason::UpstreamFailed,
+        Reason::Quarantined | Reason::Failed => refusal::Reason::UpstreamFailed,
     };
     let ran = if reason.is_not_run() { refusal::Ran::NotRun } else { refusal::Ran::MayHaveRun };
     refusal::Refusal { reason: told, ran, retry_after: None }
--- a/crates/hyssopfork-fleet/src/board.rs
+++ b/crates/hyssopfork-fleet/src/board.rs
@@ -1,6 +1,6 @@
 //! What the leader has published, and what each follower lacks of it.
 
-use crate::{document, view};
+use crate::{document, quarantine, view};
 use hyssopfork_wire::{name, number};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net;
@@ -70,7 +70,7 @@
     }
 }
 
-/// Everything but the upstreams and groups. All but the entries travels whole.
+/// Everything but the upstreams and groups. All but the entries and the quarantine travels whole.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Rest {
     /// The declaration in force.
@@ -81,6 +81,8 @@
     pub controls: Vec<net::SocketAddr>,
     /// Entries that follow the leader.
     pub entries: BTreeSet<net::SocketAddr>,
+    /// Requests that are suspected or quarantined.
+    pub quarantine: BTreeMap<quarantine::Fingerprint, quarantine::Verdict>,
 }
 
 /// Documents before the newest that followers may still be receiving.
@@ -101,6 +103,7 @@
     upstreams: Table<name::Instance, view::Upstream>,
     groups: Table<name::Group, view::Group>,
     entries: Table<net::SocketAddr, ()>,
+    quarantine: Table<quarantine::Fingerprint, quarantine::Verdict>,
 }
 
 impl Board {
@@ -115,6 +118,7 @@
             upstreams: Table::new(),
             groups: Table::new(),
             entries: Table::new(),
+            quarantine: Table::new(),
         }
     }
 
@@ -138,6 +142,7 @@
         changed |= self.groups.publish(revision, groups, |old, new| old == new);
         let entries = rest.entries.iter().map(|entry| (*entry, ())).collect();
         changed |= self.entries.publish(revision, &entries, |_, _| true);
+        changed |= self.quarantine.publish(revision, &rest.quarantine, |old, new| old == new);
         changed |= self.rest != rest;
         if self.rest.document != rest.document {
             self.before.extend(self.rest.document.take());
@@ -202,6 +207,7 @@
     /// What a follower lacks that stands at `have`, declarations left aside.
     pub fn since(&self, have: view::Stamp) -> view::Update {
         let floor = self.upstreams.floor.max(self.groups.floor).max(self.entries.floor);
+        let floor = floor.max(self.quarantine.floor);
         let known = have.term == self.stamp.term
             && have.revision >= floor
             && have.revision <= self.stamp.revision;
@@ -216,6 +222,7 @@
             groups: self.groups.since(revision),
             controls: self.rest.controls.clone(),
             entries: self.entries.since(revision),
+            quarantine: self.quarantine.since(revision),
         }
     }
 }
--- a/crates/hyssopfork-fleet/src/core.rs
+++ b/crates/hyssopfork-fleet/src/core.rs
@@ -5,8 +5,8 @@
 mod lead;
 
 use crate::{
-    action, board, declaration, document, durable, event, founding, groups, notice, registry,
-    seeking, settings, view,
+    action, board, declaration, document, durable, event, founding, groups, notice, quarantine,
+    registry, seeking, settings, view,
 };
 use hyssopfork_consensus::{action as log_action, event as log_event, node, proposals};
 use hyssopfork_wire::{clock, consensus, name, number};
@@ -55,6 +55,7 @@
     upstreams: BTreeMap<name::Instance, view::Upstream>,
     groups: BTreeMap<name::Group, view::Group>,
     entries: BTreeMap<net::SocketAddr, ()>,
+    quarantine: BTreeMap<quarantine::Fingerprint, quarantine::Verdict>,
     /// Document of the declaration that this process's entry holds.
     ///
     /// Invariant: its version never goes down.
@@ -71,6 +72,7 @@
     term: number::Term,
     registry: registry::Registry,
     groups: groups::Groups,
+    ledger: quarantine::Ledger,
     board: board::Board,
     watches: lead::Watches,
     /// Whether something may have changed that followers are to be told.
--- a/crates/hyssopfork-fleet/src/core/calls.rs
+++ b/crates/hyssopfork-fleet/src/core/calls.rs
@@ -157,7 +157,6 @@
             let leader = self.elsewhere();
             return self.reply(call, action::Reply::Watched(peer::Answer::NotLeader(leader)));
         };
-        leadership.groups.saw(now, watch.from, &watch.evidence);
         if let Some(known) = watch.known {
             for upstream in known.upstreams {
                 leadership.dirty |= leadership.registry.adopt(now, upstream);
@@ -167,21 +166,21 @@
                 leadership.dirty = true;
             }
             leadership.watches.learn(known.entries);
+            leadership.ledger.learn(now, known.quarantine);
         }
         leadership.watches.hold(now, call, watch.from, watch.have, watch.document);
+        self.observe(watch.from, &watch.evidence);
     }
 
     pub(super) fn seen(&mut self, from: net::SocketAddr, evidence: peer::Evidence) {
-        let now = self.now;
         if let Some(leadership) = &mut self.leadership {
-            leadership.groups.saw(now, from, &evidence);
             leadership.dirty = true;
-            return;
+            return self.observe(from, &evidence);
         }
         if from != self.settings.address {
             return;
         }
-        if !evidence.stalled.is_empty()
+        if evidence.is_urgent()
             && let Some(leader) = self.elsewhere()
         {
             self.act(action::Action::Tell(leader, evidence.clone()));
--- a/crates/hyssopfork-fleet/src/core/follow.rs
+++ b/crates/hyssopfork-fleet/src/core/follow.rs
@@ -34,6 +34,7 @@
             upstreams: self.copy.upstreams.values().cloned().collect(),
             groups: self.copy.groups.clone().into_iter().collect(),
             entries: self.copy.entries.keys().copied().collect(),
+            quarantine: self.copy.quarantine.clone().into_iter().collect(),
         }
     }
 
@@ -113,11 +114,13 @@
             self.copy.upstreams.clear();
             self.copy.groups.clear();
             self.copy.entries.clear();
+            self.copy.quarantine.clear();
         }
         self.copy.stamp = update.stamp;
         view::merge(&mut self.copy.upstreams, update.upstreams.iter().cloned());
         view::merge(&mut self.copy.groups, update.groups.iter().cloned());
         view::merge(&mut self.copy.entries, update.entries.iter().copied());
+        view::merge(&mut self.copy.quarantine, update.quarantine.iter().copied());
         self.act(action::Action::Publish(Box::new(update), declaration));
     }
 }
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -1,7 +1,7 @@
 //! What a leader does: looks after groups and voters, publishes, answers watches.
 
 use super::{Copy, Core, Leadership};
-use crate::{action, board, document, groups, notice, peer, registry, view};
+use crate::{action, board, document, groups, notice, peer, quarantine, registry, view};
 use hyssopfork_consensus::{change, event as log_event};
 use hyssopfork_wire::{clock, consensus, name, number};
 use std::collections::{BTreeMap, BTreeSet};
@@ -260,7 +260,7 @@
         // Who starts the system knows that nobody has sent yet; whoever takes over doesn't.
         let traffic = !self.settings.first_start || term.0 > 1;
         let mut groups = groups::Groups::new(now, term, traffic);
-        let Copy { upstreams, groups: known, entries, .. } = self.copy.clone();
+        let Copy { upstreams, groups: known, entries, quarantine, .. } = self.copy.clone();
         for upstream in upstreams.into_values() {
             registry.adopt(now, upstream);
         }
@@ -269,10 +269,13 @@
         }
         let mut watches = Watches::new(now);
         watches.learn(entries.into_keys());
+        let mut ledger = quarantine::Ledger::default();
+        ledger.learn(now, quarantine.into_iter().collect());
         self.leadership = Some(Leadership {
             term,
             registry,
             groups,
+            ledger,
             board: board::Board::new(term, self.copy.document.clone()),
             watches,
             dirty: true,
@@ -292,17 +295,18 @@
         }
         let now = self.now;
         let own = std::mem::take(&mut self.evidence);
+        if own != peer::Evidence::default() {
+            self.observe(self.settings.address, &own);
+        }
         let due = self.leadership.as_ref().is_some_and(|leadership| leadership.is_review_due(now));
         let document = self.state.document.clone().filter(|_| due);
         let declaration = document.and_then(|document| self.declared(&document));
         let Some(leadership) = &mut self.leadership else { return };
-        if own != peer::Evidence::default() {
-            leadership.groups.saw(now, self.settings.address, &own);
-        }
         if due {
             leadership.looked = now;
             leadership.dirty = false;
             leadership.registry.forget(now);
+            leadership.ledger.forget(now);
             let peers = leadership.watches.peers();
             let commands = declaration
                 .map(|it| {
@@ -316,6 +320,29 @@
         self.look_at_seats();
     }
 
+    /// Takes what an entry saw.
+    pub(super) fn observe(&mut self, from: net::SocketAddr, evidence: &peer::Evidence) {
+        let now = self.now;
+        let Some(leadership) = &mut self.leadership else { return };
+        leadership.groups.saw(now, from, evidence);
+        let mut notices = Vec::new();
+        for crash in &evidence.crashes {
+            for (request, round) in leadership.ledger.record(now, crash) {
+                notices.push(notice::Notice::Quarantined(request, round));
+            }
+            leadership.dirty = true;
+        }
+        for completion in &evidence.completions {
+            if leadership.ledger.completed(now, completion) {
+                notices.push(notice::Notice::Released(completion.request));
+            }
+            leadership.dirty = true;
+        }
+        for notice in notices {
+            self.notice(notice);
+        }
+    }
+
     pub(super) fn command(&mut self, commands: Vec<groups::Command>) {
         for command in commands {
             let action = match command {
@@ -349,6 +376,7 @@
             out: self.state.out.clone(),
             controls,
             entries: leadership.watches.entries(now, self.settings.address),
+            quarantine: leadership.ledger.published().clone(),
         };
         let upstreams = leadership.registry.published(now);
         let groups = leadership.groups.published();
--- a/crates/hyssopfork-fleet/src/notice.rs
+++ b/crates/hyssopfork-fleet/src/notice.rs
@@ -1,6 +1,6 @@
 //! Numbered events of the control of a self-registering fleet, 5000 to 5199.
 
-use crate::{groups::group, groups::order, registry};
+use crate::{groups::group, groups::order, quarantine, registry};
 use hyssopfork_consensus::notice as log;
 use hyssopfork_wire::{level, name, number};
 use std::fmt;
@@ -44,6 +44,11 @@
     Departed(name::Instance),
     /// An upstream answers nothing and counts as dead.
     Lost(name::Instance),
+    /// A request is kept from all upstreams, after crashes or an attempt that crashed another one; how
+    /// often it was.
+    Quarantined(quarantine::Fingerprint, u32),
+    /// A quarantined request completed and is no longer kept from upstreams.
+    Released(quarantine::Fingerprint),
     /// A group was formed, or an instance put in reserve.
     Formed(name::Group, name::Model, Vec<name::Instance>, group::Stage),
     /// A group of an earlier leader was taken over.
@@ -84,6 +89,8 @@
             Notice::LateCall(..) => 5021,
             Notice::Departed(..) => 5022,
             Notice::Lost(..) => 5023,
+            Notice::Quarantined(..) => 5024,
+            Notice::Released(..) => 5025,
             Notice::Formed(..) => 5030,
             Notice::Adopted(..) => 5031,
             Notice::Turned(..) => 5032,
@@ -102,6 +109,7 @@
             | Notice::Paused(..)
             | Notice::SeatRemoved(..)
             | Notice::DocumentDamaged(..)
+            | Notice::Quarantined(..)
             | Notice::Lost(..) => level::Level::Warn,
             _ => level::Level::Info,
         }
@@ -171,6 +179,12 @@
             Notice::Lost(instance) => {
                 write!(formatter, "{instance} answers nothing and counts as dead")
             }
+            Notice::Quarantined(request, round) => {
+                write!(formatter, "request {request} is quarantined after crashes round={round}")
+            }
+            Notice::Released(request) => {
+                write!(formatter, "request {request} completed; no longer quarantined")
+            }
             Notice::Formed(group, model, members, stage) => {
                 let members: Vec<&str> = members.iter().map(name::Instance::as_str).collect();
                 write!(formatter, "group {group} of {model} is {stage}: {}", members.join(" "))
--- a/crates/hyssopfork-fleet/src/peer.rs
+++ b/crates/hyssopfork-fleet/src/peer.rs
@@ -1,6 +1,6 @@
 //! Calls between the system's own processes.
 
-use crate::{announcement, document, view};
+use crate::{announcement, document, quarantine, view};
 use hyssopfork_wire::{consensus, envelope, name};
 use serde::{Deserialize, Serialize};
 use std::net;
@@ -40,6 +40,18 @@
     pub busy: Vec<name::Instance>,
     /// Whether requests of callers have come.
     pub traffic: bool,
+    /// Processes that ended lately under requests of this entry. Told more than once: a message may be
+    /// lost.
+    pub crashes: Vec<quarantine::Crash>,
+    /// Requests that completed lately though others of the same content were in flight at crashes.
+    pub completions: Vec<quarantine::Completion>,
+}
+
+impl Evidence {
+    /// Whether the leader had better know at once.
+    pub fn is_urgent(&self) -> bool {
+        !self.stalled.is_empty() || !self.crashes.is_empty() || !self.completions.is_empty()
+    }
 }
 
 /// Asks for what is new; held until something is, or a while has passed.
@@ -67,6 +79,8 @@
     pub groups: Vec<(name::Group, view::Group)>,
     /// Entries.
     pub entries: Vec<net::SocketAddr>,
+    /// Requests that are suspected or quarantined.
+    pub quarantine: Vec<(quarantine::Fingerprint, quarantine::Verdict)>,
 }
 
 /// Answer to a [`Watch`].
--- a/crates/hyssopfork-fleet/src/quarantine.rs
+++ b/crates/hyssopfork-fleet/src/quarantine.rs
@@ -1,8 +1,47 @@
-//! Requests that crash the upstreams that run them.
+//! Quarantine of requests that crash the upstreams that run them (query of death).
+//!
+//! A request that was in flight at [`CRASHES_TO_QUARANTINE`] crashes and completed nowhere in between is
+//! quarantined in the whole fleet. It may have been there by chance, so entries let one attempt through
+//! now and then, after a time that grows with each crash that follows; an attempt that completes ends the
+//! quarantine. The ledger is kept in memory, by the leader: a new one learns it from its followers, and
+//! a restart of all processes forgets it.
 
-use hyssopfork_wire::name;
+use hyssopfork_wire::{clock, name};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::fmt;
+use std::time::Duration;
+
+/// Crashes after which a request is quarantined.
+pub const CRASHES_TO_QUARANTINE: u32 = 3;
+
+/// Crashes after which entries report when the request completes.
+const CRASHES_TO_SUSPECT: u32 = 2;
+
+/// Time within which crashes of several upstreams count as one: they have a common cause.
+const COINCIDENCE_WINDOW: Duration = Duration::from_millis(50);
+
+/// First time without an attempt.
+const QUARANTINE: Duration = Duration::from_secs(15);
+
+/// Factor by which that time grows with each attempt that crashes another upstream.
+const QUARANTINE_FACTOR: u32 = 4;
+
+/// Longest time without an attempt.
+const MAX_QUARANTINE: Duration = Duration::from_secs(3_600);
+
+/// Time after the last crash, and after the end of a quarantine, at which a request is forgotten.
+const RECORD_LIFETIME: Duration = Duration::from_secs(600);
+
+/// Time for which it is known that a crash had a quarantined request in flight.
+const EXPLANATION_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Most requests that are remembered. The one with the fewest crashes is forgotten first, of equals the
+/// one whose last crash is longest ago.
+const MAX_RECORDS: usize = 1_024;
+
+/// Most crashes that are remembered of one request.
+const MAX_CRASHES_PER_RECORD: usize = 16;
 
 /// What a request asks for, the same for each repeat of it: a hash of its team, path and body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -28,3 +67,272 @@
     /// Start of the process, in milliseconds since the Unix epoch by the upstream's own clock.
     pub born: u64,
 }
+
+/// Requests that were in flight at an upstream whose process ended, as one entry saw it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The process.
+    pub process: Process,
+    /// Time since its end.
+    pub age: Duration,
+    /// The requests.
+    pub requests: Vec<Fingerprint>,
+}
+
+/// A request that completed though it was suspected.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Completion {
+    /// The request.
+    pub request: Fingerprint,
+    /// Time since then.
+    pub age: Duration,
+}
+
+/// What is published of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// Entries report when it completes.
+    Suspect,
+    /// Entries reject it.
+    Quarantined {
+        /// How often it was quarantined, 1 at first.
+        round: u32,
+    },
+}
+
+impl Verdict {
+    /// Time without an attempt.
+    pub fn period(self) -> Duration {
+        match self {
+            Verdict::Suspect => Duration::ZERO,
+            Verdict::Quarantined { round } => {
+                let factor = QUARANTINE_FACTOR.saturating_pow(round.saturating_sub(1));
+                QUARANTINE.saturating_mul(factor).min(MAX_QUARANTINE)
+            }
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    /// When each process ended, of those that count.
+    ///
+    /// Invariant: at most [`MAX_CRASHES_PER_RECORD`].
+    crashes: BTreeMap<Process, clock::Instant>,
+    /// Crashes that an earlier leader counted.
+    inherited: u32,
+    /// Crashes up to then no longer count, or are among those inherited.
+    settled_until: Option<clock::Instant>,
+    /// How often it was quarantined; 0 for never.
+    round: u32,
+    /// Begin of its last quarantine.
+    quarantined_at: clock::Instant,
+    /// When entries may send an attempt again; a crash from then on quarantines it once more.
+    due_at: clock::Instant,
+    last_crash: clock::Instant,
+}
+
+impl Record {
+    fn new(now: clock::Instant) -> Record {
+        Record {
+            crashes: BTreeMap::new(),
+            inherited: 0,
+            settled_until: None,
+            round: 0,
+            quarantined_at: now,
+            due_at: now,
+            last_crash: now,
+        }
+    }
+
+    /// Crashes, those that coincide counted once.
+    fn count(&self) -> u32 {
+        let mut ends: Vec<clock::Instant> = self.crashes.values().copied().collect();
+        ends.sort();
+        let mut count = self.inherited;
+        let mut last = None;
+        for end in ends {
+            if last.is_none_or(|last| end.since(last) >= COINCIDENCE_WINDOW) {
+                count += 1;
+                last = Some(end);
+            }
+        }
+        count
+    }
+
+    fn verdict(&self) -> Option<Verdict> {
+        match (self.round, self.count()) {
+            (0, count) if count < CRASHES_TO_SUSPECT => None,
+            (0, _) => Some(Verdict::Suspect),
+            (round, _) => Some(Verdict::Quarantined { round }),
+        }
+    }
+
+    fn is_quarantined(&self) -> bool {
+        self.round > 0
+    }
+
+    /// Takes in that it was in flight when the process ended; whether it is quarantined for it, anew or
+    /// once more.
+    fn crashed(&mut self, now: clock::Instant, process: &Process, end: clock::Instant) -> bool {
+        if self.settled_until.is_some_and(|settled| end <= settled) {
+            return false;
+        }
+        let due = if self.is_quarantined() {
+            // Attempts that were in flight before the quarantine say nothing new.
+            end >= self.due_at
+        } else {
+            self.crashes.entry(process.clone()).or_insert(end);
+            self.drop_oldest();
+            self.count() >= CRASHES_TO_QUARANTINE
+        };
+        self.last_crash = self.last_crash.max(end);
+        if due {
+            self.round += 1;
+            self.quarantined_at = now;
+            self.due_at = now + Verdict::Quarantined { round: self.round }.period();
+        }
+        due
+    }
+
+    fn drop_oldest(&mut self) {
+        while self.crashes.len() > MAX_CRASHES_PER_RECORD {
+            let oldest = self.crashes.iter().min_by_key(|(_, end)| **end);
+            let Some(process) = oldest.map(|(process, _)| process.clone()) else { return };
+            self.crashes.remove(&process);
+        }
+    }
+
+    /// Takes in that it completed then; whether a quarantine ends with it.
+    fn completed(&mut self, at: clock::Instant) -> bool {
+        if self.is_quarantined() && at < self.quarantined_at {
+            return false;
+        }
+        self.crashes.retain(|_, end| *end > at);
+        self.inherited = 0;
+        self.settled_until = self.settled_until.max(Some(at));
+        std::mem::take(&mut self.round) > 0
+    }
+
+    fn is_over(&self, now: clock::Instant) -> bool {
+        now >= self.due_at.max(self.last_crash) + RECORD_LIFETIME
+    }
+}
+
+/// The leader's record of crashes.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    /// Invariant: at most [`MAX_RECORDS`].
+    records: BTreeMap<Fingerprint, Record>,
+    /// Processes that ended with a quarantined request in flight, and when that was known.
+    explained: BTreeMap<Process, clock::Instant>,
+    /// Verdicts of all records that have one.
+    published: BTreeMap<Fingerprint, Verdict>,
+}
+
+impl Ledger {
+    /// Takes in a crash that an entry saw; gives the requests that are quarantined for it.
+    ///
+    /// A crash with a quarantined request in flight counts against no other.
+    pub fn record(&mut self, now: clock::Instant, crash: &Crash) -> Vec<(Fingerprint, u32)> {
+        let end = now - crash.age;
+        let culprit = |request: &Fingerprint| {
+            let record = self.records.get(request);
+            record.is_some_and(|record| record.is_quarantined() && end > record.quarantined_at)
+        };
+        if crash.requests.iter().any(culprit) {
+            self.explain(now, &crash.process);
+        }
+        let explained = self.explained.contains_key(&crash.process);
+        let mut quarantined = Vec::new();
+        for request in &crash.requests {
+            let guilty = self.records.get(request).is_some_and(Record::is_quarantined);
+            if explained && !guilty {
+                continue;
+            }
+            let record = self.records.entry(*request).or_insert_with(|| Record::new(now));
+            if record.crashed(now, &crash.process, end) {
+                quarantined.push((*request, record.round));
+            }
+            self.publish(request);
+        }
+        self.shrink();
+        quarantined
+    }
+
+    /// Takes in that a request completed; whether its quarantine ends with that.
+    pub fn completed(&mut self, now: clock::Instant, completion: &Completion) -> bool {
+        let Some(record) = self.records.get_mut(&completion.request) else { return false };
+        let ended = record.completed(now - completion.age);
+        self.publish(&completion.request);
+        ended
+    }
+
+    /// Takes over what followers of an earlier leader knew.
+    pub fn learn(&mut self, now: clock::Instant, known: Vec<(Fingerprint, Verdict)>) {
+        for (request, verdict) in known {
+            let record = self.records.entry(request).or_insert_with(|| Record::new(now));
+            match verdict {
+                Verdict::Suspect if record.verdict().is_none() => {
+                    record.inherited = CRASHES_TO_SUSPECT;
+                    record.settled_until = Some(now);
+                }
+                Verdict::Suspect => {}
+                Verdict::Quarantined { round } => record.round = record.round.max(round),
+            }
+            self.publish(&request);
+        }
+        self.shrink();
+    }
+
+    /// Forgets what is old.
+    pub fn forget(&mut self, now: clock::Instant) {
+        self.explained.retain(|_, known| now.since(*known) < EXPLANATION_LIFETIME);
+        if !self.records.is_empty() {
+            self.records.retain(|_, record| !record.is_over(now));
+            self.published.retain(|request, _| self.records.contains_key(request));
+        }
+    }
+
+    /// What entries are to know.
+    pub fn published(&self) -> &BTreeMap<Fingerprint, Verdict> {
+        &self.published
+    }
+
+    /// Pardons all others for the end of a process.
+    fn explain(&mut self, now: clock::Instant, process: &Process) {
+        if self.explained.insert(process.clone(), now).is_some() {
+            return;
+        }
+        let others = self.records.iter_mut().filter(|(_, record)| !record.is_quarantined());
+        let pardoned =
+            others.filter_map(|(request, record)| record.crashes.remove(process).map(|_| *request));
+        for request in pardoned.collect::<Vec<_>>() {
+            self.publish(&request);
+        }
+    }
+
+    fn publish(&mut self, request: &Fingerprint) {
+        match self.records.get(request).and_then(Record::verdict) {
+            Some(verdict) => self.published.insert(*request, verdict),
+            None => self.published.remove(request),
+        };
+    }
+
+    /// Forgets the least of too many records, a quarter at once: each record is then compared a few times
+    /// only, however many come.
+    fn shrink(&mut self) {
+        if self.records.len() <= MAX_RECORDS {
+            return;
+        }
+        let rank = |record: &Record| (record.round, record.count(), record.last_crash);
+        let mut ranked: Vec<_> =
+            self.records.iter().map(|(request, record)| (rank(record), *request)).collect();
+        ranked.sort();
+        ranked.truncate(ranked.len() - MAX_RECORDS * 3 / 4);
+        for (_, request) in ranked {
+            self.records.remove(&request);
+            self.published.remove(&request);
+        }
+    }
+}
--- a/crates/hyssopfork-fleet/src/view.rs
+++ b/crates/hyssopfork-fleet/src/view.rs
@@ -1,7 +1,7 @@
 //! What every process follows: the declaration in force, the zones that are out, the upstreams and
 //! the serving groups; and the differences that lead from one revision to the next.
 
-use crate::{announcement, document};
+use crate::{announcement, document, quarantine};
 use hyssopfork_wire::{name, number};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -102,4 +102,6 @@
     /// Entries that follow the leader, itself included, that are new; `None` for one that is gone.
     /// Limits of the whole fleet are divided among them.
     pub entries: Vec<(net::SocketAddr, Option<()>)>,
+    /// Requests whose verdict changed; `None` for one that is free of suspicion.
+    pub quarantine: Vec<(quarantine::Fingerprint, Option<quarantine::Verdict>)>,
 }
--- a/crates/hyssopfork-fleet/tests/fleet/main.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/main.rs
@@ -14,6 +14,7 @@
 mod large;
 mod loads;
 mod plan;
+mod quarantine;
 mod random;
 mod registry;
 mod replication;
--- a/crates/hyssopfork-gateway/src/action.rs
+++ b/crates/hyssopfork-gateway/src/action.rs
@@ -23,6 +23,8 @@
     NoUpstream,
     /// The upstreams are full.
     Overloaded,
+    /// Upstreams crash when they run it.
+    Quarantined,
     /// The upstreams that were tried did not take it.
     NotTaken,
     /// Its time was over before an upstream had it.
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -4,6 +4,7 @@
 mod ending;
 mod follow;
 mod holds;
+mod quarantine;
 mod serve;
 mod silence;
 
@@ -45,6 +46,7 @@
     returns: BTreeMap<(name::Pool, Option<name::Model>), returns::Returns>,
     holds: holds::Holds,
     crashes: crash::Crashes,
+    quarantine: quarantine::Quarantine,
     requests: BTreeMap<u64, request::Request>,
     /// Whether any request has come.
     traffic: bool,
@@ -74,6 +76,7 @@
             returns: BTreeMap::new(),
             holds: holds::Holds::default(),
             crashes: crash::Crashes::default(),
+            quarantine: quarantine::Quarantine::default(),
             requests: BTreeMap::new(),
             traffic: false,
             stopping: false,
@@ -127,7 +130,8 @@
     }
 
     fn tick(&mut self) {
-        self.forget_crashes();
+        self.crashes.forget(self.now);
+        self.quarantine.forget(self.now);
         self.tell();
     }
 
@@ -150,6 +154,8 @@
             moving,
             busy: named(&|target| target.load.own > 0),
             traffic: self.traffic,
+            crashes: self.crashes.confirmed(now),
+            completions: self.quarantine.completions(now),
         };
         self.actions.push(action::Action::Tell(evidence));
     }
--- a/crates/hyssopfork-gateway/src/core/crash.rs
+++ b/crates/hyssopfork-gateway/src/core/crash.rs
@@ -58,18 +58,38 @@
         !known
     }
 
-    /// Takes the result of a probe; the number of requests that broke off, if the process ended.
-    fn settle(&mut self, process: &quarantine::Process, refused: bool) -> Option<usize> {
+    /// Takes the result of a probe; the requests that broke off, if the process ended.
+    fn settle(
+        &mut self,
+        process: &quarantine::Process,
+        refused: bool,
+    ) -> Option<Vec<quarantine::Fingerprint>> {
         let crash = self.0.get_mut(process)?;
         if !refused {
             self.0.remove(process);
             return None;
         }
         crash.confirmed = true;
-        Some(crash.requests.len())
+        Some(crash.requests.iter().copied().collect())
+    }
+
+    /// Processes that ended, for the leader.
+    pub(super) fn confirmed(&self, now: clock::Instant) -> Vec<quarantine::Crash> {
+        let ended = self.0.iter().filter(|(_, crash)| crash.confirmed);
+        let told = ended.map(|(process, crash)| quarantine::Crash {
+            process: process.clone(),
+            age: now.since(crash.since),
+            requests: crash.requests.iter().copied().collect(),
+        });
+        told.collect()
     }
 
-    fn forget(&mut self, now: clock::Instant) {
+    /// Whether the process is known to have ended.
+    fn is_confirmed(&self, process: &quarantine::Process) -> bool {
+        self.0.get(process).is_some_and(|crash| crash.confirmed)
+    }
+
+    pub(super) fn forget(&mut self, now: clock::Instant) {
         self.0.retain(|_, crash| now.since(crash.since) < CRASH_MEMORY);
     }
 }
@@ -88,22 +108,25 @@
         if self.is_leaving(&process) {
             return;
         }
+        let ended = self.crashes.is_confirmed(&process);
         if self.crashes.add(self.now, &process, fingerprint) {
             let address = attempt.incarnation.address;
             self.actions.push(action::Action::Probe(process, address));
+        } else if ended {
+            self.quarantine.crashed(self.now, &fingerprint);
+            self.tell();
         }
     }
 
     /// Takes the result of a probe.
     pub(super) fn probed(&mut self, process: &quarantine::Process, refused: bool) {
         let Some(requests) = self.crashes.settle(process, refused) else { return };
-        let instance = process.instance.clone();
+        for request in &requests {
+            self.quarantine.crashed(self.now, request);
+        }
+        let (instance, requests) = (process.instance.clone(), requests.len());
         self.note(notice::Notice::Crashed { instance, requests });
-    }
-
-    /// Forgets crashes that are too old to say anything new.
-    pub(super) fn forget_crashes(&mut self) {
-        self.crashes.forget(self.now);
+        self.tell();
     }
 
     /// Whether the process ends on request.
--- a/crates/hyssopfork-gateway/src/core/ending.rs
+++ b/crates/hyssopfork-gateway/src/core/ending.rs
@@ -40,7 +40,10 @@
             let (identifier, attempts) = (request.identifier, request.tries);
             return self.note(notice::Notice::Cut { identifier, reason, attempts, after });
         }
-        let retry_after = reason.is_not_run().then(|| self.book(&request, wait));
+        let retry_after = match reason {
+            action::Reason::Quarantined => Some(wait),
+            reason => reason.is_not_run().then(|| self.book(&request, wait)),
+        };
         self.measure(&request, measure::Outcome::Refused(reason));
         let refusal = action::Refusal::new(reason, retry_after);
         self.decide(number, action::Decision::Refuse(refusal));
--- a/crates/hyssopfork-gateway/src/core/follow.rs
+++ b/crates/hyssopfork-gateway/src/core/follow.rs
@@ -39,6 +39,7 @@
             self.heads.clear();
             self.entries.clear();
         }
+        self.quarantine.follow(self.now, update.whole, update.quarantine);
         let redivides = !update.entries.is_empty();
         view::merge(&mut self.entries, update.entries);
         self.out = update.out;
@@ -111,7 +112,8 @@
         let mut target = known.unwrap_or_else(|| fresh(incarnation, slots, told));
         target.model = group.map(|group| group.model.clone());
         target.standing = upstream.standing;
-        let rank = rendezvous::rank(self.settings.address, self.entries.keys(), instance);
+        let key = instance.as_str().as_bytes();
+        let rank = rendezvous::rank(self.settings.address, self.entries.keys(), key);
         let entries = self.entry_count();
         target.preference = rank as f64 / entries as f64;
         // Cold until the leader says otherwise: it may turn cold again meanwhile.
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -69,6 +69,9 @@
     /// Sends the request to an upstream, or ends it.
     pub(super) fn start(&mut self, number: u64, again: bool) {
         let now = self.now;
+        if let Some(wait) = self.quarantine_wait(number) {
+            return self.end(number, action::Reason::Quarantined, wait);
+        }
         let Some(request) = self.requests.get(&number) else { return };
         let bounds = self.bounds(request);
         match choice::choose(now, &self.targets, self.want(request, again), bounds) {
@@ -209,6 +212,7 @@
 
     pub(super) fn answered(&mut self, number: u64, head: event::Head) {
         self.hear(number, head.load);
+        self.note_completion(number);
         let Some(request) = self.requests.get(&number) else { return };
         if request.forwarded {
             // What should go on a stream is something else: the caller can't be given both.
@@ -242,6 +246,7 @@
     }
 
     pub(super) fn ended(&mut self, number: u64) {
+        self.note_completion(number);
         self.leave_target(number, true);
         self.conclude(number, 200);
     }
--- a/crates/hyssopfork-gateway/src/core/silence.rs
+++ b/crates/hyssopfork-gateway/src/core/silence.rs
@@ -20,6 +20,11 @@
 impl Core {
     pub(super) fn quiet(&mut self, number: u64) {
         let now = self.now;
+        if self.is_recalled(number) {
+            self.count_run(number);
+            self.drop_attempt(number);
+            return self.end(number, action::Reason::Failed, Duration::ZERO);
+        }
         let Some(request) = self.requests.get(&number) else { return };
         let Some(attempt) = &request.attempt else { return };
         let silence = now.since(attempt.moved.unwrap_or(attempt.started));
--- a/crates/hyssopfork-gateway/src/notice.rs
+++ b/crates/hyssopfork-gateway/src/notice.rs
@@ -126,6 +126,13 @@
         /// Requests of this entry that broke off.
         requests: usize,
     },
+    /// A quarantined request is sent after all, to learn whether it still crashes upstreams.
+    Tried {
+        /// The caller's identifier.
+        identifier: String,
+        /// Fingerprint of the request.
+        fingerprint: quarantine::Fingerprint,
+    },
     /// Everything stands still on an upstream.
     Stalled(name::Instance, Duration),
     /// The entry takes no new connections.
@@ -149,6 +156,7 @@
             Notice::Stalled(..) => 5220,
             Notice::Leaving(..) => 5221,
             Notice::Crashed { .. } => 5222,
+            Notice::Tried { .. } => 5223,
         }
     }
 
@@ -173,6 +181,7 @@
             | Notice::Moved { identifier, .. }
             | Notice::Full { identifier, .. }
             | Notice::Held { identifier, .. }
+            | Notice::Tried { identifier, .. }
             | Notice::Refused { identifier, .. }
             | Notice::Cut { identifier, .. }
             | Notice::Answered { identifier, .. }
@@ -249,6 +258,9 @@
             Notice::Gone { after, .. } => {
                 write!(formatter, "the caller went away after_ms={}", after.as_millis())
             }
+            Notice::Tried { fingerprint, .. } => {
+                write!(formatter, "quarantined, and sent to try it once fingerprint={fingerprint}")
+            }
             Notice::Stalled(instance, silence) => {
                 write!(
                     formatter,
--- a/crates/hyssopfork-gateway/src/rendezvous.rs
+++ b/crates/hyssopfork-gateway/src/rendezvous.rs
@@ -1,38 +1,37 @@
-//! Rendezvous hashing: an order of the entries for each upstream, the same at every entry.
+//! Rendezvous hashing: an order of the entries for each key, the same at every entry.
 //!
 //! An entry that joins or leaves moves only its own places, so entries whose views differ by one
 //! entry agree on all others.
 
-use hyssopfork_wire::name;
 use std::net;
 
 /// Offset basis and prime of the 64-bit FNV-1a hash.
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
-/// Weight of the entry for the upstream. The same in every release: entries of two releases serve
+/// Weight of the entry for the key. The same in every release: entries of two releases serve
 /// together during an upgrade.
-pub fn weight(entry: net::SocketAddr, instance: &name::Instance) -> u64 {
+pub fn weight(entry: net::SocketAddr, key: &[u8]) -> u64 {
     let host = match entry.ip() {
         net::IpAddr::V4(ip) => ip.to_ipv6_mapped().octets(),
         net::IpAddr::V6(ip) => ip.octets(),
     };
     let port = entry.port().to_be_bytes();
-    let bytes = host.iter().chain(&port).chain(instance.as_str().as_bytes());
+    let bytes = host.iter().chain(&port).chain(key);
     let hash =
         bytes.fold(FNV_OFFSET, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME));
     mix(hash)
 }
 
-/// Place of the entry among all for the upstream; 0 is the first.
+/// Place of the entry among all for the key; 0 is the first.
 pub fn rank<'a>(
     entry: net::SocketAddr,
     entries: impl IntoIterator<Item = &'a net::SocketAddr>,
-    instance: &name::Instance,
+    key: &[u8],
 ) -> usize {
-    let own = (weight(entry, instance), entry);
+    let own = (weight(entry, key), entry);
     let others = entries.into_iter().filter(|other| **other != entry);
-    others.filter(|other| (weight(**other, instance), **other) > own).count()
+    others.filter(|other| (weight(**other, key), **other) > own).count()
 }
 
 /// Spreads the hash over all bits: FNV leaves its upper bits alike for inputs that end alike.
--- a/crates/hyssopfork-gateway/tests/gateway/cold.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/cold.rs
@@ -73,7 +73,9 @@
     let after: Vec<_> = (0..40).map(fixture::entry_address).collect();
     for engine in ["e1", "e2", "e3"].map(fixture::instance) {
         let allowed = |entries: &[std::net::SocketAddr]| -> Vec<std::net::SocketAddr> {
-            let first = |it: &&std::net::SocketAddr| rendezvous::rank(**it, entries, &engine) < 15;
+            let first = |it: &&std::net::SocketAddr| {
+                rendezvous::rank(**it, entries, engine.as_str().as_bytes()) < 15
+            };
             entries.iter().filter(first).copied().collect()
         };
 
