--- a/crates/hyssopfork-gateway/src/lib.rs
+++ b/crates/hyssopfork-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`cold`]: how much an upstream gets after a start
 //! - [`health`]: whether it answers; [`moves`]: how many requests leave one on suspicion
 //! - [`budget`]: how often work may be sent again; [`returns`]: when rejected requests return
+//! - [`content`]: by what a request is known again when it crashes upstreams
 //! - [`core`]: a request's way from arrival to its end; [`scanner`]: whole events of a stream
 
 pub mod action;
