gateway: take an upstream that ended out of the choice at once

The probe after a broken connection tells that the process ended; until now the entry sent the next request there, which failed unsent, before it told the leader. Test an_upstream_that_ended_gets_no_requests_and_the_leader_asks_after_it fails without the change: two of the next three requests go to the upstream that ended.

--- a/crates/hyssopfork-gateway/src/core/crash.rs
+++ b/crates/hyssopfork-gateway/src/core/crash.rs
@@ -124,6 +124,11 @@
         for request in &requests {
             self.quarantine.crashed(self.now, request);
         }
+        let now = self.now;
+        let target = self.targets.get_mut(&process.instance);
+        if let Some(target) = target.filter(|target| target.incarnation.born == process.born) {
+            target.health.unreachable(now);
+        }
         let (instance, requests) = (process.instance.clone(), requests.len());
         self.note(notice::Notice::Crashed { instance, requests });
         self.tell();
--- a/crates/hyssopfork-gateway/tests/gateway/crash.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/crash.rs
@@ -107,6 +107,22 @@
     assert_eq!(crash.requests, [fingerprint("stream")]);
 }
 
+/// Guards against requests that are sent to an upstream whose end is known, and against a group that is
+/// replaced only once one of them has failed.
+#[test]
+fn an_upstream_that_ended_gets_no_requests_and_the_leader_asks_after_it() {
+    let mut entry = Entry::ready();
+    let (number, instance) = entry.sent("stream");
+    entry.step(broken(number));
+
+    confirm(&mut entry);
+
+    let next: Vec<_> = (0..3).map(|_| entry.sent("stream").1).collect();
+    assert!(!next.contains(&instance), "{next:?}");
+    let told = entry.told.last().map(|evidence| evidence.stalled.clone());
+    assert_eq!(told, Some(vec![instance]));
+}
+
 /// Guards against taking a reset connection of an upstream that lives for a crash.
 #[test]
 fn an_upstream_that_takes_connections_has_not_crashed() {
