gateway, platform: read and log the rate that an upstream names

Nothing read the header, so no log could tell whether an entry had heard of a limit. An entry now logs when an upstream names a rate, another one or none any more (5224). No routing depends on it.

--- a/crates/hyssopfork-fleet/src/lib.rs
+++ b/crates/hyssopfork-fleet/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod notice;
 pub mod peer;
 pub mod quarantine;
+pub mod rate;
 pub mod registry;
 pub mod seeking;
 pub mod settings;
--- a/crates/hyssopfork-gateway/src/answer.rs
+++ b/crates/hyssopfork-gateway/src/answer.rs
@@ -1,6 +1,7 @@
 //! What an upstream's answer is worth.
 
 use crate::{event, load};
+use hyssopfork_fleet::rate;
 use std::time::Duration;
 
 /// Head of an answer, as far as it decides anything.
@@ -22,6 +23,8 @@
     pub streams: bool,
     /// What the upstream says of its load.
     pub load: Option<load::Report>,
+    /// Rate that the upstream takes of the whole fleet; `None` where it names none.
+    pub rate: Option<rate::Rate>,
     /// How long the upstream keeps the connection when it is idle.
     pub keep_alive: Option<Duration>,
 }
@@ -46,6 +49,6 @@
 
     /// The head as the entry's core takes it.
     pub fn head(&self) -> event::Head {
-        event::Head { status: self.status, load: self.load }
+        event::Head { status: self.status, load: self.load, rate: self.rate }
     }
 }
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -5,6 +5,7 @@
 mod follow;
 mod holds;
 mod quarantine;
+mod rates;
 mod serve;
 mod silence;
 
--- a/crates/hyssopfork-gateway/src/core/follow.rs
+++ b/crates/hyssopfork-gateway/src/core/follow.rs
@@ -145,6 +145,7 @@
         recent: Default::default(),
         cold_part: None,
         preference: 0.0,
+        named: Default::default(),
         moved: clock::Instant::ORIGIN,
         suspected: false,
         stalled: None,
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -164,6 +164,7 @@
 
     pub(super) fn headed(&mut self, number: u64, head: event::Head) {
         self.hear(number, head.load);
+        self.hear_rate(number, head.rate);
         let Some(request) = self.requests.get_mut(&number) else { return };
         request.forwarded = true;
         self.decide(number, action::Decision::Forward);
@@ -219,6 +220,7 @@
             return self.failed(number, event::Fault::Wrong, None);
         }
         if head.status < 500 {
+            self.hear_rate(number, head.rate);
             self.leave_target(number, true);
             return self.deliver(number, head.status);
         }
--- a/crates/hyssopfork-gateway/src/event.rs
+++ b/crates/hyssopfork-gateway/src/event.rs
@@ -1,7 +1,7 @@
 //! What happens to an entry.
 
 use crate::{arrival, load};
-use hyssopfork_fleet::{declaration, quarantine, view};
+use hyssopfork_fleet::{declaration, quarantine, rate, view};
 use std::sync::Arc;
 
 /// Head of an upstream's answer.
@@ -11,6 +11,8 @@
     pub status: u16,
     /// What the upstream says of its load.
     pub load: Option<load::Report>,
+    /// Rate that it takes of the whole fleet; `None` where it names none.
+    pub rate: Option<rate::Rate>,
 }
 
 /// Why an attempt ended without a whole answer.
--- a/crates/hyssopfork-gateway/src/lib.rs
+++ b/crates/hyssopfork-gateway/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`choice`]: which upstream gets it, and whether any may
 //! - [`load`]: how full an upstream is; [`limit`]: how full it may be
 //! - [`rendezvous`]: which upstreams an entry prefers, and which entries share one
-//! - [`cold`]: how much an upstream gets after a start
+//! - [`cold`]: how much an upstream gets after a start; [`rate_limit`]: where it names a limit itself
 //! - [`health`]: whether it answers; [`moves`]: how many requests leave one on suspicion
 //! - [`budget`]: how often work may be sent again; [`returns`]: when rejected requests return
 //! - [`content`]: by what a request is known again when it crashes upstreams
@@ -30,6 +30,7 @@
 pub mod measure;
 pub mod moves;
 pub mod notice;
+pub mod rate_limit;
 pub mod rendezvous;
 pub mod request;
 pub mod returns;
--- a/crates/hyssopfork-gateway/src/notice.rs
+++ b/crates/hyssopfork-gateway/src/notice.rs
@@ -1,7 +1,7 @@
 //! Numbered events of an entry that sends straight to upstreams, 5200 to 5399.
 
 use crate::{action, event};
-use hyssopfork_fleet::quarantine;
+use hyssopfork_fleet::{quarantine, rate};
 use hyssopfork_wire::{level, name};
 use std::fmt;
 use std::time::Duration;
@@ -133,6 +133,13 @@
         /// Fingerprint of the request.
         fingerprint: quarantine::Fingerprint,
     },
+    /// An upstream names another rate than before, or none any more.
+    RateNamed {
+        /// Upstream.
+        instance: name::Instance,
+        /// The rate.
+        rate: Option<rate::Rate>,
+    },
     /// Everything stands still on an upstream.
     Stalled(name::Instance, Duration),
     /// The entry takes no new connections.
@@ -157,6 +164,7 @@
             Notice::Leaving(..) => 5221,
             Notice::Crashed { .. } => 5222,
             Notice::Tried { .. } => 5223,
+            Notice::RateNamed { .. } => 5224,
         }
     }
 
@@ -188,6 +196,7 @@
             | Notice::Gone { identifier, .. } => Some(identifier),
             Notice::InForce(..)
             | Notice::Crashed { .. }
+            | Notice::RateNamed { .. }
             | Notice::Stalled(..)
             | Notice::Leaving(..) => None,
         }
@@ -258,6 +267,12 @@
             Notice::Gone { after, .. } => {
                 write!(formatter, "the caller went away after_ms={}", after.as_millis())
             }
+            Notice::RateNamed { instance, rate: Some(rate) } => {
+                write!(formatter, "{instance} takes {rate} requests a second of all entries")
+            }
+            Notice::RateNamed { instance, rate: None } => {
+                write!(formatter, "{instance} names no rate limit any more")
+            }
             Notice::Tried { fingerprint, .. } => {
                 write!(formatter, "quarantined, and sent to try it once fingerprint={fingerprint}")
             }
--- a/crates/hyssopfork-gateway/src/target.rs
+++ b/crates/hyssopfork-gateway/src/target.rs
@@ -1,6 +1,6 @@
 //! An upstream that requests can be sent to.
 
-use crate::{cold, health, limit, load};
+use crate::{cold, health, limit, load, rate_limit};
 use hyssopfork_fleet::view;
 use hyssopfork_wire::{clock, name};
 use std::net;
@@ -65,6 +65,8 @@
     pub preference: f64,
     /// Requests in a second that this entry may send while it is cold; `None` for any number.
     pub cold_part: Option<usize>,
+    /// Rate that it named last.
+    pub named: rate_limit::Named,
     /// When bytes last came of any of its streams.
     pub moved: clock::Instant,
     /// Whether it has been silent for [`SUSPECT`].
--- a/crates/hyssopfork-gateway/tests/gateway/choice.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/choice.rs
@@ -77,7 +77,7 @@
     for _ in 0..4 {
         let (number, instance) = entry.sent("submit");
         let status = if instance == fixture::instance("p1") { 500 } else { 200 };
-        entry.step(event::Event::Answered(number, event::Head { status, load: None }));
+        entry.step(event::Event::Answered(number, event::Head { status, load: None, rate: None }));
     }
 
     for _ in 0..4 {
--- a/crates/hyssopfork-gateway/tests/gateway/crash.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/crash.rs
@@ -186,7 +186,7 @@
 
     let (number, tried) = entry.arrive(arrival("status"));
     let (_, meanwhile) = entry.arrive(arrival("status"));
-    entry.step(event::Event::Answered(number, event::Head { status: 200, load: None }));
+    entry.step(event::Event::Answered(number, event::Head { status: 200, load: None, rate: None }));
     let (_, after) = entry.arrive(arrival("status"));
 
     started(&tried);
--- a/crates/hyssopfork-gateway/tests/gateway/fixture.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/fixture.rs
@@ -260,7 +260,7 @@
 
     /// The first event of a stream comes, and is forwarded.
     pub fn begin(&mut self, number: u64) {
-        let head = event::Head { status: 200, load: None };
+        let head = event::Head { status: 200, load: None, rate: None };
         assert_eq!(self.step(event::Event::Headed(number, head)), Some(action::Decision::Forward));
         self.step(event::Event::Moved(number, Some(1)));
     }
--- a/crates/hyssopfork-gateway/tests/gateway/overload.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/overload.rs
@@ -84,7 +84,7 @@
                 entries[process].step(event::Event::Ended(number));
             }
             for (process, number) in begin {
-                let head = event::Head { status: 200, load: Some(group.report()) };
+                let head = event::Head { status: 200, load: Some(group.report()), rate: None };
                 entries[process].step(event::Event::Headed(number, head));
                 let first = now - arrived[&(process, number)];
                 if first <= 300 { seen.in_time += 1 } else { seen.late += 1 }
@@ -226,7 +226,10 @@
     let mut entry = Entry::ready();
     let report = load::Report { running: fixture::SLOTS, waiting: 8, slots: fixture::SLOTS };
     let (number, _) = entry.sent("stream");
-    entry.step(event::Event::Headed(number, event::Head { status: 200, load: Some(report) }));
+    entry.step(event::Event::Headed(
+        number,
+        event::Head { status: 200, load: Some(report), rate: None },
+    ));
     entry.step(event::Event::Ended(number));
     let (_, full) = entry.arrive(arrival("stream"));
 
