--- a/crates/hyssopfork-daemon/tests/edge/fragile.rs
+++ b/crates/hyssopfork-daemon/tests/edge/fragile.rs
@@ -1,4 +1,5 @@
-//! Upstreams that a certain request crashes, and that are back a while later.
+//! Upstreams that a certain request crashes, and that are back a while later. The first two of them may
+//! name a rate limit.
 
 use crate::{fleet, support};
 use std::io::{BufRead, BufReader, Write};
@@ -11,6 +12,9 @@
 /// Body of the request that crashes whatever runs it.
 pub const DEADLY: &str = "deadly";
 
+/// Upstreams that may name a rate limit.
+pub const LIMITED: usize = 2;
+
 /// Time that a request runs, and that the deadly one runs before it crashes its upstream.
 const RUN: Duration = Duration::from_millis(80);
 
@@ -31,6 +35,10 @@
     pub arrivals: Mutex<Vec<Instant>>,
     /// When upstreams crashed.
     pub crashes: Mutex<Vec<Instant>>,
+    /// Requests a second that each of [`LIMITED`] upstreams names.
+    pub named_rate: Mutex<Option<f64>>,
+    /// Requests by the place of their upstream, and when they arrived.
+    pub requests: Mutex<Vec<(usize, Instant)>>,
 }
 
 impl Record {
@@ -47,6 +55,7 @@
 
 /// One process of an upstream.
 struct Process {
+    place: usize,
     address: SocketAddr,
     instance: String,
     crashed: AtomicBool,
@@ -68,6 +77,7 @@
         }
         let listener = TcpListener::bind(address).expect("the address is free");
         let process = Arc::new(Process {
+            place,
             address,
             instance: format!("i-{place}-{life}"),
             crashed: AtomicBool::new(false),
@@ -122,6 +132,8 @@
     let mut writer = stream.try_clone().expect("it is open");
     let mut reader = BufReader::new(stream);
     while let Some((identifier, body)) = receive(&mut reader) {
+        let arrival = (process.place, Instant::now());
+        record.requests.lock().expect("no holder panics").push(arrival);
         let deadly = body == DEADLY;
         if deadly {
             record.arrivals.lock().expect("no holder panics").push(Instant::now());
@@ -133,8 +145,11 @@
             }
             return;
         }
+        let rate = *record.named_rate.lock().expect("no holder panics");
+        let rate = rate.filter(|_| process.place < LIMITED);
+        let limit = rate.map(|rate| format!("Server-Limit: {rate:.1}\r\n")).unwrap_or_default();
         let answer = format!(
-            "HTTP/1.1 200 OK\r\nHyssopfork-Attempt-Id: {identifier}\r\n\
+            "HTTP/1.1 200 OK\r\nHyssopfork-Attempt-Id: {identifier}\r\n{limit}\
              Hyssopfork-Server-Signature: s\r\nContent-Length: 4\r\n\r\nfine"
         );
         if process.is_over(record) || writer.write_all(answer.as_bytes()).is_err() {
--- a/crates/hyssopfork-daemon/tests/edge/main.rs
+++ b/crates/hyssopfork-daemon/tests/edge/main.rs
@@ -2,7 +2,9 @@
 
 mod fleet;
 mod fragile;
+mod named_rate;
 mod query_of_death;
+mod scene;
 mod soak;
 mod support;
 mod web;
