fleet: have a restarted leader ask its followers for what they know

A process that led, was killed, restarted and led again knew of no quarantine, and its first view freed the request at every entry; ten upstreams crashed before it was quarantined again. Cause: a follower tells another leader what it knows, and takes a leader at the address that it followed for the same one. Its upstreams and groups went untold as well, and came back only with their own calls. Ruled out: a lost note of an entry (the leader of the term before had published the verdict).

A leader answers a watch of another term that says nothing with NewTerm; the follower asks again with what it knows.

--- a/crates/hyssopfork-fleet/src/core/calls.rs
+++ b/crates/hyssopfork-fleet/src/core/calls.rs
@@ -1,7 +1,7 @@
 //! Calls of operators, upstreams and peers.
 
 use super::Core;
-use crate::{action, declaration, document, durable, event, notice, peer, registry, seeking};
+use crate::{action, declaration, document, durable, event, notice, peer, registry, seeking, view};
 use hyssopfork_consensus::event as log_event;
 use hyssopfork_wire::name;
 use std::net;
@@ -157,6 +157,11 @@
             let leader = self.elsewhere();
             return self.reply(call, action::Reply::Watched(peer::Answer::NotLeader(leader)));
         };
+        let follows = watch.have.term == leadership.term || watch.have == view::Stamp::default();
+        if !follows && watch.known.is_none() {
+            self.observe(watch.from, &watch.evidence);
+            return self.reply(call, action::Reply::Watched(peer::Answer::NewTerm));
+        }
         if let Some(known) = watch.known {
             for upstream in known.upstreams {
                 leadership.dirty |= leadership.registry.adopt(now, upstream);
--- a/crates/hyssopfork-fleet/src/core/follow.rs
+++ b/crates/hyssopfork-fleet/src/core/follow.rs
@@ -79,6 +79,7 @@
                 let document = update.document.clone().and_then(|part| self.receive(part));
                 self.publish(*update, document);
             }
+            Some(peer::Answer::NewTerm) => self.seeking.on_new_term(from),
             Some(peer::Answer::NotLeader(hint)) => self.seeking.lose(from, hint),
             None => {
                 self.notice(notice::Notice::LeaderLost(from));
--- a/crates/hyssopfork-fleet/src/peer.rs
+++ b/crates/hyssopfork-fleet/src/peer.rs
@@ -88,6 +88,9 @@
 pub enum Answer {
     /// What leads the asker on.
     Updated(Box<view::Update>),
+    /// This process leads in a term that the asker hasn't followed: ask again and say what is known. The
+    /// leader's address may be the one that led before.
+    NewTerm,
     /// This process doesn't lead; who does, as far as is known.
     NotLeader(Option<net::SocketAddr>),
 }
--- a/crates/hyssopfork-fleet/src/seeking.rs
+++ b/crates/hyssopfork-fleet/src/seeking.rs
@@ -93,6 +93,13 @@
         }
     }
 
+    /// The leader leads in a term that this process hasn't followed: it is another one, also at the same
+    /// address.
+    pub fn on_new_term(&mut self, leader: net::SocketAddr) {
+        self.asked = self.asked.filter(|asked| *asked != leader);
+        self.followed = self.followed.filter(|followed| *followed != leader);
+    }
+
     /// Whom to greet now: everybody, while nobody is known to lead.
     pub fn greet(&mut self, now: clock::Instant) -> Vec<net::SocketAddr> {
         let due = self.greeted.is_none_or(|greeted| now.since(greeted) >= GREET);
--- a/crates/hyssopfork-fleet/tests/fleet/replication.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/replication.rs
@@ -1,8 +1,9 @@
 //! What was acknowledged outlasts what is to be borne.
 
 use crate::{fixture, world};
-use hyssopfork_fleet::{action, event, peer, view};
+use hyssopfork_fleet::{action, event, peer, quarantine, view};
 use hyssopfork_wire::name;
+use std::time::Duration;
 
 #[test]
 fn the_log_forms_from_three_seeds_in_any_order() {
@@ -228,3 +229,38 @@
     assert!(world.insist(&event::Request::BringIn(zone.clone())));
     assert!(world.processes[&next].view.as_ref().is_some_and(|view| view.out.is_empty()));
 }
+
+/// Evidence of an entry whose request was in flight at the crash of the upstream of this number.
+fn crashed(request: quarantine::Fingerprint, upstream: u64) -> peer::Evidence {
+    let instance = name::Instance::new(format!("i-{upstream}"));
+    let process = quarantine::Process { instance, born: upstream };
+    let crash = quarantine::Crash { process, age: Duration::ZERO, requests: vec![request] };
+    peer::Evidence { crashes: vec![crash], ..peer::Evidence::default() }
+}
+
+/// Guards against a quarantine that ends with its leader's process: followers took the next one at the same
+/// address for the same, and told it nothing.
+#[test]
+fn a_leader_that_restarts_learns_what_its_followers_know() {
+    let mut world = world::World::declared(1, 3);
+    let request = quarantine::Fingerprint { length: 1, digest: [1; 16] };
+    for upstream in 1..=3 {
+        world.see(fixture::address(2), crashed(request, upstream));
+        world.run(300);
+    }
+    let verdict = |world: &world::World, host: u8| {
+        let view = world.processes[&fixture::address(host)].view.as_ref();
+        view.and_then(|view| view.quarantine.get(&request).copied())
+    };
+    let before: Vec<_> = (1..=4).map(|host| verdict(&world, host)).collect();
+
+    world.kill(fixture::address(1));
+    world.run(200);
+    world.boot(fixture::address(1), false);
+    world.run(4_000);
+
+    let quarantined = Some(quarantine::Verdict::Quarantined { round: 1 });
+    assert_eq!(before, [quarantined; 4]);
+    let after: Vec<_> = (1..=4).map(|host| verdict(&world, host)).collect();
+    assert_eq!(after, [quarantined; 4]);
+}
--- a/crates/hyssopfork-fleet/tests/fleet/world.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/world.rs
@@ -5,7 +5,7 @@
 use crate::{engine, fixture, invariants};
 use hyssopfork_consensus::node;
 use hyssopfork_fleet::groups::order;
-use hyssopfork_fleet::{action, core, event, notice, peer, settings, view};
+use hyssopfork_fleet::{action, core, event, notice, peer, quarantine, settings, view};
 use hyssopfork_wire::{clock, consensus, name};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
@@ -59,6 +59,7 @@
     pub upstreams: BTreeMap<name::Instance, view::Upstream>,
     pub groups: BTreeMap<name::Group, view::Group>,
     pub entries: BTreeMap<SocketAddr, ()>,
+    pub quarantine: BTreeMap<quarantine::Fingerprint, quarantine::Verdict>,
 }
 
 #[derive(Clone, Debug)]
@@ -261,6 +262,11 @@
         groups.filter(|group| group.serving).cloned().collect()
     }
 
+    /// Hands a process what its entry saw.
+    pub fn see(&mut self, address: SocketAddr, evidence: peer::Evidence) {
+        self.send(address, Duration::ZERO, event::Event::Seen(address, evidence));
+    }
+
     fn send(&mut self, to: SocketAddr, after: Duration, event: event::Event) {
         self.push(to, after, Delivery::Event(Box::new(event)));
     }
@@ -456,8 +462,10 @@
             view.upstreams.clear();
             view.groups.clear();
             view.entries.clear();
+            view.quarantine.clear();
         }
         view::merge(&mut view.entries, update.entries);
+        view::merge(&mut view.quarantine, update.quarantine);
         for (instance, upstream) in update.upstreams {
             match upstream {
                 Some(upstream) => drop(view.upstreams.insert(instance, upstream)),
--- a/crates/hyssopfork-gateway/src/core/quarantine.rs
+++ b/crates/hyssopfork-gateway/src/core/quarantine.rs
@@ -13,6 +13,9 @@
 /// Most completions that are reported at once.
 const MAX_COMPLETIONS: usize = 64;
 
+/// Time for which a verdict holds that a new leader doesn't name: it has yet to learn of it from others.
+const UNNAMED_GRACE: Duration = Duration::from_secs(2);
+
 /// Time by which each entry lets an attempt through later than the one before it in the request's order of
 /// entries, so that the first result is known before many have tried.
 const ATTEMPT_STAGGER: Duration = Duration::from_millis(200);
@@ -28,6 +31,8 @@
     since: clock::Instant,
     /// The attempt that was let through last, by the number of its request.
     attempt: Option<u64>,
+    /// Since when the leader doesn't name it; `None` while it does.
+    unnamed_since: Option<clock::Instant>,
 }
 
 /// Verdicts on requests, as the leader published them.
@@ -46,12 +51,17 @@
         whole: bool,
         changes: Vec<(quarantine::Fingerprint, Option<quarantine::Verdict>)>,
     ) {
-        let before = if whole { std::mem::take(&mut self.held) } else { BTreeMap::new() };
+        if whole {
+            for held in self.held.values_mut() {
+                held.unnamed_since.get_or_insert(now);
+            }
+        }
         for (request, verdict) in changes {
-            let known = self.held.remove(&request).or_else(|| before.get(&request).copied());
+            let known = self.held.remove(&request);
             let Some(verdict) = verdict else { continue };
+            let fresh = Held { verdict, since: now, attempt: None, unnamed_since: None };
             let known = known.filter(|held| held.verdict == verdict);
-            let held = known.unwrap_or(Held { verdict, since: now, attempt: None });
+            let held = known.map_or(fresh, |held| Held { unnamed_since: None, ..held });
             self.held.insert(request, held);
         }
     }
@@ -82,6 +92,8 @@
 
     pub(super) fn forget(&mut self, now: clock::Instant) {
         self.completions.retain(|(_, at)| now.since(*at) < COMPLETION_MEMORY);
+        let holds = |held: &Held| held.unnamed_since.is_none_or(|at| now.since(at) < UNNAMED_GRACE);
+        self.held.retain(|_, held| holds(held));
     }
 }
 
--- a/crates/hyssopfork-gateway/tests/gateway/crash.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/crash.rs
@@ -243,3 +243,19 @@
 
     assert!(entry.is_sent("status"));
 }
+
+/// Guards against a request that is free for a moment each time the leader changes: a new leader publishes
+/// before it has heard all entries.
+#[test]
+fn a_verdict_holds_until_a_new_leader_can_know_of_it() {
+    let mut entry = Entry::ready();
+    entry.see(told("status", Some(ROUND)));
+    entry.see(fixture::view());
+
+    let at_first = entry.is_sent("status");
+    entry.pass(2_000);
+    entry.step(event::Event::Tick);
+
+    assert!(!at_first);
+    assert!(entry.is_sent("status"));
+}
