--- a/crates/hyssopfork-daemon/tests/edge/named_rate.rs
+++ b/crates/hyssopfork-daemon/tests/edge/named_rate.rs
@@ -11,9 +11,9 @@
 const CONTACT_WINDOW: Duration = Duration::from_secs(3);
 
 /// Span that requests are counted over.
-const SPAN: Duration = Duration::from_secs(4);
+const COUNTING_SPAN: Duration = Duration::from_secs(4);
 
-/// Requests that an upstream may get in [`SPAN`].
+/// Requests that an upstream may get in [`COUNTING_SPAN`].
 const MAX_REQUESTS: usize = (RATE * 4.0 * 1.5) as usize + 5;
 
 /// Most requests that the upstream at `place` got in a span between two moments.
@@ -24,8 +24,9 @@
         .filter(|(of, at)| *of == place && (from..to).contains(at))
         .map(|(_, at)| *at)
         .collect();
-    let within =
-        |first: &Instant| at.iter().filter(|at| (*first..*first + SPAN).contains(*at)).count();
+    let within = |first: &Instant| {
+        at.iter().filter(|at| (*first..*first + COUNTING_SPAN).contains(*at)).count()
+    };
     at.iter().map(within).max().unwrap_or(0)
 }
 
--- a/crates/hyssopfork-gateway/src/core/quarantine.rs
+++ b/crates/hyssopfork-gateway/src/core/quarantine.rs
@@ -81,7 +81,7 @@
         }
     }
 
-    /// Completions that the leader is told of.
+    /// Completions to report to the leader.
     pub(super) fn completions(&self, now: clock::Instant) -> Vec<quarantine::Completion> {
         let told = self
             .completions
--- a/crates/hyssopfork-gateway/src/core/rates.rs
+++ b/crates/hyssopfork-gateway/src/core/rates.rs
@@ -25,7 +25,7 @@
         self.tell();
     }
 
-    /// Changes that the leader is told of.
+    /// Changes to report to the leader.
     pub(super) fn rate_changes(&self, now: clock::Instant) -> Vec<rate::Change> {
         let changes = self.targets.iter().filter_map(|(instance, target)| {
             let (rate, age) = target.named.report(now)?;
--- a/crates/hyssopfork-gateway/src/rate_limit.rs
+++ b/crates/hyssopfork-gateway/src/rate_limit.rs
@@ -13,8 +13,8 @@
 /// and more come at once.
 const MIN_WINDOW: Duration = Duration::from_secs(4);
 
-/// Longest window. An upstream that takes less is sent one request in it, or nobody would learn when it takes
-/// more again.
+/// Longest window. An upstream that takes less is sent one request in it, whose answer tells when the limit
+/// ends.
 const MAX_WINDOW: Duration = Duration::from_secs(30);
 
 /// Least time between two changes of what an upstream names, as an entry takes them in: answers that
@@ -61,7 +61,7 @@
         *self = Named { rate, changed_at: Some(now), heard: false };
     }
 
-    /// What the leader is to be told: the rate, and the time since it was heard.
+    /// What to report to the leader: the rate, and the time since it was heard.
     pub fn report(&self, now: clock::Instant) -> Option<(Option<rate::Rate>, Duration)> {
         let age = now.since(self.changed_at.filter(|_| self.heard)?);
         (age < REPORT_TIME).then_some((self.rate, age))
--- a/crates/hyssopfork-gateway/tests/gateway/rate_limit.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/rate_limit.rs
@@ -72,7 +72,7 @@
     }
 }
 
-/// Guards against an upstream that is sent nothing for good: nobody would learn when it takes more again.
+/// Guards against an upstream that is sent nothing for good, so that the end of its limit is never noticed.
 #[test]
 fn an_upstream_that_takes_nothing_is_asked_now_and_then() {
     let mut entries = Entry::all_before(5, &limited_view(1, 0.0));
