fleet: have few followers tell a new leader what it lacks

Publications of a term build on one another, so whoever holds the newest knows all: the leader now asks two followers at a time, those with the newest, and nobody where its own copy is as new.

a_new_leader_is_told_what_it_lacks_by_few failed before (60 of 60 followers told all they know), and another_follower_is_asked_in_place_of_one_that_is_gone (nobody had been asked).

--- a/crates/hyssopfork-fleet/src/core/calls.rs
+++ b/crates/hyssopfork-fleet/src/core/calls.rs
@@ -1,7 +1,7 @@
 //! Calls of operators, upstreams and peers.
 
 use super::Core;
-use crate::{action, declaration, document, durable, event, notice, peer, registry, seeking, view};
+use crate::{action, declaration, document, durable, event, notice, peer, registry, seeking};
 use hyssopfork_consensus::event as log_event;
 use hyssopfork_wire::name;
 use std::net;
@@ -157,11 +157,6 @@
             let leader = self.elsewhere();
             return self.reply(call, action::Reply::Watched(peer::Answer::NotLeader(leader)));
         };
-        let follows = watch.have.term == leadership.term || watch.have == view::Stamp::default();
-        if !follows && watch.known.is_none() {
-            self.observe(watch.from, &watch.evidence);
-            return self.reply(call, action::Reply::Watched(peer::Answer::NewTerm));
-        }
         if let Some(known) = watch.known {
             for upstream in known.upstreams {
                 leadership.dirty |= leadership.registry.adopt(now, upstream);
@@ -172,6 +167,7 @@
             }
             leadership.watches.learn(known.entries);
             leadership.ledger.learn(now, known.quarantine);
+            leadership.watches.on_learned(watch.from, watch.have);
         }
         leadership.watches.hold(now, call, watch.from, watch.have, watch.document);
         self.observe(watch.from, &watch.evidence);
--- a/crates/hyssopfork-fleet/src/core/follow.rs
+++ b/crates/hyssopfork-fleet/src/core/follow.rs
@@ -18,12 +18,12 @@
     }
 
     fn ask(&mut self) {
-        let Some((leader, other)) = self.seeking.ask() else { return };
+        let Some((leader, tells)) = self.seeking.ask() else { return };
         let watch = peer::Watch {
             from: self.settings.address,
             have: self.copy.stamp,
             document: self.copy.partial.held(self.copy.version()),
-            known: other.then(|| self.known()),
+            known: tells.then(|| self.known()),
             evidence: mem::take(&mut self.evidence),
         };
         self.act(action::Action::Watch(leader, Box::new(watch)));
@@ -79,7 +79,7 @@
                 let document = update.document.clone().and_then(|part| self.receive(part));
                 self.publish(*update, document);
             }
-            Some(peer::Answer::NewTerm) => self.seeking.on_new_term(from),
+            Some(peer::Answer::Inquiry) => self.seeking.on_inquiry(from),
             Some(peer::Answer::NotLeader(hint)) => self.seeking.lose(from, hint),
             None => {
                 self.notice(notice::Notice::LeaderLost(from));
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -47,6 +47,12 @@
 /// Time between two looks at the voters.
 const SEAT_REVIEW_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Followers that are asked at once for what they know of the terms before.
+const MAX_INFORMANTS: usize = 2;
+
+/// Time after which another follower is asked in place of one that has not answered.
+const INFORMANT_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Followers that are sent parts of a document at once. With the parts that voters are sent, this
 /// bounds how long a heartbeat waits at the leader's link.
 const MAX_TRANSFERS: usize = 8;
@@ -65,6 +71,8 @@
     have: view::Stamp,
     /// What the follower holds, where it gets a part of a document.
     document: Option<document::Held>,
+    /// Whether the follower is asked for what it knows in place of an update.
+    inquires: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -87,6 +95,7 @@
 /// Watches that are held, and who asked lately.
 #[derive(Clone, Debug)]
 pub(super) struct Watches {
+    term: number::Term,
     pub(super) started: clock::Instant,
     held: BTreeMap<u64, Held>,
     entries: BTreeMap<net::SocketAddr, Follower>,
@@ -95,19 +104,56 @@
     /// Invariant: at most [`MAX_TRANSFERS`].
     transfers: BTreeMap<net::SocketAddr, clock::Instant>,
     registrations: Vec<Registration>,
+    /// Newest publication of earlier leaders that this one knows.
+    learned: view::Stamp,
+    /// Followers that were asked for what they know and have not said it, and when.
+    ///
+    /// Invariant: at most [`MAX_INFORMANTS`].
+    informants: BTreeMap<net::SocketAddr, clock::Instant>,
 }
 
 impl Watches {
-    fn new(now: clock::Instant) -> Watches {
+    /// The watches of a leader that knows an earlier leader's publication `learned`.
+    fn new(now: clock::Instant, term: number::Term, learned: view::Stamp) -> Watches {
         Watches {
+            term,
             started: now,
             held: BTreeMap::new(),
             entries: BTreeMap::new(),
             transfers: BTreeMap::new(),
             registrations: Vec::new(),
+            learned,
+            informants: BTreeMap::new(),
         }
     }
 
+    /// Picks followers to ask for what they know: the ones with the newest publications.
+    ///
+    /// Publications of one term build on one another, so whoever has the newest knows all. Told by every
+    /// follower, a leader of a hundred lost its lease over reading what all of them knew.
+    fn pick_informants(&mut self, now: clock::Instant) -> BTreeSet<net::SocketAddr> {
+        self.informants.retain(|_, asked| now.since(*asked) < INFORMANT_TIMEOUT);
+        let free = MAX_INFORMANTS.saturating_sub(self.informants.len());
+        let lacking = self.held.values().filter(|held| self.lacks(held.have));
+        let mut candidates: Vec<_> = lacking.map(|held| (held.have, held.from)).collect();
+        candidates.sort();
+        let picked: BTreeSet<_> =
+            candidates.into_iter().rev().take(free).map(|(_, from)| from).collect();
+        self.informants.extend(picked.iter().map(|from| (*from, now)));
+        picked
+    }
+
+    /// Takes in that a follower that stood at `have` has said what it knows.
+    pub(super) fn on_learned(&mut self, from: net::SocketAddr, have: view::Stamp) {
+        self.informants.remove(&from);
+        self.learned = self.learned.max(have);
+    }
+
+    /// Whether whoever stands at `have` knows of terms before this one what the leader doesn't.
+    fn lacks(&self, have: view::Stamp) -> bool {
+        have > self.learned && have.term < self.term
+    }
+
     /// Takes in entries that followed the leader before. Left out until they ask, the first ones that
     /// do would share the fleet's limits among themselves.
     pub(super) fn learn(&mut self, known: impl IntoIterator<Item = net::SocketAddr>) {
@@ -144,18 +190,28 @@
     /// Takes the watches to be answered at `stamp`, with `version` the newest declaration. The
     /// longest held go first.
     fn due(&mut self, now: clock::Instant, stamp: view::Stamp, version: u64) -> Vec<Due> {
+        let picked = self.pick_informants(now);
+        let (learned, term) = (self.learned, self.term);
         let transfers = &mut self.transfers;
         transfers.retain(|_, sent| now.since(*sent) < action::WATCH_LIMIT);
         let mut due = Vec::new();
         self.held.retain(|call, held| {
-            let transfer = held.document.version < version && transfers.len() < MAX_TRANSFERS;
-            let answer = transfer || held.have != stamp || now >= held.until;
+            if picked.contains(&held.from) {
+                due.push(Due { call: *call, have: held.have, document: None, inquires: true });
+                return false;
+            }
+            // The view would overwrite what the follower alone may know.
+            let lacking = held.have > learned && held.have.term < term;
+            let ready = !lacking || now >= held.until + action::HOLD;
+            let behind = held.document.version < version;
+            let transfer = ready && behind && transfers.len() < MAX_TRANSFERS;
+            let answer = ready && (transfer || held.have != stamp || now >= held.until);
             if transfer {
                 transfers.insert(held.from, now);
             }
             if answer {
                 let document = transfer.then_some(held.document);
-                due.push(Due { call: *call, have: held.have, document });
+                due.push(Due { call: *call, have: held.have, document, inquires: false });
             }
             !answer
         });
@@ -267,7 +323,7 @@
         for (name, group) in known {
             groups.take_over(now, &name, group, &registry);
         }
-        let mut watches = Watches::new(now);
+        let mut watches = Watches::new(now, term, self.copy.stamp);
         watches.learn(entries.into_keys());
         let mut ledger = quarantine::Ledger::default();
         ledger.learn(now, quarantine.into_iter().collect());
@@ -401,15 +457,18 @@
         let stamp = leadership.board.stamp();
         let due = leadership.watches.due(now, stamp, leadership.board.version());
         let (done, late) = leadership.watches.witnessed(now, stamp);
-        let updates: Vec<(u64, view::Update)> = due
+        let answers: Vec<(u64, peer::Answer)> = due
             .into_iter()
             .map(|due| {
+                if due.inquires {
+                    return (due.call, peer::Answer::Inquiry);
+                }
                 let part = due.document.and_then(|held| leadership.board.part(held));
-                (due.call, view::Update { document: part, ..leadership.board.since(due.have) })
+                let update = view::Update { document: part, ..leadership.board.since(due.have) };
+                (due.call, peer::Answer::Updated(Box::new(update)))
             })
             .collect();
-        for (call, update) in updates {
-            let answer = peer::Answer::Updated(Box::new(update));
+        for (call, answer) in answers {
             self.reply(call, action::Reply::Watched(answer));
         }
         for call in done {
--- a/crates/hyssopfork-fleet/src/peer.rs
+++ b/crates/hyssopfork-fleet/src/peer.rs
@@ -68,8 +68,8 @@
     pub have: view::Stamp,
     /// What it holds of declarations.
     pub document: document::Held,
-    /// All that it knows of upstreams and groups, when it turns to another leader: a leader that has
-    /// just started knows less than those who followed the one before.
+    /// All that it knows of upstreams and groups, after an [`Answer::Inquiry`]: a leader that has just
+    /// started knows less than those who followed the one before.
     pub known: Option<Known>,
     /// What it saw.
     pub evidence: Evidence,
@@ -93,9 +93,8 @@
 pub enum Answer {
     /// What leads the asker on.
     Updated(Box<view::Update>),
-    /// This process leads in a term that the asker hasn't followed: ask again and say what is known. The
-    /// leader's address may be the one that led before.
-    NewTerm,
+    /// This process leads and lacks what the asker knows of the terms before: ask again and say it.
+    Inquiry,
     /// This process doesn't lead; who does, as far as is known.
     NotLeader(Option<net::SocketAddr>),
 }
--- a/crates/hyssopfork-fleet/src/seeking.rs
+++ b/crates/hyssopfork-fleet/src/seeking.rs
@@ -24,8 +24,8 @@
     greeted: Option<clock::Instant>,
     /// Leader that was asked for what is new, until it answers.
     asked: Option<net::SocketAddr>,
-    /// Leader that last answered.
-    followed: Option<net::SocketAddr>,
+    /// Whether the leader is to be told all that is known.
+    tells: bool,
     /// Where this process stands.
     pub have: view::Stamp,
 }
@@ -40,7 +40,7 @@
             leader: None,
             greeted: None,
             asked: None,
-            followed: None,
+            tells: false,
             have: view::Stamp::default(),
         }
     }
@@ -93,11 +93,10 @@
         }
     }
 
-    /// The leader leads in a term that this process hasn't followed: it is another one, also at the same
-    /// address.
-    pub fn on_new_term(&mut self, leader: net::SocketAddr) {
+    /// The leader lacks what this process knows.
+    pub fn on_inquiry(&mut self, leader: net::SocketAddr) {
         self.asked = self.asked.filter(|asked| *asked != leader);
-        self.followed = self.followed.filter(|followed| *followed != leader);
+        self.tells = true;
     }
 
     /// Whom to greet now: everybody, while nobody is known to lead.
@@ -112,21 +111,19 @@
         known.into_iter().collect()
     }
 
-    /// Whom to ask for what is new, if nobody is being asked; and whether it is another leader than
-    /// the one that answered before.
+    /// Whom to ask for what is new, if nobody is being asked; and whether to tell it all that is known.
     pub fn ask(&mut self) -> Option<(net::SocketAddr, bool)> {
         let leader = self.leader.filter(|leader| *leader != self.own)?;
         if self.asked.is_some() {
             return None;
         }
         self.asked = Some(leader);
-        Some((leader, self.followed != Some(leader)))
+        Some((leader, std::mem::take(&mut self.tells)))
     }
 
     /// The leader answered.
     pub fn answered(&mut self, leader: net::SocketAddr, update: &view::Update) {
         self.asked = self.asked.filter(|asked| *asked != leader);
-        self.followed = Some(leader);
         self.have = update.stamp;
         self.learn(update.controls.iter().copied());
     }
--- a/crates/hyssopfork-fleet/tests/fleet/replication.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/replication.rs
@@ -264,3 +264,50 @@
     let after: Vec<_> = (1..=4).map(|host| verdict(&world, host)).collect();
     assert_eq!(after, [quarantined; 4]);
 }
+
+/// Guards against a leader that loses its lease over what a hundred followers tell it, all of them the same.
+#[test]
+fn a_new_leader_is_told_what_it_lacks_by_few() {
+    let mut world = world::World::declared(1, 60);
+    world.run(1_000);
+    let before = world.disclosures;
+
+    world.kill(fixture::address(1));
+    world.run(200);
+    world.boot(fixture::address(1), false);
+    world.run(4_000);
+
+    assert_eq!(world.leader(), Some(fixture::address(1)));
+    let told = world.disclosures - before;
+    assert!((1..=4).contains(&told), "{told} of 60 followers told all they know");
+}
+
+/// Guards against knowledge that is lost with the followers that were asked for it.
+#[test]
+fn another_follower_is_asked_in_place_of_one_that_is_gone() {
+    let mut world = world::World::declared(1, 8);
+    let request = quarantine::Fingerprint { length: 1, digest: [1; 16] };
+    for upstream in 1..=3 {
+        world.see(fixture::address(2), crashed(request, upstream));
+        world.run(300);
+    }
+    let leader = fixture::address(1);
+    world.kill(leader);
+    world.run(200);
+    world.boot(leader, false);
+
+    while world.disclosures == 0 {
+        world.run(1);
+    }
+    let told: Vec<u8> = (2..=9).filter(|host| world.tells(fixture::address(*host))).collect();
+    for host in &told {
+        world.drop_messages_of(fixture::address(*host));
+        world.kill(fixture::address(*host));
+    }
+    world.run(3_000);
+
+    assert!((1..=2).contains(&told.len()), "{told:?}");
+    let left = (2..=9).find(|host| !told.contains(host)).expect("others are left");
+    let view = world.processes[&fixture::address(left)].view.as_ref().expect("it follows");
+    assert_eq!(view.quarantine.len(), 1);
+}
--- a/crates/hyssopfork-fleet/tests/fleet/world.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/world.rs
@@ -102,6 +102,8 @@
     pub replies: BTreeMap<u64, action::Reply>,
     /// Views that entries were given.
     pub publications: usize,
+    /// Watches that told a leader all that the follower knows.
+    pub disclosures: usize,
     queue: BTreeMap<(clock::Instant, u64), (SocketAddr, u64, Delivery)>,
     count: u64,
     folders: u64,
@@ -123,6 +125,7 @@
             asked_peers: BTreeSet::new(),
             replies: BTreeMap::new(),
             publications: 0,
+            disclosures: 0,
             queue: BTreeMap::new(),
             count: 0,
             folders: 0,
@@ -262,6 +265,24 @@
         groups.filter(|group| group.serving).cloned().collect()
     }
 
+    /// Whether what the process tells a leader is on its way.
+    pub fn tells(&self, from: SocketAddr) -> bool {
+        self.queue.values().any(|(_, _, delivery)| {
+            let Delivery::Call(request, _) = delivery else { return false };
+            let event::Request::Watch(watch) = request.as_ref() else { return false };
+            watch.from == from && watch.known.is_some()
+        })
+    }
+
+    /// Forgets what a process has sent and has not arrived.
+    pub fn drop_messages_of(&mut self, from: SocketAddr) {
+        self.queue.retain(|_, (_, _, delivery)| {
+            let Delivery::Call(request, _) = delivery else { return true };
+            let event::Request::Watch(watch) = request.as_ref() else { return true };
+            watch.from != from
+        });
+    }
+
     /// Hands a process what its entry saw.
     pub fn see(&mut self, address: SocketAddr, evidence: peer::Evidence) {
         self.send(address, Duration::ZERO, event::Event::Seen(address, evidence));
@@ -357,6 +378,7 @@
                 self.ask(from, to, event::Request::Greet(hello), Caller::Greeting(from));
             }
             action::Action::Watch(to, watch) => {
+                self.disclosures += usize::from(watch.known.is_some());
                 self.count += 1;
                 let number = self.count;
                 self.processes.get_mut(&from).expect("it acts").watch = number;
