fleet: move watches to a file of their own, and name them by the field's terms

Held, Due, witnessed and Seats become ParkedWatch, PendingReply, replicated and VoterReview; the gateway's list of verdicts speaks of listings and trials.

--- a/crates/hyssopfork-fleet/src/core.rs
+++ b/crates/hyssopfork-fleet/src/core.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod follow;
 mod lead;
+mod watches;
 
 use crate::{
     action, board, declaration, document, durable, event, founding, groups, notice, quarantine,
@@ -74,7 +75,7 @@
     groups: groups::Groups,
     ledger: quarantine::Ledger,
     board: board::Board,
-    watches: lead::Watches,
+    watches: watches::Watches,
     /// Whether something may have changed that followers are to be told.
     dirty: bool,
     looked: clock::Instant,
@@ -84,7 +85,7 @@
     reviewed: bool,
     /// When this process's own entry was last told.
     published: clock::Instant,
-    seats: lead::Seats,
+    seats: lead::VoterReview,
 }
 
 /// The control of a process.
--- a/crates/hyssopfork-gateway/src/core/quarantine.rs
+++ b/crates/hyssopfork-gateway/src/core/quarantine.rs
@@ -1,4 +1,4 @@
-//! Quarantined requests at an entry: rejected, but for an attempt now and then.
+//! Quarantined requests at an entry: rejected, but for a trial now and then.
 
 use super::Core;
 use crate::{notice, rendezvous};
@@ -16,21 +16,21 @@
 /// Time for which a verdict holds that a new leader doesn't name: it has yet to learn of it from others.
 const UNNAMED_GRACE: Duration = Duration::from_secs(2);
 
-/// Time by which each entry lets an attempt through later than the one before it in the request's order of
+/// Time by which each entry's trial comes later than that of the one before it in the request's order of
 /// entries, so that the first result is known before many have tried.
-const ATTEMPT_STAGGER: Duration = Duration::from_millis(200);
+const TRIAL_STAGGER: Duration = Duration::from_millis(200);
 
-/// When to return while another attempt is in flight.
-const ATTEMPT_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// When to return while a trial is in flight.
+const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A request with a verdict.
 #[derive(Clone, Copy, Debug)]
-struct Held {
+struct Listing {
     verdict: quarantine::Verdict,
-    /// When this entry learned the verdict, or the last attempt crashed.
+    /// When this entry learned the verdict, or the last trial ended in a crash.
     since: clock::Instant,
-    /// The attempt that was let through last, by the number of its request.
-    attempt: Option<u64>,
+    /// The request that was let through last, by its number.
+    trial: Option<u64>,
     /// Since when the leader doesn't name it; `None` while it does.
     unnamed_since: Option<clock::Instant>,
 }
@@ -38,7 +38,7 @@
 /// Verdicts on requests, as the leader published them.
 #[derive(Debug, Default)]
 pub(super) struct Quarantine {
-    held: BTreeMap<quarantine::Fingerprint, Held>,
+    listings: BTreeMap<quarantine::Fingerprint, Listing>,
     /// Requests that completed lately, and when.
     completions: Vec<(quarantine::Fingerprint, clock::Instant)>,
 }
@@ -52,32 +52,32 @@
         changes: Vec<(quarantine::Fingerprint, Option<quarantine::Verdict>)>,
     ) {
         if whole {
-            for held in self.held.values_mut() {
-                held.unnamed_since.get_or_insert(now);
+            for listing in self.listings.values_mut() {
+                listing.unnamed_since.get_or_insert(now);
             }
         }
         for (request, verdict) in changes {
-            let known = self.held.remove(&request);
+            let known = self.listings.remove(&request);
             let Some(verdict) = verdict else { continue };
-            let fresh = Held { verdict, since: now, attempt: None, unnamed_since: None };
-            let known = known.filter(|held| held.verdict == verdict);
-            let held = known.map_or(fresh, |held| Held { unnamed_since: None, ..held });
-            self.held.insert(request, held);
+            let fresh = Listing { verdict, since: now, trial: None, unnamed_since: None };
+            let known = known.filter(|listing| listing.verdict == verdict);
+            let listing = known.map_or(fresh, |listing| Listing { unnamed_since: None, ..listing });
+            self.listings.insert(request, listing);
         }
     }
 
     /// Whether a request with so long a body may have a verdict: only then it needs to be hashed.
-    fn may_hold(&self, length: u64) -> bool {
+    fn may_list(&self, length: u64) -> bool {
         let least = quarantine::Fingerprint { length, digest: [0; 16] };
-        self.held.range(least..).next().is_some_and(|(request, _)| request.length == length)
+        self.listings.range(least..).next().is_some_and(|(request, _)| request.length == length)
     }
 
-    /// Takes in that a request was in flight at a crash: an attempt that was let through failed.
+    /// Takes in that a request was in flight at a crash: a trial failed.
     pub(super) fn crashed(&mut self, now: clock::Instant, request: &quarantine::Fingerprint) {
-        if let Some(held) = self.held.get_mut(request)
-            && now >= held.since + held.verdict.period()
+        if let Some(listing) = self.listings.get_mut(request)
+            && now >= listing.since + listing.verdict.period()
         {
-            held.since = now;
+            listing.since = now;
         }
     }
 
@@ -92,8 +92,10 @@
 
     pub(super) fn forget(&mut self, now: clock::Instant) {
         self.completions.retain(|(_, at)| now.since(*at) < COMPLETION_MEMORY);
-        let holds = |held: &Held| held.unnamed_since.is_none_or(|at| now.since(at) < UNNAMED_GRACE);
-        self.held.retain(|_, held| holds(held));
+        let holds = |listing: &Listing| {
+            listing.unnamed_since.is_none_or(|at| now.since(at) < UNNAMED_GRACE)
+        };
+        self.listings.retain(|_, listing| holds(listing));
     }
 }
 
@@ -102,27 +104,27 @@
     pub(super) fn quarantine_wait(&mut self, number: u64) -> Option<Duration> {
         let now = self.now;
         let request = self.requests.get(&number)?;
-        if !self.quarantine.may_hold(request.content.length()) {
+        if !self.quarantine.may_list(request.content.length()) {
             return None;
         }
         let fingerprint = request.fingerprint();
-        let held = *self.quarantine.held.get(&fingerprint)?;
-        let period = held.verdict.period();
-        if held.verdict == quarantine::Verdict::Suspect || held.attempt == Some(number) {
+        let listing = *self.quarantine.listings.get(&fingerprint)?;
+        let period = listing.verdict.period();
+        if listing.verdict == quarantine::Verdict::Suspect || listing.trial == Some(number) {
             return None;
         }
         let key = &fingerprint.digest;
         let rank = rendezvous::rank(self.settings.address, self.entries.keys(), key);
-        let left = now.until(held.since + period + ATTEMPT_STAGGER * rank as u32);
-        let tries = held.attempt.is_some_and(|attempt| self.requests.contains_key(&attempt));
+        let left = now.until(listing.since + period + TRIAL_STAGGER * rank as u32);
+        let tries = listing.trial.is_some_and(|trial| self.requests.contains_key(&trial));
         if request.runs > 0 || !left.is_zero() || tries {
-            return Some(left.max(ATTEMPT_RETRY_AFTER));
+            return Some(left.max(TRIAL_RETRY_AFTER));
         }
         let identifier = request.identifier.clone();
-        if let Some(held) = self.quarantine.held.get_mut(&fingerprint) {
-            held.attempt = Some(number);
+        if let Some(listing) = self.quarantine.listings.get_mut(&fingerprint) {
+            listing.trial = Some(number);
         }
-        self.note(notice::Notice::Tried { identifier, fingerprint });
+        self.note(notice::Notice::Trial { identifier, fingerprint });
         None
     }
 
@@ -130,11 +132,11 @@
     pub(super) fn is_recalled(&self, number: u64) -> bool {
         let Some(request) = self.requests.get(&number) else { return false };
         let waits = request.attempt.as_ref().is_some_and(|attempt| attempt.moved.is_none());
-        if !waits || !self.quarantine.may_hold(request.content.length()) {
+        if !waits || !self.quarantine.may_list(request.content.length()) {
             return false;
         }
-        self.quarantine.held.get(&request.fingerprint()).is_some_and(|held| {
-            held.verdict != quarantine::Verdict::Suspect && held.attempt != Some(number)
+        self.quarantine.listings.get(&request.fingerprint()).is_some_and(|listing| {
+            listing.verdict != quarantine::Verdict::Suspect && listing.trial != Some(number)
         })
     }
 
@@ -142,11 +144,11 @@
     /// content were in flight at crashes.
     pub(super) fn note_completion(&mut self, number: u64) {
         let Some(request) = self.requests.get(&number) else { return };
-        if !self.quarantine.may_hold(request.content.length()) {
+        if !self.quarantine.may_list(request.content.length()) {
             return;
         }
         let fingerprint = request.fingerprint();
-        if self.quarantine.held.remove(&fingerprint).is_some()
+        if self.quarantine.listings.remove(&fingerprint).is_some()
             && self.quarantine.completions.len() < MAX_COMPLETIONS
         {
             self.quarantine.completions.push((fingerprint, self.now));
--- a/crates/hyssopfork-gateway/src/notice.rs
+++ b/crates/hyssopfork-gateway/src/notice.rs
@@ -126,8 +126,8 @@
         /// Requests of this entry that broke off.
         requests: usize,
     },
-    /// A quarantined request is sent after all, to learn whether it still crashes upstreams.
-    Tried {
+    /// A quarantined request is sent as a trial, to learn whether it still crashes upstreams.
+    Trial {
         /// The caller's identifier.
         identifier: String,
         /// Fingerprint of the request.
@@ -163,7 +163,7 @@
             Notice::Stalled(..) => 5220,
             Notice::Leaving(..) => 5221,
             Notice::Crashed { .. } => 5222,
-            Notice::Tried { .. } => 5223,
+            Notice::Trial { .. } => 5223,
             Notice::RateNamed { .. } => 5224,
         }
     }
@@ -189,7 +189,7 @@
             | Notice::Moved { identifier, .. }
             | Notice::Full { identifier, .. }
             | Notice::Held { identifier, .. }
-            | Notice::Tried { identifier, .. }
+            | Notice::Trial { identifier, .. }
             | Notice::Refused { identifier, .. }
             | Notice::Cut { identifier, .. }
             | Notice::Answered { identifier, .. }
@@ -273,8 +273,8 @@
             Notice::RateNamed { instance, rate: None } => {
                 write!(formatter, "{instance} names no rate limit any more")
             }
-            Notice::Tried { fingerprint, .. } => {
-                write!(formatter, "quarantined, and sent to try it once fingerprint={fingerprint}")
+            Notice::Trial { fingerprint, .. } => {
+                write!(formatter, "quarantined, and sent as a trial fingerprint={fingerprint}")
             }
             Notice::Stalled(instance, silence) => {
                 write!(
