gateway: end a trial of a quarantined request with its first crash

A trial that crashed its upstream was sent on to the next one, as any request that may be repeated: two upstreams for each trial, and four attempts within 75 s where three are allowed after the third crash. An entry let a trial through 0.2 s after the one before it, less than a stream takes to crash its upstream.

A trial that ran is over, and entries follow each other by 1.5 s.

--- a/crates/hyssopfork-gateway/src/core/quarantine.rs
+++ b/crates/hyssopfork-gateway/src/core/quarantine.rs
@@ -17,8 +17,8 @@
 const UNNAMED_GRACE: Duration = Duration::from_secs(2);
 
 /// Time by which each entry's trial comes later than that of the one before it in the request's order of
-/// entries, so that the first result is known before many have tried.
-const TRIAL_STAGGER: Duration = Duration::from_millis(200);
+/// entries, so that the first result is known before the next one tries.
+const TRIAL_STAGGER: Duration = Duration::from_millis(1_500);
 
 /// When to return while a trial is in flight.
 const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -110,14 +110,21 @@
         let fingerprint = request.fingerprint();
         let listing = *self.quarantine.listings.get(&fingerprint)?;
         let period = listing.verdict.period();
-        if listing.verdict == quarantine::Verdict::Suspect || listing.trial == Some(number) {
+        if listing.verdict == quarantine::Verdict::Suspect {
+            return None;
+        }
+        // A trial that ran is over: sent on, it would crash the next upstream.
+        if request.runs > 0 {
+            return Some(period);
+        }
+        if listing.trial == Some(number) {
             return None;
         }
         let key = &fingerprint.digest;
         let rank = rendezvous::rank(self.settings.address, self.entries.keys(), key);
         let left = now.until(listing.since + period + TRIAL_STAGGER * rank as u32);
         let tries = listing.trial.is_some_and(|trial| self.requests.contains_key(&trial));
-        if request.runs > 0 || !left.is_zero() || tries {
+        if !left.is_zero() || tries {
             return Some(left.max(TRIAL_RETRY_AFTER));
         }
         let identifier = request.identifier.clone();
--- a/crates/hyssopfork-gateway/tests/gateway/rate_limit.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/rate_limit.rs
@@ -184,3 +184,36 @@
         prop_assert_eq!(rate::Rate::new(per_second), None);
     }
 }
+
+/// Guards against an upstream that returns cold in need, and gets what it bears by one of its limits alone.
+#[test]
+fn the_smaller_of_a_named_rate_and_a_slow_start_holds() {
+    for (per_second, in_the_first_second) in [(0.5, 2), (100.0, 6)] {
+        let mut update = limited_view(1, per_second);
+        for (_, upstream) in &mut update.upstreams {
+            let upstream = upstream.as_mut().expect("it is there");
+            upstream.announcement.cold = Duration::from_secs(3);
+        }
+        let mut entries = Entry::all_before(4, &update);
+
+        let sent: usize = sent(&mut entries, 1).values().map(Vec::len).sum();
+
+        assert_eq!(sent, in_the_first_second, "{per_second} a second");
+    }
+}
+
+/// Guards against streams of a lost upstream that all go on at one that is in need.
+#[test]
+fn resumed_streams_count_against_the_rate() {
+    let mut entry = Entry::all_before(1, &limited_view(2, 0.5)).remove(0);
+    let numbers: Vec<u64> = (0..2).map(|_| entry.sent("stream").0).collect();
+    entry.sent("stream");
+    entry.sent("stream");
+
+    let resumed = numbers.into_iter().filter(|number| {
+        let broken = event::Event::Failed(*number, event::Fault::Broken, None);
+        matches!(entry.step(broken), Some(action::Decision::Start(_)))
+    });
+
+    assert_eq!(resumed.count(), 0);
+}
