--- a/crates/hyssopfork-daemon/src/edge/handler.rs
+++ b/crates/hyssopfork-daemon/src/edge/handler.rs
@@ -158,8 +158,8 @@
                 other => return self.on_incomplete_wait(attempt, other),
             }
             if let Some(fault) = attempt.response().fault(&self.outbound.identifier) {
-                let load = attempt.response().load;
-                return self.step(event::Event::AttemptFailed(self.number, fault, load));
+                let head = attempt.response().head();
+                return self.step(event::Event::AttemptFailed(self.number, fault, Some(head)));
             }
         }
         let response = attempt.response();
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -120,8 +120,8 @@
             event::Event::EventsReceived(number, last) => self.on_events(number, last),
             event::Event::ResponseReceived(number, head) => self.on_response(number, head),
             event::Event::StreamCompleted(number) => self.on_stream_completed(number),
-            event::Event::AttemptFailed(number, fault, load) => {
-                self.on_attempt_failed(number, fault, load)
+            event::Event::AttemptFailed(number, fault, head) => {
+                self.on_attempt_failed(number, fault, head)
             }
             event::Event::Probed(process, refused) => self.on_probed(&process, refused),
             event::Event::IdleTimeout(number) => self.on_idle_timeout(number),
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -283,7 +283,7 @@
         &mut self,
         number: u64,
         fault: event::Fault,
-        load: Option<load::Report>,
+        head: Option<event::Head>,
     ) {
         let now = self.now;
         let Some(request) = self.requests.get(&number) else { return };
@@ -311,7 +311,7 @@
                 }
             }
         }
-        if let Some(load) = load {
+        if let Some(load) = head.and_then(|head| head.load) {
             self.on_load_report(&attempt.instance, load);
         }
         self.drop_attempt(number);
--- a/crates/hyssopfork-gateway/src/event.rs
+++ b/crates/hyssopfork-gateway/src/event.rs
@@ -15,6 +15,13 @@
     pub rate: Option<rate::Rate>,
 }
 
+impl Head {
+    /// A head in which the upstream states nothing about itself.
+    pub const fn new(status: u16) -> Head {
+        Head { status, load: None, rate: None }
+    }
+}
+
 /// Why an attempt ended without a complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -58,8 +65,8 @@
     ResponseReceived(u64, Head),
     /// The stream has been forwarded to its end.
     StreamCompleted(u64),
-    /// The newest attempt failed.
-    AttemptFailed(u64, Fault, Option<load::Report>),
+    /// The newest attempt failed; with the head of the response if one arrived.
+    AttemptFailed(u64, Fault, Option<Head>),
     /// A process was probed; true if its address refuses connections.
     Probed(quarantine::Process, bool),
     /// No bytes arrived within the idle timeout.
--- a/crates/hyssopfork-gateway/tests/gateway/crash.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/crash.rs
@@ -190,10 +190,7 @@
 
     let (number, trial) = entry.arrive(arrival("status"));
     let (_, during_trial) = entry.arrive(arrival("status"));
-    entry.step(event::Event::ResponseReceived(
-        number,
-        event::Head { status: 200, load: None, rate: None },
-    ));
+    entry.step(event::Event::ResponseReceived(number, event::Head::new(200)));
     let (_, after) = entry.arrive(arrival("status"));
 
     started(&trial);
--- a/crates/hyssopfork-gateway/tests/gateway/fixture.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/fixture.rs
@@ -272,7 +272,7 @@
 
     /// Receives the head and the first event of a stream, which must be forwarded.
     pub fn begin_stream(&mut self, number: u64) {
-        let head = event::Head { status: 200, load: None, rate: None };
+        let head = event::Head::new(200);
         assert_eq!(
             self.step(event::Event::HeadReceived(number, head)),
             Some(action::Decision::ForwardStream)
--- a/crates/hyssopfork-gateway/tests/gateway/overload.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/overload.rs
@@ -88,7 +88,7 @@
                 entries[process].step(event::Event::StreamCompleted(number));
             }
             for (process, number) in begin {
-                let head = event::Head { status: 200, load: Some(group.report()), rate: None };
+                let head = event::Head { load: Some(group.report()), ..event::Head::new(200) };
                 entries[process].step(event::Event::HeadReceived(number, head));
                 let first = now - arrived[&(process, number)];
                 if first <= 300 { outcome.on_time += 1 } else { outcome.late += 1 }
@@ -265,7 +265,7 @@
     let (number, _) = entry.send("stream");
     entry.step(event::Event::HeadReceived(
         number,
-        event::Head { status: 200, load: Some(report), rate: None },
+        event::Head { load: Some(report), ..event::Head::new(200) },
     ));
     entry.step(event::Event::StreamCompleted(number));
     let (_, full) = entry.arrive(arrival("stream"));
--- a/crates/hyssopfork-gateway/tests/gateway/rate_limit.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/rate_limit.rs
@@ -23,7 +23,7 @@
 
 /// Completes a request with a response that names this rate.
 fn respond(entry: &mut Entry, number: u64, per_second: Option<f64>) {
-    let head = event::Head { status: 200, load: None, rate: per_second.map(rate) };
+    let head = event::Head { rate: per_second.map(rate), ..event::Head::new(200) };
     entry.step(event::Event::ResponseReceived(number, head));
 }
 
--- a/crates/hyssopfork-gateway/tests/gateway/selection.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/selection.rs
@@ -80,10 +80,7 @@
     for _ in 0..4 {
         let (number, instance) = entry.send("submit");
         let status = if instance == fixture::instance("p1") { 500 } else { 200 };
-        entry.step(event::Event::ResponseReceived(
-            number,
-            event::Head { status, load: None, rate: None },
-        ));
+        entry.step(event::Event::ResponseReceived(number, event::Head::new(status)));
     }
 
     for _ in 0..4 {
--- a/crates/hyssopfork-gateway/tests/gateway/serve.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/serve.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 fn head(status: u16) -> event::Head {
-    event::Head { status, load: None, rate: None }
+    event::Head::new(status)
 }
 
 #[test]
