platform, gateway: log the pauses that upstreams ask for

A rejection may carry Retry-After. Nothing read it, and the logs could not tell whether an answer had asked for a pause. Requests are still routed as before.

--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -4,6 +4,7 @@
 mod crash;
 mod fleet_view;
 mod named_rates;
+mod pauses;
 mod quarantine;
 mod queue;
 mod serve;
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -186,6 +186,7 @@
     pub(super) fn on_head(&mut self, number: u64, head: event::Head) {
         self.on_bytes(number, head.load);
         self.on_named_rate(number, head.rate);
+        self.on_pause(number, head.pause);
         let Some(request) = self.requests.get_mut(&number) else { return };
         request.head_forwarded = true;
         self.decide(number, action::Decision::ForwardStream);
@@ -238,6 +239,7 @@
 
     pub(super) fn on_response(&mut self, number: u64, head: event::Head) {
         self.on_bytes(number, head.load);
+        self.on_pause(number, head.pause);
         self.record_completion(number);
         let Some(request) = self.requests.get(&number) else { return };
         if request.head_forwarded {
@@ -314,6 +316,9 @@
         if let Some(load) = head.and_then(|head| head.load) {
             self.on_load_report(&attempt.instance, load);
         }
+        if let Some(head) = head {
+            self.on_pause(number, head.pause);
+        }
         self.drop_attempt(number);
         if !fault.is_not_run() {
             self.count_possible_run(number);
--- a/crates/hyssopfork-gateway/src/event.rs
+++ b/crates/hyssopfork-gateway/src/event.rs
@@ -1,6 +1,6 @@
 //! Events that an entry handles.
 
-use crate::{arrival, load};
+use crate::{arrival, load, response};
 use hyssopfork_fleet::{declaration, quarantine, rate, view};
 use std::sync::Arc;
 
@@ -13,12 +13,14 @@
     pub load: Option<load::Report>,
     /// Rate limit that the upstream names for the whole fleet; `None` if it names none.
     pub rate: Option<rate::Rate>,
+    /// Pause that the upstream asks for.
+    pub pause: response::Pause,
 }
 
 impl Head {
     /// A head in which the upstream states nothing about itself.
     pub const fn new(status: u16) -> Head {
-        Head { status, load: None, rate: None }
+        Head { status, load: None, rate: None, pause: response::Pause::None }
     }
 }
 
--- a/crates/hyssopfork-gateway/src/notice.rs
+++ b/crates/hyssopfork-gateway/src/notice.rs
@@ -140,6 +140,15 @@
         /// The rate limit.
         rate: Option<rate::Rate>,
     },
+    /// An upstream asks this entry to send it nothing for a time.
+    PauseRequested {
+        /// Upstream.
+        instance: name::Instance,
+        /// Length of the pause.
+        duration: Duration,
+    },
+    /// An upstream asks for a pause whose length can't be read.
+    PauseMalformed(name::Instance),
     /// An upstream is stalled: no stream receives bytes.
     Stalled(name::Instance, Duration),
     /// The entry accepts no new connections.
@@ -165,13 +174,18 @@
             Notice::Crashed { .. } => 5222,
             Notice::Trial { .. } => 5223,
             Notice::RateNamed { .. } => 5224,
+            Notice::PauseRequested { .. } => 5225,
+            Notice::PauseMalformed(..) => 5226,
         }
     }
 
     /// Severity.
     pub const fn level(&self) -> level::Level {
         match self {
-            Notice::Cut { .. } | Notice::Crashed { .. } | Notice::Stalled(..) => level::Level::Warn,
+            Notice::Cut { .. }
+            | Notice::Crashed { .. }
+            | Notice::Stalled(..)
+            | Notice::PauseMalformed(..) => level::Level::Warn,
             _ => level::Level::Info,
         }
     }
@@ -197,6 +211,8 @@
             Notice::InForce(..)
             | Notice::Crashed { .. }
             | Notice::RateNamed { .. }
+            | Notice::PauseRequested { .. }
+            | Notice::PauseMalformed(..)
             | Notice::Stalled(..)
             | Notice::Leaving(..) => None,
         }
@@ -283,6 +299,13 @@
             Notice::RateNamed { instance, rate: None } => {
                 write!(formatter, "{instance} no longer names a rate limit")
             }
+            Notice::PauseRequested { instance, duration } => {
+                write!(formatter, "{instance} asks for a pause for_ms={}", duration.as_millis())
+            }
+            Notice::PauseMalformed(instance) => write!(
+                formatter,
+                "{instance} asks for a pause that can't be read; send a number of seconds in Retry-After"
+            ),
             Notice::Trial { fingerprint, .. } => {
                 write!(formatter, "quarantined request sent as a trial fingerprint={fingerprint}")
             }
--- a/crates/hyssopfork-gateway/src/response.rs
+++ b/crates/hyssopfork-gateway/src/response.rs
@@ -4,6 +4,18 @@
 use hyssopfork_fleet::rate;
 use std::time::Duration;
 
+/// Pause that an upstream asks for: this entry is to send it nothing meanwhile.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Pause {
+    /// None.
+    #[default]
+    None,
+    /// A pause of this length.
+    Requested(Duration),
+    /// A pause whose length can't be read.
+    Malformed,
+}
+
 /// Parts of a response's head that decisions depend on.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Response {
@@ -25,6 +37,8 @@
     pub load: Option<load::Report>,
     /// Rate limit that the upstream names for the whole fleet; `None` if it names none.
     pub rate: Option<rate::Rate>,
+    /// Pause that the upstream asks for.
+    pub pause: Pause,
     /// Time for which the upstream keeps the connection open when it is idle.
     pub keep_alive: Option<Duration>,
 }
@@ -50,6 +64,6 @@
 
     /// Converts to the head that the entry's core handles.
     pub fn head(&self) -> event::Head {
-        event::Head { status: self.status, load: self.load, rate: self.rate }
+        event::Head { status: self.status, load: self.load, rate: self.rate, pause: self.pause }
     }
 }
