--- a/crates/hyssopfork-daemon/tests/edge/crashing_upstream.rs
+++ b/crates/hyssopfork-daemon/tests/edge/crashing_upstream.rs
@@ -1,6 +1,8 @@
-//! Upstreams that crash on a certain request and restart after a delay. They can name a rate limit.
+//! Upstreams that crash on a certain request and restart after a delay. They can name a rate
+//! limit, and reject all requests.
 
 use crate::{fleet, support};
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -23,6 +25,17 @@
 /// Interval at which the listener is polled for connections.
 const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
 
+/// A request that an upstream received.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Index of the upstream.
+    pub upstream: usize,
+    /// Identifier that the client assigned.
+    pub identifier: String,
+    /// When it arrived.
+    pub at: Instant,
+}
+
 /// What the upstreams of a test observed, and what the test sets for them.
 #[derive(Debug, Default)]
 pub struct Record {
@@ -33,8 +46,12 @@
     pub crashes: Mutex<Vec<Instant>>,
     /// Rate limit that each upstream names, in requests per second.
     pub rate_limit: Mutex<Option<f64>>,
-    /// All requests: index of the upstream and time of arrival.
-    pub requests: Mutex<Vec<(usize, Instant)>>,
+    /// `Retry-After` of the upstreams that reject all requests, by index.
+    pub retry_after: Mutex<BTreeMap<usize, String>>,
+    /// All requests.
+    pub requests: Mutex<Vec<Arrival>>,
+    /// Rejected requests, with the time of the rejection.
+    pub rejections: Mutex<Vec<Arrival>>,
 }
 
 impl Record {
@@ -43,6 +60,11 @@
         self.stopped.store(true, Ordering::Relaxed);
     }
 
+    /// `Retry-After` of the upstream at `index`; `None` if it accepts requests.
+    fn retry_after_of(&self, index: usize) -> Option<String> {
+        self.retry_after.lock().expect("no thread panicked").get(&index).cloned()
+    }
+
     /// Whether the upstreams are to stop.
     pub fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::Relaxed)
@@ -128,8 +150,17 @@
     let mut writer = stream.try_clone().expect("the socket is open");
     let mut reader = BufReader::new(stream);
     while let Some((identifier, body)) = receive(&mut reader) {
-        let arrival = (process.index, Instant::now());
-        record.requests.lock().expect("no thread panicked").push(arrival);
+        let (upstream, at) = (process.index, Instant::now());
+        let arrival = Arrival { upstream, identifier: identifier.clone(), at };
+        record.requests.lock().expect("no thread panicked").push(arrival.clone());
+        if let Some(retry_after) = record.retry_after_of(process.index) {
+            let rejection = Arrival { at: Instant::now(), ..arrival };
+            record.rejections.lock().expect("no thread panicked").push(rejection);
+            if writer.write_all(rejection_response(&identifier, &retry_after).as_bytes()).is_err() {
+                return;
+            }
+            continue;
+        }
         let crashes = body == CRASHING_BODY;
         if crashes {
             record.crashing_arrivals.lock().expect("no thread panicked").push(Instant::now());
@@ -153,6 +184,13 @@
     }
 }
 
+fn rejection_response(identifier: &str, retry_after: &str) -> String {
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\nHyssopfork-Attempt-Id: {identifier}\r\n\
+         Hyssopfork-Not-Executed: 1\r\nRetry-After: {retry_after}\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
 /// Receives a request; returns its attempt identifier and body.
 fn receive(reader: &mut impl BufRead) -> Option<(String, String)> {
     let mut head = String::new();
--- a/crates/hyssopfork-daemon/tests/edge/main.rs
+++ b/crates/hyssopfork-daemon/tests/edge/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod http_server;
 mod named_rate;
+mod pause;
 mod query_of_death;
 mod scenario;
 mod soak;
--- a/crates/hyssopfork-daemon/tests/edge/named_rate.rs
+++ b/crates/hyssopfork-daemon/tests/edge/named_rate.rs
@@ -27,8 +27,8 @@
     let requests = scenario.record.requests.lock().expect("no thread panicked");
     let times: Vec<Instant> = requests
         .iter()
-        .filter(|(of, at)| *of == index && (from..to).contains(at))
-        .map(|(_, at)| *at)
+        .filter(|request| request.upstream == index && (from..to).contains(&request.at))
+        .map(|request| request.at)
         .collect();
     let requests_from = |first: &Instant| {
         times.iter().filter(|at| (*first..*first + COUNTING_WINDOW).contains(*at)).count()
@@ -39,7 +39,7 @@
 /// Requests per second that all upstreams together received between two moments.
 fn total_rate(scenario: &scenario::Scenario, from: Instant, to: Instant) -> f64 {
     let requests = scenario.record.requests.lock().expect("no thread panicked");
-    let count = requests.iter().filter(|(_, at)| (from..to).contains(at)).count();
+    let count = requests.iter().filter(|request| (from..to).contains(&request.at)).count();
     count as f64 / to.duration_since(from).as_secs_f64()
 }
 
--- a/crates/hyssopfork-daemon/tests/edge/scenario.rs
+++ b/crates/hyssopfork-daemon/tests/edge/scenario.rs
@@ -13,7 +13,8 @@
 /// Number of upstreams.
 pub const UPSTREAM_COUNT: usize = 8;
 
-const CLIENT_COUNT: usize = 6;
+/// Number of clients, each of which has one request in flight.
+pub const CLIENT_COUNT: usize = 6;
 
 const DECLARATION: &str = r#"{"Version":3,
  "Routes":[{"Name":"r1","Host":"host","PathPrefix":"/check/","Kind":"idempotent","TimeoutMs":2000,
@@ -44,8 +45,10 @@
             if record.is_stopped() {
                 return;
             }
-            let request = request(&format!("c{client}-{count}"), &format!("{client} {count}"));
-            let to = entries[(client + count) % entries.len()];
+            let entry = (client + count) % entries.len();
+            let identifier = format!("{entry}-c{client}-{count}");
+            let request = request(&identifier, &format!("{client} {count}"));
+            let to = entries[entry];
             let response = support::call_within(to, &request, Duration::from_secs(3));
             self.sent.fetch_add(1, Ordering::Relaxed);
             if response.is_some_and(|response| response.status == 200) {
@@ -56,6 +59,11 @@
     }
 }
 
+/// Index of the entry that received a client's request with this identifier.
+pub fn entry_of(identifier: &str) -> Option<usize> {
+    identifier.split('-').next()?.parse().ok()
+}
+
 /// Parameters of a scenario.
 pub struct Plan {
     /// Name of the folder of the processes.
