gateway: send nothing to an upstream during a pause that it asks for

Callers saw requests refused as not_taken, most after one attempt, while other upstreams had capacity: attempts at upstreams that rejected everything had used up the retry budget. Upstreams saw up to 86 requests a second that they had asked not to get.

Cause: no code read Retry-After of an upstream's 503. A rejecting upstream always has the fewest requests, so the balancer preferred it.

Each entry now keeps the pauses that it was asked for, by process and apart from the view, so that a group formed again with the same head stays paused; a new process starts without one. The end that is latest counts. After a pause one request is a trial; until its response, others are preferred. If all upstreams pause, requests are rejected at once (reason paused) with the end of the first pause, one after the other. A pause is no failure as well. Other entries are not told: nothing was asked of them.

Ruled out: requests in flight when the answer came (none of them lasts more than 1 ms, and the excess is spread evenly over the pause), and state lost with a new view (the failing test has no change of view).

--- a/crates/hyssopfork-daemon/tests/edge/pause.rs
+++ b/crates/hyssopfork-daemon/tests/edge/pause.rs
@@ -1,6 +1,7 @@
 //! Pauses that upstreams ask for when they reject requests.
 
 use crate::{crashing_upstream, fleet, scenario};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Pause that the upstreams ask for with each rejection.
@@ -44,21 +45,21 @@
     }
 }
 
+/// Runs clients for two periods while these upstreams reject requests.
+fn run(name: &'static str, rejecting: &[usize]) -> scenario::Scenario {
+    let reject = |_: &mut fleet::Fleet, record: &crashing_upstream::Record, since: Duration| {
+        reject_periodically(record, rejecting, since);
+    };
+    let plan =
+        scenario::Plan { name, processes: 5, duration: PERIOD * 2, sends_crashing_requests: false };
+    plan.run(reject)
+}
+
 /// Guards against an entry that keeps sending requests to an upstream that has asked it for a pause,
 /// and ends requests without a response although other upstreams have capacity.
 #[test]
 fn an_upstream_receives_no_requests_in_a_pause_that_it_asked_for() {
-    let reject = |_: &mut fleet::Fleet, record: &crashing_upstream::Record, since: Duration| {
-        reject_periodically(record, &[2, 5], since);
-    };
-
-    let scenario = scenario::Plan {
-        name: "pause",
-        processes: 5,
-        duration: PERIOD * 2,
-        sends_crashing_requests: false,
-    }
-    .run(reject);
+    let scenario = run("pause", &[2, 5]);
 
     let received = max_requests_in_pause(&scenario.record);
     assert!(received <= MAX_REQUESTS, "{received} requests in one pause, {MAX_REQUESTS} allowed");
@@ -70,3 +71,20 @@
         "{unserved} of {sent} requests not served, although six upstreams accept them"
     );
 }
+
+/// Guards against entries that send requests after all if no other upstream is left, and that no
+/// longer use the upstreams after the pause.
+#[test]
+fn all_upstreams_may_pause_at_once() {
+    let everyone: Vec<usize> = (0..scenario::UPSTREAM_COUNT).collect();
+
+    let scenario = run("pause-all", &everyone);
+
+    let received = max_requests_in_pause(&scenario.record);
+    assert!(received <= MAX_REQUESTS, "{received} requests in one pause, {MAX_REQUESTS} allowed");
+    let requests = scenario.record.requests.lock().expect("no thread panicked");
+    let rejections = scenario.record.rejections.lock().expect("no thread panicked");
+    let last_rejection = rejections.iter().map(|it| it.at).max().expect("requests were rejected");
+    let accepted = requests.iter().filter(|it| it.at > last_rejection).map(|it| it.upstream);
+    assert_eq!(accepted.collect::<BTreeSet<_>>().len(), scenario::UPSTREAM_COUNT);
+}
--- a/crates/hyssopfork-gateway/src/action.rs
+++ b/crates/hyssopfork-gateway/src/action.rs
@@ -24,6 +24,8 @@
     NoUpstream,
     /// Every upstream is at its limit.
     Overloaded,
+    /// Every upstream has asked this entry for a pause.
+    Paused,
     /// Upstreams crash when they run this request.
     Quarantined,
     /// None of the upstreams that were tried accepted the request.
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -11,8 +11,8 @@
 mod stall;
 
 use crate::{
-    action, demand, event, load, moves, notice, request, retry_budget, retry_schedule, routing,
-    selection, settings, target,
+    action, demand, event, load, moves, notice, pause, request, retry_budget, retry_schedule,
+    routing, selection, settings, target,
 };
 use hyssopfork_fleet::{peer, view};
 use hyssopfork_wire::{clock, name};
@@ -45,6 +45,7 @@
     targets: BTreeMap<name::Instance, target::Target>,
     retry_budgets: BTreeMap<name::Pool, retry_budget::Budget>,
     move_buckets: BTreeMap<name::Pool, moves::Bucket>,
+    pauses: pause::Pauses,
     /// Average load of this process and of others, for each pool and model.
     baselines: BTreeMap<(name::Pool, Option<name::Model>), load::Baseline>,
     /// Demand for each pool and model of engines.
@@ -78,6 +79,7 @@
             targets: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             move_buckets: BTreeMap::new(),
+            pauses: pause::Pauses::default(),
             baselines: BTreeMap::new(),
             demands: BTreeMap::new(),
             retry_schedules: BTreeMap::new(),
@@ -143,6 +145,7 @@
     fn on_tick(&mut self) {
         self.crashes.expire(self.now);
         self.quarantine.expire(self.now);
+        self.pauses.expire(self.now);
         self.report_evidence();
     }
 
@@ -223,6 +226,7 @@
     fn constraints(&self, request: &request::Request) -> selection::Constraints<'_> {
         selection::Constraints {
             excluded_zones: &self.excluded_zones,
+            pauses: &self.pauses,
             average: self.average_load(&request.pool, request.model.as_ref()),
         }
     }
--- a/crates/hyssopfork-gateway/src/core/completion.rs
+++ b/crates/hyssopfork-gateway/src/core/completion.rs
@@ -51,7 +51,7 @@
         }
         let retry_after = match reason {
             action::Reason::Quarantined => Some(wait),
-            reason => reason.is_not_run().then(|| self.retry_after(&request, wait)),
+            reason => reason.is_not_run().then(|| self.retry_after(&request, reason, wait)),
         };
         self.measure(&request, measurement::Outcome::Rejected(reason));
         let rejection = action::Rejection::new(reason, retry_after);
@@ -66,7 +66,12 @@
     }
 
     /// Time after which the client of a rejected request should retry.
-    fn retry_after(&mut self, request: &request::Request, wait: Duration) -> Duration {
+    fn retry_after(
+        &mut self,
+        request: &request::Request,
+        reason: action::Reason,
+        wait: Duration,
+    ) -> Duration {
         let now = self.now;
         let serves = |target: &&target::Target| {
             target.pool == request.pool && target.model == request.model && !target.is_stalled(now)
@@ -86,11 +91,14 @@
         } else {
             wait
         };
+        // The end of a pause is known, and clients that return together would meet the next one.
+        let max = match reason {
+            action::Reason::Paused => wait + MAX_RETRY_AFTER,
+            _ => MAX_RETRY_AFTER,
+        };
         let key = (request.pool.clone(), request.model.clone());
         let schedule = self.retry_schedules.entry(key).or_default();
-        schedule
-            .reserve(now, wait, spacing.min(MAX_RETRY_AFTER))
-            .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+        schedule.reserve(now, wait, spacing.min(MAX_RETRY_AFTER)).clamp(MIN_RETRY_AFTER, max)
     }
 
     pub(super) fn measure(&mut self, request: &request::Request, outcome: measurement::Outcome) {
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -2,7 +2,8 @@
 
 use super::{Core, completion, stall};
 use crate::{
-    action, arrival, demand, event, load, notice, request, retry_budget, routing, selection, target,
+    action, arrival, demand, event, load, notice, request, response, retry_budget, routing,
+    selection, target,
 };
 use hyssopfork_wire::{clock, name};
 use std::time::Duration;
@@ -91,6 +92,9 @@
             selection::Selection::Selected(instance) => self.send(number, &instance),
             selection::Selection::Full { .. }
                 if self.queue.is_retrying(number) && self.enqueue_request(number) => {}
+            selection::Selection::Paused { wait } => {
+                self.end_without_response(number, action::Reason::Paused, wait);
+            }
             selection::Selection::Full { wait, best } => {
                 self.log_full(number, best);
                 self.end_without_response(number, action::Reason::Overloaded, wait);
@@ -138,6 +142,7 @@
         if let Some(limiter) = &mut target.rate_limiter {
             limiter.record(now);
         }
+        self.pauses.on_sent(instance, number);
         request.attempt_count += 1;
         request.attempt = Some(request::Attempt {
             instance: instance.clone(),
@@ -252,7 +257,12 @@
             return self.forward_response(number, head.status);
         }
         let repeatable = request.repetition.may_repeat();
-        self.finish_attempt(number, false);
+        // A pause excludes the upstream already; a failure as well would eject it after the pause.
+        if matches!(head.pause, response::Pause::Requested(_)) {
+            self.drop_attempt(number);
+        } else {
+            self.finish_attempt(number, false);
+        }
         self.count_possible_run(number);
         if repeatable && self.try_retry(number) {
             return self.dispatch(number, true);
@@ -316,7 +326,7 @@
         if let Some(load) = head.and_then(|head| head.load) {
             self.on_load_report(&attempt.instance, load);
         }
-        if let Some(head) = head {
+        if let Some(head) = head.filter(|_| fault != event::Fault::WrongInstance) {
             self.on_pause(number, head.pause);
         }
         self.drop_attempt(number);
@@ -418,6 +428,7 @@
                 target.limit.on_response(waited, request.objective, attempt.load_at_start);
             }
         }
+        self.pauses.on_attempt_ended(&attempt.instance, number);
         request.excluded.push(attempt.instance);
     }
 }
--- a/crates/hyssopfork-gateway/src/lib.rs
+++ b/crates/hyssopfork-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`demand`]: demand for a model, by which the leader plans its groups
 //! - [`rendezvous`]: which upstreams an entry prefers, and how entries divide an upstream's rate
 //! - [`slow_start`]: rate after a start; [`rate_limit`]: rate that an upstream names itself
+//! - [`pause`]: pauses that upstreams ask for
 //! - [`health`]: outlier ejection and backoff; [`moves`]: limit on moves of stalled requests
 //! - [`retry_budget`]: limit on retries; [`retry_schedule`]: `Retry-After` of rejected requests
 //! - [`content`]: fingerprint that identifies a request which crashes upstreams
@@ -29,6 +30,7 @@
 pub mod measurement;
 pub mod moves;
 pub mod notice;
+pub mod pause;
 pub mod rate_limit;
 pub mod rendezvous;
 pub mod request;
--- a/crates/hyssopfork-gateway/src/selection.rs
+++ b/crates/hyssopfork-gateway/src/selection.rs
@@ -6,7 +6,7 @@
 //! otherwise requests queue at upstreams until all are late. If no upstream has capacity, the
 //! request is rejected at once with a `Retry-After`.
 
-use crate::{load, target};
+use crate::{load, pause, target};
 use hyssopfork_fleet::view;
 use hyssopfork_wire::{clock, name};
 use std::collections::{BTreeMap, BTreeSet};
@@ -72,6 +72,8 @@
 pub struct Constraints<'a> {
     /// Zones that are out.
     pub excluded_zones: &'a BTreeSet<name::Zone>,
+    /// Pauses that upstreams have asked for.
+    pub pauses: &'a pause::Pauses,
     /// Average load of the upstreams of the pool and model.
     pub average: load::Average,
 }
@@ -88,6 +90,12 @@
         /// Upstream that is closest to having capacity; `None` if none is available.
         best: Option<name::Instance>,
     },
+    /// Every available upstream has asked for a pause, including those that the request has been
+    /// sent to.
+    Paused {
+        /// Time until the first pause ends.
+        wait: Duration,
+    },
     /// No upstream matches.
     NoUpstream,
 }
@@ -107,10 +115,9 @@
     query: Query<'_>,
     constraints: Constraints<'_>,
 ) -> Selection {
-    let matches = |(instance, target): &(&name::Instance, &target::Target)| {
+    let serves = |(_, target): &(&name::Instance, &target::Target)| {
         target.pool == *query.pool
             && target.model.as_ref() == query.model
-            && !query.excluded.contains(instance)
             && !constraints.excluded_zones.contains(&target.zone)
             && target.standing != view::Status::Leaving
     };
@@ -119,10 +126,16 @@
         !target.health.is_backing_off(now)
             && (!is_silent || target.health.has_responded_within(now, RECENT_RESPONSE_TIME))
     };
-    let candidates: Vec<_> = targets.iter().filter(matches).collect();
-    let usable: Vec<Candidate<'_>> = candidates
-        .iter()
-        .filter(|candidate| is_available(candidate))
+    let pause = |(instance, target): &(&name::Instance, &target::Target)| {
+        constraints.pauses.remaining(now, instance, target.incarnation.born)
+    };
+    let serving: Vec<_> = targets.iter().filter(serves).collect();
+    let candidates = serving.iter().filter(|(instance, _)| !query.excluded.contains(instance));
+    let unpaused = candidates
+        .clone()
+        .filter(|candidate| is_available(candidate) && pause(candidate).is_zero());
+    let usable: Vec<Candidate<'_>> = unpaused
+        .clone()
         .filter(|(_, target)| is_within_rate(now, target))
         .map(|(instance, target)| Candidate::new(now, instance, target, query, constraints))
         .collect();
@@ -133,12 +146,15 @@
     if let Some(candidate) = lowest {
         return Selection::Selected(candidate.instance.clone());
     }
-    if candidates.is_empty() {
+    let first_pause_end = serving.iter().filter(|it| is_available(it)).map(pause).min();
+    if let Some(wait) = first_pause_end.filter(|wait| !wait.is_zero()) {
+        return Selection::Paused { wait };
+    }
+    if candidates.count() == 0 {
         return Selection::NoUpstream;
     }
     let best = preferred.min_by_key(|candidate| candidate.wait);
-    let rate_limited = candidates.iter().filter(|candidate| is_available(candidate));
-    let rate_limited = rate_limited.map(|(_, target)| target.rate_limit_delay(now)).min();
+    let rate_limited = unpaused.map(|(_, target)| target.rate_limit_delay(now)).min();
     Selection::Full {
         wait: best.map_or(rate_limited.unwrap_or_default(), |candidate| candidate.wait),
         best: best.map(|candidate| candidate.instance.clone()),
@@ -174,7 +190,7 @@
         let excess = load + 1.0 + margin - target.limit.get() - allowance;
         Candidate {
             instance,
-            condition: condition(now, target),
+            condition: condition(now, instance, target, constraints.pauses),
             score: score(now, target, load, query.zone, constraints),
             excess,
             wait: Duration::from_secs_f64(excess.max(0.0) / target.load.throughput()),
@@ -189,10 +205,16 @@
     within_slow_start && target.rate_limit_delay(now).is_zero()
 }
 
-fn condition(now: clock::Instant, target: &target::Target) -> Condition {
+fn condition(
+    now: clock::Instant,
+    instance: &name::Instance,
+    target: &target::Target,
+    pauses: &pause::Pauses,
+) -> Condition {
+    let has_trial = pauses.has_trial(instance, target.incarnation.born);
     if target.is_stalled(now) {
         Condition::Stalled
-    } else if target.suspected || target.health.is_outlier(now) {
+    } else if target.suspected || target.health.is_outlier(now) || has_trial {
         Condition::Unhealthy
     } else {
         Condition::Healthy
--- a/crates/hyssopfork-gateway/tests/gateway/main.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod health;
 mod moves;
 mod overload;
+mod pause;
 mod queue;
 mod rate_limit;
 mod response;
