--- a/crates/hyssopfork-daemon/tests/edge/crashing_upstream.rs
+++ b/crates/hyssopfork-daemon/tests/edge/crashing_upstream.rs
@@ -1,8 +1,8 @@
 //! Upstreams that crash on a certain request and restart after a delay. They can name a rate
-//! limit, and reject all requests.
+//! limit, reject all requests, and state that they leave.
 
 use crate::{fleet, support};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -48,6 +48,10 @@
     pub rate_limit: Mutex<Option<f64>>,
     /// `Retry-After` of the upstreams that reject all requests, by index.
     pub retry_after: Mutex<BTreeMap<usize, String>>,
+    /// Upstreams that state in their responses that they leave, by index.
+    pub leaving: Mutex<BTreeSet<usize>>,
+    /// Requests to which these upstreams responded, with the time of the response.
+    pub leaving_responses: Mutex<Vec<Arrival>>,
     /// All requests.
     pub requests: Mutex<Vec<Arrival>>,
     /// Rejected requests, with the time of the rejection.
@@ -173,7 +177,13 @@
             return;
         }
         let rate = *record.rate_limit.lock().expect("no thread panicked");
-        let header = rate.map(|rate| format!("Server-Limit: {rate:.1}\r\n")).unwrap_or_default();
+        let mut header =
+            rate.map(|rate| format!("Server-Limit: {rate:.1}\r\n")).unwrap_or_default();
+        if record.leaving.lock().expect("no thread panicked").contains(&process.index) {
+            header.push_str("Server-Leaving: 1\r\n");
+            let response = Arrival { at: Instant::now(), ..arrival };
+            record.leaving_responses.lock().expect("no thread panicked").push(response);
+        }
         let response = format!(
             "HTTP/1.1 200 OK\r\nHyssopfork-Attempt-Id: {identifier}\r\n{header}\
              Hyssopfork-Server-Signature: s\r\nContent-Length: 4\r\n\r\nfine"
--- a/crates/hyssopfork-daemon/tests/edge/main.rs
+++ b/crates/hyssopfork-daemon/tests/edge/main.rs
@@ -4,6 +4,7 @@
 mod end_to_end;
 mod fleet;
 mod http_server;
+mod leaving;
 mod named_rate;
 mod pause;
 mod query_of_death;
