gateway, fleet: stop using an upstream that states that it leaves

An upstream that leaves marks its responses (Server-Leaving). Nothing read the mark: as long as the upstream announced itself as ready, or its calls to the control address were lost, entries sent it requests until it exited.

The entry that got the response stops using the process at once, by process and apart from the view. It reports the process to the leader until the leader publishes it as leaving, because a group whose head no entry uses must be replaced. In-flight requests continue; connections that are lost there are no crash. What another upstream at the same address states (421) is ignored.

The evidence of entries has one more field: processes of this and earlier builds can't exchange it.

--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -185,6 +185,12 @@
         for change in &evidence.rates {
             leadership.dirty |= leadership.registry.set_rate(now, change);
         }
+        for process in &evidence.leaving {
+            if leadership.registry.record_leaving(process) {
+                notices.push(notice::Notice::Departed(process.instance.clone()));
+                leadership.dirty = true;
+            }
+        }
         for notice in notices {
             self.push_notice(notice);
         }
--- a/crates/hyssopfork-fleet/src/peer.rs
+++ b/crates/hyssopfork-fleet/src/peer.rs
@@ -49,6 +49,9 @@
     pub rates: Vec<rate::Change>,
     /// Demand of this entry's clients for each model of engines.
     pub demands: Vec<Demand>,
+    /// Processes that have stated in a response that they leave, and that the leader doesn't publish
+    /// as leaving.
+    pub leaving: Vec<quarantine::Process>,
 }
 
 /// Demand of an entry's clients for a model.
@@ -69,6 +72,7 @@
             || !self.crashes.is_empty()
             || !self.completions.is_empty()
             || !self.rates.is_empty()
+            || !self.leaving.is_empty()
     }
 }
 
--- a/crates/hyssopfork-fleet/src/registry.rs
+++ b/crates/hyssopfork-fleet/src/registry.rs
@@ -4,7 +4,7 @@
 //! or from ones that reuse a name or an address. A call is applied only if it is newer than the
 //! last one of its process, and a process replaces another only if it started later.
 
-use crate::{announcement, groups::order, heartbeats, rate, view};
+use crate::{announcement, groups::order, heartbeats, quarantine, rate, view};
 use hyssopfork_wire::{clock, name};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net;
@@ -49,7 +49,7 @@
     /// Whether it has called during this leader's term. What a follower of an earlier leader knew
     /// may be stale: an engine may have joined a group since.
     pub heard_this_term: bool,
-    /// Whether it has announced its departure.
+    /// Whether it has announced its departure, to control or in a response to an entry.
     pub departed: bool,
     /// Whether it is considered dead because it did not answer probes.
     pub dead: bool,
@@ -198,6 +198,18 @@
         !std::mem::replace(&mut record.departed, true)
     }
 
+    /// Records that a process stated to an entry that it leaves; returns whether it was not known
+    /// before. Its own calls may be lost, or still announce it as ready.
+    pub fn record_leaving(&mut self, process: &quarantine::Process) -> bool {
+        let Some(record) = self.records.get_mut(&process.instance) else { return false };
+        if record.announcement.start_time_ms != process.start_time_ms || record.is_leaving() {
+            return false;
+        }
+        record.departed = true;
+        self.changed.insert(process.instance.clone());
+        true
+    }
+
     /// Takes over what a follower of an earlier leader knew, unless the record is newer; returns
     /// whether anything changed.
     pub fn adopt(&mut self, now: clock::Instant, upstream: view::Upstream) -> bool {
--- a/crates/hyssopfork-fleet/tests/fleet/registry.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/registry.rs
@@ -244,3 +244,36 @@
 
     assert_eq!(registry.get(&e1()).and_then(|record| record.rate), rate::Rate::new(3.7));
 }
+
+/// Guards against new work for an upstream that has told an entry that it leaves, while its own
+/// calls are lost or still announce it as ready.
+#[test]
+fn an_upstream_that_has_told_an_entry_that_it_leaves_gets_no_new_work() {
+    let mut registry = registry();
+    let process = quarantine::Process { instance: e1(), start_time_ms: start_time_ms(&registry) };
+
+    assert!(registry.record_leaving(&process));
+    assert!(!registry.record_leaving(&process), "known already");
+    let ready = Announcement { sequence: 2, ..fixture::announcement("e1") };
+    registry.record_announcement(fixture::at(20), ready);
+
+    let published = &registry.published(fixture::at(30))[&e1()];
+    assert_eq!(published.status, view::Status::Leaving);
+}
+
+/// Guards against a late report that takes the next process of the same name out of service.
+#[test]
+fn a_statement_of_a_previous_process_is_ignored() {
+    let mut registry = registry();
+    let start_time_ms = start_time_ms(&registry) - 1;
+
+    let process = quarantine::Process { instance: e1(), start_time_ms };
+    let recorded = registry.record_leaving(&process);
+
+    assert!(!recorded);
+    assert!(registry.get(&e1()).is_some_and(|record| record.is_healthy()));
+}
+
+fn start_time_ms(registry: &Registry) -> u64 {
+    registry.get(&e1()).expect("the fixture's upstream").announcement.start_time_ms
+}
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -3,6 +3,7 @@
 mod completion;
 mod crash;
 mod fleet_view;
+mod leaving_upstreams;
 mod named_rates;
 mod pauses;
 mod quarantine;
@@ -11,8 +12,8 @@
 mod stall;
 
 use crate::{
-    action, demand, event, load, moves, notice, pause, request, retry_budget, retry_schedule,
-    routing, selection, settings, target,
+    action, demand, event, leaving, load, moves, notice, pause, request, retry_budget,
+    retry_schedule, routing, selection, settings, target,
 };
 use hyssopfork_fleet::{peer, view};
 use hyssopfork_wire::{clock, name};
@@ -46,6 +47,7 @@
     retry_budgets: BTreeMap<name::Pool, retry_budget::Budget>,
     move_buckets: BTreeMap<name::Pool, moves::Bucket>,
     pauses: pause::Pauses,
+    leaving: leaving::Leaving,
     /// Average load of this process and of others, for each pool and model.
     baselines: BTreeMap<(name::Pool, Option<name::Model>), load::Baseline>,
     /// Demand for each pool and model of engines.
@@ -80,6 +82,7 @@
             retry_budgets: BTreeMap::new(),
             move_buckets: BTreeMap::new(),
             pauses: pause::Pauses::default(),
+            leaving: leaving::Leaving::default(),
             baselines: BTreeMap::new(),
             demands: BTreeMap::new(),
             retry_schedules: BTreeMap::new(),
@@ -146,6 +149,7 @@
         self.crashes.expire(self.now);
         self.quarantine.expire(self.now);
         self.pauses.expire(self.now);
+        self.leaving.expire(self.now, &self.upstreams);
         self.report_evidence();
     }
 
@@ -172,6 +176,7 @@
             completions: self.quarantine.completions(now),
             rates: self.rate_changes(now),
             demands: self.reported_demands(now),
+            leaving: self.leaving.to_report(&self.upstreams),
         };
         self.actions.push(action::Action::Report(evidence));
     }
--- a/crates/hyssopfork-gateway/src/core/crash.rs
+++ b/crates/hyssopfork-gateway/src/core/crash.rs
@@ -139,9 +139,10 @@
 
     /// Whether the process is shutting down on request.
     fn is_leaving(&self, process: &quarantine::Process) -> bool {
-        self.upstreams.get(&process.instance).is_some_and(|upstream| {
+        let is_published = self.upstreams.get(&process.instance).is_some_and(|upstream| {
             upstream.announcement.start_time_ms == process.start_time_ms
                 && upstream.status == view::Status::Leaving
-        })
+        });
+        is_published || self.leaving.contains(process)
     }
 }
--- a/crates/hyssopfork-gateway/src/core/fleet_view.rs
+++ b/crates/hyssopfork-gateway/src/core/fleet_view.rs
@@ -4,7 +4,7 @@
 use crate::{
     concurrency_limit, health, load, notice, rendezvous, request, routing, slow_start, target,
 };
-use hyssopfork_fleet::{declaration, view};
+use hyssopfork_fleet::{declaration, quarantine, view};
 use hyssopfork_wire::{clock, name};
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -113,7 +113,12 @@
         let slots = engine.map_or(announcement.slots, |engine| engine.slots);
         let mut target = retained.unwrap_or_else(|| new_target(incarnation, slots, announcement));
         target.model = group.map(|group| group.model.clone());
-        target.standing = upstream.status;
+        let process = quarantine::Process {
+            instance: instance.clone(),
+            start_time_ms: announcement.start_time_ms,
+        };
+        let is_leaving = self.leaving.contains(&process);
+        target.standing = if is_leaving { view::Status::Leaving } else { upstream.status };
         let key = instance.as_str().as_bytes();
         let rank = rendezvous::rank(self.settings.address, self.entries.keys(), key);
         let entries = self.entry_count();
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -191,12 +191,20 @@
     pub(super) fn on_head(&mut self, number: u64, head: event::Head) {
         self.on_bytes(number, head.load);
         self.on_named_rate(number, head.rate);
-        self.on_pause(number, head.pause);
+        self.on_statements(number, head);
         let Some(request) = self.requests.get_mut(&number) else { return };
         request.head_forwarded = true;
         self.decide(number, action::Decision::ForwardStream);
     }
 
+    /// Handles what the upstream of the newest attempt states about itself.
+    fn on_statements(&mut self, number: u64, head: event::Head) {
+        self.on_pause(number, head.pause);
+        if head.leaving {
+            self.on_upstream_leaving(number);
+        }
+    }
+
     pub(super) fn on_events(&mut self, number: u64, last: Option<u64>) {
         let now = self.now;
         self.on_bytes(number, None);
@@ -244,7 +252,7 @@
 
     pub(super) fn on_response(&mut self, number: u64, head: event::Head) {
         self.on_bytes(number, head.load);
-        self.on_pause(number, head.pause);
+        self.on_statements(number, head);
         self.record_completion(number);
         let Some(request) = self.requests.get(&number) else { return };
         if request.head_forwarded {
@@ -327,7 +335,7 @@
             self.on_load_report(&attempt.instance, load);
         }
         if let Some(head) = head.filter(|_| fault != event::Fault::WrongInstance) {
-            self.on_pause(number, head.pause);
+            self.on_statements(number, head);
         }
         self.drop_attempt(number);
         if !fault.is_not_run() {
--- a/crates/hyssopfork-gateway/src/event.rs
+++ b/crates/hyssopfork-gateway/src/event.rs
@@ -15,12 +15,14 @@
     pub rate: Option<rate::Rate>,
     /// Pause that the upstream asks for.
     pub pause: response::Pause,
+    /// Whether the upstream states that it leaves.
+    pub leaving: bool,
 }
 
 impl Head {
     /// A head in which the upstream states nothing about itself.
     pub const fn new(status: u16) -> Head {
-        Head { status, load: None, rate: None, pause: response::Pause::None }
+        Head { status, load: None, rate: None, pause: response::Pause::None, leaving: false }
     }
 }
 
--- a/crates/hyssopfork-gateway/src/lib.rs
+++ b/crates/hyssopfork-gateway/src/lib.rs
@@ -12,7 +12,7 @@
 //! - [`demand`]: demand for a model, by which the leader plans its groups
 //! - [`rendezvous`]: which upstreams an entry prefers, and how entries divide an upstream's rate
 //! - [`slow_start`]: rate after a start; [`rate_limit`]: rate that an upstream names itself
-//! - [`pause`]: pauses that upstreams ask for
+//! - [`pause`]: pauses that upstreams ask for; [`leaving`]: upstreams that state that they leave
 //! - [`health`]: outlier ejection and backoff; [`moves`]: limit on moves of stalled requests
 //! - [`retry_budget`]: limit on retries; [`retry_schedule`]: `Retry-After` of rejected requests
 //! - [`content`]: fingerprint that identifies a request which crashes upstreams
@@ -26,6 +26,7 @@
 pub mod demand;
 pub mod event;
 pub mod health;
+pub mod leaving;
 pub mod load;
 pub mod measurement;
 pub mod moves;
--- a/crates/hyssopfork-gateway/src/notice.rs
+++ b/crates/hyssopfork-gateway/src/notice.rs
@@ -149,6 +149,8 @@
     },
     /// An upstream asks for a pause whose length can't be read.
     PauseMalformed(name::Instance),
+    /// An upstream states in a response that it leaves.
+    UpstreamLeaving(name::Instance),
     /// An upstream is stalled: no stream receives bytes.
     Stalled(name::Instance, Duration),
     /// The entry accepts no new connections.
@@ -176,6 +178,7 @@
             Notice::RateNamed { .. } => 5224,
             Notice::PauseRequested { .. } => 5225,
             Notice::PauseMalformed(..) => 5226,
+            Notice::UpstreamLeaving(..) => 5227,
         }
     }
 
@@ -213,6 +216,7 @@
             | Notice::RateNamed { .. }
             | Notice::PauseRequested { .. }
             | Notice::PauseMalformed(..)
+            | Notice::UpstreamLeaving(..)
             | Notice::Stalled(..)
             | Notice::Leaving(..) => None,
         }
@@ -306,6 +310,9 @@
                 formatter,
                 "{instance} asks for a pause that can't be read; send a number of seconds in Retry-After"
             ),
+            Notice::UpstreamLeaving(instance) => {
+                write!(formatter, "{instance} states that it leaves and gets no new requests")
+            }
             Notice::Trial { fingerprint, .. } => {
                 write!(formatter, "quarantined request sent as a trial fingerprint={fingerprint}")
             }
--- a/crates/hyssopfork-gateway/src/response.rs
+++ b/crates/hyssopfork-gateway/src/response.rs
@@ -39,6 +39,8 @@
     pub rate: Option<rate::Rate>,
     /// Pause that the upstream asks for.
     pub pause: Pause,
+    /// Whether the upstream states that it leaves.
+    pub leaving: bool,
     /// Time for which the upstream keeps the connection open when it is idle.
     pub keep_alive: Option<Duration>,
 }
@@ -64,6 +66,12 @@
 
     /// Converts to the head that the entry's core handles.
     pub fn head(&self) -> event::Head {
-        event::Head { status: self.status, load: self.load, rate: self.rate, pause: self.pause }
+        event::Head {
+            status: self.status,
+            load: self.load,
+            rate: self.rate,
+            leaving: self.leaving,
+            pause: self.pause,
+        }
     }
 }
