gateway: apply a rate that an upstream names in a rejection

Only responses to accepted requests were read for a rate, so that an upstream that names its limit just when it rejects what exceeds it was never heard. A rejection or failure that names none still lifts nothing.

--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -190,8 +190,8 @@
 
     pub(super) fn on_head(&mut self, number: u64, head: event::Head) {
         self.on_bytes(number, head.load);
-        self.on_named_rate(number, head.rate);
         self.on_statements(number, head);
+        self.on_named_rate(number, head.rate);
         let Some(request) = self.requests.get_mut(&number) else { return };
         request.head_forwarded = true;
         self.decide(number, action::Decision::ForwardStream);
@@ -199,6 +199,10 @@
 
     /// Handles what the upstream of the newest attempt states about itself.
     fn on_statements(&mut self, number: u64, head: event::Head) {
+        // Without a rate, only a response to an accepted request lifts the limit.
+        if head.rate.is_some() {
+            self.on_named_rate(number, head.rate);
+        }
         self.on_pause(number, head.pause);
         if head.leaving {
             self.on_upstream_leaving(number);
--- a/crates/hyssopfork-gateway/tests/gateway/rate_limit.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/rate_limit.rs
@@ -112,6 +112,28 @@
     assert_eq!(sent, 4, "two requests in four seconds at each of two upstreams");
 }
 
+/// Guards against an upstream that names its limit only when it rejects requests beyond it.
+#[test]
+fn a_rejection_names_a_rate_but_lifts_none() {
+    let mut entry = Entry::with_view();
+    let reject_both = |entry: &mut Entry, rate| {
+        let numbers: Vec<u64> = (0..2).map(|_| entry.send("status").0).collect();
+        for number in numbers {
+            let head = event::Head { rate, ..event::Head::new(503) };
+            entry.step(event::Event::AttemptFailed(number, event::Fault::NotRun, Some(head)));
+            entry.step(event::Event::ClientDisconnected(number));
+        }
+    };
+    reject_both(&mut entry, Some(rate(0.5)));
+    entry.advance(5_000);
+
+    reject_both(&mut entry, None);
+    entry.advance(5_000);
+
+    let sent = (0..10).filter(|_| entry.is_sent("status")).count();
+    assert_eq!(sent, 4, "two requests in four seconds at each of two upstreams");
+}
+
 /// Guards against a limit that remains after responses no longer name it.
 #[test]
 fn a_response_without_a_rate_removes_the_limit() {
