gateway: ignore the load of another upstream at the same address

An upstream that isn't the one addressed answers 421 with its own load, which was counted for the addressed one: the entry took that for full and rejected requests. The new test fails without the change.

--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -335,10 +335,11 @@
                 }
             }
         }
-        if let Some(load) = head.and_then(|head| head.load) {
-            self.on_load_report(&attempt.instance, load);
-        }
+        // Another upstream at the address states nothing about this one.
         if let Some(head) = head.filter(|_| fault != event::Fault::WrongInstance) {
+            if let Some(load) = head.load {
+                self.on_load_report(&attempt.instance, load);
+            }
             self.on_statements(number, head);
         }
         self.drop_attempt(number);
--- a/crates/hyssopfork-gateway/tests/gateway/selection.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/selection.rs
@@ -2,7 +2,7 @@
 
 use crate::fixture::{self, Entry, arrival, rejection, started};
 use hyssopfork_fleet::view;
-use hyssopfork_gateway::{action, event};
+use hyssopfork_gateway::{action, event, load};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -40,6 +40,22 @@
     assert_eq!(sent.count(), 6);
 }
 
+/// Guards against attributing the load of another upstream at the same address.
+#[test]
+fn the_load_of_another_upstream_at_the_address_is_ignored() {
+    let mut entry = Entry::with_view();
+    let (number, _) = entry.send("status");
+    let load = Some(load::Report { running: 1_000, waiting: 0, slots: fixture::SLOTS });
+    for _ in 0..2 {
+        let head = Some(event::Head { load, ..event::Head::new(421) });
+        entry.step(event::Event::AttemptFailed(number, event::Fault::WrongInstance, head));
+    }
+
+    entry.advance(400);
+
+    assert!(entry.is_sent("status"));
+}
+
 #[test]
 fn an_unreachable_upstream_is_not_used_during_its_backoff() {
     let mut entry = Entry::with_view();
