gateway: let the average load rise at once to that of an overfull upstream

Requests of a surge were sent to groups that already had 9 to 13 requests for 8 slots, and waited there until they were late, while their clients could have been told when to come back.

Cause: the average of other entries' requests, by which an entry without a recent report judges an upstream, took half a second and more to follow the reports of full groups. Every entry kept sending meanwhile.

--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -250,8 +250,8 @@
         target.load.on_report(now, report, own);
         let others = target.load.others();
         let entries = self.entry_count();
-        let baseline = self.baselines.entry(kind);
-        baseline.or_insert_with(|| load::Baseline::new(entries)).update(now, own, others);
+        let baseline = self.baselines.entry(kind).or_insert_with(|| load::Baseline::new(entries));
+        baseline.update(now, own, others, report.is_overfull());
     }
 
     pub(super) fn on_response(&mut self, number: u64, head: event::Head) {
--- a/crates/hyssopfork-gateway/src/load.rs
+++ b/crates/hyssopfork-gateway/src/load.rs
@@ -51,6 +51,13 @@
     pub slots: u32,
 }
 
+impl Report {
+    /// Whether the upstream has more requests than can run.
+    pub fn is_overfull(self) -> bool {
+        self.running + self.waiting > self.slots
+    }
+}
+
 /// This process's requests at the upstreams of one pool and model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OwnLoad {
@@ -89,8 +96,14 @@
 
     /// Adds a report that others had `others` requests at one upstream while this process had
     /// `own`.
-    pub fn update(&mut self, now: clock::Instant, own: OwnLoad, others: f64) {
+    ///
+    /// The average rises to the load of an overfull upstream at once and falls slowly (peak EWMA).
+    /// It would otherwise follow a surge only after several reports, while every process keeps
+    /// sending requests that wait. At other upstreams, a rise above the average is mostly chance.
+    pub fn update(&mut self, now: clock::Instant, own: OwnLoad, others: f64, is_overfull: bool) {
         let age = self.reported_at.replace(now).map(|reported| now.since(reported));
+        let is_surge = is_overfull && others > self.others;
+        let age = age.filter(|_| !is_surge);
         let weight =
             age.map_or(1.0, |age| 1.0 - decay(age, AVERAGE_HALF_LIFE)).max(MIN_REPORT_WEIGHT);
         self.own += (own.smoothed_mean() - self.own) * weight;
