--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -2,8 +2,8 @@
 
 mod completion;
 mod crash;
+mod departures;
 mod fleet_view;
-mod leaving_upstreams;
 mod named_rates;
 mod pauses;
 mod quarantine;
--- a/crates/hyssopfork-gateway/src/pause.rs
+++ b/crates/hyssopfork-gateway/src/pause.rs
@@ -10,6 +10,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Longest pause. A longer one, for example by mistake, would outlast the repair of the upstream.
+const MAX_PAUSE: Duration = Duration::from_secs(3_600);
+
 /// Time after a pause for which its end is remembered, so that the next request is a trial.
 const RETENTION: Duration = Duration::from_secs(10);
 
@@ -18,6 +21,7 @@
 struct Pause {
     /// Start of the process that asked for it. A new process starts without a pause.
     start_time_ms: u64,
+    /// End of the pause.
     until: clock::Instant,
     /// Number of the request that was sent as a trial after the pause.
     trial: Option<u64>,
@@ -40,7 +44,7 @@
     ) {
         let start_time_ms = process.start_time_ms;
         let until = self.get(&process.instance, start_time_ms).map(|pause| pause.until);
-        let until = until.unwrap_or(now).max(now + duration);
+        let until = until.unwrap_or(now).max(now + duration.min(MAX_PAUSE));
         self.0.insert(process.instance, Pause { start_time_ms, until, trial: None });
     }
 
--- a/crates/hyssopfork-gateway/src/response.rs
+++ b/crates/hyssopfork-gateway/src/response.rs
@@ -7,7 +7,7 @@
 /// Pause that an upstream asks for: this entry is to send it nothing meanwhile.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Pause {
-    /// None.
+    /// The upstream asks for no pause.
     #[default]
     None,
     /// A pause of this length.
--- a/crates/hyssopfork-gateway/tests/gateway/pause.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/pause.rs
@@ -50,6 +50,15 @@
     paused
 }
 
+/// Sends requests until one upstream has two; returns it and the two.
+fn send_two_to_one(entry: &mut Entry) -> (name::Instance, [u64; 2]) {
+    let sent: Vec<_> = (0..4).map(|_| entry.send("status")).collect();
+    let upstream = sent[0].1.clone();
+    let mut at_upstream = sent.iter().filter(|(_, instance)| *instance == upstream);
+    let requests = [(); 2].map(|()| at_upstream.next().expect("two requests at each").0);
+    (upstream, requests)
+}
+
 /// Lets both upstreams of the route ask for pauses of these lengths; returns the last decision.
 fn pause_both(entry: &mut Entry, route: &str, durations: [Duration; 2]) -> action::Decision {
     let (number, _) = entry.send(route);
@@ -121,10 +130,7 @@
 #[test]
 fn the_pause_that_ends_last_counts() {
     let mut entry = Entry::with_view();
-    let sent: Vec<_> = (0..4).map(|_| entry.send("status")).collect();
-    let paused = sent[0].1.clone();
-    let mut at_paused = sent.iter().filter(|(_, instance)| *instance == paused);
-    let [first, second] = [(); 2].map(|()| at_paused.next().expect("two requests each").0);
+    let (paused, [first, second]) = send_two_to_one(&mut entry);
     reject(&mut entry, first);
     reject_for(&mut entry, second, Duration::from_millis(100));
 
@@ -137,10 +143,7 @@
 #[test]
 fn an_earlier_request_that_completes_does_not_end_the_pause() {
     let mut entry = Entry::with_view();
-    let sent: Vec<_> = (0..4).map(|_| entry.send("status")).collect();
-    let paused = sent[0].1.clone();
-    let mut at_paused = sent.iter().filter(|(_, instance)| *instance == paused);
-    let [first, second] = [(); 2].map(|()| at_paused.next().expect("two requests each").0);
+    let (paused, [first, second]) = send_two_to_one(&mut entry);
     reject(&mut entry, first);
     complete(&mut entry, second);
 
@@ -290,3 +293,19 @@
     let counts = send_many(&mut entry, "status", 4);
     assert!(counts.contains_key(&instance("p1")) && counts.contains_key(&instance("p2")));
 }
+
+/// Guards against an upstream that a mistaken value excludes for good.
+#[test]
+fn a_pause_ends_after_an_hour() {
+    let mut entry = Entry::with_view();
+    let (number, paused) = entry.send("status");
+    reject_for(&mut entry, number, Duration::from_hours(24));
+    complete(&mut entry, number);
+
+    entry.advance(3_599_000);
+    let during = send_many(&mut entry, "status", 4);
+    entry.advance(1_000);
+    let after = send_many(&mut entry, "status", 4);
+
+    assert!(!during.contains_key(&paused) && after.contains_key(&paused));
+}
