platform, gateway, fleet: decode sizes of requests and performance of engines

Requests were counted, while engines work in tokens, slots and memory: no type held the size of a request, the priority of its route or team, or the figures of an engine. Nothing decides by them yet.

Ruled out: keeping the header's text and decoding it where it is needed, which would bring the platform's words into the core.

--- a/crates/hyssopfork-fleet/benches/review.rs
+++ b/crates/hyssopfork-fleet/benches/review.rs
@@ -26,6 +26,7 @@
         name: name::Model::from(name),
         size,
         share: 0.5,
+        pace: 1.0,
         load: Duration::from_secs(10),
         warmup: Duration::from_secs(1),
     };
@@ -35,6 +36,7 @@
         loads_per_second: 32.0,
         loads_at_once: 47,
         formation: Duration::from_millis(300),
+        performance: None,
     };
     let pool = declaration::Pool { connections: 100, cold: None, engine: Some(engine) };
     declaration::Declaration {
--- a/crates/hyssopfork-fleet/src/declaration.rs
+++ b/crates/hyssopfork-fleet/src/declaration.rs
@@ -104,6 +104,33 @@
     pub loads_at_once: u32,
     /// Time that a complete group takes to open.
     pub formation: Duration,
+    /// Speed and memory of a group; `None` if they are not declared.
+    pub performance: Option<Performance>,
+}
+
+/// Speed and memory of a group whose model has a pace of 1.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Performance {
+    /// Time of one decoding step, which generates one token for each running request.
+    pub step: Duration,
+    /// Additional time of a step for each running request.
+    pub step_per_request: Duration,
+    /// Additional time of a step for each thousand tokens of context of the running requests.
+    pub step_per_thousand_tokens: Duration,
+    /// Prompt tokens that are processed per second.
+    pub prefill_rate: f64,
+    /// Additional time to process a prompt, for each million pairs of a token and an earlier one.
+    pub prefill_per_million_pairs: Duration,
+    /// Maximum number of prompt tokens that are processed with one step.
+    pub prefill_chunk: u32,
+    /// Steps between two events of a stream.
+    pub stride: u32,
+    /// Tokens of context that the group's memory holds.
+    pub memory_tokens: u64,
+    /// Mean number of tokens of a prompt; 0 if it is not declared.
+    pub mean_prompt_tokens: u32,
+    /// Mean number of tokens of an output; 0 if it is not declared.
+    pub mean_output_tokens: u32,
 }
 
 /// A model.
@@ -115,6 +142,8 @@
     pub size: u32,
     /// Share of the pool's instances that the model's requests need, from 0 to 1.
     pub share: f64,
+    /// Factor of all times in [`Performance`]; above 0.
+    pub pace: f64,
     /// Time to load the weights from the store.
     pub load: Duration,
     /// Time to load weights that are staged on the host.
--- a/crates/hyssopfork-fleet/tests/fleet/demand.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/demand.rs
@@ -29,6 +29,7 @@
         name: name::Model::from(name),
         size,
         share: 0.5,
+        pace: 1.0,
         load: Duration::from_secs(16),
         warmup: Duration::from_secs(1),
     }
--- a/crates/hyssopfork-fleet/tests/fleet/fixture.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/fixture.rs
@@ -54,6 +54,7 @@
         name: name::Model::from(name),
         size,
         share: 0.5,
+        pace: 1.0,
         load: Duration::from_secs(10),
         warmup: Duration::from_secs(1),
     }
@@ -71,6 +72,7 @@
         loads_per_second: 3.0,
         loads_at_once: 6,
         formation: Duration::from_millis(300),
+        performance: None,
     };
     let pool = declaration::Pool { connections: 100, cold: None, engine: Some(engine) };
     declaration::Declaration {
--- a/crates/hyssopfork-gateway/src/action.rs
+++ b/crates/hyssopfork-gateway/src/action.rs
@@ -71,6 +71,9 @@
     pub address: net::SocketAddr,
     /// Team of the client.
     pub team: Option<name::Team>,
+    /// Priority among the requests that wait at the upstream, 0 for the first; `None` for the
+    /// upstream's default.
+    pub priority: Option<u8>,
     /// Deadline of the request.
     pub deadline: clock::Instant,
     /// Last event that the client has received, or that an earlier attempt delivered.
--- a/crates/hyssopfork-gateway/src/arrival.rs
+++ b/crates/hyssopfork-gateway/src/arrival.rs
@@ -1,6 +1,6 @@
 //! A client's request on arrival.
 
-use crate::content;
+use crate::{content, size};
 use hyssopfork_wire::name;
 use std::time::Duration;
 
@@ -16,6 +16,8 @@
     pub key: Option<String>,
     /// Requested model; `None` for a plain service.
     pub model: Option<name::Model>,
+    /// Size in tokens; `None` if the client states none.
+    pub size: Option<size::Size>,
     /// Last event of the stream that the client has received; `None` if it has none.
     pub last_event: Option<u64>,
     /// Time that the client waits for the response.
--- a/crates/hyssopfork-gateway/src/lib.rs
+++ b/crates/hyssopfork-gateway/src/lib.rs
@@ -42,5 +42,6 @@
 pub mod scanner;
 pub mod selection;
 pub mod settings;
+pub mod size;
 pub mod slow_start;
 pub mod target;
--- a/crates/hyssopfork-gateway/src/request.rs
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -1,6 +1,6 @@
 //! Requests of an entry.
 
-use crate::{content, selection, target};
+use crate::{content, selection, size, target};
 use hyssopfork_fleet::{declaration, quarantine};
 use hyssopfork_wire::{clock, configuration, name};
 use std::time::Duration;
@@ -35,6 +35,10 @@
     pub pool: name::Pool,
     /// Model.
     pub model: Option<name::Model>,
+    /// Size in tokens; `None` if it is not known.
+    pub size: Option<size::Size>,
+    /// Priority of the team, or else of the route; 0 is the highest.
+    pub rank: u32,
     /// Whether the work may run more than once.
     pub repetition: declaration::Repetition,
     /// Most upstreams that may run the request.
--- a/crates/hyssopfork-gateway/tests/gateway/fixture.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/fixture.rs
@@ -39,6 +39,7 @@
         name: name::Model::from("large"),
         size: 2,
         share: 1.0,
+        pace: 1.0,
         load: Duration::from_secs(10),
         warmup: Duration::from_secs(1),
     };
@@ -153,6 +154,7 @@
         },
         key: Some("key".to_owned()),
         model: Some(name::Model::from("large")),
+        size: None,
         last_event: None,
         timeout: Some(Duration::from_secs(6)),
     }
