fleet: form a group of stranded instances and the reserve that is smaller than it

The reserve of five couldn't form a group by itself either. Where reserve and stranded instances are more than one whole group of the smallest model, and the reserve is smaller than that group, they form one.

Ruled out: a lower share of reserve everywhere, which changes domains whose groups are small; keeping groups of the previous layout (a trial), which retained surplus groups of a change of plan after a change of leader; giving up at most half of a group (a trial), which lost the group with the first instance.

Layouts of domains of 10, 18 and 19 engines with the other deployments' groups are unchanged at full count (test).

--- a/crates/hyssopfork-fleet/src/groups/plan.rs
+++ b/crates/hyssopfork-fleet/src/groups/plan.rs
@@ -53,7 +53,7 @@
 ) -> Layout {
     let mut room: BTreeMap<&name::Domain, usize> = domains
         .iter()
-        .map(|(domain, count)| (domain, count - reserved_instances(*count, reserve)))
+        .map(|(domain, count)| (domain, assignable_instances(*count, models, reserve)))
         .collect();
     let mut layout = Layout::new();
     let budget = room.values().sum();
@@ -103,6 +103,20 @@
     (count as f64 * reserve).floor() as usize
 }
 
+/// Instances of a domain of `count` that groups may be formed of.
+///
+/// A reserve that is smaller than every group can't form one, and the instances that no group fits into
+/// serve nothing either: of 27 instances, with a fifth in reserve and groups of 12 and 6, these are nine.
+/// As long as they suffice for a whole group and one instance more, they form one.
+fn assignable_instances(count: usize, models: &[Model], reserve: f64) -> usize {
+    let reserved = reserved_instances(count, reserve);
+    let assignable = count - reserved;
+    let Some(smallest) = models.iter().map(|model| model.size).min() else { return assignable };
+    let grouped = assignable / smallest * smallest;
+    let is_group_stranded = smallest > reserved && count - grouped > smallest;
+    if reserved > 0 && is_group_stranded { grouped + smallest } else { assignable }
+}
+
 /// Highest stress of a model under the layout, by the loads that `load` gives in groups.
 pub fn stress(
     layout: &Layout,
--- a/crates/hyssopfork-fleet/tests/fleet/plan.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/plan.rs
@@ -52,6 +52,46 @@
     assert_eq!(plan::count_groups(&layout, &name::Model::from("huge")), 1);
 }
 
+/// Guards against a reserve that leaves a third of the instances in no group: with groups of 12 and 6, a
+/// domain of 27 has room for one of each beside a fifth in reserve, and nine instances serve nothing.
+#[test]
+fn the_reserve_completes_a_group_whose_members_would_be_stranded() {
+    let models = [model("large", 12, 0.5), model("small", 6, 0.5)];
+
+    let layout = layout_by_shares(&[27, 27, 27], &models);
+
+    assert_eq!(groups_of(&layout, &models), [3, 6]);
+}
+
+/// Guards against a plan that closes a group, to refill the reserve, when a domain has lost an instance.
+#[test]
+fn a_group_stays_planned_while_one_instance_is_left_in_reserve() {
+    let models = [model("large", 12, 0.5), model("small", 6, 0.5)];
+    let groups = |count| groups_of(&layout_by_shares(&[count, 27, 27], &models), &models);
+
+    assert_eq!([25, 26, 27].map(groups), [[3, 6], [3, 6], [3, 6]]);
+    assert_eq!(groups(24), [3, 5]);
+}
+
+/// Guards against a reserve that is given up where it can form groups of its own, or where no whole
+/// group's instances are left over.
+#[test]
+fn the_reserve_stays_where_no_whole_group_is_stranded() {
+    for (count, sizes, groups) in [(10, [4, 2], [3, 6]), (18, [8, 2], [3, 9]), (19, [8, 4], [3, 6])]
+    {
+        let models = [model("large", sizes[0], 0.5), model("small", sizes[1], 0.5)];
+
+        let layout = layout_by_shares(&[count; 3], &models);
+
+        assert_eq!(groups_of(&layout, &models), groups, "domains of {count}");
+    }
+}
+
+fn layout_by_shares(counts: &[usize], models: &[Model]) -> plan::Layout {
+    let none = plan::Layout::new();
+    plan::compute_layout(&domains(counts), models, None, plan::RESERVE_SHARE, &none)
+}
+
 fn basis(loads: &[(&str, f64)]) -> Basis {
     let millis = |load: f64| (load * 1_000.0) as u64;
     let loads = loads.iter().map(|(model, load)| (name::Model::from(*model), millis(*load)));
