fleet: ask an engine again whose report contradicts its announcement

A new leader asks each engine once. A report is some hundred milliseconds old when it arrives: if it predates an order to leave, it names a membership that has ended, and the leader took the engine for a member of that group for its whole term.

Ruled out: taking the announcement's word, which may be older than a membership; that is why reports are asked for. The test fails without the change.

--- a/crates/hyssopfork-fleet/src/groups/reports.rs
+++ b/crates/hyssopfork-fleet/src/groups/reports.rs
@@ -109,6 +109,19 @@
         })
     }
 
+    /// Whether the engine's report names a membership that its announcement doesn't name. A report is
+    /// some hundred milliseconds old when it arrives and may predate an order to leave; without
+    /// another report, this leader would never use the engine again.
+    pub fn contradicts(&self, announcement: &Announcement) -> bool {
+        let is_announced = |it: &Membership| announcement.is_in(&it.group, it.epoch);
+        match self.get(announcement).map(|entry| &entry.knowledge) {
+            Some(Knowledge::Reported(report)) => {
+                report.membership.as_ref().is_some_and(|it| !is_announced(it))
+            }
+            Some(Knowledge::Requested | Knowledge::Joined) | None => false,
+        }
+    }
+
     /// Records a request for the engine's report.
     pub fn start_request(&mut self, now: clock::Instant, announcement: &Announcement) {
         let fresh = || Entry {
--- a/crates/hyssopfork-fleet/tests/fleet/groups.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/groups.rs
@@ -1,8 +1,8 @@
 //! Tests of serving groups in a simulated fleet: formation, repair, recovery and their invariants.
 
 use crate::{fixture, world};
-use hyssopfork_fleet::announcement::Announcement;
-use hyssopfork_fleet::groups::group;
+use hyssopfork_fleet::announcement::{Announcement, Membership, State};
+use hyssopfork_fleet::groups::{group, order};
 use hyssopfork_fleet::{event, notice};
 use hyssopfork_wire::name;
 use std::time::Duration;
@@ -89,6 +89,48 @@
     assert_eq!(count_groups(&world, "large"), 2);
 }
 
+/// A new leader receives a report that predates an order to leave. Guards against an engine that this
+/// leader takes for a member of a group that has ended, and never uses.
+#[test]
+fn an_engine_whose_report_is_outdated_is_asked_again() {
+    let mut world = world_with_groups();
+    let leader = world.leader().expect("there is a leader");
+    world.kill(leader);
+    world.run(2_000);
+    let leader = world.leader().expect("another process leads");
+    for engine in free_engines(&world) {
+        let report = order::Report {
+            accepted_orders: 1,
+            membership: Some(Membership {
+                group: name::Group::from("g1"),
+                epoch: 1,
+                rank: 1,
+                state: State::Ready,
+            }),
+        };
+        let core = world.processes.get_mut(&leader).and_then(|it| it.core.as_mut());
+        let core = core.expect("the leader runs");
+        let _actions = core.step(world.now, event::Event::Reported(engine, report));
+    }
+    world.run(1_000);
+    let members = large_group(&world);
+
+    world.engines.get_mut(&members[1]).expect("the engine exists").alive = false;
+    world.run(300);
+    report_stalls(&mut world, &members[..1]);
+    world.run(4_500);
+
+    assert_eq!(count_groups(&world, "large"), 2);
+}
+
+/// Engines that are in no serving group.
+fn free_engines(world: &world::World) -> Vec<name::Instance> {
+    let served = world.serving();
+    let is_free =
+        |instance: &&name::Instance| !served.iter().any(|group| group.members.contains(instance));
+    world.engines.keys().filter(is_free).cloned().collect()
+}
+
 /// Guards against an engine that counts as free for a third group because a late answer to its first
 /// group's order removes it from the second.
 #[test]
