fleet: keep a group that serves while a member answers no probe

Members that are partitioned from control answer no probe and send no heartbeats, and entries get no bytes from them, since only the head sends any. A group stops at once when one of its members does, so bytes of its head show that its members live.

Ruled out: a longer silence before a probe, which delays the detection of real losses. A member that dies while it is cut off is detected by the stall of its group (test); both tests of the change fail or guard without it.

--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -237,7 +237,7 @@
         registry: &mut registry::Registry,
     ) -> Vec<Command> {
         let verdict = self.failure_detector.on_probe_result(now, instance, result);
-        self.apply_verdict(instance, verdict, registry)
+        self.apply_verdict(now, instance, verdict, registry)
     }
 
     /// Handles the result of a peer's probe of an upstream.
@@ -250,11 +250,12 @@
         registry: &mut registry::Registry,
     ) -> Vec<Command> {
         let verdict = self.failure_detector.on_indirect_probe_result(now, from, instance, alive);
-        self.apply_verdict(instance, verdict, registry)
+        self.apply_verdict(now, instance, verdict, registry)
     }
 
     fn apply_verdict(
         &mut self,
+        now: clock::Instant,
         instance: &name::Instance,
         verdict: failure_detector::Verdict,
         registry: &mut registry::Registry,
@@ -267,6 +268,9 @@
             failure_detector::Verdict::ProbeIndirectly { peers, probe_again } => {
                 self.send_probes(instance, &peers, probe_again, registry);
             }
+            failure_detector::Verdict::Dead if self.is_in_progressing_group(now, instance) => {
+                self.failure_detector.close_probe(instance);
+            }
             failure_detector::Verdict::Dead => {
                 self.failure_detector.forget(instance);
                 if registry.mark_dead(instance) {
@@ -277,6 +281,16 @@
         self.take_commands()
     }
 
+    /// Whether the instance is a member of a serving group from whose head entries receive bytes. A
+    /// group stops as soon as one of its members does, so such a member is only partitioned from the
+    /// processes that probe it.
+    fn is_in_progressing_group(&self, now: clock::Instant, instance: &name::Instance) -> bool {
+        self.group_of(instance).is_some_and(|(_, group)| {
+            group.phase == Phase::Serving
+                && self.failure_detector.has_recent_activity(now, group.head())
+        })
+    }
+
     /// Probes an upstream, itself if `directly` and through each of `peers`.
     fn send_probes(
         &mut self,
--- a/crates/hyssopfork-fleet/src/groups/failure_detector.rs
+++ b/crates/hyssopfork-fleet/src/groups/failure_detector.rs
@@ -171,6 +171,13 @@
         self.verdict(now, instance)
     }
 
+    /// Ends the probe of the upstream without a verdict; another one may start as if it had answered.
+    pub fn close_probe(&mut self, instance: &name::Instance) {
+        if let Some(probe) = self.probes.get_mut(instance) {
+            probe.is_open = false;
+        }
+    }
+
     /// Drops all state of an upstream.
     pub fn forget(&mut self, instance: &name::Instance) {
         self.probes.remove(instance);
@@ -187,7 +194,8 @@
         if settled { Verdict::Dead } else { Verdict::Wait }
     }
 
-    fn has_recent_activity(&self, now: clock::Instant, instance: &name::Instance) -> bool {
+    /// Whether an entry has received bytes from the upstream within [`MAX_ACTIVITY_AGE`].
+    pub fn has_recent_activity(&self, now: clock::Instant, instance: &name::Instance) -> bool {
         self.last_activity.get(instance).is_some_and(|seen| now.since(*seen) < MAX_ACTIVITY_AGE)
     }
 }
--- a/crates/hyssopfork-fleet/tests/fleet/groups.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/groups.rs
@@ -3,7 +3,7 @@
 use crate::{fixture, world};
 use hyssopfork_fleet::announcement::{Announcement, Membership, State};
 use hyssopfork_fleet::groups::{group, order};
-use hyssopfork_fleet::{event, notice};
+use hyssopfork_fleet::{event, notice, peer};
 use hyssopfork_wire::name;
 use std::time::Duration;
 
@@ -89,6 +89,43 @@
     assert_eq!(count_groups(&world, "large"), 2);
 }
 
+/// Guards against groups that are ended although they serve: members that are partitioned from control,
+/// and from nothing else, answer no probe and send no heartbeats.
+#[test]
+fn a_group_serves_on_while_a_member_is_cut_off_from_control_alone() {
+    let mut world = world_with_groups();
+    let members = large_group(&world);
+
+    world.cut_engine(&members[1]);
+    for _ in 0..80 {
+        report_progress(&mut world, &members[0]);
+        world.run(100);
+    }
+
+    assert!(world.serving().iter().any(|group| group.members == members));
+}
+
+/// The member of a serving group dies while control is cut off from it. Guards against a group that is
+/// kept because its head sent bytes before.
+#[test]
+fn a_member_that_dies_while_it_is_cut_off_is_replaced() {
+    let mut world = world_with_groups();
+    let members = large_group(&world);
+    world.cut_engine(&members[1]);
+    for _ in 0..40 {
+        report_progress(&mut world, &members[0]);
+        world.run(100);
+    }
+
+    world.engines.get_mut(&members[1]).expect("the engine exists").alive = false;
+    world.run(300);
+    report_stalls(&mut world, &members[..1]);
+    world.run(4_500);
+
+    assert_eq!(count_groups(&world, "large"), 2);
+    assert!(world.serving().iter().all(|group| !group.members.contains(&members[1])));
+}
+
 /// A new leader receives a report that predates an order to leave. Guards against an engine that this
 /// leader takes for a member of a group that has ended, and never uses.
 #[test]
@@ -404,6 +441,17 @@
     assert_eq!(loaded, Some(name::Model::from("small")));
 }
 
+/// Reports to the leader that an entry has just received bytes from the upstream.
+fn report_progress(world: &mut world::World, head: &name::Instance) {
+    let leader = world.leader().expect("there is a leader");
+    let evidence = peer::Evidence {
+        progressing: vec![(head.clone(), Duration::ZERO)],
+        traffic: true,
+        ..peer::Evidence::default()
+    };
+    world.report_evidence(leader, evidence);
+}
+
 /// Reports these upstreams to the leader as stalled, as an entry does.
 fn report_stalls(world: &mut world::World, heads: &[name::Instance]) {
     let leader = world.leader().expect("there is a leader");
