fleet: ask a departed head for reports while its group closes

An engine that departs without draining announces nothing more.

Ruled out: taking the acceptance of the order to close for its end, since the head goes on with its requests; a shorter timeout, which cuts off long streams. The test fails without the change.

--- a/crates/hyssopfork-fleet/src/groups/lifecycle.rs
+++ b/crates/hyssopfork-fleet/src/groups/lifecycle.rs
@@ -169,6 +169,30 @@
                 }
             }
         }
+        self.request_report_of_departed_head(now, name, registry);
+    }
+
+    /// Asks the head of a closing group for reports if it has departed: it announces nothing any more,
+    /// so only its reports show that it has finished its requests. Until it has, no other group can be
+    /// formed of the members.
+    fn request_report_of_departed_head(
+        &mut self,
+        now: clock::Instant,
+        name: &name::Group,
+        registry: &registry::Registry,
+    ) {
+        let closing = self.groups.get(name).filter(|group| group.phase == Phase::Closing);
+        let Some(record) = closing.and_then(|group| registry.get(group.head())) else { return };
+        let announcement = &record.announcement;
+        if record.departed
+            && !record.dead
+            && self.reports.is_request_due(now, announcement, true)
+            && self.report_bucket.try_take(now)
+        {
+            self.reports.start_request(now, announcement);
+            let (instance, address) = (announcement.instance.clone(), announcement.address);
+            self.commands.push(super::Command::RequestReport(instance, address));
+        }
     }
 
     /// Orders every member to leave. Each one is free as soon as it has left.
--- a/crates/hyssopfork-fleet/src/registry.rs
+++ b/crates/hyssopfork-fleet/src/registry.rs
@@ -285,7 +285,7 @@
 
     /// Records an engine's report if the engine has not called this leader yet. Its next call comes
     /// only when its call to the leader before has timed out. From then on its calls are newer than
-    /// its reports, because an engine calls immediately after a change.
+    /// its reports, because an engine calls immediately after a change, until it departs.
     pub fn record_report(
         &mut self,
         now: clock::Instant,
@@ -293,7 +293,7 @@
         report: &order::Report,
     ) {
         let Some(record) = self.records.get_mut(instance) else { return };
-        if !record.heard_this_term {
+        if !record.heard_this_term || record.departed {
             record.last_heard = now;
             record.announcement.membership = report.membership.clone();
             self.changed.insert(instance.clone());
--- a/crates/hyssopfork-fleet/tests/fleet/engine.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/engine.rs
@@ -21,6 +21,8 @@
 #[derive(Clone, Debug)]
 pub struct Engine {
     pub announcement: Announcement,
+    /// Whether it has announced its departure. It goes on serving and announces nothing more.
+    pub departed: bool,
     pub alive: bool,
     /// Members of its group, in order.
     pub members: Vec<name::Instance>,
@@ -54,6 +56,7 @@
         };
         Engine {
             announcement,
+            departed: false,
             alive: true,
             members: Vec::new(),
             was_ready: false,
--- a/crates/hyssopfork-fleet/tests/fleet/groups.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/groups.rs
@@ -324,6 +324,21 @@
 }
 
 /// A zone is taken out: its groups get no requests, and reserves of the other domain form groups.
+/// Guards against a group that stays closing for the whole timeout, and members that can't be used
+/// meanwhile, since a head that has departed announces nothing and so never that it has finished.
+#[test]
+fn a_head_that_departs_without_draining_is_replaced() {
+    let mut world = world_with_groups();
+    let members = large_group(&world);
+    let before = world.engines[&members[1]].announcement.membership.clone();
+
+    world.depart_engine(&members[0]);
+    world.run(5_000);
+
+    assert_ne!(world.engines[&members[1]].announcement.membership, before);
+    assert_eq!(count_groups(&world, "large"), 2);
+}
+
 #[test]
 fn reserves_form_groups_when_a_zone_is_out() {
     let mut world = world::World::declared(3, 1);
--- a/crates/hyssopfork-fleet/tests/fleet/world/engines.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/world/engines.rs
@@ -2,8 +2,8 @@
 
 use super::{Delivery, HEARTBEAT, LATENCY, TIMEOUT, World};
 use crate::{engine, invariants, random};
-use hyssopfork_fleet::event;
 use hyssopfork_fleet::groups::order;
+use hyssopfork_fleet::{event, peer};
 use hyssopfork_wire::name;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Announces the departure of an engine to the leader. It goes on serving.
+    pub fn depart_engine(&mut self, instance: &name::Instance) {
+        self.engines.get_mut(instance).expect("the engine exists").departed = true;
+        let leader = self.leader().expect("there is a leader");
+        let departed = peer::Registration::Departed(instance.clone());
+        self.call(leader, event::Request::Register(departed));
+    }
+
     pub(super) fn engine_at(&self, address: SocketAddr) -> Option<name::Instance> {
         self.engine_addresses.get(&address).cloned()
     }
@@ -119,6 +127,9 @@
         let leader = self.leader();
         let engine = self.engines.get_mut(instance).expect("the engine exists");
         engine.announced_at = now;
+        if engine.departed {
+            return;
+        }
         engine.announcement.sequence += 1;
         let announcement = engine.announcement.clone();
         let told = engine.heartbeat_address.take();
