gateway: predict times of requests from declared figures, meter demand by them

Demand was metered as arrivals times mean duration. That underestimates a model with long prompts: its groups are busy with prompts before their slots are full, and the durations seen are those of requests that were accepted.

An arrival with a size counts with its work in slots of a full group, when it arrives, whether or not it is accepted. Without a size or plausible figures it counts as before.

Ruled out: trusting the hint, which is often far off; the mean context of the batch in place of the request's own, which charges short requests with the context of long ones.

The meter's existing tests pass no work and are otherwise unchanged.

--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -1,6 +1,7 @@
 //! The entry as a step function: events in, actions out.
 
 mod completion;
+mod costs;
 mod crash;
 mod departures;
 mod fleet_view;
@@ -52,6 +53,7 @@
     baselines: BTreeMap<(name::Pool, Option<name::Model>), load::Baseline>,
     /// Demand for each pool and model of engines.
     demands: BTreeMap<(name::Pool, name::Model), demand::Meter>,
+    costs: costs::Costs,
     retry_schedules: BTreeMap<(name::Pool, Option<name::Model>), retry_schedule::Schedule>,
     queue: queue::Queue,
     crashes: crash::Crashes,
@@ -85,6 +87,7 @@
             leaving: leaving::Leaving::default(),
             baselines: BTreeMap::new(),
             demands: BTreeMap::new(),
+            costs: costs::Costs::default(),
             retry_schedules: BTreeMap::new(),
             queue: queue::Queue::default(),
             crashes: crash::Crashes::default(),
--- /dev/null
+++ b/crates/hyssopfork-gateway/src/core/costs.rs
@@ -0,0 +1,91 @@
+//! What the entry has learned of the sizes and times of requests, by model and route.
+
+use super::Core;
+use crate::{engine_model, output_length, request, routing, size};
+use hyssopfork_wire::name;
+use std::collections::BTreeMap;
+
+/// Learned sizes and times.
+///
+/// Invariant: it has only declared models and routes, so clients can't make it grow.
+#[derive(Debug, Default)]
+pub(super) struct Costs {
+    models: BTreeMap<(name::Pool, name::Model), Model>,
+    outputs: BTreeMap<name::Route, output_length::Estimator>,
+}
+
+/// A model whose performance is declared.
+#[derive(Debug)]
+pub(super) struct Model {
+    /// Figures of one group.
+    pub group: engine_model::Group,
+    /// Typical request.
+    pub mix: engine_model::Mix,
+}
+
+impl Costs {
+    /// Adopts the table of a new declaration. What was learned of a model is kept if its figures are
+    /// the same.
+    pub(super) fn on_table(&mut self, table: &routing::Table) {
+        let mut models = BTreeMap::new();
+        for (pool, engine) in table.declaration().engines() {
+            let Some(performance) = &engine.performance else { continue };
+            for model in &engine.models {
+                let Some(group) = engine_model::Group::new(engine, &model.name) else { continue };
+                let key = (pool.clone(), model.name.clone());
+                let kept = self.models.remove(&key).filter(|it| it.group == group);
+                let new = || Model { group, mix: engine_model::Mix::new(performance) };
+                models.insert(key, kept.unwrap_or_else(new));
+            }
+        }
+        self.models = models;
+        let routes = &table.declaration().routes;
+        self.outputs.retain(|name, _| routes.iter().any(|route| route.name == *name));
+    }
+
+    /// The model of a pool; `None` if its performance is not declared.
+    pub(super) fn model(&self, pool: &name::Pool, model: Option<&name::Model>) -> Option<&Model> {
+        self.models.get(&(pool.clone(), model?.clone()))
+    }
+
+    /// Tokens that a request is expected to need; `None` if size or performance is not known.
+    pub(super) fn need(&mut self, request: &request::Request) -> Option<engine_model::Need> {
+        let size = request.size?;
+        let model = self.model(&request.pool, request.model.as_ref())?;
+        let (typical, stride) = (model.mix.mean().output_tokens, u64::from(model.group.stride()));
+        let new = || output_length::Estimator::new(typical);
+        let output = self.outputs.entry(request.route.clone()).or_insert_with(new);
+        let generated = request.last_event.unwrap_or(0).saturating_mul(stride);
+        Some(engine_model::Need::new(size, output.expected(size), generated))
+    }
+
+    /// Counts a request that arrived; returns its part of a group's slots, in seconds.
+    pub(super) fn on_arrival(&mut self, request: &request::Request) -> Option<f64> {
+        let key = (request.pool.clone(), request.model.clone()?);
+        let need = request.need?;
+        let model = self.models.get_mut(&key)?;
+        let slot_seconds = model.group.slot_seconds(need, &model.mix);
+        model.mix.record(need);
+        Some(slot_seconds)
+    }
+
+    /// Adds a finished stream of `events` events.
+    fn on_stream_completed(&mut self, request: &request::Request, events: u64, size: size::Size) {
+        let Some(model) = self.model(&request.pool, request.model.as_ref()) else { return };
+        let tokens = events as f64 * f64::from(model.group.stride());
+        if let Some(output) = self.outputs.get_mut(&request.route) {
+            output.record(size, tokens);
+        }
+    }
+}
+
+impl Core {
+    /// Learns the output length of a stream that has been forwarded to its end.
+    pub(super) fn record_output_length(&mut self, number: u64) {
+        let Some(request) = self.requests.get(&number) else { return };
+        // Events are numbered from 1.
+        if let (Some(size), Some(events)) = (request.size, request.last_event) {
+            self.costs.on_stream_completed(request, events, size);
+        }
+    }
+}
--- a/crates/hyssopfork-gateway/src/core/fleet_view.rs
+++ b/crates/hyssopfork-gateway/src/core/fleet_view.rs
@@ -30,7 +30,9 @@
         let has_new_declaration = declaration.is_some();
         if let Some(declaration) = declaration {
             self.log(notice::Notice::InForce(declaration.version));
-            self.table = Some(routing::Table::new(declaration));
+            let table = routing::Table::new(declaration);
+            self.costs.on_table(&table);
+            self.table = Some(table);
         }
         self.newest_version = self.newest_version.max(update.declared_version);
         self.viewed_at = self.now;
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -70,10 +70,13 @@
         };
         let is_first = arrival.last_event.is_none();
         let metered = model.as_ref().filter(is_declared).filter(|_| is_first).cloned();
-        let request = new_request(now, arrival, matched, pool, model);
+        let mut request = new_request(now, arrival, matched, pool, model);
+        request.need = self.costs.need(&request);
         if let Some(model) = metered {
+            let slot_seconds = self.costs.on_arrival(&request);
             let key = (request.pool.clone(), model);
-            self.demands.entry(key).or_insert_with(|| demand::Meter::new(now)).on_arrival(now);
+            let meter = self.demands.entry(key).or_insert_with(|| demand::Meter::new(now));
+            meter.on_arrival(now, slot_seconds);
         }
         self.has_traffic = true;
         self.requests.insert(number, request);
@@ -300,6 +303,7 @@
 
     pub(super) fn on_stream_completed(&mut self, number: u64) {
         self.record_completion(number);
+        self.record_output_length(number);
         self.finish_attempt(number, true);
         self.complete(number, 200);
     }
@@ -466,6 +470,7 @@
         pool,
         model,
         size: arrival.size,
+        need: None,
         rank: matched.team.and_then(|team| team.priority).unwrap_or(route.priority),
         repetition: route.repetition,
         max_attempts: route.attempts.max(1),
--- a/crates/hyssopfork-gateway/src/demand.rs
+++ b/crates/hyssopfork-gateway/src/demand.rs
@@ -1,5 +1,9 @@
 //! Demand for the upstreams of one pool and model: how many requests would run concurrently if none
-//! were rejected (arrival rate times duration, by Little's law).
+//! were rejected.
+//!
+//! A request whose [work](crate::engine_model::Group::work) is predicted counts by it, in slots of a full
+//! group. Any other one counts by the mean duration of requests (Little's law), which says too little
+//! of a model with long prompts: its groups are busy with them before their slots are full.
 
 use hyssopfork_wire::clock;
 use std::time::Duration;
@@ -26,8 +30,10 @@
 pub struct Meter {
     first_arrival: clock::Instant,
     updated_at: clock::Instant,
-    /// Arrivals, each weighted by its age at `updated_at`.
+    /// Arrivals without a predicted work, each weighted by its age at `updated_at`.
     weighted_arrivals: f64,
+    /// Slot-seconds of the other arrivals, weighted likewise.
+    weighted_slot_seconds: f64,
     /// Average duration of a request, in seconds.
     mean_duration: f64,
     /// Samples in the average, including the initial ones.
@@ -41,14 +47,22 @@
             first_arrival: now,
             updated_at: now,
             weighted_arrivals: 0.0,
+            weighted_slot_seconds: 0.0,
             mean_duration: INITIAL_DURATION.as_secs_f64(),
             samples: INITIAL_DURATION_SAMPLES,
         }
     }
 
-    /// Counts a request that arrived.
-    pub fn on_arrival(&mut self, now: clock::Instant) {
-        self.weighted_arrivals = self.arrivals_at(now) + 1.0;
+    /// Counts a request that arrived, with its part of a full group's slots, in seconds; `None` if
+    /// that is not predicted.
+    pub fn on_arrival(&mut self, now: clock::Instant, slot_seconds: Option<f64>) {
+        let left = self.weight_at(now);
+        self.weighted_arrivals *= left;
+        self.weighted_slot_seconds *= left;
+        match slot_seconds {
+            Some(slot_seconds) => self.weighted_slot_seconds += slot_seconds,
+            None => self.weighted_arrivals += 1.0,
+        }
         self.updated_at = now;
     }
 
@@ -68,11 +82,13 @@
         if total_weight < MIN_TOTAL_WEIGHT {
             return 0.0;
         }
-        self.arrivals_at(now) / total_weight * self.mean_duration
+        let slot_seconds = self.weighted_arrivals * self.mean_duration + self.weighted_slot_seconds;
+        slot_seconds * self.weight_at(now) / total_weight
     }
 
-    fn arrivals_at(&self, now: clock::Instant) -> f64 {
+    /// Weight of what was counted at `updated_at`.
+    fn weight_at(&self, now: clock::Instant) -> f64 {
         let age = now.since(self.updated_at).as_secs_f64();
-        self.weighted_arrivals * 0.5_f64.powf(age / RATE_HALF_LIFE.as_secs_f64())
+        0.5_f64.powf(age / RATE_HALF_LIFE.as_secs_f64())
     }
 }
--- /dev/null
+++ b/crates/hyssopfork-gateway/src/engine_model.rs
@@ -0,0 +1,258 @@
+//! Model of a group of engines: how long its declared figures let a request wait and run.
+//!
+//! A group runs up to its slots of requests concurrently, in steps that generate one token for each of
+//! them, and processes prompts between the steps. Requests beyond the slots wait for one. All
+//! predictions are pure functions of the declared figures, the typical request of the model
+//! ([`Mix`]) and the number of requests at the group; what they leave out, such as the network, a
+//! [`Correction`] learns from the responses.
+//!
+//! Invariant: each predicted time is finite and from 0 to [`MAX_PREDICTION`].
+
+use crate::size;
+use hyssopfork_fleet::declaration;
+use hyssopfork_wire::name;
+use std::time::Duration;
+
+/// Longest time that is predicted.
+pub const MAX_PREDICTION: Duration = Duration::from_secs(60);
+
+/// Shortest and longest decoding step of a plausible declaration, in seconds.
+const STEP_RANGE: (f64, f64) = (1e-6, 10.0);
+
+/// Lowest and highest plausible pace of a model.
+const PACE_RANGE: (f64, f64) = (0.01, 100.0);
+
+/// Lowest plausible number of prompt tokens that are processed per second.
+const MIN_PREFILL_RATE: f64 = 1.0;
+
+/// Mean number of prompt tokens if none is declared.
+const DEFAULT_PROMPT_TOKENS: f64 = 512.0;
+
+/// Mean number of output tokens if none is declared.
+pub const DEFAULT_OUTPUT_TOKENS: f64 = 128.0;
+
+/// Samples that a declared mean counts for.
+const DECLARED_MEAN_SAMPLES: f64 = 20.0;
+
+/// Lowest weight of the newest request in a [`Mix`] (EWMA).
+const MIN_MIX_WEIGHT: f64 = 0.01;
+
+/// Tokens of a request in a [`Mix`], in multiples of the mean: one absurd request must not change the
+/// prediction for all others.
+const MAX_MIX_SAMPLE_FACTOR: f64 = 16.0;
+
+/// Tokens that a request is expected to need.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Need {
+    /// Tokens of the prompt, including those of an output that is continued.
+    pub prompt_tokens: f64,
+    /// Output tokens; at least 1.
+    pub output_tokens: f64,
+}
+
+impl Need {
+    /// Need of a request of this size with this expected output. `generated` tokens of the output
+    /// exist already and are processed with the prompt.
+    pub fn new(size: size::Size, expected_output: f64, generated: u64) -> Need {
+        let max_tokens = f64::from(size::MAX_TOKENS);
+        let generated = (generated as f64).min(max_tokens);
+        Need {
+            prompt_tokens: f64::from(size.prompt_tokens) + generated,
+            output_tokens: (expected_output.min(max_tokens) - generated).max(1.0),
+        }
+    }
+
+    /// Tokens in the group's memory when the output is complete.
+    pub fn memory_tokens(self) -> f64 {
+        self.prompt_tokens + self.output_tokens
+    }
+
+    /// Mean number of tokens in the group's memory while the output is generated.
+    fn mean_context(self) -> f64 {
+        self.prompt_tokens + self.output_tokens / 2.0
+    }
+}
+
+/// Typical request of a model (EWMA).
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Mix {
+    mean: Need,
+    samples: f64,
+}
+
+impl Mix {
+    /// Mix before the first request, with the declared means.
+    pub fn new(performance: &declaration::Performance) -> Mix {
+        let is_declared = performance.mean_prompt_tokens > 0 && performance.mean_output_tokens > 0;
+        let declared = |tokens: u32, default: f64| {
+            if tokens == 0 { default } else { f64::from(tokens.min(size::MAX_TOKENS)) }
+        };
+        Mix {
+            mean: Need {
+                prompt_tokens: declared(performance.mean_prompt_tokens, DEFAULT_PROMPT_TOKENS),
+                output_tokens: declared(performance.mean_output_tokens, DEFAULT_OUTPUT_TOKENS),
+            },
+            samples: if is_declared { DECLARED_MEAN_SAMPLES } else { 0.0 },
+        }
+    }
+
+    /// Adds a request that arrived.
+    pub fn record(&mut self, need: Need) {
+        self.samples += 1.0;
+        let weight = (1.0 / self.samples).max(MIN_MIX_WEIGHT);
+        let update = |mean: &mut f64, sample: f64| {
+            *mean += (sample.min(*mean * MAX_MIX_SAMPLE_FACTOR) - *mean) * weight;
+            *mean = mean.max(1.0);
+        };
+        update(&mut self.mean.prompt_tokens, need.prompt_tokens);
+        update(&mut self.mean.output_tokens, need.output_tokens);
+    }
+
+    /// The typical request.
+    pub fn mean(&self) -> Need {
+        self.mean
+    }
+}
+
+/// Figures of one group, with the pace of its model applied.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Group {
+    slots: f64,
+    /// Seconds of a step.
+    step: f64,
+    /// Seconds of a step for each running request.
+    step_per_request: f64,
+    /// Seconds of a step for each token of context.
+    step_per_token: f64,
+    /// Seconds for each token of a prompt.
+    prefill_per_token: f64,
+    /// Seconds for each pair of a token of a prompt and an earlier one.
+    prefill_per_pair: f64,
+    prefill_chunk: f64,
+    stride: u32,
+    /// Tokens of context that the memory holds; `None` if it is not declared.
+    memory_tokens: Option<f64>,
+}
+
+impl Group {
+    /// Group of a pool that serves this model; `None` if figures are missing or implausible.
+    pub fn new(engine: &declaration::Engine, model: &name::Model) -> Option<Group> {
+        let performance = engine.performance?;
+        let pace = engine.models.iter().find(|it| it.name == *model)?.pace;
+        let within = |value: f64, range: (f64, f64)| (range.0..=range.1).contains(&value);
+        let step = performance.step.as_secs_f64();
+        let step_per_request = performance.step_per_request.as_secs_f64();
+        let step_per_token = performance.step_per_thousand_tokens.as_secs_f64() / 1_000.0;
+        let pairs = performance.prefill_per_million_pairs.as_secs_f64() / 1e6;
+        let is_plausible = engine.slots > 0
+            && within(pace, PACE_RANGE)
+            && within(step, STEP_RANGE)
+            && step_per_request <= STEP_RANGE.1
+            && step_per_token <= STEP_RANGE.1
+            && performance.prefill_rate.is_finite()
+            && performance.prefill_rate >= MIN_PREFILL_RATE;
+        let chunk = performance.prefill_chunk;
+        is_plausible.then(|| Group {
+            slots: f64::from(engine.slots),
+            step: step * pace,
+            step_per_request: step_per_request * pace,
+            step_per_token: step_per_token * pace,
+            prefill_per_token: pace / performance.prefill_rate,
+            prefill_per_pair: pairs * pace,
+            prefill_chunk: if chunk == 0 { f64::from(size::MAX_TOKENS) } else { f64::from(chunk) },
+            stride: performance.stride.max(1),
+            memory_tokens: (performance.memory_tokens > 0)
+                .then_some(performance.memory_tokens as f64),
+        })
+    }
+
+    /// Tokens of one event of a stream.
+    pub fn stride(&self) -> u32 {
+        self.stride
+    }
+
+    /// Requests that run concurrently if enough are there; less than the slots if the memory holds
+    /// fewer.
+    pub fn full_batch(&self, mix: &Mix) -> f64 {
+        let by_memory = self.memory_tokens.map(|tokens| tokens / mix.mean.mean_context());
+        by_memory.map_or(self.slots, |requests| requests.min(self.slots)).max(1.0)
+    }
+
+    /// Part of a full group's time that the request takes: its prompt and its share of the steps of
+    /// a full batch.
+    pub fn work(&self, need: Need, mix: &Mix) -> Duration {
+        let own_step = self.step / self.full_batch(mix)
+            + self.step_per_request
+            + self.step_per_token * need.mean_context();
+        prediction(self.prefill_seconds(need) + need.output_tokens * own_step)
+    }
+
+    /// [`Group::work`] in multiples of a slot, in seconds: the concurrency that one such request per
+    /// second amounts to.
+    pub fn slot_seconds(&self, need: Need, mix: &Mix) -> f64 {
+        self.work(need, mix).as_secs_f64() * self.slots
+    }
+
+    /// Time that the request runs in a group with `running` requests, including it.
+    pub fn duration(&self, need: Need, running: f64, mix: &Mix) -> Duration {
+        let seconds =
+            self.prefill_seconds(need) + need.output_tokens * self.step_seconds(running, mix);
+        prediction(seconds)
+    }
+
+    /// Time between two events of a stream in a group with `running` requests.
+    pub fn event_interval(&self, running: f64, mix: &Mix) -> Duration {
+        prediction(f64::from(self.stride) * self.step_seconds(running, mix))
+    }
+
+    /// Typical requests that a full group completes per second.
+    pub fn throughput(&self, mix: &Mix) -> f64 {
+        1.0 / self.work(mix.mean, mix).as_secs_f64().max(STEP_RANGE.0)
+    }
+
+    /// Time from the arrival of a request to its first event at a group that has `load` other
+    /// requests.
+    pub fn first_event(&self, need: Need, load: f64, mix: &Mix) -> Duration {
+        let batch = self.full_batch(mix);
+        let waiting = time_until_place(load, batch, self.throughput(mix)).as_secs_f64();
+        let running = (load.max(0.0) + 1.0).min(batch);
+        prediction(waiting + self.first_event_seconds(need, running, mix))
+    }
+
+    /// Time from the beginning of the request's prompt to its first event, with `running` requests.
+    fn first_event_seconds(&self, need: Need, running: f64, mix: &Mix) -> f64 {
+        self.prefill_seconds(need) + self.first_steps(need) * self.step_seconds(running, mix)
+    }
+
+    /// Steps until the first event: one after each chunk of the prompt but the last, and a stride.
+    fn first_steps(&self, need: Need) -> f64 {
+        (need.prompt_tokens / self.prefill_chunk).ceil().max(1.0) - 1.0 + f64::from(self.stride)
+    }
+
+    fn prefill_seconds(&self, need: Need) -> f64 {
+        let tokens = need.prompt_tokens;
+        tokens * self.prefill_per_token + tokens * tokens / 2.0 * self.prefill_per_pair
+    }
+
+    /// Mean time of a step, including the other requests' prompts that are processed before it.
+    fn step_seconds(&self, running: f64, mix: &Mix) -> f64 {
+        let running = running.max(1.0);
+        let context = mix.mean.mean_context();
+        let step = self.step + running * (self.step_per_request + context * self.step_per_token);
+        // While a request generates its output, each of the others begins once on average.
+        let prompts = (running - 1.0) * self.prefill_seconds(mix.mean) / mix.mean.output_tokens;
+        step + prompts
+    }
+}
+
+/// Time until a group with `load` requests, of which it may have `limit`, has a place for another one;
+/// it completes `throughput` requests per second.
+pub fn time_until_place(load: f64, limit: f64, throughput: f64) -> Duration {
+    prediction((load + 1.0 - limit).max(0.0) / throughput)
+}
+
+/// The time, within the bounds of a prediction.
+fn prediction(seconds: f64) -> Duration {
+    let max = MAX_PREDICTION.as_secs_f64();
+    if seconds.is_nan() { MAX_PREDICTION } else { Duration::from_secs_f64(seconds.clamp(0.0, max)) }
+}
--- a/crates/hyssopfork-gateway/src/lib.rs
+++ b/crates/hyssopfork-gateway/src/lib.rs
@@ -9,6 +9,8 @@
 //! - [`routing`]: route and team of a request, and the pool that it goes to
 //! - [`selection`]: load balancing among the upstreams, and rejection without capacity
 //! - [`load`]: estimated load of an upstream; [`concurrency_limit`]: its AIMD limit
+//! - [`engine_model`]: predicted times of a request at a group of engines; [`output_length`]: expected
+//!   length of its output
 //! - [`demand`]: demand for a model, by which the leader plans its groups
 //! - [`rendezvous`]: which upstreams an entry prefers, and how entries divide an upstream's rate
 //! - [`slow_start`]: rate after a start; [`rate_limit`]: rate that an upstream names itself
@@ -24,6 +26,7 @@
 pub mod content;
 pub mod core;
 pub mod demand;
+pub mod engine_model;
 pub mod event;
 pub mod health;
 pub mod leaving;
@@ -31,6 +34,7 @@
 pub mod measurement;
 pub mod moves;
 pub mod notice;
+pub mod output_length;
 pub mod pause;
 pub mod rate_limit;
 pub mod rendezvous;
--- a/crates/hyssopfork-gateway/src/request.rs
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -1,6 +1,6 @@
 //! Requests of an entry.
 
-use crate::{content, selection, size, target};
+use crate::{content, engine_model, selection, size, target};
 use hyssopfork_fleet::{declaration, quarantine};
 use hyssopfork_wire::{clock, configuration, name};
 use std::time::Duration;
@@ -37,6 +37,9 @@
     pub model: Option<name::Model>,
     /// Size in tokens; `None` if it is not known.
     pub size: Option<size::Size>,
+    /// Tokens that it is expected to need; `None` if its size or the performance of the pool is not
+    /// known.
+    pub need: Option<engine_model::Need>,
     /// Priority of the team, or else of the route; 0 is the highest.
     pub rank: u32,
     /// Whether the work may run more than once.
--- a/crates/hyssopfork-gateway/tests/gateway/demand.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/demand.rs
@@ -2,7 +2,7 @@
 
 use crate::fixture;
 use hyssopfork_gateway::demand::Meter;
-use hyssopfork_gateway::{arrival, event};
+use hyssopfork_gateway::{action, arrival, event, size};
 use hyssopfork_wire::name;
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
     let mut meter = Meter::new(fixture::at(start));
     let interval = 1_000 / per_second;
     for millis in (0..seconds * 1_000).step_by(interval as usize) {
-        meter.on_arrival(fixture::at(start + millis));
+        meter.on_arrival(fixture::at(start + millis), None);
         if millis >= duration.as_millis() as u64 {
             meter.on_completed(duration);
         }
@@ -41,7 +41,7 @@
 fn demand_fades_when_requests_end() {
     let mut meter = Meter::new(fixture::at(1_000));
     for millis in (0..10_000).step_by(20) {
-        meter.on_arrival(fixture::at(1_000 + millis));
+        meter.on_arrival(fixture::at(1_000 + millis), None);
     }
 
     let before = meter.concurrency(fixture::at(11_000));
@@ -66,3 +66,69 @@
     let models: Vec<&str> = report.demands.iter().map(|it| it.model.as_str()).collect();
     assert_eq!(models, ["large"]);
 }
+
+/// Concurrency in thousandths that an entry reports after two seconds with a request of this size
+/// every 20 ms, none of which completes.
+fn reported_concurrency(size: Option<size::Size>) -> (u64, usize) {
+    let mut entry = fixture::Entry::with_performance();
+    let mut rejected = 0;
+    for _ in 0..100 {
+        entry.advance(20);
+        let (_, decision) = entry.arrive(arrival::Arrival { size, ..fixture::arrival("stream") });
+        rejected += usize::from(matches!(decision, action::Decision::Reject(_)));
+    }
+    entry.step(event::Event::Tick);
+    let report = entry.reports.last().expect("it reports");
+    (report.demands[0].concurrency_millis, rejected)
+}
+
+/// Guards against a plan that underestimates a model with long prompts by half: its groups are busy
+/// with prompts while few of their slots are taken. By the fixture's figures, a request with 100 output
+/// tokens takes 375 ms of a group with a prompt of 2,000 tokens and 195 ms with one of 200; 50 of them
+/// arrive a second.
+#[test]
+fn requests_count_by_their_prompts_and_outputs() {
+    let (long, rejected) = reported_concurrency(Some(size::Size::new(2_000, 100, Some(100))));
+    let (short, _) = reported_concurrency(Some(size::Size::new(200, 100, Some(100))));
+
+    let groups = |millis: u64| millis as f64 / 1_000.0 / f64::from(fixture::SLOTS);
+    assert!(rejected > 50, "{rejected}");
+    assert!((18.0..19.5).contains(&groups(long)), "{}", groups(long));
+    assert!((9.3..10.2).contains(&groups(short)), "{}", groups(short));
+}
+
+#[test]
+fn requests_of_unknown_size_count_by_the_mean_duration() {
+    let (concurrency, _) = reported_concurrency(None);
+
+    // 50 per second, with the duration before the first completion.
+    assert!((70_000..80_000).contains(&concurrency), "{concurrency}");
+}
+
+/// Guards against a demand that rests on declared or hinted outputs while streams are longer.
+#[test]
+fn requests_count_by_the_length_of_finished_streams() {
+    let mut entry = fixture::Entry::with_performance();
+    let sized = || arrival::Arrival {
+        size: Some(size::Size::new(200, 2_000, None)),
+        ..fixture::arrival("stream")
+    };
+    for _ in 0..200 {
+        let (number, _) = entry.arrive(sized());
+        entry.begin_stream(number);
+        entry.step(event::Event::EventsReceived(number, Some(200)));
+        entry.step(event::Event::StreamCompleted(number));
+    }
+    entry.advance(30_000);
+    for _ in 0..1_000 {
+        entry.advance(20);
+        entry.arrive(sized());
+    }
+
+    entry.step(event::Event::Tick);
+
+    // Outputs of 1,000 tokens take 1,770 ms of a group's time, those of the declared 100 tokens 195 ms.
+    let concurrency = entry.reports.last().expect("it reports").demands[0].concurrency_millis;
+    let groups = concurrency as f64 / 1_000.0 / f64::from(fixture::SLOTS);
+    assert!((80.0..90.0).contains(&groups), "{groups}");
+}
--- /dev/null
+++ b/crates/hyssopfork-gateway/tests/gateway/engine_model.rs
@@ -0,0 +1,153 @@
+//! Predictions of the times of requests at a group of engines.
+
+use crate::fixture;
+use hyssopfork_fleet::declaration;
+use hyssopfork_gateway::engine_model::{self, Group, MAX_PREDICTION, Mix, Need};
+use hyssopfork_gateway::size::{MAX_TOKENS, Size};
+use hyssopfork_wire::name;
+use proptest::prelude::*;
+use std::time::Duration;
+
+fn group_with(slots: u32, pace: f64, performance: declaration::Performance) -> Option<Group> {
+    let declaration = fixture::declaration_with(performance);
+    let mut engine =
+        declaration.pools[&name::Pool::from("engines")].engine.clone().expect("a pool of engines");
+    engine.slots = slots;
+    engine.models[0].pace = pace;
+    Group::new(&engine, &name::Model::from("large"))
+}
+
+fn group(slots: u32) -> Group {
+    group_with(slots, 1.0, fixture::performance()).expect("plausible figures")
+}
+
+fn need(prompt: u64, output: f64) -> Need {
+    Need::new(Size::new(prompt, 1_000, None), output, 0)
+}
+
+fn mix() -> Mix {
+    Mix::new(&fixture::performance())
+}
+
+/// The times of the fixture's figures, computed by hand: a step of 14 ms with eight requests, a prompt
+/// of 200 tokens in 20 ms.
+#[test]
+fn times_follow_the_declared_figures() {
+    let group = group(8);
+
+    assert_eq!(group.work(need(200, 100.0), &mix()), Duration::from_millis(20 + 175));
+    assert_eq!(group.event_interval(1.0, &mix()), Duration::from_millis(5 * 7));
+    assert_eq!(group.first_event(need(200, 100.0), 0.0, &mix()), Duration::from_millis(20 + 35));
+    // Seven others process their prompts of 20 ms within 100 steps.
+    assert_eq!(group.event_interval(8.0, &mix()), Duration::from_millis(5 * 14 + 7));
+}
+
+/// Guards against a concurrency in other units than the slots of a full group: the work of the
+/// requests that a full group runs must fill its time.
+#[test]
+fn the_work_of_a_full_batch_fills_its_time() {
+    let group = group(8);
+
+    let duration = group.duration(mix().mean(), 8.0, &mix());
+
+    assert_eq!(group.work(mix().mean(), &mix()) * 8, duration);
+    assert!((group.throughput(&mix()) - 8.0 / duration.as_secs_f64()).abs() < 1e-6);
+}
+
+#[test]
+fn a_long_prompt_takes_more_of_a_group_than_a_short_one() {
+    let group = group(8);
+
+    let long = group.work(need(2_000, 100.0), &mix());
+
+    assert_eq!(long, Duration::from_millis(200 + 175));
+}
+
+#[test]
+fn a_pace_applies_to_all_times() {
+    let slow = group_with(8, 2.0, fixture::performance()).expect("plausible figures");
+
+    assert_eq!(slow.work(need(200, 100.0), &mix()), group(8).work(need(200, 100.0), &mix()) * 2);
+    let first_event = |group: Group| group.first_event(need(200, 100.0), 9.0, &mix());
+    assert_eq!(first_event(slow), first_event(group(8)) * 2);
+}
+
+/// Guards against a prediction by slots that the memory doesn't allow to fill.
+#[test]
+fn the_memory_limits_the_batch() {
+    let performance = declaration::Performance { memory_tokens: 1_000, ..fixture::performance() };
+
+    let group = group_with(8, 1.0, performance).expect("plausible figures");
+
+    assert_eq!(group.full_batch(&mix()), 4.0);
+}
+
+#[test]
+fn a_request_beyond_the_slots_waits_for_one() {
+    let group = group(8);
+
+    let free = group.first_event(mix().mean(), 7.0, &mix());
+    let waiting = group.first_event(mix().mean(), 9.0, &mix());
+
+    let places = 2.0 / group.throughput(&mix());
+    assert!(((waiting - free).as_secs_f64() - places).abs() < 1e-6, "{free:?}, {waiting:?}");
+    assert_eq!(
+        engine_model::time_until_place(9.0, 8.0, group.throughput(&mix())).as_millis(),
+        (places * 1e3) as u128
+    );
+}
+
+#[test]
+fn missing_and_implausible_figures_disable_the_model() {
+    use declaration::Performance;
+    let declared = fixture::performance();
+
+    let implausible = [
+        group_with(0, 1.0, declared),
+        group_with(8, 0.0, declared),
+        group_with(8, f64::NAN, declared),
+        group_with(8, 1.0, Performance { step: Duration::ZERO, ..declared }),
+        group_with(8, 1.0, Performance { step: Duration::MAX, ..declared }),
+        group_with(8, 1.0, Performance { step_per_request: Duration::MAX, ..declared }),
+        group_with(8, 1.0, Performance { prefill_rate: f64::NAN, ..declared }),
+        group_with(8, 1.0, Performance { prefill_rate: -1.0, ..declared }),
+    ];
+
+    assert_eq!(implausible, [None; 8]);
+}
+
+proptest! {
+    /// Guards against a panic or an endless wait by a request or declaration with absurd figures.
+    #[test]
+    fn predictions_are_bounded(
+        prompt: u64,
+        output in prop::num::f64::ANY,
+        generated: u64,
+        load in prop::num::f64::ANY,
+        means: (u32, u32, u64, u32),
+        millis in 0..u64::MAX / 1_000_000,
+        slots in 1u32..,
+    ) {
+        let performance = declaration::Performance {
+            mean_prompt_tokens: means.0,
+            mean_output_tokens: means.1,
+            memory_tokens: means.2,
+            prefill_chunk: means.3,
+            prefill_per_million_pairs: Duration::from_millis(millis),
+            ..fixture::performance()
+        };
+        let group = group_with(slots, 1.0, performance).expect("plausible figures");
+        let mut mix = Mix::new(&performance);
+        let need = Need::new(Size::new(prompt, prompt, Some(prompt)), output, generated);
+        mix.record(need);
+
+        let first = group.first_event(need, load, &mix);
+        let interval = group.event_interval(load, &mix);
+        let (duration, work) = (group.duration(need, load, &mix), group.work(need, &mix));
+
+        prop_assert!([first, interval, duration, work].iter().all(|it| *it <= MAX_PREDICTION));
+        prop_assert!(group.slot_seconds(need, &mix).is_finite());
+        prop_assert!(group.throughput(&mix).is_finite() && group.throughput(&mix) > 0.0);
+        prop_assert!(need.memory_tokens() <= 3.0 * f64::from(MAX_TOKENS));
+    }
+}
--- a/crates/hyssopfork-gateway/tests/gateway/fixture.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/fixture.rs
@@ -67,6 +67,33 @@
     }
 }
 
+/// Figures of a group: a step of 6 ms to 14 ms, and prompts of 100 tokens in 10 ms.
+pub fn performance() -> declaration::Performance {
+    declaration::Performance {
+        step: Duration::from_millis(6),
+        step_per_request: Duration::from_millis(1),
+        step_per_thousand_tokens: Duration::ZERO,
+        prefill_rate: 10_000.0,
+        prefill_per_million_pairs: Duration::ZERO,
+        prefill_chunk: 2_000,
+        stride: 5,
+        memory_tokens: 40_000,
+        mean_prompt_tokens: 200,
+        mean_output_tokens: 100,
+    }
+}
+
+/// The declaration with figures of its engines.
+pub fn declaration_with(performance: declaration::Performance) -> declaration::Declaration {
+    let mut declaration = declaration();
+    for pool in declaration.pools.values_mut() {
+        if let Some(engine) = &mut pool.engine {
+            engine.performance = Some(performance);
+        }
+    }
+    declaration
+}
+
 pub fn upstream(name: &str, pool: &str) -> (name::Instance, Option<view::Upstream>) {
     let number = name.bytes().last().unwrap_or_default();
     let announcement = announcement::Announcement {
@@ -201,6 +228,14 @@
         entry
     }
 
+    /// An entry that has received the fixture's view and a declaration with figures of engines.
+    pub fn with_performance() -> Entry {
+        let mut entry = Entry::new();
+        let declaration = Some(Arc::new(declaration_with(performance())));
+        entry.step(event::Event::ViewUpdated(Box::new(view()), declaration));
+        entry
+    }
+
     /// This many entries that have received the fixture's view.
     pub fn many(count: u32) -> Vec<Entry> {
         Entry::many_with_view(count, &view())
--- a/crates/hyssopfork-gateway/tests/gateway/main.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/main.rs
@@ -3,10 +3,12 @@
 mod concurrency_limit;
 mod crash;
 mod demand;
+mod engine_model;
 mod fixture;
 mod health;
 mod leaving;
 mod moves;
+mod output_length;
 mod overload;
 mod pause;
 mod queue;
