gateway: limit the concurrency of a group by prediction

The limit of a group was found by increasing it with each response on time and decreasing it with each late one, so in equilibrium about one response in five is late, and it is the same for a prompt of 100 tokens and one of 2,000.

Where performance is declared and the request's size is known, the limit is the highest load at which the request is predicted to begin within the rest of its objective: requests beyond a full batch wait for places that become free at the group's throughput, less one standard deviation of that time, at most a quarter of the slots. With a smaller batch than the full one, each step is shorter. The predicted times are corrected by the ratio seen in responses, for each pool and model. The adaptive limit still lowers the predicted one by up to a quarter, and a late response that was predicted to be late no longer decreases it.

Ruled out: learning the correction from the arithmetic mean, which one stalled engine moves; a limit below 0.6 of a batch, which costs more throughput than it puts on time; lower limits for prompts that are late at an empty group as well.

--- a/crates/hyssopfork-gateway/src/concurrency_limit.rs
+++ b/crates/hyssopfork-gateway/src/concurrency_limit.rs
@@ -11,6 +11,10 @@
 //! The limit decreases with each response that begins later than `LATE_RATIO` of the objective
 //! and increases with each that begins earlier. A client that is rejected at once retries when
 //! other requests have ended; a queued one would make the others late.
+//!
+//! Where the [engine model](crate::engine_model) predicts a limit for the request, that one applies. The
+//! limit described here can lower it by `1 - MIN_PREDICTION_RATIO` at most, for instance at a group
+//! with a slow member, of which no figures are declared.
 
 use std::time::Duration;
 
@@ -34,6 +38,9 @@
 /// Highest limit, as a part of the slots: some requests may wait for others to end.
 const MAX_LIMIT_RATIO: f64 = 1.1;
 
+/// Lowest part of a predicted limit.
+const MIN_PREDICTION_RATIO: f64 = 0.75;
+
 /// Concurrency limit of one upstream as one process estimates it. It covers the requests of all
 /// processes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -54,6 +61,12 @@
         self.limit
     }
 
+    /// Requests that the upstream may have where a limit is predicted; `None` for no prediction.
+    pub fn get_with(&self, predicted: Option<f64>) -> f64 {
+        let ratio = (self.limit / self.slots).clamp(MIN_PREDICTION_RATIO, 1.0);
+        predicted.map_or(self.limit, |predicted| predicted * ratio)
+    }
+
     /// Adjusts the limit to a response that began after `time_to_first_byte`, for a request with
     /// this `objective` that was sent when the upstream had an estimated `load` of requests.
     pub fn on_response(&mut self, time_to_first_byte: Duration, objective: Duration, load: f64) {
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -227,6 +227,7 @@
             zone: &self.settings.zone,
             excluded: &request.excluded,
             priority: request.priority(self.now, is_retry),
+            forecast: self.forecast(request),
         }
     }
 
--- a/crates/hyssopfork-gateway/src/core/costs.rs
+++ b/crates/hyssopfork-gateway/src/core/costs.rs
@@ -21,6 +21,8 @@
     pub group: engine_model::Group,
     /// Typical request.
     pub mix: engine_model::Mix,
+    /// Correction of predicted times to the first event.
+    pub correction: engine_model::Correction,
 }
 
 impl Costs {
@@ -34,7 +36,11 @@
                 let Some(group) = engine_model::Group::new(engine, &model.name) else { continue };
                 let key = (pool.clone(), model.name.clone());
                 let kept = self.models.remove(&key).filter(|it| it.group == group);
-                let new = || Model { group, mix: engine_model::Mix::new(performance) };
+                let new = || Model {
+                    group,
+                    mix: engine_model::Mix::new(performance),
+                    correction: engine_model::Correction::default(),
+                };
                 models.insert(key, kept.unwrap_or_else(new));
             }
         }
@@ -69,6 +75,18 @@
         Some(slot_seconds)
     }
 
+    /// Predicted time to the first event of the request at a group that has `load` other requests.
+    pub(super) fn predict(
+        &self,
+        request: &request::Request,
+        load: f64,
+    ) -> Option<engine_model::Prediction> {
+        let model = self.model(&request.pool, request.model.as_ref())?;
+        let by_figures = model.group.first_event(request.need?, load, &model.mix);
+        let corrected = by_figures.mul_f64(model.correction.factor());
+        Some(engine_model::Prediction { by_figures, corrected })
+    }
+
     /// Adds a finished stream of `events` events.
     fn on_stream_completed(&mut self, request: &request::Request, events: u64, size: size::Size) {
         let Some(model) = self.model(&request.pool, request.model.as_ref()) else { return };
@@ -80,6 +98,32 @@
 }
 
 impl Core {
+    /// Prediction for the groups of the request's model; `None` if its size or the performance of the
+    /// pool is not known.
+    pub(super) fn forecast(&self, request: &request::Request) -> Option<engine_model::Forecast> {
+        let model = self.costs.model(&request.pool, request.model.as_ref())?;
+        let left = self.now.until(request.on_time_until);
+        // A request that is late already counts like others of its objective.
+        let time = if left.is_zero() { request.objective } else { left.min(request.objective) };
+        let time = time.div_f64(model.correction.factor());
+        Some(engine_model::Forecast {
+            limit: model.group.limit(request.need?, time, &model.mix),
+            throughput: model.group.throughput(&model.mix),
+        })
+    }
+
+    /// Learns from the first event of a request.
+    pub(super) fn record_first_event(&mut self, number: u64) {
+        let now = self.now;
+        let Some(request) = self.requests.get_mut(&number) else { return };
+        let (Some(attempt), None) = (&request.attempt, request.first_bytes_at) else { return };
+        let (Some(prediction), Some(name)) = (attempt.prediction, &request.model) else { return };
+        let key = (request.pool.clone(), name.clone());
+        if let Some(model) = self.costs.models.get_mut(&key) {
+            model.correction.record(prediction.by_figures, now.since(attempt.started_at));
+        }
+    }
+
     /// Learns the output length of a stream that has been forwarded to its end.
     pub(super) fn record_output_length(&mut self, number: u64) {
         let Some(request) = self.requests.get(&number) else { return };
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -127,7 +127,8 @@
         let Some(request) = self.requests.get(&number) else { return };
         let target = best.as_ref().and_then(|best| self.targets.get(best));
         let average = self.average_load(&request.pool, request.model.as_ref());
-        let load = target.map(|it| (it.load.estimate(now, average), it.limit.get()));
+        let limit = self.forecast(request).map(|forecast| forecast.limit);
+        let load = target.map(|it| (it.load.estimate(now, average), it.limit.get_with(limit)));
         let report_age = target.and_then(|it| it.load.report_age(now));
         let identifier = request.identifier.clone();
         self.log(notice::Notice::Full { identifier, best, load, report_age });
@@ -137,9 +138,10 @@
         let now = self.now;
         let Some(request) = self.requests.get(&number) else { return };
         let average = self.average_load(&request.pool, request.model.as_ref());
+        let limit = self.forecast(request).map(|forecast| forecast.limit);
         let Some(request) = self.requests.get_mut(&number) else { return };
         let Some(target) = self.targets.get_mut(instance) else { return };
-        let load = (target.load.estimate(now, average), target.limit.get());
+        let load = (target.load.estimate(now, average), target.limit.get_with(limit));
         target.load.own_requests += 1;
         target.recent_sends.record(now);
         if let Some(limiter) = &mut target.rate_limiter {
@@ -152,6 +154,7 @@
             incarnation: target.incarnation.clone(),
             started_at: now,
             load_at_start: load.0,
+            prediction: self.costs.predict(request, load.0),
             last_bytes_at: None,
         });
         let start = action::Start {
@@ -216,6 +219,7 @@
     pub(super) fn on_events(&mut self, number: u64, last: Option<u64>) {
         let now = self.now;
         self.on_bytes(number, None);
+        self.record_first_event(number);
         let Some(request) = self.requests.get_mut(&number) else { return };
         request.last_event = last.or(request.last_event);
         request.first_bytes_at.get_or_insert(now);
@@ -231,11 +235,10 @@
         let Some(target) = self.targets.get_mut(&attempt.instance) else { return };
         target.on_bytes(now);
         if is_first {
-            target.limit.on_response(
-                now.since(attempt.started_at),
-                objective,
-                attempt.load_at_start,
-            );
+            let time = now.since(attempt.started_at);
+            if !attempt.is_late_as_predicted(time, objective) {
+                target.limit.on_response(time, objective, attempt.load_at_start);
+            }
             self.move_buckets.entry(target.pool.clone()).or_default().add_for_response();
         }
         if let Some(report) = report {
@@ -442,7 +445,10 @@
             target.load.own_requests = target.load.own_requests.saturating_sub(1);
             let waited = now.since(attempt.started_at);
             // If only attempts with a response counted, the slowest ones would not count at all.
-            if attempt.last_bytes_at.is_none() && waited > request.objective {
+            if attempt.last_bytes_at.is_none()
+                && waited > request.objective
+                && !attempt.is_late_as_predicted(waited, request.objective)
+            {
                 target.limit.on_response(waited, request.objective, attempt.load_at_start);
             }
         }
--- a/crates/hyssopfork-gateway/src/core/stall.rs
+++ b/crates/hyssopfork-gateway/src/core/stall.rs
@@ -130,6 +130,7 @@
             zone: &self.settings.zone,
             excluded: &excluded,
             priority: selection::Priority::Retry,
+            forecast: self.forecast(request),
         };
         let constraints = self.constraints(request);
         matches!(
--- a/crates/hyssopfork-gateway/src/engine_model.rs
+++ b/crates/hyssopfork-gateway/src/engine_model.rs
@@ -41,6 +41,31 @@
 /// prediction for all others.
 const MAX_MIX_SAMPLE_FACTOR: f64 = 16.0;
 
+/// Standard deviations of the time until places become free that are kept for a request that waits:
+/// requests end at random times, so it would be late about half of the time without them.
+const WAIT_DEVIATIONS: f64 = 1.0;
+
+/// Most requests that wait for a place, as a part of the slots. A group's own queue holds some more
+/// requests than its slots and rejects others.
+const MAX_WAITING_RATIO: f64 = 0.25;
+
+/// Lowest limit, as a part of a full batch. A group with fewer requests loses more throughput than the
+/// requests on time are worth.
+const MIN_LIMIT_RATIO: f64 = 0.6;
+
+/// Lowest weight of the newest response in a [`Correction`] (EWMA).
+const MIN_CORRECTION_WEIGHT: f64 = 0.02;
+
+/// Samples that the initial correction counts for.
+const INITIAL_CORRECTION_SAMPLES: f64 = 10.0;
+
+/// Bounds of the ratio of an observed time to the predicted one. A stalled engine must not count as a
+/// slow model.
+const SAMPLE_RATIO_RANGE: (f64, f64) = (0.25, 4.0);
+
+/// Bounds of a correction.
+const CORRECTION_RANGE: (f64, f64) = (0.5, 3.0);
+
 /// Tokens that a request is expected to need.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Need {
@@ -219,6 +244,31 @@
         prediction(waiting + self.first_event_seconds(need, running, mix))
     }
 
+    /// Requests that the group may have, including this one, so that its first event is predicted
+    /// within `time`.
+    ///
+    /// A request that can't begin in time even at an empty group gets the limit of a full batch:
+    /// fewer requests at the group would not make it be on time.
+    pub fn limit(&self, need: Need, time: Duration, mix: &Mix) -> f64 {
+        let time = time.as_secs_f64();
+        let batch = self.full_batch(mix);
+        let at_full = self.first_event_seconds(need, batch, mix);
+        if at_full <= time {
+            let places = (time - at_full) * self.throughput(mix);
+            // The deviation of the time until some places become free grows with their square root.
+            let root =
+                ((WAIT_DEVIATIONS * WAIT_DEVIATIONS + 4.0 * places).sqrt() - WAIT_DEVIATIONS) / 2.0;
+            return batch + (root * root).min(self.slots * MAX_WAITING_RATIO);
+        }
+        let at_empty = self.first_event_seconds(need, 1.0, mix);
+        if at_empty > time {
+            return batch;
+        }
+        // The time grows linearly with the running requests.
+        let running = 1.0 + (batch - 1.0) * (time - at_empty) / (at_full - at_empty);
+        running.max(batch * MIN_LIMIT_RATIO)
+    }
+
     /// Time from the beginning of the request's prompt to its first event, with `running` requests.
     fn first_event_seconds(&self, need: Need, running: f64, mix: &Mix) -> f64 {
         self.prefill_seconds(need) + self.first_steps(need) * self.step_seconds(running, mix)
@@ -245,6 +295,62 @@
     }
 }
 
+/// Correction of the predicted time to the first event of a model's requests, learned from responses
+/// (EWMA of the logarithm of the ratio, which a few very late responses hardly change).
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Correction {
+    log_ratio: f64,
+    samples: f64,
+}
+
+impl Default for Correction {
+    /// No correction.
+    fn default() -> Correction {
+        Correction { log_ratio: 0.0, samples: INITIAL_CORRECTION_SAMPLES }
+    }
+}
+
+impl Correction {
+    /// Adds a first event that came after `observed`, while the uncorrected prediction was
+    /// `predicted`.
+    pub fn record(&mut self, predicted: Duration, observed: Duration) {
+        let Some(ratio) = ratio(observed, predicted) else { return };
+        let sample = ratio.clamp(SAMPLE_RATIO_RANGE.0, SAMPLE_RATIO_RANGE.1).ln();
+        self.samples += 1.0;
+        let weight = (1.0 / self.samples).max(MIN_CORRECTION_WEIGHT);
+        self.log_ratio += (sample - self.log_ratio) * weight;
+    }
+
+    /// Factor of predicted times.
+    pub fn factor(&self) -> f64 {
+        self.log_ratio.exp().clamp(CORRECTION_RANGE.0, CORRECTION_RANGE.1)
+    }
+}
+
+/// Observed time in multiples of the predicted one; `None` if there is nothing to compare.
+pub fn ratio(observed: Duration, predicted: Duration) -> Option<f64> {
+    let ratio = observed.as_secs_f64() / predicted.as_secs_f64();
+    ratio.is_finite().then_some(ratio)
+}
+
+/// What the selection of a group for one request depends on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Forecast {
+    /// Requests that a group may have, including this one, so that it begins on time.
+    pub limit: f64,
+    /// Requests that a full group completes per second.
+    pub throughput: f64,
+}
+
+/// Predicted time to the first event of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prediction {
+    /// Time by the declared figures.
+    pub by_figures: Duration,
+    /// Time with the correction of the model.
+    pub corrected: Duration,
+}
+
 /// Time until a group with `load` requests, of which it may have `limit`, has a place for another one;
 /// it completes `throughput` requests per second.
 pub fn time_until_place(load: f64, limit: f64, throughput: f64) -> Duration {
--- a/crates/hyssopfork-gateway/src/request.rs
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -16,10 +16,21 @@
     pub started_at: clock::Instant,
     /// Estimated requests at the upstream when the attempt started.
     pub load_at_start: f64,
+    /// Predicted time to the first event; `None` if none can be predicted.
+    pub prediction: Option<engine_model::Prediction>,
     /// When the last bytes arrived.
     pub last_bytes_at: Option<clock::Instant>,
 }
 
+impl Attempt {
+    /// Whether a response after `time` that missed the objective was predicted to do so: then it says
+    /// nothing of the upstream.
+    pub fn is_late_as_predicted(&self, time: Duration, objective: Duration) -> bool {
+        let is_late = |predicted: &engine_model::Prediction| predicted.corrected > objective;
+        time > objective && self.prediction.as_ref().is_some_and(is_late)
+    }
+}
+
 /// A request.
 #[derive(Clone, Debug)]
 pub struct Request {
--- a/crates/hyssopfork-gateway/src/selection.rs
+++ b/crates/hyssopfork-gateway/src/selection.rs
@@ -6,7 +6,7 @@
 //! otherwise requests queue at upstreams until all are late. If no upstream has capacity, the
 //! request is rejected at once with a `Retry-After`.
 
-use crate::{load, pause, target};
+use crate::{engine_model, load, pause, target};
 use hyssopfork_fleet::view;
 use hyssopfork_wire::{clock, name};
 use std::collections::{BTreeMap, BTreeSet};
@@ -51,6 +51,8 @@
     pub excluded: &'a [name::Instance],
     /// Priority over other requests.
     pub priority: Priority,
+    /// Prediction for the groups of the model; `None` if it has no declared performance.
+    pub forecast: Option<engine_model::Forecast>,
 }
 
 /// Priority of a request, which decides how much capacity must be left for others.
@@ -181,19 +183,22 @@
         constraints: Constraints<'_>,
     ) -> Candidate<'a> {
         let load = target.load.estimate(now, constraints.average);
+        let limit = target.limit.get_with(query.forecast.map(|forecast| forecast.limit));
+        let throughput =
+            query.forecast.map_or(target.load.throughput(), |forecast| forecast.throughput);
         let allowance = match query.priority {
             Priority::OnTime => 0.0,
-            Priority::Late => -target.limit.get() * RESERVED_FOR_ON_TIME,
+            Priority::Late => -limit * RESERVED_FOR_ON_TIME,
             Priority::Retry => target.load.slots() * RETRY_OVERSHOOT,
         };
         let margin = target.load.deviation(now, constraints.average) * UNCERTAINTY_FACTOR;
-        let excess = load + 1.0 + margin - target.limit.get() - allowance;
+        let excess = load + 1.0 + margin - limit - allowance;
         Candidate {
             instance,
             condition: condition(now, instance, target, constraints.pauses),
-            score: score(now, target, load, query.zone, constraints),
+            score: score(now, target, load / limit, query.zone, constraints),
             excess,
-            wait: Duration::from_secs_f64(excess.max(0.0) / target.load.throughput()),
+            wait: Duration::from_secs_f64(excess.max(0.0) / throughput),
         }
     }
 }
@@ -221,16 +226,16 @@
     }
 }
 
-/// Used part of the limit, plus penalties that make the upstream less preferred.
+/// The used part of the limit, plus penalties that make the upstream less preferred.
 fn score(
     now: clock::Instant,
     target: &target::Target,
-    load: f64,
+    used: f64,
     zone: &name::Zone,
     constraints: Constraints<'_>,
 ) -> f64 {
     let zone_penalty = if target.zone == *zone { 0.0 } else { ZONE_PREFERENCE };
     // A process with several requests at each upstream has recent information about all of them.
     let uncertainty = (1.0 - target.load.freshness(now)) / (1.0 + constraints.average.own.mean());
-    load / target.limit.get() + zone_penalty + target.preference * uncertainty * AFFINITY
+    used + zone_penalty + target.preference * uncertainty * AFFINITY
 }
--- a/crates/hyssopfork-gateway/tests/gateway/concurrency_limit.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/concurrency_limit.rs
@@ -45,3 +45,23 @@
 
     assert!(limit.get() >= 1.0);
 }
+
+#[test]
+fn a_predicted_limit_applies_while_responses_are_on_time() {
+    let mut limit = Limit::new(8);
+    (0..50).for_each(|_| limit.on_response(ON_TIME, OBJECTIVE, 8.0));
+
+    assert_eq!(limit.get_with(Some(10.0)), 10.0);
+    assert_eq!(limit.get_with(None), limit.get());
+}
+
+/// Guards against a slow member that makes responses late for good although the model of the group
+/// says otherwise, and against a limit that no prediction bounds from below.
+#[test]
+fn late_responses_lower_a_predicted_limit_by_a_quarter_at_most() {
+    let mut limit = Limit::new(8);
+
+    (0..50).for_each(|_| limit.on_response(LATE, OBJECTIVE, 8.0));
+
+    assert_eq!(limit.get_with(Some(10.0)), 7.5);
+}
--- a/crates/hyssopfork-gateway/tests/gateway/engine_model.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/engine_model.rs
@@ -2,7 +2,7 @@
 
 use crate::fixture;
 use hyssopfork_fleet::declaration;
-use hyssopfork_gateway::engine_model::{self, Group, MAX_PREDICTION, Mix, Need};
+use hyssopfork_gateway::engine_model::{self, Correction, Group, MAX_PREDICTION, Mix, Need};
 use hyssopfork_gateway::size::{MAX_TOKENS, Size};
 use hyssopfork_wire::name;
 use proptest::prelude::*;
@@ -97,6 +97,56 @@
     );
 }
 
+/// Guards against a fixed limit: with a full batch, a request whose first event takes 97 ms of 300 ms
+/// can wait for a place, one whose prompt takes 220 ms can't be on time, and one of 5,000 tokens is late
+/// at an empty group as well.
+#[test]
+fn the_limit_is_the_highest_load_at_which_a_request_is_on_time() {
+    let limit = |prompt| group(8).limit(need(prompt, 100.0), Duration::from_millis(300), &mix());
+    let first_event =
+        |prompt, load| group(8).first_event(need(prompt, 100.0), load, &mix()).as_millis();
+
+    let (short, long, longest) = (limit(200), limit(2_200), limit(5_000));
+
+    assert!((8.3..8.5).contains(&short), "{short}");
+    assert!(first_event(200, short - 1.0) < 300);
+    assert!((6.0..7.0).contains(&long), "{long}");
+    assert_eq!(first_event(2_200, long - 1.0), 300);
+    assert_eq!(longest, 8.0);
+}
+
+/// Guards against groups whose own queues are filled because requests have time.
+#[test]
+fn requests_with_much_time_wait_in_small_numbers() {
+    let limit = group(48).limit(need(200, 100.0), Duration::from_secs(30), &mix());
+
+    assert_eq!(limit, 48.0 * 1.25);
+}
+
+#[test]
+fn the_correction_follows_observed_times() {
+    let mut correction = Correction::default();
+    let (predicted, observed) = (Duration::from_millis(100), Duration::from_millis(150));
+
+    (0..300).for_each(|_| correction.record(predicted, observed));
+
+    assert!((1.45..1.51).contains(&correction.factor()), "{}", correction.factor());
+}
+
+/// Guards against a model that one stalled engine makes seem slow, and against a division by zero.
+#[test]
+fn a_few_absurd_times_hardly_change_the_correction() {
+    let mut correction = Correction::default();
+    let predicted = Duration::from_millis(100);
+    (0..300).for_each(|_| correction.record(predicted, predicted));
+
+    (0..3).for_each(|_| correction.record(predicted, Duration::from_secs(60)));
+    correction.record(Duration::ZERO, predicted);
+    correction.record(Duration::ZERO, Duration::ZERO);
+
+    assert!(correction.factor() < 1.1, "{}", correction.factor());
+}
+
 #[test]
 fn missing_and_implausible_figures_disable_the_model() {
     use declaration::Performance;
@@ -143,9 +193,11 @@
 
         let first = group.first_event(need, load, &mix);
         let interval = group.event_interval(load, &mix);
+        let limit = group.limit(need, first, &mix);
         let (duration, work) = (group.duration(need, load, &mix), group.work(need, &mix));
 
         prop_assert!([first, interval, duration, work].iter().all(|it| *it <= MAX_PREDICTION));
+        prop_assert!((0.5..=f64::from(slots) * 1.25).contains(&limit), "{limit}");
         prop_assert!(group.slot_seconds(need, &mix).is_finite());
         prop_assert!(group.throughput(&mix).is_finite() && group.throughput(&mix) > 0.0);
         prop_assert!(need.memory_tokens() <= 3.0 * f64::from(MAX_TOKENS));
--- a/crates/hyssopfork-gateway/tests/gateway/fixture.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/fixture.rs
@@ -1,7 +1,7 @@
 //! Test fixture: an entry, one model with groups and one plain service.
 
 use hyssopfork_fleet::{announcement, declaration, quarantine, view};
-use hyssopfork_gateway::{action, arrival, content, core, event, settings, target};
+use hyssopfork_gateway::{action, arrival, content, core, event, settings, size, target};
 use hyssopfork_wire::{clock, name, number};
 use std::net;
 use std::sync::Arc;
@@ -170,6 +170,12 @@
     arrival_at(&format!("/{route}/x"))
 }
 
+/// A stream with a prompt of this many tokens and 100 output tokens.
+pub fn sized_arrival(prompt_tokens: u64) -> arrival::Arrival {
+    let size = Some(size::Size::new(prompt_tokens, 100, Some(100)));
+    arrival::Arrival { size, ..arrival("stream") }
+}
+
 /// A request for this path.
 pub fn arrival_at(path: &str) -> arrival::Arrival {
     arrival::Arrival {
@@ -230,8 +236,13 @@
 
     /// An entry that has received the fixture's view and a declaration with figures of engines.
     pub fn with_performance() -> Entry {
+        Entry::with_performance_of(performance())
+    }
+
+    /// An entry that has received the fixture's view and a declaration with these figures.
+    pub fn with_performance_of(performance: declaration::Performance) -> Entry {
         let mut entry = Entry::new();
-        let declaration = Some(Arc::new(declaration_with(performance())));
+        let declaration = Some(Arc::new(declaration_with(performance)));
         entry.step(event::Event::ViewUpdated(Box::new(view()), declaration));
         entry
     }
--- a/crates/hyssopfork-gateway/tests/gateway/main.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Decisions of the entry, tested without network or clock.
 
 mod concurrency_limit;
+mod costs;
 mod crash;
 mod demand;
 mod engine_model;
--- a/crates/hyssopfork-gateway/tests/gateway/overload.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/overload.rs
@@ -6,6 +6,7 @@
 //! a free slot needs 0.1 s.
 
 use crate::fixture::{self, Entry, arrival};
+use hyssopfork_fleet::declaration::Performance;
 use hyssopfork_gateway::{action, arrival::Arrival, event, load};
 use hyssopfork_wire::name;
 use rand::{RngExt, SeedableRng};
@@ -99,7 +100,8 @@
         }
         next = next_arrival(now, arrived.len());
         let process = choose_entry(arrived.len());
-        let (number, decision) = entries[process].arrive(arrival("stream"));
+        // Without declared performance the size has no effect.
+        let (number, decision) = entries[process].arrive(fixture::sized_arrival(200));
         arrived.insert((process, number), now);
         match decision {
             action::Decision::Start(start) => {
@@ -132,6 +134,28 @@
     assert!(served >= 14 * 20, "{served} served in 20 s");
 }
 
+/// The same with a declaration that says that a request takes an eighth of a second of a group and
+/// begins after 64 ms.
+///
+/// Guards against a limit that swings around the right one, with which a tenth is late here.
+#[test]
+fn admitted_requests_are_on_time_where_performance_is_declared() {
+    let performance = Performance {
+        step: Duration::from_millis(10),
+        step_per_request: Duration::ZERO,
+        prefill_rate: 20_000.0,
+        mean_output_tokens: 92,
+        ..fixture::performance()
+    };
+    let entry = Entry::with_performance_of(performance);
+
+    let outcome = simulate(20_000, vec![entry], |now, _| now + ARRIVAL_INTERVAL_MS, |_| 0);
+
+    let served = outcome.on_time + outcome.late;
+    assert!(outcome.late * 20 < served, "{} of {served} late", outcome.late);
+    assert!(served >= 15 * 20, "{served} served in 20 s");
+}
+
 /// Guards against clients that all retry at the same time.
 #[test]
 fn rejected_clients_receive_different_retry_times() {
