gateway, platform: keep the requests of a group within its memory

A group whose memory is exhausted preempts its newest request and processes the prompt again later, and rejects a request larger than the memory as if it were full, so that the entry tried it at other groups.

A request whose prompt and expected output exceed the memory is rejected at once with the reason too_large (503, not run) and isn't counted as demand. A group gets no request with which its tokens would exceed the memory less a twentieth: those of the entry's own requests there, and as many for each request of others. Streams that lost their upstream are exempt, since rejecting them aborts a response. Without a declared memory or size nothing changes.

One arrival counts for at most 16 typical requests in the demand, since a client may state any size.

Ruled out: counting the maximum output that a client states, which is many times the usual one; 413, which doesn't promise that the request has not run.

--- a/crates/hyssopfork-gateway/src/action.rs
+++ b/crates/hyssopfork-gateway/src/action.rs
@@ -24,6 +24,8 @@
     NoUpstream,
     /// Every upstream is at its limit.
     Overloaded,
+    /// The request needs more memory than a group of its model has.
+    TooLarge,
     /// Every upstream has asked this entry for a pause.
     Paused,
     /// Upstreams crash when they run this request.
--- a/crates/hyssopfork-gateway/src/core/completion.rs
+++ b/crates/hyssopfork-gateway/src/core/completion.rs
@@ -11,7 +11,7 @@
 const MIN_LATE_RETRY_AFTER: Duration = Duration::from_millis(600);
 
 /// Longest `Retry-After`: the current state says little about later times.
-const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_500);
+pub(super) const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 
 impl Core {
     pub(super) fn complete(&mut self, number: u64, status: u16) {
--- a/crates/hyssopfork-gateway/src/core/costs.rs
+++ b/crates/hyssopfork-gateway/src/core/costs.rs
@@ -5,6 +5,10 @@
 use hyssopfork_wire::name;
 use std::collections::BTreeMap;
 
+/// Largest part of a group that one arrival counts for, in multiples of a typical request: a client may
+/// state any size.
+const MAX_ARRIVAL_FACTOR: f64 = 16.0;
+
 /// Learned sizes and times.
 ///
 /// Invariant: it has only declared models and routes, so clients can't make it grow.
@@ -65,14 +69,32 @@
         Some(engine_model::Need::new(size, output.expected(size), generated))
     }
 
-    /// Counts a request that arrived; returns its part of a group's slots, in seconds.
+    /// Whether a group can run the request; true if its size or the memory is not known.
+    pub(super) fn fits(&self, request: &request::Request) -> bool {
+        let model = self.model(&request.pool, request.model.as_ref());
+        model.zip(request.need).is_none_or(|(model, need)| model.group.fits(need))
+    }
+
+    /// Tokens that the request counts for at a group; those of a typical one if its size is not known.
+    pub(super) fn memory_tokens(&self, request: &request::Request) -> u64 {
+        let model = self.model(&request.pool, request.model.as_ref());
+        let need = model.map(|model| request.need.unwrap_or(model.mix.mean()));
+        need.map_or(0, |need| need.memory_tokens().ceil() as u64)
+    }
+
+    /// Counts a request that arrived; returns its part of a group's slots, in seconds. It is 0 if no group
+    /// can run the request.
     pub(super) fn on_arrival(&mut self, request: &request::Request) -> Option<f64> {
         let key = (request.pool.clone(), request.model.clone()?);
         let need = request.need?;
         let model = self.models.get_mut(&key)?;
+        if !model.group.fits(need) {
+            return Some(0.0);
+        }
+        let typical = model.group.slot_seconds(model.mix.mean(), &model.mix);
         let slot_seconds = model.group.slot_seconds(need, &model.mix);
         model.mix.record(need);
-        Some(slot_seconds)
+        Some(slot_seconds.min(typical * MAX_ARRIVAL_FACTOR))
     }
 
     /// Predicted time to the first event of the request at a group that has `load` other requests.
@@ -109,6 +131,7 @@
         Some(engine_model::Forecast {
             limit: model.group.limit(request.need?, time, &model.mix),
             throughput: model.group.throughput(&model.mix),
+            memory: model.group.memory(request.need?, &model.mix),
         })
     }
 
--- a/crates/hyssopfork-gateway/src/core/fleet_view.rs
+++ b/crates/hyssopfork-gateway/src/core/fleet_view.rs
@@ -136,10 +136,11 @@
         target.update_rate_share(rank, entries);
         // Requests that were sent before the target was removed, or before its group was formed
         // again, are still in flight.
-        let runs = |request: &&request::Request| {
-            request.attempt.as_ref().is_some_and(|attempt| attempt.instance == *instance)
-        };
-        target.load.own_requests = self.requests.values().filter(runs).count() as u32;
+        let attempts = self.requests.values().filter_map(|request| request.attempt.as_ref());
+        let runs = |attempt: &&request::Attempt| attempt.instance == *instance;
+        let own = attempts.filter(runs);
+        target.own_tokens = own.clone().map(|attempt| attempt.tokens).sum();
+        target.load.own_requests = own.count() as u32;
         self.targets.insert(instance.clone(), target);
     }
 }
@@ -156,6 +157,7 @@
         zone: announcement.zone.clone(),
         standing: view::Status::Present,
         load: load::Load::new(slots),
+        own_tokens: 0,
         limit: concurrency_limit::Limit::new(slots),
         health: health::Health::default(),
         recent_sends: Default::default(),
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -79,7 +79,12 @@
             meter.on_arrival(now, slot_seconds);
         }
         self.has_traffic = true;
+        let is_too_large = !self.costs.fits(&request);
         self.requests.insert(number, request);
+        if is_too_large {
+            let wait = completion::MAX_RETRY_AFTER;
+            return self.end_without_response(number, action::Reason::TooLarge, wait);
+        }
         self.dispatch(number, false);
     }
 
@@ -142,7 +147,9 @@
         let Some(request) = self.requests.get_mut(&number) else { return };
         let Some(target) = self.targets.get_mut(instance) else { return };
         let load = (target.load.estimate(now, average), target.limit.get_with(limit));
+        let tokens = self.costs.memory_tokens(request);
         target.load.own_requests += 1;
+        target.own_tokens += tokens;
         target.recent_sends.record(now);
         if let Some(limiter) = &mut target.rate_limiter {
             limiter.record(now);
@@ -154,6 +161,7 @@
             incarnation: target.incarnation.clone(),
             started_at: now,
             load_at_start: load.0,
+            tokens,
             prediction: self.costs.predict(request, load.0),
             last_bytes_at: None,
         });
@@ -443,6 +451,7 @@
         let Some(attempt) = request.attempt.take() else { return };
         if let Some(target) = self.targets.get_mut(&attempt.instance) {
             target.load.own_requests = target.load.own_requests.saturating_sub(1);
+            target.own_tokens = target.own_tokens.saturating_sub(attempt.tokens);
             let waited = now.since(attempt.started_at);
             // If only attempts with a response counted, the slowest ones would not count at all.
             if attempt.last_bytes_at.is_none()
--- a/crates/hyssopfork-gateway/src/engine_model.rs
+++ b/crates/hyssopfork-gateway/src/engine_model.rs
@@ -66,6 +66,9 @@
 /// Bounds of a correction.
 const CORRECTION_RANGE: (f64, f64) = (0.5, 3.0);
 
+/// Part of a group's memory that is kept free: outputs are longer or shorter than expected.
+const MEMORY_MARGIN: f64 = 0.05;
+
 /// Tokens that a request is expected to need.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Need {
@@ -269,6 +272,22 @@
         running.max(batch * MIN_LIMIT_RATIO)
     }
 
+    /// Whether the memory holds the request alone; if not, the group never runs it.
+    pub fn fits(&self, need: Need) -> bool {
+        self.memory_tokens.is_none_or(|tokens| need.memory_tokens() <= tokens)
+    }
+
+    /// Bound of the tokens at a group for this request; `None` if the memory is not declared.
+    pub fn memory(&self, need: Need, mix: &Mix) -> Option<Memory> {
+        let capacity = self.memory_tokens?;
+        Some(Memory {
+            capacity: capacity * (1.0 - MEMORY_MARGIN),
+            need: need.memory_tokens(),
+            typical: mix.mean.memory_tokens(),
+            slots: self.slots,
+        })
+    }
+
     /// Time from the beginning of the request's prompt to its first event, with `running` requests.
     fn first_event_seconds(&self, need: Need, running: f64, mix: &Mix) -> f64 {
         self.prefill_seconds(need) + self.first_steps(need) * self.step_seconds(running, mix)
@@ -333,6 +352,37 @@
     ratio.is_finite().then_some(ratio)
 }
 
+/// Bound of the tokens at a group for one request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Memory {
+    /// Tokens that the memory holds, less a margin.
+    capacity: f64,
+    /// Tokens of the request.
+    need: f64,
+    /// Tokens of a typical request.
+    typical: f64,
+    slots: f64,
+}
+
+impl Memory {
+    /// Typical requests by which a group with `load` requests exceeds the memory with this one; not
+    /// above 0 if it fits. Of the load, the entry's `own_requests` have `own_tokens` tokens; the others
+    /// are assumed to be like them. Requests that wait for a slot use no memory.
+    ///
+    /// A request fits into an empty group in any case: the margin is for others that run with it.
+    pub fn excess(&self, own_requests: u32, own_tokens: u64, load: f64) -> f64 {
+        if load < 1.0 {
+            return 0.0;
+        }
+        let load = load.min(f64::from(u32::MAX));
+        let (own_requests, own_tokens) = (f64::from(own_requests), own_tokens as f64);
+        let mean = (own_tokens + self.typical) / (own_requests + 1.0);
+        let tokens = own_tokens + (load - own_requests).max(0.0) * mean;
+        let running_ratio = (self.slots / load).min(1.0);
+        (tokens * running_ratio + self.need - self.capacity) / self.typical.max(1.0)
+    }
+}
+
 /// What the selection of a group for one request depends on.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Forecast {
@@ -340,6 +390,8 @@
     pub limit: f64,
     /// Requests that a full group completes per second.
     pub throughput: f64,
+    /// Bound of the tokens at a group; `None` if its memory is not declared.
+    pub memory: Option<Memory>,
 }
 
 /// Predicted time to the first event of an attempt.
--- a/crates/hyssopfork-gateway/src/request.rs
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -16,6 +16,8 @@
     pub started_at: clock::Instant,
     /// Estimated requests at the upstream when the attempt started.
     pub load_at_start: f64,
+    /// Tokens that it counts for at the upstream.
+    pub tokens: u64,
     /// Predicted time to the first event; `None` if none can be predicted.
     pub prediction: Option<engine_model::Prediction>,
     /// When the last bytes arrived.
--- a/crates/hyssopfork-gateway/src/selection.rs
+++ b/crates/hyssopfork-gateway/src/selection.rs
@@ -192,7 +192,14 @@
             Priority::Retry => target.load.slots() * RETRY_OVERSHOOT,
         };
         let margin = target.load.deviation(now, constraints.average) * UNCERTAINTY_FACTOR;
+        // A stream that lost its upstream is aborted if it is rejected, and only preempted at worst if
+        // the memory is exhausted.
+        let memory =
+            query.forecast.and_then(|it| it.memory).filter(|_| query.priority != Priority::Retry);
+        let memory_excess =
+            memory.map(|it| it.excess(target.load.own_requests, target.own_tokens, load));
         let excess = load + 1.0 + margin - limit - allowance;
+        let excess = memory_excess.map_or(excess, |memory_excess| excess.max(memory_excess));
         Candidate {
             instance,
             condition: condition(now, instance, target, constraints.pauses),
--- a/crates/hyssopfork-gateway/src/target.rs
+++ b/crates/hyssopfork-gateway/src/target.rs
@@ -57,6 +57,9 @@
     pub standing: view::Status,
     /// Estimated load.
     pub load: load::Load,
+    /// Tokens of this entry's requests at the upstream, as expected when they end; 0 if its performance
+    /// is not declared.
+    pub own_tokens: u64,
     /// Concurrency limit.
     pub limit: concurrency_limit::Limit,
     /// Failure ratio and connection backoff.
--- a/crates/hyssopfork-gateway/tests/gateway/costs.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/costs.rs
@@ -67,3 +67,43 @@
 
     assert!(sent >= 16, "{sent}");
 }
+
+/// Guards against an upstream, and the retry budget, that are used for a request which no group can run.
+#[test]
+fn a_request_larger_than_the_memory_is_rejected_at_once() {
+    let mut entry = Entry::with_performance();
+
+    let (_, decision) = entry.arrive(fixture::sized_arrival(50_000));
+
+    let rejection = fixture::rejection(&decision);
+    assert_eq!(rejection.reason, action::Reason::TooLarge);
+    assert!(rejection.reason.is_not_run() && rejection.retry_after.is_some());
+}
+
+/// Guards against groups whose memory is exhausted before their slots: they would preempt requests and
+/// process their prompts again.
+#[test]
+fn the_memory_bounds_the_requests_of_a_group() {
+    let mut entry = Entry::with_performance();
+    let (first, _) = entry.arrive(fixture::sized_arrival(20_000));
+
+    let more = count_sent(&mut entry, || fixture::sized_arrival(20_000));
+    entry.begin_stream(first);
+    entry.step(event::Event::StreamCompleted(first));
+    let after_one_ended = count_sent(&mut entry, || fixture::sized_arrival(20_000));
+
+    // A group holds 38,000 tokens beside its margin.
+    assert_eq!((more, after_one_ended), (1, 1));
+}
+
+/// Guards against a declaration without a memory, or requests without a size, that are bounded by it.
+#[test]
+fn an_undeclared_memory_bounds_nothing() {
+    let performance =
+        hyssopfork_fleet::declaration::Performance { memory_tokens: 0, ..fixture::performance() };
+    let mut entry = Entry::with_performance_of(performance);
+
+    let sent = count_sent(&mut entry, || fixture::sized_arrival(20_000));
+
+    assert_eq!(sent, 16);
+}
--- a/crates/hyssopfork-gateway/tests/gateway/demand.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/demand.rs
@@ -1,6 +1,7 @@
 //! Demand for a model.
 
 use crate::fixture;
+use hyssopfork_fleet::declaration;
 use hyssopfork_gateway::demand::Meter;
 use hyssopfork_gateway::{action, arrival, event, size};
 use hyssopfork_wire::name;
@@ -97,6 +98,30 @@
     assert!((9.3..10.2).contains(&groups(short)), "{}", groups(short));
 }
 
+/// Guards against a client that moves the groups of other models by the sizes that it states.
+#[test]
+fn absurd_sizes_hardly_count() {
+    let usual = size::Size::new(200, 100, Some(100));
+    let reported = |odd, memory_tokens| {
+        let performance = declaration::Performance { memory_tokens, ..fixture::performance() };
+        let mut entry = fixture::Entry::with_performance_of(performance);
+        for number in 0..1_000 {
+            entry.advance(20);
+            let size = Some(if number == 990 { odd } else { usual });
+            entry.arrive(arrival::Arrival { size, ..fixture::arrival("stream") });
+        }
+        entry.step(event::Event::Tick);
+        entry.reports.last().expect("it reports").demands[0].concurrency_millis
+    };
+    let largest = size::Size::new(u64::MAX, u64::MAX, Some(u64::MAX));
+
+    let calm = reported(usual, 40_000);
+    let (too_large, bounded) = (reported(largest, 40_000), reported(largest, 0));
+
+    assert!(too_large <= calm, "{calm} to {too_large}");
+    assert!(bounded < calm * 6 / 5, "{calm} to {bounded}");
+}
+
 #[test]
 fn requests_of_unknown_size_count_by_the_mean_duration() {
     let (concurrency, _) = reported_concurrency(None);
--- a/crates/hyssopfork-gateway/tests/gateway/engine_model.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/engine_model.rs
@@ -82,6 +82,30 @@
     assert_eq!(group.full_batch(&mix()), 4.0);
 }
 
+/// Guards against preemption: others' requests are as large as the entry's own, of which there are few.
+#[test]
+fn the_tokens_of_a_group_are_extrapolated_from_the_own_ones() {
+    let memory = group(8).memory(need(9_900, 100.0), &mix()).expect("a declared memory");
+
+    // Of 38,000 tokens, two own requests have 20,000 and two others 13,533.
+    assert!(memory.excess(2, 20_000, 4.0) > 0.0);
+    assert!(memory.excess(2, 20_000, 2.0) < 0.0);
+    assert!(memory.excess(2, 600, 8.0) < 0.0);
+    // Of forty requests with 80,000 tokens, eight run.
+    assert!(memory.excess(40, 80_000, 40.0) < 0.0);
+}
+
+/// Guards against a request that no group ever takes because a margin is kept for others.
+#[test]
+fn a_request_of_the_size_of_the_memory_fits_into_an_empty_group() {
+    let need = need(39_900, 100.0);
+    let memory = group(8).memory(need, &mix()).expect("a declared memory");
+
+    assert!(group(8).fits(need));
+    assert!(memory.excess(0, 0, 0.4) <= 0.0);
+    assert!(memory.excess(1, 300, 1.0) > 0.0);
+}
+
 #[test]
 fn a_request_beyond_the_slots_waits_for_one() {
     let group = group(8);
@@ -198,6 +222,7 @@
 
         prop_assert!([first, interval, duration, work].iter().all(|it| *it <= MAX_PREDICTION));
         prop_assert!((0.5..=f64::from(slots) * 1.25).contains(&limit), "{limit}");
+        prop_assert!(group.memory(need, &mix).is_none_or(|it| !it.excess(1, prompt, load).is_nan()));
         prop_assert!(group.slot_seconds(need, &mix).is_finite());
         prop_assert!(group.throughput(&mix).is_finite() && group.throughput(&mix) > 0.0);
         prop_assert!(need.memory_tokens() <= 3.0 * f64::from(MAX_TOKENS));
