--- a/crates/hyssopfork-daemon/src/log.rs
+++ b/crates/hyssopfork-daemon/src/log.rs
@@ -135,6 +135,9 @@
         registry.count_rejection(measurement.team.as_ref(), &to_refusal(reason));
     }
     let (Some(team), Some(class)) = (&measurement.team, measurement.class) else { return };
+    if let Some(ratio) = measurement.first_event_ratio {
+        registry.observe_prediction_ratio(team, class, ratio);
+    }
     for _ in 1..measurement.attempts {
         registry.count_retry(team, class);
     }
--- a/crates/hyssopfork-gateway/src/core/completion.rs
+++ b/crates/hyssopfork-gateway/src/core/completion.rs
@@ -107,6 +107,7 @@
             class: Some(request.class()),
             outcome,
             attempts: request.attempt_count,
+            first_event_ratio: request.first_event_ratio,
             total_time: self.now.since(request.arrived_at),
         }));
     }
@@ -124,6 +125,7 @@
             class: None,
             outcome: measurement::Outcome::Rejected(rejection.reason),
             attempts: 0,
+            first_event_ratio: None,
             total_time: Duration::ZERO,
         }));
         self.decide(number, action::Decision::Reject(rejection));
--- a/crates/hyssopfork-gateway/src/core/costs.rs
+++ b/crates/hyssopfork-gateway/src/core/costs.rs
@@ -142,8 +142,10 @@
         let (Some(attempt), None) = (&request.attempt, request.first_bytes_at) else { return };
         let (Some(prediction), Some(name)) = (attempt.prediction, &request.model) else { return };
         let key = (request.pool.clone(), name.clone());
+        let observed = now.since(attempt.started_at);
+        request.first_event_ratio = engine_model::ratio(observed, prediction.corrected);
         if let Some(model) = self.costs.models.get_mut(&key) {
-            model.correction.record(prediction.by_figures, now.since(attempt.started_at));
+            model.correction.record(prediction.by_figures, observed);
         }
     }
 
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -500,6 +500,7 @@
         attempt: None,
         head_forwarded: false,
         last_event: arrival.last_event,
+        first_event_ratio: None,
         first_bytes_at: None,
     }
 }
--- a/crates/hyssopfork-gateway/src/measurement.rs
+++ b/crates/hyssopfork-gateway/src/measurement.rs
@@ -16,7 +16,7 @@
 }
 
 /// Measurement of one request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Measurement {
     /// Team of the client; `None` if the route requires no key or no route matched.
     pub team: Option<name::Team>,
@@ -26,6 +26,9 @@
     pub outcome: Outcome,
     /// Number of attempts.
     pub attempts: u32,
+    /// Observed time to the first event in multiples of the predicted one; `None` if none was predicted
+    /// or no event arrived.
+    pub first_event_ratio: Option<f64>,
     /// Time from arrival to the end.
     pub total_time: Duration,
 }
--- a/crates/hyssopfork-gateway/src/request.rs
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -81,6 +81,8 @@
     pub head_forwarded: bool,
     /// Last event that the client has received.
     pub last_event: Option<u64>,
+    /// Observed time to the first event in multiples of the predicted one.
+    pub first_event_ratio: Option<f64>,
     /// When the first bytes of the response arrived.
     pub first_bytes_at: Option<clock::Instant>,
 }
--- a/crates/hyssopfork-gateway/tests/gateway/costs.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/costs.rs
@@ -107,3 +107,24 @@
 
     assert_eq!(sent, 16);
 }
+
+/// Guards against predictions whose error nobody sees.
+#[test]
+fn the_ratio_of_observed_to_predicted_time_is_measured() {
+    let mut entry = Entry::with_performance();
+    let measured = |entry: &mut Entry, arrival| {
+        let (number, _) = entry.arrive(arrival);
+        entry.advance(110);
+        entry.begin_stream(number);
+        let actions = entry.core.step(entry.now, event::Event::StreamCompleted(number));
+        let ratios = actions.into_iter().filter_map(|action| match action {
+            action::Action::Measure(measurement) => Some(measurement.first_event_ratio),
+            _ => None,
+        });
+        ratios.collect::<Vec<_>>()
+    };
+
+    // The prediction is 20 ms for the prompt and 35 ms for five steps.
+    assert_eq!(measured(&mut entry, fixture::sized_arrival(200)), [Some(2.0)]);
+    assert_eq!(measured(&mut entry, fixture::arrival("stream")), [None]);
+}
--- a/crates/hyssopfork-telemetry/src/metrics.rs
+++ b/crates/hyssopfork-telemetry/src/metrics.rs
@@ -20,6 +20,13 @@
 /// Number of buckets; the last bound is about 96 s, longer than any deadline in use.
 const BUCKET_COUNT: u16 = 27;
 
+/// Upper bound of the first bucket of a ratio of two times.
+const MIN_BUCKET_RATIO: f64 = 0.1;
+/// Ratio of successive bucket bounds of a ratio of two times.
+const RATIO_BUCKET_FACTOR: f64 = 1.25;
+/// Number of buckets of a ratio of two times; the last bound is about 22.
+const RATIO_BUCKET_COUNT: u16 = 25;
+
 /// All metrics of a process.
 ///
 /// The methods may be called from any thread: a time series is created on first use under an
@@ -30,6 +37,7 @@
     time_to_first_token: Histograms,
     inter_token_latency: Histograms,
     total_time: Histograms,
+    prediction_ratio: Histograms,
     responses: Counters<label::Request>,
     rejections: Counters<label::Rejection>,
     retries: Counters<label::Request>,
@@ -79,6 +87,11 @@
                 "whole_seconds",
                 "Time from arrival to the whole answer",
             ),
+            prediction_ratio: register_ratios(
+                metrics,
+                "first_token_prediction_ratio",
+                "Time from sending to the first part, in multiples of the predicted time",
+            ),
             responses: register_counters(metrics, "answers", "Requests answered whole"),
             rejections: register_counters(
                 metrics,
@@ -145,6 +158,16 @@
         observe(&self.time_to_first_token, team, class, time);
     }
 
+    /// Records the observed time to the first part of a response in multiples of the predicted one.
+    pub fn observe_prediction_ratio(
+        &self,
+        team: &name::Team,
+        class: configuration::Class,
+        ratio: f64,
+    ) {
+        self.prediction_ratio.get_or_create(&request_labels(team, class)).observe(ratio);
+    }
+
     /// Records the time between two parts of a response.
     pub fn observe_token_interval(
         &self,
@@ -252,6 +275,21 @@
     family
 }
 
+fn new_ratio_histogram() -> histogram::Histogram {
+    histogram::Histogram::new(histogram::exponential_buckets(
+        MIN_BUCKET_RATIO,
+        RATIO_BUCKET_FACTOR,
+        RATIO_BUCKET_COUNT,
+    ))
+}
+
+fn register_ratios(registry: &mut registry::Registry, name: &str, help: &str) -> Histograms {
+    let constructor = new_ratio_histogram as fn() -> histogram::Histogram;
+    let family = Histograms::new_with_constructor(constructor);
+    registry.register(name, help, family.clone());
+    family
+}
+
 fn register_counters<L>(registry: &mut registry::Registry, name: &str, help: &str) -> Counters<L>
 where
     L: Clone
--- a/crates/hyssopfork-telemetry/tests/metrics.rs
+++ b/crates/hyssopfork-telemetry/tests/metrics.rs
@@ -24,6 +24,26 @@
     assert!(text.contains(expected), "{text}");
 }
 
+/// Guards against buckets that can't show whether predictions are a fifth too short.
+#[test]
+fn ratios_of_observed_to_predicted_times_are_recorded_in_fine_buckets() {
+    let registry = metrics::Registry::new();
+
+    registry.observe_prediction_ratio(&team(), CLASS, 0.9);
+    registry.observe_prediction_ratio(&team(), CLASS, 1.2);
+
+    let text = registry.encode();
+    let name = "hyssopfork_first_token_prediction_ratio";
+    let counts: Vec<&str> = text
+        .lines()
+        .filter(|line| line.starts_with(&format!("{name}_bucket")))
+        .filter_map(|line| line.rsplit(' ').next())
+        .collect();
+    // Counts are cumulative: between the two ratios a bucket holds only the first.
+    assert!(counts.contains(&"0") && counts.contains(&"1") && counts.contains(&"2"), "{text}");
+    assert!(text.contains(&format!("{name}_count{{team=\"lagos-steel\"")), "{text}");
+}
+
 #[test]
 fn rejections_are_labelled_with_the_reason_and_whether_the_request_ran() {
     let registry = metrics::Registry::new();
