gateway: don't shorten predicted waits by early first events

The correction of a model applied to the whole time to the first event. Where first events come earlier after the prompt than the figures say, the wait for a place was taken to be shorter too, and a group was given more requests than can begin on time. A correction below 1 now applies to prompts and steps only; one above 1 still to the wait as well, since a wait that was not foreseen shows in the same ratio.

With responses in half of the predicted time and an objective of 300 ms, the test's group of 8 slots takes between 8.5 and 8.6 requests.

--- a/crates/hyssopfork-gateway/src/core/costs.rs
+++ b/crates/hyssopfork-gateway/src/core/costs.rs
@@ -104,9 +104,7 @@
         load: f64,
     ) -> Option<engine_model::Prediction> {
         let model = self.model(&request.pool, request.model.as_ref())?;
-        let by_figures = model.group.first_event(request.need?, load, &model.mix);
-        let corrected = by_figures.mul_f64(model.correction.factor());
-        Some(engine_model::Prediction { by_figures, corrected })
+        Some(model.group.first_event(request.need?, load, &model.mix, model.correction))
     }
 
     /// Adds a finished stream of `events` events.
@@ -127,9 +125,8 @@
         let left = self.now.until(request.on_time_until);
         // A request that is late already counts like others of its objective.
         let time = if left.is_zero() { request.objective } else { left.min(request.objective) };
-        let time = time.div_f64(model.correction.factor());
         Some(engine_model::Forecast {
-            limit: model.group.limit(request.need?, time, &model.mix),
+            limit: model.group.limit(request.need?, time, &model.mix, model.correction),
             throughput: model.group.throughput(&model.mix),
             memory: model.group.memory(request.need?, &model.mix),
         })
--- a/crates/hyssopfork-gateway/src/engine_model.rs
+++ b/crates/hyssopfork-gateway/src/engine_model.rs
@@ -49,8 +49,8 @@
 /// requests than its slots and rejects others.
 const MAX_WAITING_RATIO: f64 = 0.25;
 
-/// Lowest limit, as a part of a full batch. A group with fewer requests loses more throughput than the
-/// requests on time are worth.
+/// Lowest limit, as a part of a full batch: fewer requests share the fixed time of a step, so that a group
+/// loses throughput with a lower limit.
 const MIN_LIMIT_RATIO: f64 = 0.6;
 
 /// Lowest weight of the newest response in a [`Correction`] (EWMA).
@@ -240,11 +240,22 @@
 
     /// Time from the arrival of a request to its first event at a group that has `load` other
     /// requests.
-    pub fn first_event(&self, need: Need, load: f64, mix: &Mix) -> Duration {
+    pub fn first_event(
+        &self,
+        need: Need,
+        load: f64,
+        mix: &Mix,
+        correction: Correction,
+    ) -> Prediction {
         let batch = self.full_batch(mix);
         let waiting = time_until_place(load, batch, self.throughput(mix)).as_secs_f64();
         let running = (load.max(0.0) + 1.0).min(batch);
-        prediction(waiting + self.first_event_seconds(need, running, mix))
+        let beginning = self.first_event_seconds(need, running, mix);
+        let factor = correction.factor();
+        Prediction {
+            by_figures: prediction(waiting + beginning),
+            corrected: prediction(waiting * factor.max(1.0) + beginning * factor),
+        }
     }
 
     /// Requests that the group may have, including this one, so that its first event is predicted
@@ -252,12 +263,13 @@
     ///
     /// A request that can't begin in time even at an empty group gets the limit of a full batch:
     /// fewer requests at the group would not make it be on time.
-    pub fn limit(&self, need: Need, time: Duration, mix: &Mix) -> f64 {
-        let time = time.as_secs_f64();
+    pub fn limit(&self, need: Need, time: Duration, mix: &Mix, correction: Correction) -> f64 {
+        let factor = correction.factor();
+        let time = time.as_secs_f64() / factor;
         let batch = self.full_batch(mix);
         let at_full = self.first_event_seconds(need, batch, mix);
         if at_full <= time {
-            let places = (time - at_full) * self.throughput(mix);
+            let places = (time - at_full) * factor.min(1.0) * self.throughput(mix);
             // The deviation of the time until some places become free grows with their square root.
             let root =
                 ((WAIT_DEVIATIONS * WAIT_DEVIATIONS + 4.0 * places).sqrt() - WAIT_DEVIATIONS) / 2.0;
@@ -316,6 +328,9 @@
 
 /// Correction of the predicted time to the first event of a model's requests, learned from responses
 /// (EWMA of the logarithm of the ratio, which a few very late responses hardly change).
+///
+/// It can lengthen the predicted wait for a place but not shorten it: first events that come early after
+/// short waits or none don't show that requests end earlier.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Correction {
     log_ratio: f64,
--- a/crates/hyssopfork-gateway/tests/gateway/engine_model.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/engine_model.rs
@@ -29,6 +29,16 @@
     Mix::new(&fixture::performance())
 }
 
+/// Time to the first event without a correction.
+fn first_event(group: Group, need: Need, load: f64) -> Duration {
+    group.first_event(need, load, &mix(), Correction::default()).by_figures
+}
+
+/// Limit for a request with a prompt of this many tokens and 300 ms to its first event.
+fn corrected_limit(prompt: u64, correction: Correction) -> f64 {
+    group(8).limit(need(prompt, 100.0), Duration::from_millis(300), &mix(), correction)
+}
+
 /// The times of the fixture's figures, computed by hand: a step of 14 ms with eight requests, a prompt
 /// of 200 tokens in 20 ms.
 #[test]
@@ -37,7 +47,7 @@
 
     assert_eq!(group.work(need(200, 100.0), &mix()), Duration::from_millis(20 + 175));
     assert_eq!(group.event_interval(1.0, &mix()), Duration::from_millis(5 * 7));
-    assert_eq!(group.first_event(need(200, 100.0), 0.0, &mix()), Duration::from_millis(20 + 35));
+    assert_eq!(first_event(group, need(200, 100.0), 0.0), Duration::from_millis(20 + 35));
     // Seven others process their prompts of 20 ms within 100 steps.
     assert_eq!(group.event_interval(8.0, &mix()), Duration::from_millis(5 * 14 + 7));
 }
@@ -68,8 +78,8 @@
     let slow = group_with(8, 2.0, fixture::performance()).expect("plausible figures");
 
     assert_eq!(slow.work(need(200, 100.0), &mix()), group(8).work(need(200, 100.0), &mix()) * 2);
-    let first_event = |group: Group| group.first_event(need(200, 100.0), 9.0, &mix());
-    assert_eq!(first_event(slow), first_event(group(8)) * 2);
+    let of_short = |group| first_event(group, need(200, 100.0), 9.0);
+    assert_eq!(of_short(slow), of_short(group(8)) * 2);
 }
 
 /// Guards against a prediction by slots that the memory doesn't allow to fill.
@@ -110,8 +120,8 @@
 fn a_request_beyond_the_slots_waits_for_one() {
     let group = group(8);
 
-    let free = group.first_event(mix().mean(), 7.0, &mix());
-    let waiting = group.first_event(mix().mean(), 9.0, &mix());
+    let free = first_event(group, mix().mean(), 7.0);
+    let waiting = first_event(group, mix().mean(), 9.0);
 
     let places = 2.0 / group.throughput(&mix());
     assert!(((waiting - free).as_secs_f64() - places).abs() < 1e-6, "{free:?}, {waiting:?}");
@@ -126,23 +136,23 @@
 /// at an empty group as well.
 #[test]
 fn the_limit_is_the_highest_load_at_which_a_request_is_on_time() {
-    let limit = |prompt| group(8).limit(need(prompt, 100.0), Duration::from_millis(300), &mix());
-    let first_event =
-        |prompt, load| group(8).first_event(need(prompt, 100.0), load, &mix()).as_millis();
+    let limit = |prompt| corrected_limit(prompt, Correction::default());
+    let begins = |prompt, load| first_event(group(8), need(prompt, 100.0), load).as_millis();
 
     let (short, long, longest) = (limit(200), limit(2_200), limit(5_000));
 
     assert!((8.3..8.5).contains(&short), "{short}");
-    assert!(first_event(200, short - 1.0) < 300);
+    assert!(begins(200, short - 1.0) < 300);
     assert!((6.0..7.0).contains(&long), "{long}");
-    assert_eq!(first_event(2_200, long - 1.0), 300);
+    assert_eq!(begins(2_200, long - 1.0), 300);
     assert_eq!(longest, 8.0);
 }
 
 /// Guards against groups whose own queues are filled because requests have time.
 #[test]
 fn requests_with_much_time_wait_in_small_numbers() {
-    let limit = group(48).limit(need(200, 100.0), Duration::from_secs(30), &mix());
+    let limit =
+        group(48).limit(need(200, 100.0), Duration::from_secs(30), &mix(), Correction::default());
 
     assert_eq!(limit, 48.0 * 1.25);
 }
@@ -157,6 +167,23 @@
     assert!((1.45..1.51).contains(&correction.factor()), "{}", correction.factor());
 }
 
+/// Guards against more waiting requests than places become free, because first events come earlier after
+/// a prompt than predicted.
+#[test]
+fn a_correction_below_one_shortens_no_wait() {
+    let mut correction = Correction::default();
+    let predicted = Duration::from_millis(100);
+    (0..300).for_each(|_| correction.record(predicted, predicted / 2));
+
+    let waiting = group(8).first_event(mix().mean(), 9.0, &mix(), correction);
+    let limit = corrected_limit(200, correction);
+
+    // Two places become free within 390 ms, and 97 ms are halved.
+    assert!((435..442).contains(&waiting.corrected.as_millis()), "{waiting:?}");
+    // Of 300 ms, 251 ms are left to wait: 1.29 places on average.
+    assert!((8.5..8.6).contains(&limit), "{limit}");
+}
+
 /// Guards against a model that one stalled engine makes seem slow, and against a division by zero.
 #[test]
 fn a_few_absurd_times_hardly_change_the_correction() {
@@ -214,10 +241,12 @@
         let mut mix = Mix::new(&performance);
         let need = Need::new(Size::new(prompt, prompt, Some(prompt)), output, generated);
         mix.record(need);
+        let mut correction = Correction::default();
+        correction.record(Duration::from_millis(millis), Duration::from_millis(prompt >> 20));
 
-        let first = group.first_event(need, load, &mix);
+        let first = group.first_event(need, load, &mix, correction).corrected;
         let interval = group.event_interval(load, &mix);
-        let limit = group.limit(need, first, &mix);
+        let limit = group.limit(need, first, &mix, correction);
         let (duration, work) = (group.duration(need, load, &mix), group.work(need, &mix));
 
         prop_assert!([first, interval, duration, work].iter().all(|it| *it <= MAX_PREDICTION));
