--- a/crates/hyssopfork-gateway/src/core/completion.rs
+++ b/crates/hyssopfork-gateway/src/core/completion.rs
@@ -11,7 +11,7 @@
 const MIN_LATE_RETRY_AFTER: Duration = Duration::from_millis(600);
 
 /// Longest `Retry-After`: the current state says little about later times.
-const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_500);
+pub(super) const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 
 impl Core {
     pub(super) fn complete(&mut self, number: u64, status: u16) {
@@ -107,6 +107,7 @@
             class: Some(request.class()),
             outcome,
             attempts: request.attempt_count,
+            first_event_ratio: request.first_event_ratio,
             total_time: self.now.since(request.arrived_at),
         }));
     }
@@ -124,6 +125,7 @@
             class: None,
             outcome: measurement::Outcome::Rejected(rejection.reason),
             attempts: 0,
+            first_event_ratio: None,
             total_time: Duration::ZERO,
         }));
         self.decide(number, action::Decision::Reject(rejection));
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -70,13 +70,21 @@
         };
         let is_first = arrival.last_event.is_none();
         let metered = model.as_ref().filter(is_declared).filter(|_| is_first).cloned();
-        let request = new_request(now, arrival, matched, pool, model);
+        let mut request = new_request(now, arrival, matched, pool, model);
+        request.need = self.costs.need(&request);
         if let Some(model) = metered {
+            let slot_seconds = self.costs.on_arrival(&request);
             let key = (request.pool.clone(), model);
-            self.demands.entry(key).or_insert_with(|| demand::Meter::new(now)).on_arrival(now);
+            let meter = self.demands.entry(key).or_insert_with(|| demand::Meter::new(now));
+            meter.on_arrival(now, slot_seconds);
         }
         self.has_traffic = true;
+        let is_too_large = !self.costs.fits(&request);
         self.requests.insert(number, request);
+        if is_too_large {
+            let wait = completion::MAX_RETRY_AFTER;
+            return self.end_without_response(number, action::Reason::TooLarge, wait);
+        }
         self.dispatch(number, false);
     }
 
@@ -124,7 +132,8 @@
         let Some(request) = self.requests.get(&number) else { return };
         let target = best.as_ref().and_then(|best| self.targets.get(best));
         let average = self.average_load(&request.pool, request.model.as_ref());
-        let load = target.map(|it| (it.load.estimate(now, average), it.limit.get()));
+        let limit = self.forecast(request).map(|forecast| forecast.limit);
+        let load = target.map(|it| (it.load.estimate(now, average), it.limit.get_with(limit)));
         let report_age = target.and_then(|it| it.load.report_age(now));
         let identifier = request.identifier.clone();
         self.log(notice::Notice::Full { identifier, best, load, report_age });
@@ -134,10 +143,13 @@
         let now = self.now;
         let Some(request) = self.requests.get(&number) else { return };
         let average = self.average_load(&request.pool, request.model.as_ref());
+        let limit = self.forecast(request).map(|forecast| forecast.limit);
         let Some(request) = self.requests.get_mut(&number) else { return };
         let Some(target) = self.targets.get_mut(instance) else { return };
-        let load = (target.load.estimate(now, average), target.limit.get());
+        let load = (target.load.estimate(now, average), target.limit.get_with(limit));
+        let tokens = self.costs.memory_tokens(request);
         target.load.own_requests += 1;
+        target.own_tokens += tokens;
         target.recent_sends.record(now);
         if let Some(limiter) = &mut target.rate_limiter {
             limiter.record(now);
@@ -149,6 +161,8 @@
             incarnation: target.incarnation.clone(),
             started_at: now,
             load_at_start: load.0,
+            tokens,
+            prediction: self.costs.predict(request, load.0),
             last_bytes_at: None,
         });
         let start = action::Start {
@@ -213,6 +227,7 @@
     pub(super) fn on_events(&mut self, number: u64, last: Option<u64>) {
         let now = self.now;
         self.on_bytes(number, None);
+        self.record_first_event(number);
         let Some(request) = self.requests.get_mut(&number) else { return };
         request.last_event = last.or(request.last_event);
         request.first_bytes_at.get_or_insert(now);
@@ -228,11 +243,10 @@
         let Some(target) = self.targets.get_mut(&attempt.instance) else { return };
         target.on_bytes(now);
         if is_first {
-            target.limit.on_response(
-                now.since(attempt.started_at),
-                objective,
-                attempt.load_at_start,
-            );
+            let time = now.since(attempt.started_at);
+            if !attempt.is_late_as_predicted(time, objective) {
+                target.limit.on_response(time, objective, attempt.load_at_start);
+            }
             self.move_buckets.entry(target.pool.clone()).or_default().add_for_response();
         }
         if let Some(report) = report {
@@ -300,6 +314,7 @@
 
     pub(super) fn on_stream_completed(&mut self, number: u64) {
         self.record_completion(number);
+        self.record_output_length(number);
         self.finish_attempt(number, true);
         self.complete(number, 200);
     }
@@ -436,9 +451,13 @@
         let Some(attempt) = request.attempt.take() else { return };
         if let Some(target) = self.targets.get_mut(&attempt.instance) {
             target.load.own_requests = target.load.own_requests.saturating_sub(1);
+            target.own_tokens = target.own_tokens.saturating_sub(attempt.tokens);
             let waited = now.since(attempt.started_at);
             // If only attempts with a response counted, the slowest ones would not count at all.
-            if attempt.last_bytes_at.is_none() && waited > request.objective {
+            if attempt.last_bytes_at.is_none()
+                && waited > request.objective
+                && !attempt.is_late_as_predicted(waited, request.objective)
+            {
                 target.limit.on_response(waited, request.objective, attempt.load_at_start);
             }
         }
@@ -466,6 +485,7 @@
         pool,
         model,
         size: arrival.size,
+        need: None,
         rank: matched.team.and_then(|team| team.priority).unwrap_or(route.priority),
         repetition: route.repetition,
         max_attempts: route.attempts.max(1),
@@ -480,6 +500,7 @@
         attempt: None,
         head_forwarded: false,
         last_event: arrival.last_event,
+        first_event_ratio: None,
         first_bytes_at: None,
     }
 }
--- a/crates/hyssopfork-gateway/src/request.rs
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -1,6 +1,6 @@
 //! Requests of an entry.
 
-use crate::{content, selection, size, target};
+use crate::{content, engine_model, selection, size, target};
 use hyssopfork_fleet::{declaration, quarantine};
 use hyssopfork_wire::{clock, configuration, name};
 use std::time::Duration;
@@ -16,10 +16,23 @@
     pub started_at: clock::Instant,
     /// Estimated requests at the upstream when the attempt started.
     pub load_at_start: f64,
+    /// Tokens that it counts for at the upstream.
+    pub tokens: u64,
+    /// Predicted time to the first event; `None` if none can be predicted.
+    pub prediction: Option<engine_model::Prediction>,
     /// When the last bytes arrived.
     pub last_bytes_at: Option<clock::Instant>,
 }
 
+impl Attempt {
+    /// Whether a response after `time` that missed the objective was predicted to do so: then it says
+    /// nothing of the upstream.
+    pub fn is_late_as_predicted(&self, time: Duration, objective: Duration) -> bool {
+        let is_late = |predicted: &engine_model::Prediction| predicted.corrected > objective;
+        time > objective && self.prediction.as_ref().is_some_and(is_late)
+    }
+}
+
 /// A request.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -37,6 +50,9 @@
     pub model: Option<name::Model>,
     /// Size in tokens; `None` if it is not known.
     pub size: Option<size::Size>,
+    /// Tokens that it is expected to need; `None` if its size or the performance of the pool is not
+    /// known.
+    pub need: Option<engine_model::Need>,
     /// Priority of the team, or else of the route; 0 is the highest.
     pub rank: u32,
     /// Whether the work may run more than once.
@@ -65,6 +81,8 @@
     pub head_forwarded: bool,
     /// Last event that the client has received.
     pub last_event: Option<u64>,
+    /// Observed time to the first event in multiples of the predicted one.
+    pub first_event_ratio: Option<f64>,
     /// When the first bytes of the response arrived.
     pub first_bytes_at: Option<clock::Instant>,
 }
--- a/crates/hyssopfork-gateway/tests/gateway/main.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/main.rs
@@ -1,12 +1,15 @@
 //! Decisions of the entry, tested without network or clock.
 
 mod concurrency_limit;
+mod costs;
 mod crash;
 mod demand;
+mod engine_model;
 mod fixture;
 mod health;
 mod leaving;
 mod moves;
+mod output_length;
 mod overload;
 mod pause;
 mod queue;
