fleet: evaluate the capacity plan while groups are repaired

The plan could change only while every group of the pool served. With an engine lost every three seconds there is rarely such a moment, so the first change came seconds after a clear signal.

The demand is now measured all the time and the plan may change unless a group is being closed, a zone is out or a domain is out (most of its instances lost or most of its groups stalled, and two seconds after that). A model that lost a group precedes models that only grow by the new plan, and the last serving group of a model with demand is not closed. Where a plan follows the demand, surplus groups are closed during repairs as well, one at a time.

--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -25,6 +25,7 @@
 mod planner;
 mod rebalance;
 mod recovery;
+mod repairs;
 pub mod reports;
 mod reserves;
 
@@ -103,6 +104,7 @@
     report_bucket: pace::Bucket,
     domain_peaks: peaks::Peaks,
     demand: demand::Demand,
+    established: repairs::Established,
     layout_cache: plan::Cache,
     /// Loads onto hosts that were ordered and that the engines have not announced yet.
     pending_stagings: BTreeMap<name::Instance, (name::Model, clock::Instant)>,
@@ -132,6 +134,7 @@
             report_bucket: pace::Bucket::new(now),
             domain_peaks: peaks::Peaks::default(),
             demand: demand::Demand::default(),
+            established: repairs::Established::default(),
             layout_cache: plan::Cache::default(),
             pending_stagings: BTreeMap::new(),
             pending_orders: BTreeMap::new(),
--- a/crates/hyssopfork-fleet/src/groups/demand.rs
+++ b/crates/hyssopfork-fleet/src/groups/demand.rs
@@ -47,6 +47,10 @@
 /// Time without a change after which the interval is [`MIN_CHANGE_INTERVAL`] again.
 const INTERVAL_RESET: Duration = Duration::from_secs(300);
 
+/// Time after an outage before the demand is measured again. Entries halve the weight of an arrival in
+/// that time.
+const OUTAGE_SETTLE_TIME: Duration = Duration::from_secs(2);
+
 /// Largest load of one model that is believed, in groups.
 const MAX_LOAD: f64 = 10_000.0;
 
@@ -64,6 +68,17 @@
     }
 }
 
+/// What a pool's plan is evaluated against.
+#[derive(Clone, Copy, Debug)]
+pub struct Input<'a> {
+    /// The pool's engines, as declared.
+    pub engine: &'a declaration::Engine,
+    /// Recent peak count of the instances of each domain.
+    pub domains: &'a BTreeMap<name::Domain, usize>,
+    /// The pool's models.
+    pub models: &'a [plan::Model],
+}
+
 /// Reason for a change of a pool's plan.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Change {
@@ -95,6 +110,8 @@
     basis: Option<Basis>,
     evaluated_at: Option<clock::Instant>,
     changed_at: Option<clock::Instant>,
+    /// Latest time at which a domain or a zone was out.
+    suspended_at: Option<clock::Instant>,
     interval: Duration,
     /// Loads at the latest evaluations.
     ///
@@ -169,24 +186,49 @@
         self.reports.values().any(|(at, demands)| is_fresh(at) && has_demand(demands))
     }
 
-    /// Replaces the pool's plan if the demand calls for it; returns the change.
+    /// Whether entries have reported demand for the model recently.
+    pub fn is_requested(
+        &self,
+        now: clock::Instant,
+        pool: &name::Pool,
+        model: &name::Model,
+    ) -> bool {
+        let is_for_model =
+            |it: &peer::Demand| it.pool == *pool && it.model == *model && it.concurrency_millis > 0;
+        let mut fresh = self.reports.values().filter(|(at, _)| now.since(*at) < MAX_REPORT_AGE);
+        fresh.any(|(_, demands)| demands.iter().any(is_for_model))
+    }
+
+    /// Drops the latest measurements of the pool: while a domain or a zone is out, they don't show the
+    /// demand that the plan has to carry.
+    pub fn suspend(&mut self, now: clock::Instant, pool: &name::Pool) {
+        if let Some(state) = self.pools.get_mut(pool) {
+            state.latest.clear();
+            state.suspended_at = Some(now);
+        }
+    }
+
+    /// Measures the demand, and replaces the pool's plan if the demand calls for it and `may_change`
+    /// holds; returns the change.
     pub fn evaluate(
         &mut self,
         now: clock::Instant,
         pool: &name::Pool,
-        engine: &declaration::Engine,
-        domains: &BTreeMap<name::Domain, usize>,
-        models: &[plan::Model],
+        input: &Input<'_>,
+        may_change: bool,
     ) -> Option<Change> {
+        let Input { engine, domains, models } = *input;
         self.reports.retain(|_, (at, _)| now.since(*at) < MAX_REPORT_AGE);
         let state = self.pools.entry(pool.clone()).or_default();
-        if state.evaluated_at.is_some_and(|at| now.since(at) < EVALUATION_INTERVAL) {
+        if state.evaluated_at.is_some_and(|at| now.since(at) < EVALUATION_INTERVAL)
+            || state.suspended_at.is_some_and(|at| now.since(at) < OUTAGE_SETTLE_TIME)
+        {
             return None;
         }
         let last_evaluation = state.evaluated_at.replace(now).unwrap_or(now);
         let basis = measure(self.reports.values().flat_map(|(_, demands)| demands), pool, engine)
             .and_then(|current| state.update_peaks(now.since(last_evaluation), current));
-        if state.changed_at.is_some_and(|at| now.since(at) < state.interval) {
+        if !may_change || state.changed_at.is_some_and(|at| now.since(at) < state.interval) {
             return None;
         }
         let layout = |basis: Option<&Basis>| {
--- a/crates/hyssopfork-fleet/src/groups/forming.rs
+++ b/crates/hyssopfork-fleet/src/groups/forming.rs
@@ -133,8 +133,8 @@
         !self.is_below_attainable(context, model) && context.models.iter().any(is_short)
     }
 
-    /// Other models with a lower fill ratio than `model`: engines whose last group was one of theirs
-    /// are kept for them. When survivors of a group of four joined groups of two, the larger model had
+    /// Other models with a lower fill ratio than `model`, or with a group to repair while `model` would
+    /// only grow: engines whose last group was one of theirs are kept for them. When survivors of a group of four joined groups of two, the larger model had
     /// no group until another four engines had loaded its weights.
     fn models_to_keep_engines_for<'s>(
         &self,
@@ -142,10 +142,14 @@
         model: &plan::Model,
     ) -> Vec<&'s name::Model> {
         let ratio = self.fill_ratio(context, model, 0);
+        let is_growing = !self.is_under_repair(context, model);
         let is_kept_for = |other: &&plan::Model| {
-            other.name != model.name
-                && self.is_below_attainable(context, other)
-                && self.fill_ratio(context, other, 0) < ratio
+            let precedes = match self.is_under_repair(context, other) {
+                true if is_growing => true,
+                false if !is_growing => false,
+                _ => self.fill_ratio(context, other, 0) < ratio,
+            };
+            other.name != model.name && self.is_below_attainable(context, other) && precedes
         };
         context.models.iter().filter(is_kept_for).map(|other| &other.name).collect()
     }
@@ -155,12 +159,16 @@
         context.counts.usable_groups(&model.name) < context.attainable_groups(model)
     }
 
-    /// Models with fewer groups than planned, the one with the lowest fill ratio first.
+    /// Models with fewer groups than planned: those with a group to repair first, then the one with the
+    /// lowest fill ratio.
     pub(super) fn models_below_plan<'s>(&self, context: &'s Context<'_>) -> Vec<&'s plan::Model> {
         let mut models: Vec<&plan::Model> =
             context.models.iter().filter(|model| self.is_below_plan(context, model)).collect();
         models.sort_by(|left, right| {
-            self.fill_ratio(context, left, 0).total_cmp(&self.fill_ratio(context, right, 0))
+            let is_growing = |model: &plan::Model| !self.is_under_repair(context, model);
+            let ratio = |model: &plan::Model| self.fill_ratio(context, model, 0);
+            let by_ratio = ratio(left).total_cmp(&ratio(right));
+            is_growing(left).cmp(&is_growing(right)).then(by_ratio)
         });
         models
     }
--- a/crates/hyssopfork-fleet/src/groups/planner.rs
+++ b/crates/hyssopfork-fleet/src/groups/planner.rs
@@ -7,7 +7,7 @@
 //! whichever member is lost.
 
 use super::group::Phase;
-use super::{Command, Groups, counts, plan};
+use super::{Command, Groups, counts, demand, plan};
 use crate::announcement::{self, Membership};
 use crate::{declaration, notice, registry};
 use hyssopfork_wire::{clock, name};
@@ -105,13 +105,15 @@
     ) {
         let models: Vec<plan::Model> = engine.models.iter().map(plan_model).collect();
         let no_zones = BTreeSet::new();
-        let peak_counts = self.domain_peaks.update(
-            now,
-            pool,
-            &count_usable_engines(now, pool, registry, &no_zones),
-        );
-        if self.may_replace_plan(now, pool, zones_out) {
-            let change = self.demand.evaluate(now, pool, engine, &peak_counts, &models);
+        let usable_counts = count_usable_engines(now, pool, registry, &no_zones);
+        let peak_counts = self.domain_peaks.update(now, pool, &usable_counts);
+        let is_domain_out = || self.is_domain_out(now, pool, &usable_counts, &peak_counts);
+        if !zones_out.is_empty() || is_domain_out() {
+            self.demand.suspend(now, pool);
+        } else if self.has_traffic && self.is_startup_complete(now) {
+            let may_change = !self.is_closing_group(pool);
+            let input = demand::Input { engine, domains: &peak_counts, models: &models };
+            let change = self.demand.evaluate(now, pool, &input, may_change);
             if let Some(change) = change {
                 self.push_notice(notice::Notice::Replanned(pool.clone(), change.to_string()));
             }
@@ -154,6 +156,7 @@
             candidates: Vec::new(),
         };
         context.counts = self.count_groups(&context);
+        self.update_established(&context);
         context.candidates = self.candidates(&context);
         self.request_reports(&context);
         self.form_groups(&mut context);
@@ -164,21 +167,9 @@
         self.stage_second_models(&context);
     }
 
-    /// Whether the pool's plan may follow the demand now. While groups are being formed or ended, or a
-    /// zone is out, engines are needed to repair what is lost.
-    fn may_replace_plan(
-        &self,
-        now: clock::Instant,
-        pool: &name::Pool,
-        zones_out: &BTreeSet<name::Zone>,
-    ) -> bool {
-        let is_steady =
-            |group: &super::Group| group.phase == Phase::Serving || group.phase.is_reserve();
-        let mut groups = self.groups.values().filter(|group| group.pool == *pool);
-        self.has_traffic
-            && zones_out.is_empty()
-            && self.is_startup_complete(now)
-            && groups.all(is_steady)
+    /// Whether a group of the pool is being closed.
+    fn is_closing_group(&self, pool: &name::Pool) -> bool {
+        self.groups.values().any(|group| group.pool == *pool && group.phase == Phase::Closing)
     }
 
     /// Engines that a group may be formed of: free ones and reserves.
--- a/crates/hyssopfork-fleet/src/groups/rebalance.rs
+++ b/crates/hyssopfork-fleet/src/groups/rebalance.rs
@@ -1,7 +1,7 @@
 //! Rebalances groups among models: closes a group of one model so that another model gets one.
 
 use super::group::Phase;
-use super::planner::Context;
+use super::planner::{self, Context};
 use super::{Groups, plan};
 use crate::registry;
 use hyssopfork_wire::name;
@@ -39,19 +39,47 @@
             return;
         }
         let is_short = |model: &&plan::Model| self.is_below_attainable(context, model);
-        let Some(recipient) = self.models_below_plan(context).into_iter().find(is_short) else {
+        let mut recipients = self.models_below_plan(context);
+        recipients.retain(is_short);
+        if recipients.is_empty() {
             return self.close_surplus_group(context);
-        };
+        }
+        // While the first one waits for engines to repair a group, others may grow without them.
+        let is_repair = |model: &&plan::Model| self.is_under_repair(context, model);
+        let considered = recipients.iter().take_while(|it| is_repair(it)).count() + 1;
+        let mut chosen =
+            recipients.iter().take(considered).map(|it| self.choose_donor_group(context, it));
+        if let Some(name) = chosen.find_map(|name| name) {
+            self.enter_phase(context.now, &name, Phase::Closing);
+        }
+    }
+
+    /// Chooses a group of a model with a sufficiently higher fill ratio to be closed for `recipient`.
+    fn choose_donor_group(
+        &self,
+        context: &Context<'_>,
+        recipient: &plan::Model,
+    ) -> Option<name::Group> {
         let ratio = self.fill_ratio(context, recipient, 0);
-        let donors = context.models.iter().filter(|model| {
+        let mut donors = context.models.iter().filter(|model| {
             model.name != recipient.name
                 && self.fill_ratio(context, model, -1) >= ratio + MIN_FILL_RATIO_GAIN
+                && self.may_close_group(context, model)
         });
-        let chosen =
-            donors.filter_map(|donor| self.find_donor_group(context, donor, recipient)).next();
-        if let Some(name) = chosen {
-            self.enter_phase(context.now, &name, Phase::Closing);
-        }
+        donors.find_map(|donor| self.find_donor_group(context, donor, recipient))
+    }
+
+    /// Whether one of the model's groups may be closed: another one serves, or clients don't ask for
+    /// the model. Groups that are being formed don't count, since their formation may fail.
+    fn may_close_group(&self, context: &Context<'_>, model: &plan::Model) -> bool {
+        let is_serving = |group: &&super::Group| {
+            group.pool == *context.pool
+                && group.model == model.name
+                && group.phase == Phase::Serving
+                && context.is_in_active_zone(group)
+        };
+        !self.demand.is_requested(context.now, context.pool, &model.name)
+            || self.groups.values().filter(is_serving).nth(1).is_some()
     }
 
     /// Closes a group of a model that has more than planned, if its domain lacks instances in reserve:
@@ -61,7 +89,10 @@
         let is_steady =
             |group: &super::Group| group.phase == Phase::Serving || group.phase.is_reserve();
         let mut groups = self.groups.values().filter(|group| group.pool == *context.pool);
-        if !context.zones_out.is_empty() || !groups.all(is_steady) {
+        // Where the plan follows the demand, groups may be formed meanwhile: with frequent losses,
+        // some are at any time.
+        let is_changed = self.demand.basis(context.pool).is_some();
+        if !context.zones_out.is_empty() || !is_changed && !groups.all(is_steady) {
             return;
         }
         let lacks_reserve = |domain: &name::Domain| {
@@ -78,6 +109,7 @@
                     context.counts.usable_groups(&model.name) > context.planned_groups(model)
                         && context.counts.groups_in_domain(&key)
                             > context.planned_groups_in(model, &group.domain)
+                        && self.may_close_group(context, model)
                 })
                 && lacks_reserve(&group.domain)
         };
@@ -100,6 +132,13 @@
             record.last_model.as_ref() == Some(&recipient.name)
                 || announcement.staged.contains(&recipient.name)
         };
+        let is_repair = |model: &&plan::Model| {
+            model.name != recipient.name
+                && self.is_under_repair(context, model)
+                && !self.is_under_repair(context, recipient)
+        };
+        let repaired = context.models.iter().filter(is_repair);
+        let kept_for: Vec<&name::Model> = repaired.map(|model| &model.name).collect();
         let completes = |(name, group): (&name::Group, &super::Group)| {
             if group.pool != *context.pool
                 || group.model != donor.name
@@ -109,7 +148,11 @@
                 return None;
             }
             let here = context.candidates.iter().filter(|it| it.domain == group.domain);
-            let free = here.filter(|it| it.readiness(&recipient.name).is_some()).count();
+            let is_usable = |it: &&planner::Candidate| {
+                let is_kept = it.last_model.as_ref().is_some_and(|last| kept_for.contains(&last));
+                it.readiness(&recipient.name).is_some() && !is_kept
+            };
+            let free = here.filter(is_usable).count();
             let members = group.members.iter().filter_map(|it| context.registry.get(it));
             let given = members.filter(|record| record.is_healthy() && at_hand(record)).count();
             (free + given >= recipient.size).then(|| name.clone())
--- a/crates/hyssopfork-fleet/tests/fleet/demand.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/demand.rs
@@ -1,7 +1,7 @@
 //! Capacity plans that follow the demand, and demand that must not move groups back and forth.
 
 use crate::{fixture, world};
-use hyssopfork_fleet::groups::demand::{Change, Demand};
+use hyssopfork_fleet::groups::demand::{Change, Demand, Input};
 use hyssopfork_fleet::groups::plan;
 use hyssopfork_fleet::{declaration, notice, peer};
 use hyssopfork_wire::{clock, name};
@@ -83,7 +83,8 @@
                     self.demand.record(self.now, fixture::address(host), &half);
                 }
             }
-            let change = self.demand.evaluate(self.now, &pool, &self.engine, &domains, &models);
+            let input = Input { engine: &self.engine, domains: &domains, models: &models };
+            let change = self.demand.evaluate(self.now, &pool, &input, true);
             changes.extend(change.map(|change| (millis, change)));
         }
         changes
@@ -240,3 +241,92 @@
     assert_ne!(world.leader().expect("another leads"), leader);
     assert_eq!((count_groups(&world, 4), count_groups(&world, 1)), before);
 }
+
+/// Time between two losses of an engine.
+const LOSS_INTERVAL_MS: u64 = 3_000;
+
+/// Heads of the groups that have lost a member, as entries report them.
+fn stalled_heads(world: &world::World) -> Vec<name::Instance> {
+    let is_lost = |member: &name::Instance| !world.engines[member].alive;
+    let groups = world.serving().into_iter();
+    let stalled = groups.filter(|group| group.members.iter().any(is_lost));
+    stalled.map(|group| group.members[0].clone()).collect()
+}
+
+/// Runs while the entries report what `demands` gives for a time in milliseconds. Every three seconds,
+/// a serving group of several engines loses its last member, whose process is back 2.4 s later.
+fn run_with_losses(
+    world: &mut world::World,
+    millis: u64,
+    demands: impl Fn(u64) -> Vec<peer::Demand>,
+) {
+    let mut lost: Option<name::Instance> = None;
+    for elapsed in (0..millis).step_by(REPORT_INTERVAL_MS as usize) {
+        let phase = elapsed % LOSS_INTERVAL_MS;
+        if phase >= LOSS_INTERVAL_MS - 600
+            && let Some(engine) = lost.take().and_then(|it| world.engines.get_mut(&it))
+        {
+            engine.restart(world.now);
+        }
+        if phase < REPORT_INTERVAL_MS && lost.is_none() {
+            let serving = world.serving();
+            let group = serving.iter().find(|group| group.members.len() > 1);
+            if let Some(last) = group.and_then(|group| group.members.last()) {
+                world.engines.get_mut(last).expect("the engine exists").alive = false;
+                lost = Some(last.clone());
+            }
+        }
+        let stalled = stalled_heads(world);
+        let demands = demands(elapsed);
+        let evidence =
+            peer::Evidence { traffic: true, demands, stalled, ..peer::Evidence::default() };
+        let entry = *world.processes.keys().last().expect("there are processes");
+        world.report_evidence(entry, evidence);
+        world.run(REPORT_INTERVAL_MS);
+    }
+}
+
+fn count_changes(world: &world::World) -> usize {
+    let replanned = |notice: &notice::Notice| matches!(notice, notice::Notice::Replanned(..));
+    world.notices.iter().filter(|(_, notice)| replanned(notice)).count()
+}
+
+/// Guards against a plan that waits for a moment without repairs: with an engine lost every three
+/// seconds and repairs that take longer, there is none.
+#[test]
+fn a_plan_follows_a_clear_signal_within_two_seconds_of_it_during_repairs() {
+    let mut world = world_with_groups();
+    let fitting = |_: u64| vec![report("large", 6.0), report("small", 20.0)];
+    let clear = |_: u64| vec![report("large", 3.0), report("small", 80.0)];
+    // Each order is carried out 1.2 s late, so a repair takes four seconds.
+    world.late_orders = Some(Duration::from_millis(1_200));
+    run_with_losses(&mut world, 7_200, fitting);
+    assert_eq!(count_changes(&world), 0);
+
+    run_with_losses(&mut world, 2_000, clear);
+
+    assert_eq!(count_changes(&world), 1);
+}
+
+/// Guards against a plan that follows the inflated demand of a domain's outage, and returns to the
+/// former one seconds after the domain is back.
+#[test]
+fn the_outage_of_a_domain_changes_no_plan() {
+    let mut world = world_with_groups();
+    let fitting = |_: u64| vec![report("large", 6.0), report("small", 20.0)];
+    run_with_losses(&mut world, 2_400, fitting);
+    let domain = name::Domain::from("d1");
+
+    for engine in world.engines.values_mut().filter(|it| it.announcement.domain == domain) {
+        engine.alive = false;
+    }
+    // Requests whose upstreams are lost take longer.
+    run_with_losses(&mut world, 8_000, |_| vec![report("large", 6.0), report("small", 80.0)]);
+    let now = world.now;
+    for engine in world.engines.values_mut().filter(|it| it.announcement.domain == domain) {
+        engine.restart(now);
+    }
+    run_with_losses(&mut world, 16_000, fitting);
+
+    assert_eq!(count_changes(&world), 0);
+}
