fleet: weigh what a change of the capacity plan costs

Each change was held to the same gain, whether its engines had the weights at hand or loaded them from the store for 12 s to 16 s. Such a load is over after a wave of demand, at the expense of the model that gave the engines.

Each gained group is now assigned the slowest source of its members' weights, from the free engines and from the groups of models that lose some, without the engines that repairs need. A change that is better by a tenth with only the groups that are at hand is made at once; one that loads weights must be better by a fifth as before, and also by the average demand over the time that a load takes. The log event shows the stress with the groups at hand and the slowest source.

A cost by domain, as the layout places the groups, was ruled out: groups are formed in any domain that has the engines, and during repairs the layout's choice named engines that had just been lost.

--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -18,6 +18,7 @@
 pub mod group;
 mod lifecycle;
 pub mod loads;
+pub mod moves;
 pub mod order;
 mod pace;
 mod peaks;
--- a/crates/hyssopfork-fleet/src/groups/demand.rs
+++ b/crates/hyssopfork-fleet/src/groups/demand.rs
@@ -5,7 +5,7 @@
 //! the current ones: groups are moved at the expense of those that serve, so a plan is replaced only by
 //! a clearly better one, after a time that doubles with each change.
 
-use super::plan;
+use super::{moves, plan};
 use crate::{declaration, peer};
 use hyssopfork_wire::{clock, name};
 use serde::{Deserialize, Serialize};
@@ -27,9 +27,16 @@
 const ACCEPTABLE_STRESS: f64 = 0.6;
 
 /// Ratio of the stress of a new plan to that of the current one up to which the new one is better by
-/// more than the uncertainty of the loads.
+/// more than the uncertainty of the loads, if engines load weights from the store for it.
 const MAX_STRESS_RATIO: f64 = 0.8;
 
+/// Same by the groups whose engines have the weights at hand. They cost a few seconds of some groups.
+const MAX_STRESS_RATIO_AT_HAND: f64 = 0.9;
+
+/// Longest time for which loads are kept. A change that loads weights from the store must be worth it
+/// by the average of the time that it takes, since demand that falls sooner gains nothing by it.
+const MAX_HISTORY: Duration = Duration::from_secs(30);
+
 /// Factor by which the load of a model that would lose groups is taken higher: its requests take longer
 /// with fewer groups.
 const LOSING_LOAD_FACTOR: f64 = 1.3;
@@ -77,6 +84,38 @@
     pub domains: &'a BTreeMap<name::Domain, usize>,
     /// The pool's models.
     pub models: &'a [plan::Model],
+    /// Layout of the current plan.
+    pub layout: &'a plan::Layout,
+    /// Engines that new groups may be formed of.
+    pub supply: &'a moves::Supply,
+}
+
+impl Input<'_> {
+    /// The change to a plan that rests on `basis`, for the loads of `expected`; `None` if that gives no
+    /// model more groups or the current plan is acceptable.
+    fn change_to(&self, basis: &Basis, expected: &Basis) -> Option<Change> {
+        let Input { domains, models, layout, .. } = *self;
+        let reserve = plan::RESERVE_SHARE;
+        let next = plan::compute_layout(domains, models, Some(basis), reserve, layout);
+        let gains = moves::sources_of_gains(layout, &next, models, self.supply);
+        let slowest = gains.values().flatten().max().copied()?;
+        let groups = |layout: &plan::Layout, model: &name::Model| plan::count_groups(layout, model);
+        let is_losing = |model: &name::Model| groups(&next, model) < groups(layout, model);
+        let stress_with = |layout: &plan::Layout| {
+            plan::stress(layout, domains, models, |model| {
+                let factor = if is_losing(model) { LOSING_LOAD_FACTOR } else { 1.0 };
+                expected.load(model) * factor
+            })
+        };
+        let change = Change {
+            basis: basis.clone(),
+            stress_before: plan::stress(layout, domains, models, |it| expected.load(it)),
+            stress_after: stress_with(&next),
+            stress_soon: stress_with(&moves::without_stored(&next, &gains)),
+            slowest,
+        };
+        (change.stress_before > ACCEPTABLE_STRESS).then_some(change)
+    }
 }
 
 /// Reason for a change of a pool's plan.
@@ -88,14 +127,30 @@
     pub stress_before: f64,
     /// Stress of the new plan.
     pub stress_after: f64,
+    /// Stress of the new plan before the groups that load weights from the store are there.
+    pub stress_soon: f64,
+    /// Slowest source of the weights that its moves need.
+    pub slowest: moves::Source,
+}
+
+impl Change {
+    /// Whether the change is worth it by the groups whose engines have the weights at hand.
+    fn is_worth_moves_at_hand(&self) -> bool {
+        self.stress_soon <= self.stress_before * MAX_STRESS_RATIO_AT_HAND
+    }
+
+    /// Whether the change is worth it although engines load weights from the store.
+    fn is_worth_loads(&self) -> bool {
+        self.stress_after <= self.stress_before * MAX_STRESS_RATIO
+    }
 }
 
 impl fmt::Display for Change {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
-            "stress_before={:.2} stress_after={:.2}",
-            self.stress_before, self.stress_after
+            "stress_before={:.2} stress_after={:.2} stress_soon={:.2} weights={}",
+            self.stress_before, self.stress_after, self.stress_soon, self.slowest
         )?;
         for (model, load) in &self.basis.loads_millis {
             write!(formatter, " load_{model}={:.2}", *load as f64 / 1_000.0)?;
@@ -119,9 +174,40 @@
     latest: VecDeque<Basis>,
     /// Recent peak load of each model, in groups.
     peaks: BTreeMap<name::Model, f64>,
+    /// Loads at earlier evaluations, the oldest first.
+    ///
+    /// Invariant: none is older than [`MAX_HISTORY`].
+    history: VecDeque<(clock::Instant, Basis)>,
+    /// Basis of a plan that carries the recent peaks.
+    peak_basis: Option<Basis>,
 }
 
 impl PoolState {
+    fn record_history(&mut self, now: clock::Instant, current: Basis) {
+        self.history.push_back((now, current));
+        while self.history.front().is_some_and(|(at, _)| now.since(*at) > MAX_HISTORY) {
+            self.history.pop_front();
+        }
+    }
+
+    /// Average load of each model over the last `period`; `None` if that has not passed yet.
+    fn mean_load(&self, now: clock::Instant, period: Duration) -> Option<Basis> {
+        let (first, _) = self.history.front()?;
+        // The oldest record may be up to an interval younger than the period.
+        if now.since(*first) + EVALUATION_INTERVAL < period {
+            return None;
+        }
+        let recent = self.history.iter().filter(|(at, _)| now.since(*at) <= period);
+        let recent: Vec<&Basis> = recent.map(|(_, basis)| basis).collect();
+        let mut loads_millis: BTreeMap<name::Model, u64> = BTreeMap::new();
+        for (model, load) in recent.iter().flat_map(|basis| &basis.loads_millis) {
+            *loads_millis.entry(model.clone()).or_default() += load;
+        }
+        let count = recent.len().max(1) as u64;
+        loads_millis.values_mut().for_each(|load| *load /= count);
+        Some(Basis { loads_millis })
+    }
+
     /// Updates the recent peaks with the current loads; returns the peaks, or `None` before there are
     /// enough evaluations.
     fn update_peaks(&mut self, elapsed: Duration, current: Basis) -> Option<Basis> {
@@ -208,49 +294,60 @@
         }
     }
 
-    /// Measures the demand, and replaces the pool's plan if the demand calls for it and `may_change`
-    /// holds; returns the change.
-    pub fn evaluate(
+    /// Measures the demand for the pool, if that is due; returns whether the plan may change now.
+    pub fn measure(
         &mut self,
         now: clock::Instant,
         pool: &name::Pool,
-        input: &Input<'_>,
-        may_change: bool,
-    ) -> Option<Change> {
-        let Input { engine, domains, models } = *input;
+        engine: &declaration::Engine,
+    ) -> bool {
         self.reports.retain(|_, (at, _)| now.since(*at) < MAX_REPORT_AGE);
         let state = self.pools.entry(pool.clone()).or_default();
         if state.evaluated_at.is_some_and(|at| now.since(at) < EVALUATION_INTERVAL)
             || state.suspended_at.is_some_and(|at| now.since(at) < OUTAGE_SETTLE_TIME)
         {
-            return None;
+            return false;
         }
         let last_evaluation = state.evaluated_at.replace(now).unwrap_or(now);
-        let basis = measure(self.reports.values().flat_map(|(_, demands)| demands), pool, engine)
-            .and_then(|current| state.update_peaks(now.since(last_evaluation), current));
-        if !may_change || state.changed_at.is_some_and(|at| now.since(at) < state.interval) {
-            return None;
-        }
-        let layout = |basis: Option<&Basis>| {
-            let none = plan::Layout::new();
-            plan::compute_layout(domains, models, basis, plan::RESERVE_SHARE, &none)
+        let current = measure(self.reports.values().flat_map(|(_, demands)| demands), pool, engine);
+        state.record_history(now, current.clone().unwrap_or_default());
+        state.peak_basis =
+            current.and_then(|current| state.update_peaks(now.since(last_evaluation), current));
+        state.changed_at.is_none_or(|at| now.since(at) >= state.interval)
+    }
+
+    /// Whether another plan might be better for the measured demand than the one with this layout.
+    pub fn is_stressed(
+        &self,
+        pool: &name::Pool,
+        domains: &BTreeMap<name::Domain, usize>,
+        models: &[plan::Model],
+        layout: &plan::Layout,
+    ) -> bool {
+        let peaks = self.pools.get(pool).and_then(|state| state.peak_basis.as_ref());
+        let stress = |basis: &Basis| plan::stress(layout, domains, models, |it| basis.load(it));
+        peaks.is_some_and(|peaks| stress(peaks) > ACCEPTABLE_STRESS)
+    }
+
+    /// Replaces the pool's plan if the measured demand calls for it; returns the change.
+    pub fn evaluate(
+        &mut self,
+        now: clock::Instant,
+        pool: &name::Pool,
+        input: &Input<'_>,
+    ) -> Option<Change> {
+        let state = self.pools.get_mut(pool)?;
+        let peaks = state.peak_basis.as_ref()?;
+        let period = moves::store_load_time(input.engine).min(MAX_HISTORY);
+        let lasting = state.mean_load(now, period);
+        let is_worth_by = |expected: &Basis| {
+            input.change_to(peaks, expected).is_some_and(|change| change.is_worth_loads())
         };
-        let change = basis.and_then(|basis| {
-            let current = layout(state.basis.as_ref());
-            let next = layout(Some(&basis));
-            let groups =
-                |layout: &plan::Layout, model: &name::Model| plan::count_groups(layout, model);
-            let is_losing = |model: &name::Model| groups(&next, model) < groups(&current, model);
-            let stress_before = plan::stress(&current, domains, models, |it| basis.load(it));
-            let stress_after = plan::stress(&next, domains, models, |model| {
-                let factor = if is_losing(model) { LOSING_LOAD_FACTOR } else { 1.0 };
-                basis.load(model) * factor
-            });
-            let is_better = stress_before > ACCEPTABLE_STRESS
-                && stress_after <= stress_before * MAX_STRESS_RATIO;
-            is_better.then_some(Change { basis, stress_before, stress_after })
-        });
-        let change = change?;
+        let is_worth = |change: &Change| {
+            let is_lasting = || lasting.as_ref().is_some_and(is_worth_by);
+            change.is_worth_moves_at_hand() || change.is_worth_loads() && is_lasting()
+        };
+        let change = input.change_to(peaks, peaks).filter(is_worth)?;
         let is_first = state.changed_at.is_none_or(|at| now.since(at) >= INTERVAL_RESET);
         state.interval = if is_first {
             MIN_CHANGE_INTERVAL
--- a/crates/hyssopfork-fleet/src/groups/planner.rs
+++ b/crates/hyssopfork-fleet/src/groups/planner.rs
@@ -111,28 +111,10 @@
         if !zones_out.is_empty() || is_domain_out() {
             self.demand.suspend(now, pool);
         } else if self.has_traffic && self.is_startup_complete(now) {
-            let may_change = !self.is_closing_group(pool);
-            let input = demand::Input { engine, domains: &peak_counts, models: &models };
-            let change = self.demand.evaluate(now, pool, &input, may_change);
-            if let Some(change) = change {
-                self.push_notice(notice::Notice::Replanned(pool.clone(), change.to_string()));
-            }
+            self.follow_demand(now, pool, engine, registry, &peak_counts, &models);
         }
+        let layout = self.planned_layout(pool, &peak_counts, &models);
         let basis = self.demand.basis(pool);
-        // Before clients send requests, engines announce themselves one by one, and no group serves.
-        let previous = |last: Option<&plan::Layout>| match last {
-            _ if !self.has_traffic => plan::Layout::new(),
-            Some(last) => last.clone(),
-            None => counts::existing_layout(pool, self.groups.values()),
-        };
-        let layout = self.layout_cache.get_or_compute(
-            pool,
-            plan::RESERVE_SHARE,
-            &peak_counts,
-            &models,
-            basis,
-            previous,
-        );
         let attainable_layout = self.layout_cache.get_or_compute(
             pool,
             0.0,
@@ -167,6 +149,48 @@
         self.stage_second_models(&context);
     }
 
+    /// The layout of the pool's current plan.
+    fn planned_layout(
+        &mut self,
+        pool: &name::Pool,
+        domains: &BTreeMap<name::Domain, usize>,
+        models: &[plan::Model],
+    ) -> plan::Layout {
+        // Before clients send requests, engines announce themselves one by one, and no group serves.
+        let previous = |last: Option<&plan::Layout>| match last {
+            _ if !self.has_traffic => plan::Layout::new(),
+            Some(last) => last.clone(),
+            None => counts::existing_layout(pool, self.groups.values()),
+        };
+        let basis = self.demand.basis(pool);
+        let reserve = plan::RESERVE_SHARE;
+        self.layout_cache.get_or_compute(pool, reserve, domains, models, basis, previous)
+    }
+
+    /// Measures the demand for the pool, and changes its plan if the demand calls for it.
+    fn follow_demand(
+        &mut self,
+        now: clock::Instant,
+        pool: &name::Pool,
+        engine: &declaration::Engine,
+        registry: &registry::Registry,
+        domains: &BTreeMap<name::Domain, usize>,
+        models: &[plan::Model],
+    ) {
+        if !self.demand.measure(now, pool, engine) || self.is_closing_group(pool) {
+            return;
+        }
+        let layout = self.planned_layout(pool, domains, models);
+        if !self.demand.is_stressed(pool, domains, models, &layout) {
+            return;
+        }
+        let supply = self.supply(now, pool, registry);
+        let input = demand::Input { engine, domains, models, layout: &layout, supply: &supply };
+        if let Some(change) = self.demand.evaluate(now, pool, &input) {
+            self.push_notice(notice::Notice::Replanned(pool.clone(), change.to_string()));
+        }
+    }
+
     /// Whether a group of the pool is being closed.
     fn is_closing_group(&self, pool: &name::Pool) -> bool {
         self.groups.values().any(|group| group.pool == *pool && group.phase == Phase::Closing)
@@ -226,7 +250,7 @@
         }
     }
 
-    fn is_unbound(
+    pub(super) fn is_unbound(
         &self,
         instance: &name::Instance,
         announcement: &announcement::Announcement,
--- a/crates/hyssopfork-fleet/tests/fleet/demand.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/demand.rs
@@ -2,7 +2,7 @@
 
 use crate::{fixture, world};
 use hyssopfork_fleet::groups::demand::{Change, Demand, Input};
-use hyssopfork_fleet::groups::plan;
+use hyssopfork_fleet::groups::{moves, plan};
 use hyssopfork_fleet::{declaration, notice, peer};
 use hyssopfork_wire::{clock, name};
 use std::collections::BTreeMap;
@@ -40,13 +40,30 @@
     demand: Demand,
     engine: declaration::Engine,
     now: clock::Instant,
+    layout: plan::Layout,
+    /// Whether all engines have the weights of both models at hand.
+    has_weights: bool,
+}
+
+/// Engines with the weights of both models on their hosts, more than any plan needs.
+fn supply(domains: &BTreeMap<name::Domain, usize>) -> moves::Supply {
+    let staged = vec![name::Model::from("large"), name::Model::from("small")];
+    let weights = moves::Weights { last: None, staged };
+    let group = |model: &str, size| moves::Active {
+        model: name::Model::from(model),
+        members: vec![weights.clone(); size],
+    };
+    let groups = [vec![group("large", 8); 2], vec![group("small", 2); 9]].concat();
+    let stock = moves::Stock { free: vec![weights.clone(); 4], groups };
+    domains.keys().map(|domain| (domain.clone(), stock.clone())).collect()
 }
 
 impl Planner {
     fn new() -> Planner {
         let models = vec![model("large", 8), model("small", 2)];
         let engine = declaration::Engine { slots: 48, models, ..declaration::Engine::default() };
-        Planner { demand: Demand::default(), engine, now: fixture::at(1_000) }
+        let (demand, now, layout) = (Demand::default(), fixture::at(1_000), plan::Layout::new());
+        Planner { demand, engine, now, layout, has_weights: true }
     }
 
     /// Runs for some seconds in which two entries report what `reports` gives for a time in
@@ -70,6 +87,11 @@
                 share: it.share,
             })
             .collect();
+        let supply = if self.has_weights { supply(&domains) } else { moves::Supply::new() };
+        if self.layout.is_empty() {
+            let (reserve, none) = (plan::RESERVE_SHARE, plan::Layout::new());
+            self.layout = plan::compute_layout(&domains, &models, None, reserve, &none);
+        }
         let mut changes = Vec::new();
         for millis in (0..seconds * 1_000).step_by(100) {
             self.now = self.now + Duration::from_millis(100);
@@ -83,9 +105,22 @@
                     self.demand.record(self.now, fixture::address(host), &half);
                 }
             }
-            let input = Input { engine: &self.engine, domains: &domains, models: &models };
-            let change = self.demand.evaluate(self.now, &pool, &input, true);
-            changes.extend(change.map(|change| (millis, change)));
+            if !self.demand.measure(self.now, &pool, &self.engine) {
+                continue;
+            }
+            let input = Input {
+                engine: &self.engine,
+                domains: &domains,
+                models: &models,
+                layout: &self.layout,
+                supply: &supply,
+            };
+            if let Some(change) = self.demand.evaluate(self.now, &pool, &input) {
+                let (basis, reserve) = (&change.basis, plan::RESERVE_SHARE);
+                self.layout =
+                    plan::compute_layout(&domains, &models, Some(basis), reserve, &self.layout);
+                changes.push((millis, change));
+            }
         }
         changes
     }
@@ -154,6 +189,39 @@
     assert_eq!(changes, []);
 }
 
+/// Guards against a wave of 17 s that is followed by loads of 17 s: the weights arrive when it is over.
+#[test]
+fn loads_from_the_store_follow_only_what_lasts() {
+    let (mut waves, mut lasting) = (Planner::new(), Planner::new());
+    (waves.has_weights, lasting.has_weights) = (false, false);
+    let wave = |millis: u64| {
+        if millis % 17_000 < 6_000 { reports(18.0, 280.0) } else { reports(40.0, 150.0) }
+    };
+
+    let followed = waves.run(120, wave);
+    let changes = lasting.run(30, |_| reports(18.0, 280.0));
+
+    assert_eq!(followed, []);
+    let [(millis, change)] = changes.as_slice() else { panic!("one change: {changes:?}") };
+    assert!((16_000..20_000).contains(millis), "{change:?}");
+    assert_eq!(change.slowest, moves::Source::Store);
+}
+
+/// Guards against a plan that takes a smaller gain for nothing because it weighs each change as if it
+/// loaded weights.
+#[test]
+fn moves_with_the_weights_at_hand_need_a_lower_gain() {
+    let (mut at_hand, mut stored) = (Planner::new(), Planner::new());
+    stored.has_weights = false;
+    let slight = |_: u64| reports(40.0, 350.0);
+
+    let changes = at_hand.run(30, slight);
+
+    assert_eq!(changes.len(), 1);
+    assert!(changes[0].1.stress_after > changes[0].1.stress_before * 0.8, "{changes:?}");
+    assert_eq!(stored.run(60, slight), []);
+}
+
 #[test]
 fn old_reports_do_not_count() {
     let mut planner = Planner::new();
