fleet: plan for the level that a clear rise of demand leads to

Entries weigh arrivals with a half-life of two seconds, and a move takes two more, so a plan carried the demand of some seconds ago.

A load whose level and rise over the last second are over the noise is now planned for by its level after the time that a group needs to load weights from its hosts, at most twice its level. The rise counts only if the same entries reported over the second and neither one entry nor one step of the measurement makes up most of it, so the burst of one entry's clients, a leader's first reports and a jump of one report are no rise. A change that loads weights from the store anticipates nothing: a rise over one second says nothing about the time that this takes.

--- a/crates/hyssopfork-fleet/src/groups/demand.rs
+++ b/crates/hyssopfork-fleet/src/groups/demand.rs
@@ -12,6 +12,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
 use std::net;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Age from which an entry's report no longer counts. Entries report at least every 0.65 s.
@@ -33,6 +34,24 @@
 /// Same by the groups whose engines have the weights at hand. They cost a few seconds of some groups.
 const MAX_STRESS_RATIO_AT_HAND: f64 = 0.9;
 
+/// Period over which the rise of a load is measured.
+const RISE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Least rise over [`RISE_PERIOD`] in relation to the load, and in standard deviations of the number of
+/// concurrent requests (its square root, as arrivals are independent). A smaller rise may be noise.
+const MIN_RISE_RATIO: f64 = 0.1;
+const MIN_RISE_DEVIATIONS: f64 = 2.0;
+
+/// Least number of concurrent requests in standard deviations.
+const MIN_LEVEL_DEVIATIONS: f64 = 4.0;
+
+/// Largest part of a rise that one entry, or one step of the measurement, may account for. The burst of
+/// one entry's clients says nothing about the others', and a step isn't a slope.
+const MAX_RISE_PART: f64 = 0.6;
+
+/// Largest expected load in relation to the current one.
+const MAX_EXPECTED_RATIO: f64 = 2.0;
+
 /// Longest time for which loads are kept. A change that loads weights from the store must be worth it
 /// by the average of the time that it takes, since demand that falls sooner gains nothing by it.
 const MAX_HISTORY: Duration = Duration::from_secs(30);
@@ -113,6 +132,7 @@
             stress_after: stress_with(&next),
             stress_soon: stress_with(&moves::without_stored(&next, &gains)),
             slowest,
+            rises: BTreeMap::new(),
         };
         (change.stress_before > ACCEPTABLE_STRESS).then_some(change)
     }
@@ -131,6 +151,8 @@
     pub stress_soon: f64,
     /// Slowest source of the weights that its moves need.
     pub slowest: moves::Source,
+    /// Clear rise of each model's load that the plan anticipates, in groups per second.
+    pub rises: BTreeMap<name::Model, f64>,
 }
 
 impl Change {
@@ -155,6 +177,9 @@
         for (model, load) in &self.basis.loads_millis {
             write!(formatter, " load_{model}={:.2}", *load as f64 / 1_000.0)?;
         }
+        for (model, rise) in &self.rises {
+            write!(formatter, " rise_{model}={rise:.2}")?;
+        }
         Ok(())
     }
 }
@@ -180,9 +205,49 @@
     history: VecDeque<(clock::Instant, Basis)>,
     /// Basis of a plan that carries the recent peaks.
     peak_basis: Option<Basis>,
+    /// Loads of each entry within [`RISE_PERIOD`], the oldest first.
+    samples: VecDeque<Sample>,
+    /// Clear rise of each model's load, in groups per second.
+    rises: BTreeMap<name::Model, f64>,
+    /// The peaks, and the loads that are expected by the rises where these are higher.
+    expected_basis: Option<Basis>,
 }
 
 impl PoolState {
+    fn record_sample(&mut self, sample: Sample) {
+        let now = sample.at;
+        self.samples.push_back(sample);
+        while self.samples.front().is_some_and(|it| now.since(it.at) > RISE_PERIOD) {
+            self.samples.pop_front();
+        }
+    }
+
+    /// Updates the expected loads by the clear rises: each load at the time at which a group is formed
+    /// that loads weights from its hosts.
+    fn update_expected(&mut self, pool: &name::Pool, engine: &declaration::Engine) {
+        let slots = f64::from(engine.slots.max(1));
+        let names = engine.models.iter().map(|model| &model.name);
+        let rises = names.filter_map(|model| {
+            Some((model.clone(), clear_rise(&self.samples, pool, model)? / slots))
+        });
+        self.rises = rises.collect();
+        let Some(last) = self.samples.back().filter(|_| !self.rises.is_empty()) else {
+            self.expected_basis = None;
+            return;
+        };
+        let horizon = (moves::STAGED_LOAD_TIME + engine.formation).as_secs_f64();
+        self.expected_basis = self.peak_basis.clone().map(|mut basis| {
+            for (model, rise) in &self.rises {
+                let level = last.total(pool, model) / slots;
+                let expected = (level + rise * horizon).min(level * MAX_EXPECTED_RATIO);
+                let millis = (expected.min(MAX_LOAD) * 1_000.0) as u64;
+                let load = basis.loads_millis.entry(model.clone()).or_default();
+                *load = millis.max(*load);
+            }
+            basis
+        });
+    }
+
     fn record_history(&mut self, now: clock::Instant, current: Basis) {
         self.history.push_back((now, current));
         while self.history.front().is_some_and(|(at, _)| now.since(*at) > MAX_HISTORY) {
@@ -229,10 +294,63 @@
     }
 }
 
+/// A report of one entry.
+type Report = Arc<[peer::Demand]>;
+
+/// Reports of all entries at the time of a measurement.
+#[derive(Clone, Debug)]
+struct Sample {
+    at: clock::Instant,
+    reports: BTreeMap<net::SocketAddr, Report>,
+}
+
+impl Sample {
+    /// Number of concurrent requests of the model that each entry reports.
+    fn by_entry(
+        &self,
+        pool: &name::Pool,
+        model: &name::Model,
+    ) -> impl Iterator<Item = (&net::SocketAddr, f64)> {
+        self.reports.iter().map(|(entry, report)| {
+            let matching = report.iter().filter(|it| it.pool == *pool && it.model == *model);
+            (entry, matching.map(|it| it.concurrency_millis as f64 / 1_000.0).sum())
+        })
+    }
+
+    fn total(&self, pool: &name::Pool, model: &name::Model) -> f64 {
+        self.by_entry(pool, model).map(|(_, concurrency)| concurrency).sum()
+    }
+}
+
+/// Rise of a model's concurrent requests per second over the samples; `None` unless it is clear.
+fn clear_rise(samples: &VecDeque<Sample>, pool: &name::Pool, model: &name::Model) -> Option<f64> {
+    let (first, last) = (samples.front()?, samples.back()?);
+    let elapsed = last.at.since(first.at);
+    // The oldest sample may be up to an interval younger than the period. An entry that starts to
+    // report adds demand that was there before.
+    let is_comparable = elapsed + EVALUATION_INTERVAL > RISE_PERIOD
+        && samples.iter().all(|sample| sample.reports.keys().eq(first.reports.keys()));
+    if !is_comparable {
+        return None;
+    }
+    let totals: Vec<f64> = samples.iter().map(|sample| sample.total(pool, model)).collect();
+    let level = *totals.last()?;
+    let rise = level - *totals.first()?;
+    let deviation = level.sqrt();
+    let is_over_noise = level >= MIN_LEVEL_DEVIATIONS * deviation
+        && rise >= (MIN_RISE_DEVIATIONS * deviation).max(MIN_RISE_RATIO * level);
+    let steps = totals.iter().zip(totals.iter().skip(1)).map(|(before, after)| after - before);
+    let by_entry = last.by_entry(pool, model).zip(first.by_entry(pool, model));
+    let entries = by_entry.map(|((_, after), (_, before))| after - before);
+    let largest_part = steps.chain(entries).fold(0.0, f64::max);
+    let is_clear = is_over_noise && largest_part <= rise * MAX_RISE_PART;
+    is_clear.then(|| rise / elapsed.as_secs_f64())
+}
+
 /// Reports of the entries, and the basis of each pool's plan.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
-    reports: BTreeMap<net::SocketAddr, (clock::Instant, Vec<peer::Demand>)>,
+    reports: BTreeMap<net::SocketAddr, (clock::Instant, Report)>,
     pools: BTreeMap<name::Pool, PoolState>,
 }
 
@@ -247,7 +365,7 @@
     /// Records the report of an entry.
     pub fn record(&mut self, now: clock::Instant, from: net::SocketAddr, demands: &[peer::Demand]) {
         if !demands.is_empty() {
-            self.reports.insert(from, (now, demands.to_vec()));
+            self.reports.insert(from, (now, demands.into()));
         }
     }
 
@@ -290,6 +408,7 @@
     pub fn suspend(&mut self, now: clock::Instant, pool: &name::Pool) {
         if let Some(state) = self.pools.get_mut(pool) {
             state.latest.clear();
+            state.samples.clear();
             state.suspended_at = Some(now);
         }
     }
@@ -309,10 +428,15 @@
             return false;
         }
         let last_evaluation = state.evaluated_at.replace(now).unwrap_or(now);
-        let current = measure(self.reports.values().flat_map(|(_, demands)| demands), pool, engine);
+        let reports = self.reports.values().flat_map(|(_, report)| report.iter());
+        let current = measure(reports, pool, engine);
+        let reports = self.reports.iter();
+        let reports = reports.map(|(entry, (_, report))| (*entry, report.clone())).collect();
+        state.record_sample(Sample { at: now, reports });
         state.record_history(now, current.clone().unwrap_or_default());
         state.peak_basis =
             current.and_then(|current| state.update_peaks(now.since(last_evaluation), current));
+        state.update_expected(pool, engine);
         state.changed_at.is_none_or(|at| now.since(at) >= state.interval)
     }
 
@@ -324,9 +448,10 @@
         models: &[plan::Model],
         layout: &plan::Layout,
     ) -> bool {
-        let peaks = self.pools.get(pool).and_then(|state| state.peak_basis.as_ref());
+        let Some(state) = self.pools.get(pool) else { return false };
         let stress = |basis: &Basis| plan::stress(layout, domains, models, |it| basis.load(it));
-        peaks.is_some_and(|peaks| stress(peaks) > ACCEPTABLE_STRESS)
+        let mut bases = state.expected_basis.iter().chain(&state.peak_basis);
+        bases.any(|basis| stress(basis) > ACCEPTABLE_STRESS)
     }
 
     /// Replaces the pool's plan if the measured demand calls for it; returns the change.
@@ -347,7 +472,15 @@
             let is_lasting = || lasting.as_ref().is_some_and(is_worth_by);
             change.is_worth_moves_at_hand() || change.is_worth_loads() && is_lasting()
         };
-        let change = input.change_to(peaks, peaks).filter(is_worth)?;
+        let expected = state.expected_basis.as_ref();
+        let anticipating = expected.and_then(|expected| {
+            let change = input.change_to(expected, expected)?;
+            Some(Change { rises: state.rises.clone(), ..change })
+        });
+        // A rise says nothing about the time that a load from the store takes.
+        let change = anticipating
+            .filter(Change::is_worth_moves_at_hand)
+            .or_else(|| input.change_to(peaks, peaks).filter(is_worth))?;
         let is_first = state.changed_at.is_none_or(|at| now.since(at) >= INTERVAL_RESET);
         state.interval = if is_first {
             MIN_CHANGE_INTERVAL
--- a/crates/hyssopfork-fleet/tests/fleet/demand.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/demand.rs
@@ -2,10 +2,10 @@
 
 use crate::{fixture, world};
 use hyssopfork_fleet::groups::demand::{Change, Demand, Input};
-use hyssopfork_fleet::groups::{moves, plan};
+use hyssopfork_fleet::groups::{group, moves, plan};
 use hyssopfork_fleet::{declaration, notice, peer};
 use hyssopfork_wire::{clock, name};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Interval at which an entry reports.
@@ -66,12 +66,28 @@
         Planner { demand, engine, now, layout, has_weights: true }
     }
 
-    /// Runs for some seconds in which two entries report what `reports` gives for a time in
+    /// Runs for some seconds in which two entries together report what `reports` gives for a time in
     /// milliseconds; returns the changes of the plan with their times.
     fn run(
         &mut self,
         seconds: u64,
         reports: impl Fn(u64) -> Vec<peer::Demand>,
+    ) -> Vec<(u64, Change)> {
+        self.run_entries(seconds, 2, |_, millis| {
+            let half = |report: peer::Demand| peer::Demand {
+                concurrency_millis: report.concurrency_millis / 2,
+                ..report
+            };
+            reports(millis).into_iter().map(half).collect()
+        })
+    }
+
+    /// Same with more entries; `reports` gives what an entry reports.
+    fn run_entries(
+        &mut self,
+        seconds: u64,
+        entries: u16,
+        reports: impl Fn(u16, u64) -> Vec<peer::Demand>,
     ) -> Vec<(u64, Change)> {
         let pool = name::Pool::from("engines");
         let names = ["d1", "d2", "d3"];
@@ -96,13 +112,9 @@
         for millis in (0..seconds * 1_000).step_by(100) {
             self.now = self.now + Duration::from_millis(100);
             if millis.is_multiple_of(REPORT_INTERVAL_MS) {
-                for host in [1, 2] {
-                    let half = reports(millis).into_iter().map(|report| peer::Demand {
-                        concurrency_millis: report.concurrency_millis / 2,
-                        ..report
-                    });
-                    let half: Vec<_> = half.collect();
-                    self.demand.record(self.now, fixture::address(host), &half);
+                for entry in 1..=entries {
+                    let reports = reports(entry, millis);
+                    self.demand.record(self.now, fixture::address(entry), &reports);
                 }
             }
             if !self.demand.measure(self.now, &pool, &self.engine) {
@@ -222,6 +234,77 @@
     assert_eq!(stored.run(60, slight), []);
 }
 
+/// Demand for the small model that rises from `level` as an entry measures it: arrivals jump at
+/// `start_ms` to `ratio` times as many, and each one's weight halves in two seconds.
+fn rising(level: f64, ratio: f64, start_ms: u64, millis: u64) -> f64 {
+    let seconds = millis.saturating_sub(start_ms) as f64 / 1_000.0;
+    level * (1.0 + (ratio - 1.0) * (1.0 - 0.5_f64.powf(seconds / 2.0)))
+}
+
+/// Guards against a plan that carries the demand of two seconds ago: the entries measure a jump with
+/// that delay, and moves take as long again.
+#[test]
+fn a_clear_rise_is_planned_for_by_its_level_when_the_groups_are_formed() {
+    let mut planner = Planner::new();
+    let small = |millis: u64| rising(150.0, 3.0, 5_000, millis);
+
+    let changes = planner.run(12, |millis| reports(18.0, small(millis)));
+
+    let [(millis, change)] = changes.as_slice() else { panic!("one change: {changes:?}") };
+    let load = change.basis.load(&name::Model::from("small")) * 48.0;
+    assert!((5_400..7_000).contains(millis), "{millis}: {change:?}");
+    assert!(load > small(*millis) * 1.2 && load <= small(*millis) * 2.0, "{load}: {change:?}");
+}
+
+/// Guards against the burst of one entry's clients that is taken for the rise of all demand.
+#[test]
+fn the_rise_of_one_entry_is_no_clear_rise() {
+    let mut planner = Planner::new();
+    let burst = |entry: u16, millis: u64| {
+        let is_burst = entry == 3 && (8_000..10_000).contains(&millis);
+        let ratio = if is_burst { 16.0 } else { 1.0 };
+        vec![report("large", 2.4), report("small", rising(14.0, ratio, 8_000, millis))]
+    };
+
+    let changes = planner.run_entries(20, 17, burst);
+
+    assert_eq!(changes, []);
+}
+
+/// Guards against a new leader that takes the first reports of its entries, one after the other, for a
+/// rise.
+#[test]
+fn entries_that_start_to_report_are_no_rise() {
+    let mut planner = Planner::new();
+    let starting = |entry: u16, millis: u64| {
+        let large = report("large", if entry == 1 { 40.0 } else { 0.0 });
+        let is_started = millis >= 400 * u64::from(entry / 4);
+        if is_started { vec![large, report("small", 14.7)] } else { Vec::new() }
+    };
+
+    let changes = planner.run_entries(20, 17, starting);
+
+    assert_eq!(changes, []);
+}
+
+/// Guards against numbers that grow without bound by their rise.
+#[test]
+fn a_steep_rise_is_planned_for_by_at_most_twice_the_level() {
+    let (mut steep, mut absurd) = (Planner::new(), Planner::new());
+    let ramp =
+        |slope: f64, millis: u64| 60.0 + slope * millis.saturating_sub(5_000) as f64 / 1_000.0;
+
+    let changes = steep.run(8, |millis| reports(18.0, ramp(400.0, millis)));
+    let absurd = absurd.run(60, |millis| reports(40.0, ramp(1e12, millis.min(8_000))));
+
+    let load = |change: &Change| change.basis.load(&name::Model::from("small"));
+    let [(millis, change)] = changes.as_slice() else { panic!("one change: {changes:?}") };
+    let level = ramp(400.0, *millis) / 48.0;
+    assert!(load(change) > level && load(change) <= level * 2.0, "{level}: {change:?}");
+    assert!(absurd.iter().all(|(_, change)| load(change) <= 10_000.0), "{absurd:?}");
+    assert!(absurd.len() <= 4, "{} changes", absurd.len());
+}
+
 #[test]
 fn old_reports_do_not_count() {
     let mut planner = Planner::new();
@@ -327,6 +410,16 @@
     world: &mut world::World,
     millis: u64,
     demands: impl Fn(u64) -> Vec<peer::Demand>,
+) {
+    run_and_watch(world, millis, demands, |_| {});
+}
+
+/// Same, with `watch` called after each report.
+fn run_and_watch(
+    world: &mut world::World,
+    millis: u64,
+    demands: impl Fn(u64) -> Vec<peer::Demand>,
+    mut watch: impl FnMut(&world::World),
 ) {
     let mut lost: Option<name::Instance> = None;
     for elapsed in (0..millis).step_by(REPORT_INTERVAL_MS as usize) {
@@ -351,6 +444,7 @@
         let entry = *world.processes.keys().last().expect("there are processes");
         world.report_evidence(entry, evidence);
         world.run(REPORT_INTERVAL_MS);
+        watch(world);
     }
 }
 
@@ -398,3 +492,45 @@
 
     assert_eq!(count_changes(&world), 0);
 }
+
+/// Number of groups that are being closed, by the leader's events.
+fn count_closing(world: &world::World) -> usize {
+    let mut closing = BTreeSet::new();
+    for (_, notice) in &world.notices {
+        match notice {
+            notice::Notice::Turned(group, group::Phase::Closing) => {
+                closing.insert(group.clone());
+            }
+            notice::Notice::Turned(group, _) | notice::Notice::Ended(group) => {
+                closing.remove(group);
+            }
+            _ => {}
+        }
+    }
+    closing.len()
+}
+
+/// Guards against groups that are closed for each wave of 17 s, at the expense of both models: weights
+/// that were replaced for one wave must be loaded again after it.
+#[test]
+fn waves_with_frequent_losses_move_the_plan_seldom() {
+    let mut world = world_with_groups();
+    let wave = |millis: u64| {
+        let small = if millis % 17_000 < 8_400 { 80.0 } else { 20.0 };
+        vec![report("large", if small > 50.0 { 3.0 } else { 14.0 }), report("small", small)]
+    };
+
+    let (mut fewest, mut most_closing) = (usize::MAX, 0);
+    run_and_watch(&mut world, 120_000, wave, |world| {
+        fewest = fewest.min(count_groups(world, 1));
+        most_closing = most_closing.max(count_closing(world));
+    });
+
+    let is_closing = |(_, notice): &&(_, notice::Notice)| {
+        matches!(notice, notice::Notice::Turned(_, group::Phase::Closing))
+    };
+    let closed = world.notices.iter().filter(is_closing).count();
+    let changes = count_changes(&world);
+    assert!(changes <= 4 && closed <= 8, "{changes} changes, {closed} groups closed");
+    assert!(fewest >= 8 && most_closing <= 1, "{fewest} left, {most_closing} closed at a time");
+}
