--- a/crates/hyssopfork-fleet/tests/fleet/main.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/main.rs
@@ -14,6 +14,7 @@
 mod large;
 mod large_start;
 mod loads;
+mod moves;
 mod plan;
 mod publication;
 mod quarantine;
