gateway: move or end requests of a lost group in time

A request without any bytes at a group whose member had crashed waited for seconds. Tests of the core show three causes:

- With all other groups full, it was looked at again only every 500 ms, until its deadline.
- A request that had used up its attempts also waited until its deadline, for a group that never answers.
- A request for a whole response was first looked at after three times its objective, whatever the leader had published meanwhile.

A request of a lost group is now tried elsewhere every 100 ms. It ends after one second without bytes, or at once if it may not be tried again and the leader names the group as lost; it has possibly run, so the reason is `failed`. A request for a whole response from a group is first looked at after 200 ms. Moves from groups that are not known to be lost take tokens as before.

The fixture has a route for whole responses from engines.

--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -160,7 +160,7 @@
             last_event: request.last_event,
             new_connection: !request.repetition.may_repeat(),
             is_event_stream: request.repetition.streams(),
-            idle_timeout: stall::initial_idle_timeout(request),
+            idle_timeout: stall::initial_idle_timeout(request, target.incarnation.epoch != 0),
         };
         let sent = notice::Notice::Sent {
             identifier: request.identifier.clone(),
@@ -369,18 +369,24 @@
     pub(super) fn try_retry(&mut self, number: u64) -> bool {
         let now = self.now;
         let policy = self.retry_policy();
-        let Some(request) = self.requests.get(&number) else { return false };
-        let has_time = now.until(request.deadline) >= MIN_TIME_LEFT;
-        if !has_time
-            || request.possible_runs >= request.max_attempts
-            || request.attempt_count >= MAX_ATTEMPTS
-        {
+        if !self.has_attempts_left(number) {
             return false;
         }
+        let Some(request) = self.requests.get(&number) else { return false };
         let pool = request.pool.clone();
         self.retry_budgets.entry(pool).or_default().try_retry(now, policy)
     }
 
+    /// Whether the request has the time and the number of attempts for another one.
+    pub(super) fn has_attempts_left(&self, number: u64) -> bool {
+        let has_attempts = |request: &request::Request| {
+            self.now.until(request.deadline) >= MIN_TIME_LEFT
+                && request.possible_runs < request.max_attempts
+                && request.attempt_count < MAX_ATTEMPTS
+        };
+        self.requests.get(&number).is_some_and(has_attempts)
+    }
+
     /// Counts the newest attempt's upstream as one that may have run the request.
     pub(super) fn count_possible_run(&mut self, number: u64) {
         if let Some(request) = self.requests.get_mut(&number) {
--- a/crates/hyssopfork-gateway/src/core/stall.rs
+++ b/crates/hyssopfork-gateway/src/core/stall.rs
@@ -17,6 +17,10 @@
 /// stream after two seconds.
 const MAX_STREAM_PAUSE: Duration = Duration::from_millis(1_000);
 
+/// Longest time without bytes for a request whose group is lost. It is tried elsewhere until then, and
+/// then ends: a client that comes back finds the group replaced, which takes a second or two.
+const MAX_LOST_GROUP_WAIT: Duration = Duration::from_millis(1_000);
+
 impl Core {
     pub(super) fn on_idle_timeout(&mut self, number: u64) {
         let now = self.now;
@@ -66,7 +70,7 @@
         if is_stalled {
             self.mark_stalled(&instance, all_silent);
         }
-        self.move_elsewhere(number, moved, is_lost);
+        self.move_elsewhere(number, moved, is_lost.then_some(silence));
     }
 
     /// Whether the group of this epoch is lost or gone. The leader learns that from its own probes
@@ -76,6 +80,14 @@
         epoch != 0 && !self.groups.values().any(is_intact)
     }
 
+    /// Whether the leader names the request's group as lost. A group that is only gone from the view
+    /// may be unknown to a new leader for a moment.
+    fn is_at_lost_group(&self, number: u64) -> bool {
+        let attempt = self.requests.get(&number).and_then(|request| request.attempt.as_ref());
+        let epoch = attempt.map(|attempt| attempt.incarnation.epoch);
+        self.groups.values().any(|group| Some(group.epoch) == epoch && group.lost)
+    }
+
     /// Notifies the leader that an upstream may be stalled.
     fn mark_suspected(&mut self, instance: &name::Instance) {
         let Some(target) = self.targets.get_mut(instance) else { return };
@@ -96,19 +108,28 @@
         self.report_evidence();
     }
 
-    /// Moves a request to another upstream if one has capacity and a retry is allowed.
-    fn move_elsewhere(&mut self, number: u64, moved: notice::Notice, is_lost: bool) {
+    /// Moves a request to another upstream if one has capacity and a retry is allowed. `lost_for` is
+    /// the time without bytes of a request whose group is known to be lost.
+    fn move_elsewhere(&mut self, number: u64, moved: notice::Notice, lost_for: Option<Duration>) {
         let runs = self.requests.get(&number).map_or(0, |request| request.possible_runs);
         self.count_possible_run(number);
         let can_move = self.has_alternative(number) && self.try_retry(number);
         if !can_move {
+            let is_hopeless = !self.has_attempts_left(number) && self.is_at_lost_group(number);
+            let is_useless = |silence| silence >= MAX_LOST_GROUP_WAIT || is_hopeless;
+            if lost_for.is_some_and(is_useless) {
+                self.drop_attempt(number);
+                return self.end_without_response(number, action::Reason::Failed, Duration::ZERO);
+            }
             if let Some(request) = self.requests.get_mut(&number) {
                 request.possible_runs = runs;
             }
-            return self.decide(number, action::Decision::Wait(target::STREAM_STALL_TIMEOUT));
+            // A lost group sends no bytes any more, so only a place elsewhere is waited for.
+            let wait = lost_for.map_or(target::STREAM_STALL_TIMEOUT, |_| target::CHECK_INTERVAL);
+            return self.decide(number, action::Decision::Wait(wait));
         }
         self.log(moved);
-        if let Some(request) = self.requests.get(&number).filter(|_| !is_lost) {
+        if let Some(request) = self.requests.get(&number).filter(|_| lost_for.is_none()) {
             self.move_buckets.entry(request.pool.clone()).or_default().take_token();
         }
         if let Some(target) = self.target_of(number) {
@@ -149,8 +170,10 @@
     }
 }
 
-/// Idle timeout of a new attempt.
-pub(super) fn initial_idle_timeout(request: &request::Request) -> Duration {
+/// Idle timeout of a new attempt. One at a group is looked at early, because the leader may know that
+/// the group is lost.
+pub(super) fn initial_idle_timeout(request: &request::Request, is_at_group: bool) -> Duration {
     let overdue = (request.objective * OVERDUE_FACTOR).max(MIN_OVERDUE_TIMEOUT);
-    if request.repetition.streams() { target::SUSPECT_TIMEOUT } else { overdue }
+    let is_early = request.repetition.streams() || is_at_group;
+    if is_early { target::SUSPECT_TIMEOUT } else { overdue }
 }
--- a/crates/hyssopfork-gateway/tests/gateway/fixture.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/fixture.rs
@@ -57,6 +57,7 @@
         version: 1,
         routes: vec![
             route("stream", "engines", Repetition::Resumable),
+            route("answer", "engines", Repetition::Idempotent),
             route("status", "plain", Repetition::Idempotent),
             route("submit", "plain", Repetition::Once),
             route("open", "plain", Repetition::Idempotent),
