--- a/crates/hyssopfork-fleet/src/groups/planner.rs
+++ b/crates/hyssopfork-fleet/src/groups/planner.rs
@@ -7,7 +7,7 @@
 //! whichever member is lost.
 
 use super::group::Phase;
-use super::{Command, Groups, counts, plan};
+use super::{Command, Groups, counts, demand, plan};
 use crate::announcement::{self, Membership};
 use crate::{declaration, notice, registry};
 use hyssopfork_wire::{clock, name};
@@ -105,32 +105,16 @@
     ) {
         let models: Vec<plan::Model> = engine.models.iter().map(plan_model).collect();
         let no_zones = BTreeSet::new();
-        let peak_counts = self.domain_peaks.update(
-            now,
-            pool,
-            &count_usable_engines(now, pool, registry, &no_zones),
-        );
-        if self.may_replace_plan(now, pool, zones_out) {
-            let change = self.demand.evaluate(now, pool, engine, &peak_counts, &models);
-            if let Some(change) = change {
-                self.push_notice(notice::Notice::Replanned(pool.clone(), change.to_string()));
-            }
+        let usable_counts = count_usable_engines(now, pool, registry, &no_zones);
+        let peak_counts = self.domain_peaks.update(now, pool, &usable_counts);
+        let is_domain_out = || self.is_domain_out(now, pool, &usable_counts, &peak_counts);
+        if !zones_out.is_empty() || is_domain_out() {
+            self.demand.suspend(now, pool);
+        } else if self.has_traffic && self.is_startup_complete(now) {
+            self.follow_demand(now, pool, engine, registry, &peak_counts, &models);
         }
+        let layout = self.planned_layout(pool, &peak_counts, &models);
         let basis = self.demand.basis(pool);
-        // Before clients send requests, engines announce themselves one by one, and no group serves.
-        let previous = |last: Option<&plan::Layout>| match last {
-            _ if !self.has_traffic => plan::Layout::new(),
-            Some(last) => last.clone(),
-            None => counts::existing_layout(pool, self.groups.values()),
-        };
-        let layout = self.layout_cache.get_or_compute(
-            pool,
-            plan::RESERVE_SHARE,
-            &peak_counts,
-            &models,
-            basis,
-            previous,
-        );
         let attainable_layout = self.layout_cache.get_or_compute(
             pool,
             0.0,
@@ -154,6 +138,7 @@
             candidates: Vec::new(),
         };
         context.counts = self.count_groups(&context);
+        self.update_established(&context);
         context.candidates = self.candidates(&context);
         self.request_reports(&context);
         self.form_groups(&mut context);
@@ -164,21 +149,51 @@
         self.stage_second_models(&context);
     }
 
-    /// Whether the pool's plan may follow the demand now. While groups are being formed or ended, or a
-    /// zone is out, engines are needed to repair what is lost.
-    fn may_replace_plan(
-        &self,
+    /// The layout of the pool's current plan.
+    fn planned_layout(
+        &mut self,
+        pool: &name::Pool,
+        domains: &BTreeMap<name::Domain, usize>,
+        models: &[plan::Model],
+    ) -> plan::Layout {
+        // Before clients send requests, engines announce themselves one by one, and no group serves.
+        let previous = |last: Option<&plan::Layout>| match last {
+            _ if !self.has_traffic => plan::Layout::new(),
+            Some(last) => last.clone(),
+            None => counts::existing_layout(pool, self.groups.values()),
+        };
+        let basis = self.demand.basis(pool);
+        let reserve = plan::RESERVE_SHARE;
+        self.layout_cache.get_or_compute(pool, reserve, domains, models, basis, previous)
+    }
+
+    /// Measures the demand for the pool, and changes its plan if the demand calls for it.
+    fn follow_demand(
+        &mut self,
         now: clock::Instant,
         pool: &name::Pool,
-        zones_out: &BTreeSet<name::Zone>,
-    ) -> bool {
-        let is_steady =
-            |group: &super::Group| group.phase == Phase::Serving || group.phase.is_reserve();
-        let mut groups = self.groups.values().filter(|group| group.pool == *pool);
-        self.has_traffic
-            && zones_out.is_empty()
-            && self.is_startup_complete(now)
-            && groups.all(is_steady)
+        engine: &declaration::Engine,
+        registry: &registry::Registry,
+        domains: &BTreeMap<name::Domain, usize>,
+        models: &[plan::Model],
+    ) {
+        if !self.demand.measure(now, pool, engine) || self.is_closing_group(pool) {
+            return;
+        }
+        let layout = self.planned_layout(pool, domains, models);
+        if !self.demand.is_stressed(pool, domains, models, &layout) {
+            return;
+        }
+        let supply = self.supply(now, pool, registry);
+        let input = demand::Input { engine, domains, models, layout: &layout, supply: &supply };
+        if let Some(change) = self.demand.evaluate(now, pool, &input) {
+            self.push_notice(notice::Notice::Replanned(pool.clone(), change.to_string()));
+        }
+    }
+
+    /// Whether a group of the pool is being closed.
+    fn is_closing_group(&self, pool: &name::Pool) -> bool {
+        self.groups.values().any(|group| group.pool == *pool && group.phase == Phase::Closing)
     }
 
     /// Engines that a group may be formed of: free ones and reserves.
@@ -235,7 +250,7 @@
         }
     }
 
-    fn is_unbound(
+    pub(super) fn is_unbound(
         &self,
         instance: &name::Instance,
         announcement: &announcement::Announcement,
