gateway: tell upstreams the priority of requests

Upstreams admit more urgent requests first from their queue, but entries sent no priority, so that a request of the most urgent kind waited behind less urgent ones, and a stream that had lost its upstream behind new requests.

Continued streams get 1, requests on time 3 to 6 by rank, late ones 8. A client's statement that it resumes a stream is not verified and gives 3, the priority of the most urgent rank. It is set only where the declaration gives requests for the pool different ranks, or the route streams.

--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -8,6 +8,7 @@
 mod pauses;
 mod quarantine;
 mod queue;
+mod scheduling;
 mod serve;
 mod stall;
 
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -134,6 +134,7 @@
         let now = self.now;
         let Some(request) = self.requests.get(&number) else { return };
         let average = self.average_load(&request.pool, request.model.as_ref());
+        let priority = self.upstream_priority(request);
         let Some(request) = self.requests.get_mut(&number) else { return };
         let Some(target) = self.targets.get_mut(instance) else { return };
         let load = (target.load.estimate(now, average), target.limit.get());
@@ -155,7 +156,7 @@
             instance: instance.clone(),
             address: target.incarnation.address,
             team: request.team.clone(),
-            priority: None,
+            priority,
             deadline: request.deadline,
             last_event: request.last_event,
             new_connection: !request.repetition.may_repeat(),
@@ -466,7 +467,7 @@
         pool,
         model,
         size: arrival.size,
-        rank: matched.team.and_then(|team| team.priority).unwrap_or(route.priority),
+        rank: routing::rank(route, matched.team),
         repetition: route.repetition,
         max_attempts: route.attempts.max(1),
         objective: route.objective,
--- a/crates/hyssopfork-gateway/src/lib.rs
+++ b/crates/hyssopfork-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`pause`]: pauses that upstreams ask for; [`leaving`]: upstreams that state that they leave
 //! - [`health`]: outlier ejection and backoff; [`moves`]: limit on moves of stalled requests
 //! - [`retry_budget`]: limit on retries; [`retry_schedule`]: `Retry-After` of rejected requests
+//! - [`scheduler`]: order of requests when there is too little capacity
 //! - [`content`]: fingerprint that identifies a request which crashes upstreams
 //! - [`core`]: a request from arrival to end; [`scanner`]: complete events of a stream
 
@@ -40,6 +41,7 @@
 pub mod retry_schedule;
 pub mod routing;
 pub mod scanner;
+pub mod scheduler;
 pub mod selection;
 pub mod settings;
 pub mod size;
--- a/crates/hyssopfork-gateway/src/routing.rs
+++ b/crates/hyssopfork-gateway/src/routing.rs
@@ -3,7 +3,7 @@
 use crate::arrival;
 use hyssopfork_fleet::declaration;
 use hyssopfork_wire::name;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 /// Routes and keys of a declaration, indexed for lookup.
@@ -14,6 +14,8 @@
     route_indices: HashMap<String, HashMap<String, usize>>,
     /// Index of each key's team in the declaration.
     team_indices: HashMap<String, usize>,
+    /// Pools whose requests differ in rank.
+    ranked_pools: BTreeSet<name::Pool>,
 }
 
 /// Why a request has no match.
@@ -46,7 +48,8 @@
         for (index, team) in declaration.teams.iter().enumerate() {
             team_indices.extend(team.keys.iter().map(|key| (key.clone(), index)));
         }
-        Table { declaration, route_indices, team_indices }
+        let ranked_pools = find_ranked_pools(&declaration);
+        Table { declaration, route_indices, team_indices, ranked_pools }
     }
 
     /// The declaration.
@@ -69,6 +72,11 @@
         Ok(Match { route, team: Some(&self.declaration.teams[*index]) })
     }
 
+    /// Whether the declaration gives requests for the pool different ranks.
+    pub fn has_ranks(&self, pool: &name::Pool) -> bool {
+        self.ranked_pools.contains(pool)
+    }
+
     /// Engine settings of a pool; `None` for a plain service.
     pub fn engine(&self, pool: &name::Pool) -> Option<&declaration::Engine> {
         self.declaration.pools.get(pool)?.engine.as_ref()
@@ -90,6 +98,29 @@
     }
 }
 
+/// Rank of a request of the team for the route; 0 is the most urgent.
+pub fn rank(route: &declaration::Route, team: Option<&declaration::Team>) -> u32 {
+    team.and_then(|team| team.priority).unwrap_or(route.priority)
+}
+
+/// Finds the pools to which routes and teams of different ranks send requests.
+fn find_ranked_pools(declaration: &declaration::Declaration) -> BTreeSet<name::Pool> {
+    let mut ranks: BTreeMap<&name::Pool, BTreeSet<u32>> = BTreeMap::new();
+    for route in &declaration.routes {
+        let pools = route.targets.iter().filter(|(_, weight)| *weight > 0).map(|(pool, _)| pool);
+        for pool in pools {
+            let pool_ranks = ranks.entry(pool).or_default();
+            if route.anonymous || declaration.teams.is_empty() {
+                pool_ranks.insert(rank(route, None));
+            } else {
+                pool_ranks.extend(declaration.teams.iter().map(|team| rank(route, Some(team))));
+            }
+        }
+    }
+    let ranked = ranks.into_iter().filter(|(_, ranks)| ranks.len() > 1);
+    ranked.map(|(pool, _)| pool.clone()).collect()
+}
+
 /// Picks the pool that a fraction between 0 and 1 selects, by the route's weights.
 pub fn pick_pool(route: &declaration::Route, fraction: f64) -> Option<&name::Pool> {
     let total: u32 = route.targets.iter().map(|(_, weight)| weight).sum();
--- a/crates/hyssopfork-gateway/tests/gateway/main.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod retry_schedule;
 mod routing;
 mod scanner;
+mod scheduling;
 mod selection;
 mod serve;
 mod slow_start;
