gateway: leave capacity to more urgent ranks that were missed

Admission distinguished only on time, late and retry, so that a burst of the most urgent kind beside a steady load was rejected like the rest.

Requests leave up to a quarter of each limit to more urgent ranks of the same pool and model. The part follows the urgent requests that were rejected or late, in relation to the requests sent, with a half-life of one second. It exists only for pools whose requests differ in rank.

Simulation of ten seeds, 25 requests per second of the least urgent rank for 16 per second of capacity, eight urgent ones per second beside them for 3 s.

--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -13,8 +13,8 @@
 mod stall;
 
 use crate::{
-    action, demand, event, leaving, load, moves, notice, pause, request, retry_budget,
-    retry_schedule, routing, selection, settings, target,
+    action, demand, event, leaving, load, moves, notice, pause, rank_reserve, request,
+    retry_budget, retry_schedule, routing, selection, settings, target,
 };
 use hyssopfork_fleet::{peer, view};
 use hyssopfork_wire::{clock, name};
@@ -54,6 +54,7 @@
     /// Demand for each pool and model of engines.
     demands: BTreeMap<(name::Pool, name::Model), demand::Meter>,
     retry_schedules: BTreeMap<(name::Pool, Option<name::Model>), retry_schedule::Schedule>,
+    rank_reserves: BTreeMap<request::Kind, rank_reserve::Reserve>,
     queue: queue::Queue,
     crashes: crash::Crashes,
     quarantine: quarantine::Quarantine,
@@ -87,6 +88,7 @@
             baselines: BTreeMap::new(),
             demands: BTreeMap::new(),
             retry_schedules: BTreeMap::new(),
+            rank_reserves: BTreeMap::new(),
             queue: queue::Queue::default(),
             crashes: crash::Crashes::default(),
             quarantine: quarantine::Quarantine::default(),
@@ -225,6 +227,7 @@
             zone: &self.settings.zone,
             excluded: &request.excluded,
             priority: request.priority(self.now, is_retry),
+            reserve: self.rank_reserve(request),
         }
     }
 
--- a/crates/hyssopfork-gateway/src/core/completion.rs
+++ b/crates/hyssopfork-gateway/src/core/completion.rs
@@ -42,6 +42,9 @@
         let Some(request) = self.requests.remove(&number) else { return };
         let may_have_run = request.possible_runs > 0 && reason.is_not_run();
         let reason = if may_have_run { action::Reason::Failed } else { reason };
+        if reason == action::Reason::Overloaded {
+            self.count_missed(request.kind(), request.rank);
+        }
         let after = self.now.since(request.arrived_at);
         if request.head_forwarded {
             self.decide(number, action::Decision::Abort);
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -135,6 +135,7 @@
         let Some(request) = self.requests.get(&number) else { return };
         let average = self.average_load(&request.pool, request.model.as_ref());
         let priority = self.upstream_priority(request);
+        self.count_sent(number);
         let Some(request) = self.requests.get_mut(&number) else { return };
         let Some(target) = self.targets.get_mut(instance) else { return };
         let load = (target.load.estimate(now, average), target.limit.get());
@@ -226,6 +227,12 @@
         let objective = request.objective;
         let Some(attempt) = &mut request.attempt else { return };
         let is_first = attempt.last_bytes_at.replace(now).is_none();
+        if is_first {
+            self.count_if_late(number);
+        }
+        let Some(attempt) = self.requests.get(&number).and_then(|it| it.attempt.as_ref()) else {
+            return;
+        };
         let Some(target) = self.targets.get_mut(&attempt.instance) else { return };
         target.on_bytes(now);
         if is_first {
--- a/crates/hyssopfork-gateway/src/core/stall.rs
+++ b/crates/hyssopfork-gateway/src/core/stall.rs
@@ -130,6 +130,7 @@
             zone: &self.settings.zone,
             excluded: &excluded,
             priority: selection::Priority::Retry,
+            reserve: 0.0,
         };
         let constraints = self.constraints(request);
         matches!(
--- a/crates/hyssopfork-gateway/src/lib.rs
+++ b/crates/hyssopfork-gateway/src/lib.rs
@@ -15,7 +15,8 @@
 //! - [`pause`]: pauses that upstreams ask for; [`leaving`]: upstreams that state that they leave
 //! - [`health`]: outlier ejection and backoff; [`moves`]: limit on moves of stalled requests
 //! - [`retry_budget`]: limit on retries; [`retry_schedule`]: `Retry-After` of rejected requests
-//! - [`scheduler`]: order of requests when there is too little capacity
+//! - [`scheduler`]: order of requests when there is too little capacity; [`rank_reserve`]: capacity
+//!   that is left to more urgent ones
 //! - [`content`]: fingerprint that identifies a request which crashes upstreams
 //! - [`core`]: a request from arrival to end; [`scanner`]: complete events of a stream
 
@@ -33,6 +34,7 @@
 pub mod moves;
 pub mod notice;
 pub mod pause;
+pub mod rank_reserve;
 pub mod rate_limit;
 pub mod rendezvous;
 pub mod request;
--- a/crates/hyssopfork-gateway/src/request.rs
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -5,6 +5,9 @@
 use hyssopfork_wire::{clock, configuration, name};
 use std::time::Duration;
 
+/// Pool and model of a request; no model for a plain service.
+pub type Kind = (name::Pool, Option<name::Model>);
+
 /// An attempt in flight.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -70,6 +73,11 @@
 }
 
 impl Request {
+    /// Pool and model.
+    pub fn kind(&self) -> Kind {
+        (self.pool.clone(), self.model.clone())
+    }
+
     /// Fingerprint of the request, the same for each repetition.
     pub fn fingerprint(&self) -> quarantine::Fingerprint {
         self.content.fingerprint(self.team.as_ref())
--- a/crates/hyssopfork-gateway/src/selection.rs
+++ b/crates/hyssopfork-gateway/src/selection.rs
@@ -51,6 +51,8 @@
     pub excluded: &'a [name::Instance],
     /// Priority over other requests.
     pub priority: Priority,
+    /// Part of the limit that is left to requests of more urgent ranks.
+    pub reserve: f64,
 }
 
 /// Priority of a request, which decides how much capacity must be left for others.
@@ -181,9 +183,11 @@
         constraints: Constraints<'_>,
     ) -> Candidate<'a> {
         let load = target.load.estimate(now, constraints.average);
+        // An idle upstream takes any request.
+        let reserve = (target.limit.get() * query.reserve).min(target.limit.get() - 1.0);
         let allowance = match query.priority {
-            Priority::OnTime => 0.0,
-            Priority::Late => -target.limit.get() * RESERVED_FOR_ON_TIME,
+            Priority::OnTime => -reserve,
+            Priority::Late => -target.limit.get() * RESERVED_FOR_ON_TIME - reserve,
             Priority::Retry => target.load.slots() * RETRY_OVERSHOOT,
         };
         let margin = target.load.deviation(now, constraints.average) * UNCERTAINTY_FACTOR;
--- a/crates/hyssopfork-gateway/tests/gateway/main.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod retry_schedule;
 mod routing;
 mod scanner;
+mod scarcity;
 mod scheduling;
 mod selection;
 mod serve;
--- a/crates/hyssopfork-gateway/tests/gateway/scheduling.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/scheduling.rs
@@ -1,32 +1,15 @@
 //! Requests that compete for too little capacity.
 
-use crate::fixture::{self, Entry, STALL_MS, arrival, started};
-use hyssopfork_fleet::declaration;
+use crate::fixture::{self, Entry, STALL_MS, arrival, at, started};
+use crate::scarcity::{self, Outcome, Simulation, Work};
+use hyssopfork_gateway::rank_reserve::{self, Reserve};
 use hyssopfork_gateway::{arrival::Arrival, event};
-use hyssopfork_wire::name;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The fixture's declaration with three more teams: `urgent` of rank 0, `other` of rank 1 as the
-/// fixture's, and `patient` of rank 6. Each has its name as key.
-fn ranked_declaration() -> declaration::Declaration {
-    let team = |name: &str, priority| declaration::Team {
-        name: name::Team::from(name),
-        keys: vec![name.to_owned()],
-        priority,
-    };
-    let mut declaration = fixture::declaration();
-    declaration.teams.extend([
-        team("urgent", Some(0)),
-        team("other", None),
-        team("patient", Some(6)),
-    ]);
-    declaration
-}
-
 fn ranked_entry() -> Entry {
     let mut entry = Entry::new();
-    let declaration = Some(Arc::new(ranked_declaration()));
+    let declaration = Some(Arc::new(scarcity::ranked_declaration()));
     entry.step(event::Event::ViewUpdated(Box::new(fixture::view()), declaration));
     entry
 }
@@ -90,3 +73,49 @@
 
     assert_eq!(started(&decision).priority, None);
 }
+
+/// A team's requests in the millisecond `now`, one every `interval`; each runs for a second.
+fn every(interval: u64, now: u64, team: &'static str) -> Option<Work> {
+    now.is_multiple_of(interval).then_some(Work { team, run_ms: 1_000 })
+}
+
+/// 25 requests of the least urgent rank arrive per second, where the groups serve 16; for three
+/// seconds, eight of the most urgent rank per second come beside them. Ten seeds distribute them
+/// over the entries.
+///
+/// Guards against rejecting both kinds alike, so that half of the urgent requests are lost while
+/// the other kind takes the places.
+#[test]
+fn a_burst_of_urgent_requests_takes_places_of_a_steady_less_urgent_load() {
+    // Four entries learn of each other's load, and of the urgent requests that are rejected, only
+    // from their own responses.
+    for (entries, min_ratio) in [(1, 0.9), (4, 0.6)] {
+        let (mut urgent, mut patient) = (Outcome::default(), Outcome::default());
+        for seed in 0..10 {
+            let mut simulation = Simulation::new(entries, seed, scarcity::ranked_declaration());
+            simulation.run_until(10_000, |now| {
+                let is_burst = (5_000..8_000).contains(&now);
+                let urgent = every(125, now, "urgent").filter(|_| is_burst);
+                every(40, now, "patient").into_iter().chain(urgent).collect()
+            });
+            urgent.add(&simulation.outcome("urgent"));
+            patient.add(&simulation.outcome("patient"));
+        }
+
+        assert!(urgent.ratio() > min_ratio, "{entries} entries: {urgent:?}, {patient:?}");
+        // The rest of the capacity is used.
+        assert!(urgent.served() + patient.served() > 1_350, "{urgent:?}, {patient:?}");
+    }
+}
+
+/// Guards against a reserve that outlasts the burst.
+#[test]
+fn a_reserve_ends_soon_after_the_urgent_requests_that_caused_it() {
+    let mut reserve = Reserve::default();
+    reserve.on_sent(at(0));
+    reserve.on_missed(at(0), 1);
+
+    assert_eq!(reserve.ratio(at(0), 1), 0.0, "of the rank itself");
+    assert_eq!(reserve.ratio(at(0), 2), rank_reserve::MAX_RESERVE);
+    assert!(reserve.ratio(at(6_000), 2) < 0.1);
+}
