--- a/crates/hyssopfork-gateway/tests/gateway/scheduler.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/scheduler.rs
@@ -3,6 +3,7 @@
 use crate::fixture::at;
 use hyssopfork_gateway::scheduler::{self, Admission, Item, Queue};
 use hyssopfork_wire::name;
+use std::time::Duration;
 
 fn item(team: &str, rank: u32, queued_at: u64, send_by: u64) -> Item {
     Item {
@@ -112,4 +113,20 @@
     assert_eq!(queue.push(2, large(5)), Admission::Full);
     assert!(matches!(queue.push(3, large(4)), Admission::Displaced(1, _)));
     assert_eq!(queue.push(4, item("a", 4, 0, 100)), Admission::Full);
+
+    let mut queue = queue_of([large(4), Item { bytes: 10, ..item("a", 5, 0, 100) }]);
+    assert_eq!(queue.push(3, large(3)), Admission::Full, "the less urgent request is too small");
+    assert_eq!(queue.len(), 2);
+}
+
+/// Sixteen entries share groups that complete 32 requests per second.
+///
+/// Guards against a prediction for one entry alone, by which all of them would queue 16 times as
+/// many requests as can be served.
+#[test]
+fn the_prediction_counts_the_queues_of_other_entries() {
+    let capacity = |throughput| scheduler::Capacity { throughput, entries: 16 };
+
+    assert_eq!(capacity(32.0).time_for(2), Duration::from_secs(1));
+    assert_eq!(capacity(0.0).time_for(1), Duration::MAX);
 }
