--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -9,12 +9,13 @@
 mod pauses;
 mod quarantine;
 mod queue;
+mod scheduling;
 mod serve;
 mod stall;
 
 use crate::{
-    action, demand, event, leaving, load, moves, notice, pause, request, retry_budget,
-    retry_schedule, routing, selection, settings, target,
+    action, demand, event, leaving, load, moves, notice, pause, rank_reserve, request,
+    retry_budget, retry_schedule, routing, selection, settings, target,
 };
 use hyssopfork_fleet::{peer, view};
 use hyssopfork_wire::{clock, name};
@@ -55,6 +56,8 @@
     demands: BTreeMap<(name::Pool, name::Model), demand::Meter>,
     costs: costs::Costs,
     retry_schedules: BTreeMap<(name::Pool, Option<name::Model>), retry_schedule::Schedule>,
+    rank_reserves: BTreeMap<request::Kind, rank_reserve::Reserve>,
+    scheduling: scheduling::Scheduling,
     queue: queue::Queue,
     crashes: crash::Crashes,
     quarantine: quarantine::Quarantine,
@@ -89,6 +92,8 @@
             demands: BTreeMap::new(),
             costs: costs::Costs::default(),
             retry_schedules: BTreeMap::new(),
+            rank_reserves: BTreeMap::new(),
+            scheduling: scheduling::Scheduling::default(),
             queue: queue::Queue::default(),
             crashes: crash::Crashes::default(),
             quarantine: quarantine::Quarantine::default(),
@@ -139,6 +144,7 @@
             event::Event::ClientDisconnected(number) => self.on_client_disconnected(number),
             event::Event::Stop => self.on_stop(),
         }
+        self.release_after_change();
         mem::take(&mut self.actions)
     }
 
@@ -153,6 +159,7 @@
         self.quarantine.expire(self.now);
         self.pauses.expire(self.now);
         self.leaving.expire(self.now, &self.upstreams);
+        self.expire_scheduling();
         self.report_evidence();
     }
 
@@ -228,6 +235,7 @@
             excluded: &request.excluded,
             priority: request.priority(self.now, is_retry),
             forecast: self.forecast(request),
+            reserve: self.rank_reserve(request),
         }
     }
 
--- a/crates/hyssopfork-gateway/src/core/completion.rs
+++ b/crates/hyssopfork-gateway/src/core/completion.rs
@@ -40,8 +40,12 @@
         wait: Duration,
     ) {
         let Some(request) = self.requests.remove(&number) else { return };
+        self.scheduling.remove(number);
         let may_have_run = request.possible_runs > 0 && reason.is_not_run();
         let reason = if may_have_run { action::Reason::Failed } else { reason };
+        if reason == action::Reason::Overloaded {
+            self.count_missed(request.kind(), request.rank);
+        }
         let after = self.now.since(request.arrived_at);
         if request.head_forwarded {
             self.decide(number, action::Decision::Abort);
@@ -84,6 +88,9 @@
         } else {
             Duration::ZERO
         };
+        if reason == action::Reason::Overloaded && self.is_scheduled(request) {
+            return self.return_time(request, wait, spacing);
+        }
         // A request that can no longer be on time benefits from spare capacity, not from an early
         // retry.
         let wait = if request.on_time_until < now + MIN_RETRY_AFTER {
@@ -109,6 +116,7 @@
             attempts: request.attempt_count,
             first_event_ratio: request.first_event_ratio,
             total_time: self.now.since(request.arrived_at),
+            queue: request.queue_time.map(|time| measurement::Queue { rank: request.rank, time }),
         }));
     }
 
@@ -127,6 +135,7 @@
             attempts: 0,
             first_event_ratio: None,
             total_time: Duration::ZERO,
+            queue: None,
         }));
         self.decide(number, action::Decision::Reject(rejection));
         self.log(notice::Notice::Refused {
--- a/crates/hyssopfork-gateway/src/core/stall.rs
+++ b/crates/hyssopfork-gateway/src/core/stall.rs
@@ -152,6 +152,7 @@
             excluded: &excluded,
             priority: selection::Priority::Retry,
             forecast: self.forecast(request),
+            reserve: 0.0,
         };
         let constraints = self.constraints(request);
         matches!(
--- a/crates/hyssopfork-gateway/src/lib.rs
+++ b/crates/hyssopfork-gateway/src/lib.rs
@@ -17,6 +17,8 @@
 //! - [`pause`]: pauses that upstreams ask for; [`leaving`]: upstreams that state that they leave
 //! - [`health`]: outlier ejection and backoff; [`moves`]: limit on moves of stalled requests
 //! - [`retry_budget`]: limit on retries; [`retry_schedule`]: `Retry-After` of rejected requests
+//! - [`scheduler`]: order of requests when there is too little capacity; [`rank_reserve`]: capacity
+//!   that is left to more urgent ones
 //! - [`content`]: fingerprint that identifies a request which crashes upstreams
 //! - [`core`]: a request from arrival to end; [`scanner`]: complete events of a stream
 
@@ -36,6 +38,7 @@
 pub mod notice;
 pub mod output_length;
 pub mod pause;
+pub mod rank_reserve;
 pub mod rate_limit;
 pub mod rendezvous;
 pub mod request;
@@ -44,6 +47,7 @@
 pub mod retry_schedule;
 pub mod routing;
 pub mod scanner;
+pub mod scheduler;
 pub mod selection;
 pub mod settings;
 pub mod size;
--- a/crates/hyssopfork-gateway/src/request.rs
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -5,6 +5,9 @@
 use hyssopfork_wire::{clock, configuration, name};
 use std::time::Duration;
 
+/// Pool and model of a request; no model for a plain service.
+pub type Kind = (name::Pool, Option<name::Model>);
+
 /// An attempt in flight.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -67,6 +70,8 @@
     pub on_time_until: clock::Instant,
     /// Whether the request was queued for lack of an upstream; this happens once at most.
     pub was_queued: bool,
+    /// Time that the request waited for a place; `None` if it did not or still does.
+    pub queue_time: Option<Duration>,
     /// Deadline.
     pub deadline: clock::Instant,
     /// Upstreams that may have run the request.
@@ -88,6 +93,11 @@
 }
 
 impl Request {
+    /// Pool and model.
+    pub fn kind(&self) -> Kind {
+        (self.pool.clone(), self.model.clone())
+    }
+
     /// Fingerprint of the request, the same for each repetition.
     pub fn fingerprint(&self) -> quarantine::Fingerprint {
         self.content.fingerprint(self.team.as_ref())
--- a/crates/hyssopfork-gateway/src/selection.rs
+++ b/crates/hyssopfork-gateway/src/selection.rs
@@ -53,6 +53,8 @@
     pub priority: Priority,
     /// Prediction for the groups of the model; `None` if it has no declared performance.
     pub forecast: Option<engine_model::Forecast>,
+    /// Part of the limit that is left to requests of more urgent ranks.
+    pub reserve: f64,
 }
 
 /// Priority of a request, which decides how much capacity must be left for others.
@@ -186,9 +188,11 @@
         let limit = target.limit.get_with(query.forecast.map(|forecast| forecast.limit));
         let throughput =
             query.forecast.map_or(target.load.throughput(), |forecast| forecast.throughput);
+        // An idle upstream takes any request.
+        let reserve = (limit * query.reserve).min(limit - 1.0);
         let allowance = match query.priority {
-            Priority::OnTime => 0.0,
-            Priority::Late => -limit * RESERVED_FOR_ON_TIME,
+            Priority::OnTime => -reserve,
+            Priority::Late => -limit * RESERVED_FOR_ON_TIME - reserve,
             Priority::Retry => target.load.slots() * RETRY_OVERSHOOT,
         };
         let margin = target.load.deviation(now, constraints.average) * UNCERTAINTY_FACTOR;
--- a/crates/hyssopfork-telemetry/src/metrics.rs
+++ b/crates/hyssopfork-telemetry/src/metrics.rs
@@ -10,6 +10,8 @@
 
 type Histograms =
     family::Family<label::Request, histogram::Histogram, fn() -> histogram::Histogram>;
+type RankHistograms =
+    family::Family<label::Rank, histogram::Histogram, fn() -> histogram::Histogram>;
 type Counters<L> = family::Family<L, counter::Counter>;
 type SecondsGauge = gauge::Gauge<f64, AtomicU64>;
 
@@ -26,6 +28,8 @@
 const RATIO_BUCKET_FACTOR: f64 = 1.25;
 /// Number of buckets of a ratio of two times; the last bound is about 22.
 const RATIO_BUCKET_COUNT: u16 = 25;
+/// Highest rank that has a time series of its own.
+const MAX_RANK: u32 = 9;
 
 /// All metrics of a process.
 ///
@@ -34,6 +38,7 @@
 pub struct Registry {
     registry: registry::Registry,
     wait_time: Histograms,
+    queue_time: RankHistograms,
     time_to_first_token: Histograms,
     inter_token_latency: Histograms,
     total_time: Histograms,
@@ -72,6 +77,11 @@
                 "wait_seconds",
                 "Time from arrival until the work was sent",
             ),
+            queue_time: register_rank_histograms(
+                metrics,
+                "queue_seconds",
+                "Time in the queue for a place, by rank",
+            ),
             time_to_first_token: register_histograms(
                 metrics,
                 "first_token_seconds",
@@ -148,6 +158,12 @@
         observe(&self.wait_time, team, class, time);
     }
 
+    /// Records the time that a request of this rank waited for a place, whether it got one or not.
+    pub fn observe_queue_time(&self, rank: u32, time: Duration) {
+        let labels = label::Rank { rank: rank.min(MAX_RANK) };
+        self.queue_time.get_or_create(&labels).observe(time.as_secs_f64());
+    }
+
     /// Records the time from arrival of a request to the first part of its response.
     pub fn observe_first_token(
         &self,
@@ -269,6 +285,17 @@
     ))
 }
 
+fn register_rank_histograms(
+    registry: &mut registry::Registry,
+    name: &str,
+    help: &str,
+) -> RankHistograms {
+    let family =
+        RankHistograms::new_with_constructor(new_histogram as fn() -> histogram::Histogram);
+    registry.register(name, help, family.clone());
+    family
+}
+
 fn register_histograms(registry: &mut registry::Registry, name: &str, help: &str) -> Histograms {
     let family = Histograms::new_with_constructor(new_histogram as fn() -> histogram::Histogram);
     registry.register(name, help, family.clone());
