fleet: test that growth leaves a repair its engines

With a third model in the fixture, a plan for more groups of one model is made while a group of another waits for its survivor.

--- a/crates/hyssopfork-fleet/tests/fleet/demand.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/demand.rs
@@ -534,3 +534,35 @@
     assert!(changes <= 4 && closed <= 8, "{changes} changes, {closed} groups closed");
     assert!(fewest >= 8 && most_closing <= 1, "{fewest} left, {most_closing} closed at a time");
 }
+
+/// Guards against a plan for more groups of one model that takes the engines which complete a lost group
+/// of another: that one was not complete again within ten seconds.
+#[test]
+fn growth_leaves_the_engines_that_a_repair_needs() {
+    let mut world = world::World::declared(3, 1);
+    assert!(world.declare(fixture::FIRST_VERSION_WITH_OTHER));
+    world.add_engines(1..=20, "d1");
+    world.add_engines(21..=40, "d2");
+    world.add_engines(41..=60, "d3");
+    world.run(60_000);
+    let before = count_groups(&world, 2);
+    let fitting = vec![report("large", 3.0), report("small", 40.0), report("other", 22.0)];
+    let clear = vec![report("large", 3.0), report("small", 140.0), report("other", 46.0)];
+    let pair = world.serving().into_iter().find(|group| group.members.len() == 2);
+    let lost = pair.expect("a group of two serves").members;
+    // Each order is carried out 1.2 s late, so the survivor is not free yet when the plan changes.
+    world.late_orders = Some(Duration::from_millis(1_200));
+    world.engines.get_mut(&lost[1]).expect("the engine exists").alive = false;
+
+    for elapsed in (0..10_000).step_by(REPORT_INTERVAL_MS as usize) {
+        let stalled = stalled_heads(&world);
+        let demands = if elapsed < 800 { &fitting } else { &clear }.clone();
+        let evidence =
+            peer::Evidence { traffic: true, demands, stalled, ..peer::Evidence::default() };
+        let entry = *world.processes.keys().last().expect("there are processes");
+        world.report_evidence(entry, evidence);
+        world.run(REPORT_INTERVAL_MS);
+    }
+
+    assert_eq!((count_changes(&world), count_groups(&world, 2)), (1, before));
+}
--- a/crates/hyssopfork-fleet/tests/fleet/fixture.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/fixture.rs
@@ -63,12 +63,22 @@
 /// First version in which a group of the large model has four engines instead of two.
 pub const FIRST_VERSION_WITH_LARGE_OF_FOUR: u64 = 1_000;
 
-/// A declaration of two models: "large" with groups of two or four engines, "small" with one.
+/// First version with a third model, "other", with groups of two engines. "small" is declared first, so
+/// the other models' engines stage it.
+pub const FIRST_VERSION_WITH_OTHER: u64 = 2_000;
+
+/// A declaration of two models: "large" with groups of two or four engines, "small" with one. From
+/// [`FIRST_VERSION_WITH_OTHER`] on, there is a third one.
 pub fn declaration(version: u64) -> declaration::Declaration {
     let large = if version < FIRST_VERSION_WITH_LARGE_OF_FOUR { 2 } else { 4 };
+    let models = if version < FIRST_VERSION_WITH_OTHER {
+        vec![model("large", large), model("small", 1)]
+    } else {
+        vec![model("small", 1), model("large", large), model("other", 2)]
+    };
     let engine = declaration::Engine {
         slots: 8,
-        models: vec![model("large", large), model("small", 1)],
+        models,
         loads_per_second: 3.0,
         loads_at_once: 6,
         formation: Duration::from_millis(300),
