telemetry: metrics of counts that entries share

Entries will tell each other how many requests they have at each group. Counters of messages sent, received and dropped, and a histogram of the age of the totals that requests are sent by, show whether the exchange works.

Measured: cargo test -p hyssopfork-telemetry passes.

--- a/crates/hyssopfork-telemetry/src/metrics.rs
+++ b/crates/hyssopfork-telemetry/src/metrics.rs
@@ -45,6 +45,10 @@
     replicated_bytes: counter::Counter,
     published_bytes: counter::Counter,
     update_bytes: counter::Counter,
+    shared_load_sent: counter::Counter,
+    shared_load_received: counter::Counter,
+    shared_load_drops: counter::Counter,
+    shared_load_age: histogram::Histogram,
 }
 
 impl Default for Registry {
@@ -126,6 +130,26 @@
                 "published_update_bytes",
                 "Bytes of updates of the view sent to followers, without declarations",
             ),
+            shared_load_sent: register_counter(
+                metrics,
+                "shared_load_sent",
+                "Messages with counts of requests sent to other entries",
+            ),
+            shared_load_received: register_counter(
+                metrics,
+                "shared_load_received",
+                "Messages with counts of requests received, dropped ones included",
+            ),
+            shared_load_drops: register_counter(
+                metrics,
+                "shared_load_dropped",
+                "Messages with counts of requests that were not sent, or not used when received",
+            ),
+            shared_load_age: register_histogram(
+                metrics,
+                "shared_load_age_seconds",
+                "Age of the total that a request was sent by",
+            ),
             registry,
         }
     }
@@ -217,6 +241,26 @@
         self.update_bytes.inc_by(bytes as u64);
     }
 
+    /// Counts a message with counts of requests that was sent to another entry.
+    pub fn count_shared_load_sent(&self) {
+        self.shared_load_sent.inc();
+    }
+
+    /// Counts a received message with counts of requests.
+    pub fn count_shared_load_received(&self) {
+        self.shared_load_received.inc();
+    }
+
+    /// Counts a message with counts of requests that was dropped.
+    pub fn count_shared_load_drop(&self) {
+        self.shared_load_drops.inc();
+    }
+
+    /// Records the age of the total of the other entries' requests that a request was sent by.
+    pub fn observe_shared_load_age(&self, age: Duration) {
+        self.shared_load_age.observe(age.as_secs_f64());
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let mut encoded = String::new();
@@ -252,6 +296,16 @@
     family
 }
 
+fn register_histogram(
+    registry: &mut registry::Registry,
+    name: &str,
+    help: &str,
+) -> histogram::Histogram {
+    let histogram = new_histogram();
+    registry.register(name, help, histogram.clone());
+    histogram
+}
+
 fn register_counters<L>(registry: &mut registry::Registry, name: &str, help: &str) -> Counters<L>
 where
     L: Clone
--- a/crates/hyssopfork-telemetry/tests/metrics.rs
+++ b/crates/hyssopfork-telemetry/tests/metrics.rs
@@ -51,6 +51,21 @@
     assert!(text.contains("hyssopfork_consensus_leads 1\n"), "{text}");
 }
 
+#[test]
+fn messages_with_counts_are_counted_and_the_age_of_totals_is_recorded() {
+    let registry = metrics::Registry::new();
+
+    registry.count_shared_load_sent();
+    registry.count_shared_load_received();
+    registry.count_shared_load_drop();
+    registry.observe_shared_load_age(Duration::from_millis(40));
+
+    let text = registry.encode();
+    for name in ["sent_total", "received_total", "dropped_total", "age_seconds_count"] {
+        assert!(text.contains(&format!("hyssopfork_shared_load_{name} 1\n")), "{name}: {text}");
+    }
+}
+
 #[test]
 fn replicated_and_published_bytes_are_counted_separately() {
     let registry = metrics::Registry::new();
