settings: share_load of an edge process

The entries need a port for datagrams with their counts of requests. The platform names only the first and the last port of its range; the process takes the port after peer_port. A peer_port without a port after it is reported as a fault. Default false: nothing changes without the setting.

--- a/crates/hyssopfork-settings/src/edge.rs
+++ b/crates/hyssopfork-settings/src/edge.rs
@@ -21,6 +21,9 @@
     pub control_listen: net::SocketAddr,
     /// Listen port for peers (tarpc); the first of the ports that are reserved for peer traffic.
     pub peer_port: u16,
+    /// Whether the entries share their counts of requests at each group, by datagrams on the port
+    /// after `peer_port`.
+    pub share_load: bool,
     /// Listen port for the metrics (HTTP).
     pub metrics_port: u16,
     /// Control addresses of the peers to contact first; on the first start, the first seed selects
@@ -54,6 +57,12 @@
         net::SocketAddr::new(self.control_listen.ip(), self.peer_port)
     }
 
+    /// Returns the address for counts of other entries; `None` if they are not shared.
+    pub fn shared_load_address(&self) -> Option<net::SocketAddr> {
+        let port = self.peer_port.checked_add(1).filter(|_| self.share_load);
+        port.map(|port| net::SocketAddr::new(self.control_listen.ip(), port))
+    }
+
     /// Returns the bytes per second that the link transmits.
     pub fn link_rate(&self) -> u64 {
         (self.link_mbps * 1_000_000.0 / 8.0) as u64
@@ -102,6 +111,13 @@
     let readiness_listen = section.address("readiness_listen");
     let control_listen = section.reachable_address("control_listen");
     let peer_port = section.required_number("peer_port", 1..=65_535);
+    let share_load = section.boolean("share_load");
+    if share_load && peer_port == u64::from(u16::MAX) {
+        section.report_fault(
+            "share_load",
+            "the port after peer_port is used: choose a lower peer_port",
+        );
+    }
     let metrics_port = section.required_number("metrics_port", 0..=65_535);
     let seeds = section.addresses("seeds");
     let first_start = section.boolean("first_start");
@@ -125,6 +141,7 @@
         readiness_listen: readiness_listen?,
         control_listen: control_listen?,
         peer_port: peer_port as u16,
+        share_load,
         metrics_port: metrics_port as u16,
         seeds: seeds?,
         first_start,
