gateway, daemon: share the exact load of groups among the entries

Cause: seventeen entries estimated the requests of the others at a group from reports that are hundreds of milliseconds old. Requests waited at full groups while other groups had slots, and were rejected while there was room.

Change: module occupancy exchanges absolute counts by datagrams through one coordinator for each group, chosen by rendezvous hashing. With a total that is at most 300 ms old the load is own + others; otherwise all is as before. Two terms in the selection spread the requests of entries that all know the emptiest group, and take a group without a free slot last.

--- a/crates/hyssopfork-daemon/src/edge/process.rs
+++ b/crates/hyssopfork-daemon/src/edge/process.rs
@@ -217,6 +217,13 @@
         let core = gateway_core::Core::new(core_settings, rand::random(), clock::now());
         let client_listener = listener::bind("callers", settings.callers_listen)?;
         let readiness_listener = listener::bind("the load balancer", settings.readiness_listen)?;
+        // Without the socket the entry estimates the load of the groups.
+        let shared_load_address = settings.shared_load_address();
+        let counts_socket = shared_load_address.and_then(|address| {
+            listener::bind_datagrams("counts of other entries", address)
+                .inspect_err(|error| tracing::error!(%error, "load is not shared"))
+                .ok()
+        });
         let (mailbox, status) = (self.mailbox.clone(), self.status.clone());
         let (own_address, phase_receiver) = (settings.peer_address(), self.phase_receiver.clone());
         let registry = self.registry.clone();
@@ -225,6 +232,9 @@
             let shared = Rc::new(http_server::Shared::new(limits, phase_receiver.clone()));
             let readiness_status = status.clone();
             let entry = traffic::Entry::new(core, own_address, mailbox, status, registry);
+            if let Some(Err(error)) = counts_socket.map(|socket| entry.share_load(socket)) {
+                tracing::error!(%error, "cannot share counts with other entries");
+            }
             serve(
                 readiness_listener,
                 Rc::new(http_server::Shared::new(limits, phase_receiver.clone())),
--- a/crates/hyssopfork-daemon/src/edge/traffic.rs
+++ b/crates/hyssopfork-daemon/src/edge/traffic.rs
@@ -1,17 +1,17 @@
 //! Entry role: drives the gateway core on the traffic thread, shared by all request handlers.
 
-use crate::edge::{connection_pool, control, engine, handler, http_server};
+use crate::edge::{connection_pool, control, engine, handler, http_server, occupancy};
 use crate::{clock, log, mailbox};
 use hyssopfork_fleet::{declaration, event as fleet_event, quarantine, view};
 use hyssopfork_gateway::{action, core, event};
 use hyssopfork_telemetry::metrics;
 use hyssopfork_wire::number;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
-use std::net;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::{io, net};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time;
 
@@ -41,6 +41,8 @@
     mailbox: mailbox::Mailbox<control::Input>,
     status: Arc<Status>,
     registry: Arc<metrics::Registry>,
+    /// Channel for counts that are shared with other entries, if that is enabled.
+    counts: OnceCell<Rc<occupancy::Channel>>,
 }
 
 impl Entry {
@@ -62,6 +64,7 @@
             mailbox,
             status,
             registry,
+            counts: OnceCell::new(),
         })
     }
 
@@ -78,6 +81,18 @@
         receiver
     }
 
+    /// Starts to share counts with the other entries. Must be called on the traffic thread.
+    pub fn share_load(&self, socket: net::UdpSocket) -> io::Result<()> {
+        let Some(entry) = self.weak_self.upgrade() else { return Ok(()) };
+        let channel = Rc::new(occupancy::Channel::new(socket, self.registry.clone())?);
+        let is_first = self.counts.set(channel.clone()).is_ok();
+        if is_first {
+            self.core.borrow_mut().share_load(occupancy::boot_number());
+            actix_rt::spawn(occupancy::run(entry, channel));
+        }
+        Ok(())
+    }
+
     /// Passes an event to the core, executes the actions and returns the decision about the event's
     /// request. Decisions about other requests go to their handlers.
     pub fn step(&self, event: event::Event) -> Option<action::Decision> {
@@ -98,6 +113,13 @@
                 action::Action::Measure(measure) => {
                     log::record_edge_measurement(&self.registry, &measure)
                 }
+                action::Action::SendCounts(to, message) => {
+                    if let Some(channel) = self.counts.get() {
+                        channel.send(to, &message);
+                    }
+                }
+                action::Action::CountsDropped => self.registry.count_shared_load_drop(),
+                action::Action::ObserveTotalAge(age) => self.registry.observe_shared_load_age(age),
                 action::Action::Report(evidence) => {
                     let observed = fleet_event::Event::Observed(self.own_address, evidence);
                     self.mailbox.post(control::Input::Event(Box::new(observed)));
--- a/crates/hyssopfork-daemon/src/listener.rs
+++ b/crates/hyssopfork-daemon/src/listener.rs
@@ -35,6 +35,17 @@
     Ok(listener)
 }
 
+/// Binds a datagram socket.
+pub fn bind_datagrams(
+    what: &'static str,
+    address: net::SocketAddr,
+) -> Result<net::UdpSocket, Error> {
+    let failed = |cause| Error::Bind(what, address, cause);
+    let socket = net::UdpSocket::bind(address).map_err(failed)?;
+    socket.set_nonblocking(true).map_err(failed)?;
+    Ok(socket)
+}
+
 /// Serves every connection of a tarpc listener on this thread until the process ends.
 pub async fn serve<Request, Reply, Serve>(
     what: &'static str,
--- a/crates/hyssopfork-daemon/tests/edge/fleet.rs
+++ b/crates/hyssopfork-daemon/tests/edge/fleet.rs
@@ -67,6 +67,7 @@
             r#"{{
               "instance": "edge-{index}", "zone": "z{}", "callers_listen": "{}",
               "readiness_listen": "{}", "control_listen": "{}", "peer_port": {peer},
+              "share_load": true,
               "metrics_port": {metrics}, "seeds": [{}], "first_start": {first_start},
               "data_folder": "{}", "tolerated_losses": 1, "grace_seconds": 6, "log": {{ "format": "json" }}
             }}"#,
--- a/crates/hyssopfork-daemon/tests/edge/main.rs
+++ b/crates/hyssopfork-daemon/tests/edge/main.rs
@@ -6,6 +6,7 @@
 mod http_server;
 mod leaving;
 mod named_rate;
+mod occupancy;
 mod pause;
 mod query_of_death;
 mod scenario;
--- a/crates/hyssopfork-gateway/src/action.rs
+++ b/crates/hyssopfork-gateway/src/action.rs
@@ -1,6 +1,6 @@
 //! Actions that an entry takes in response to events.
 
-use crate::{measurement, notice};
+use crate::{measurement, notice, occupancy};
 use hyssopfork_fleet::{peer, quarantine};
 use hyssopfork_wire::{clock, name};
 use std::net;
@@ -118,6 +118,12 @@
     Report(peer::Evidence),
     /// Record the measurement of a finished request.
     Measure(measurement::Measurement),
+    /// Send counts to the entry with this address.
+    SendCounts(net::SocketAddr, occupancy::Message),
+    /// Count a message of another entry that was dropped.
+    CountsDropped,
+    /// Record the age of a total that a request was sent by.
+    ObserveTotalAge(Duration),
     /// Log a numbered event.
     Notice(notice::Notice),
 }
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -9,6 +9,7 @@
 mod quarantine;
 mod queue;
 mod serve;
+mod sharing;
 mod stall;
 
 use crate::{
@@ -56,6 +57,8 @@
     queue: queue::Queue,
     crashes: crash::Crashes,
     quarantine: quarantine::Quarantine,
+    /// Exchange of counts with the other entries; `None` if disabled.
+    sharing: Option<sharing::Sharing>,
     requests: BTreeMap<u64, request::Request>,
     /// Whether any request has arrived.
     has_traffic: bool,
@@ -89,6 +92,7 @@
             queue: queue::Queue::default(),
             crashes: crash::Crashes::default(),
             quarantine: quarantine::Quarantine::default(),
+            sharing: None,
             requests: BTreeMap::new(),
             has_traffic: false,
             stopping: false,
@@ -134,6 +138,8 @@
             event::Event::QueueTimeout(number) => self.on_queue_timeout(number),
             event::Event::DeadlineExceeded(number) => self.on_deadline(number),
             event::Event::ClientDisconnected(number) => self.on_client_disconnected(number),
+            event::Event::SharingInterval => self.on_sharing_interval(),
+            event::Event::CountsReceived(from, message) => self.on_counts_received(from, message),
             event::Event::Stop => self.on_stop(),
         }
         mem::take(&mut self.actions)
--- a/crates/hyssopfork-gateway/src/core/fleet_view.rs
+++ b/crates/hyssopfork-gateway/src/core/fleet_view.rs
@@ -2,7 +2,8 @@
 
 use super::Core;
 use crate::{
-    concurrency_limit, health, load, notice, rendezvous, request, routing, slow_start, target,
+    concurrency_limit, health, load, notice, occupancy, rendezvous, request, routing, slow_start,
+    target,
 };
 use hyssopfork_fleet::{declaration, quarantine, view};
 use hyssopfork_wire::{clock, name};
@@ -56,6 +57,9 @@
         for instance in &changed {
             self.rebuild_target(instance);
         }
+        if !changed.is_empty() || entries_changed {
+            self.update_sharing();
+        }
         self.retry_queued();
     }
 
@@ -111,7 +115,8 @@
         };
         let retained = previous.filter(|it| it.incarnation == incarnation);
         let slots = engine.map_or(announcement.slots, |engine| engine.slots);
-        let mut target = retained.unwrap_or_else(|| new_target(incarnation, slots, announcement));
+        let mut target =
+            retained.unwrap_or_else(|| new_target(instance, incarnation, slots, announcement));
         target.model = group.map(|group| group.model.clone());
         let process = quarantine::Process {
             instance: instance.clone(),
@@ -137,17 +142,21 @@
         let runs = |request: &&request::Request| {
             request.attempt.as_ref().is_some_and(|attempt| attempt.instance == *instance)
         };
-        target.load.own_requests = self.requests.values().filter(runs).count() as u32;
+        let running = || self.requests.values().filter(runs);
+        target.load.own_requests = running().count() as u32;
+        target.load.own_tokens = running().map(|request| occupancy::tokens(request.size)).sum();
         self.targets.insert(instance.clone(), target);
     }
 }
 
 fn new_target(
+    instance: &name::Instance,
     incarnation: target::Incarnation,
     slots: u32,
     announcement: &hyssopfork_fleet::announcement::Announcement,
 ) -> target::Target {
     target::Target {
+        key: occupancy::Key::new(instance, &incarnation),
         incarnation,
         pool: announcement.pool.clone(),
         model: None,
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -2,8 +2,8 @@
 
 use super::{Core, completion, stall};
 use crate::{
-    action, arrival, demand, event, load, notice, request, response, retry_budget, routing,
-    selection, target,
+    action, arrival, demand, event, load, notice, occupancy, request, response, retry_budget,
+    routing, selection, target,
 };
 use hyssopfork_wire::{clock, name};
 use std::time::Duration;
@@ -76,6 +76,9 @@
             self.demands.entry(key).or_insert_with(|| demand::Meter::new(now)).on_arrival(now);
         }
         self.has_traffic = true;
+        if let Some(sharing) = self.sharing.as_mut().filter(|_| request.model.is_some()) {
+            sharing.on_arrival();
+        }
         self.requests.insert(number, request);
         self.dispatch(number, false);
     }
@@ -137,7 +140,9 @@
         let Some(request) = self.requests.get_mut(&number) else { return };
         let Some(target) = self.targets.get_mut(instance) else { return };
         let load = (target.load.estimate(now, average), target.limit.get());
+        let total_age = target.load.total_age(now);
         target.load.own_requests += 1;
+        target.load.own_tokens += occupancy::tokens(request.size);
         target.recent_sends.record(now);
         if let Some(limiter) = &mut target.rate_limiter {
             limiter.record(now);
@@ -179,6 +184,7 @@
         }
         self.decide(number, action::Decision::Start(Box::new(start)));
         self.log(sent);
+        self.actions.extend(total_age.map(action::Action::ObserveTotalAge));
     }
 
     fn retry_policy(&self) -> retry_budget::Policy {
@@ -436,6 +442,8 @@
         let Some(attempt) = request.attempt.take() else { return };
         if let Some(target) = self.targets.get_mut(&attempt.instance) {
             target.load.own_requests = target.load.own_requests.saturating_sub(1);
+            let tokens = occupancy::tokens(request.size);
+            target.load.own_tokens = target.load.own_tokens.saturating_sub(tokens);
             let waited = now.since(attempt.started_at);
             // If only attempts with a response counted, the slowest ones would not count at all.
             if attempt.last_bytes_at.is_none() && waited > request.objective {
--- a/crates/hyssopfork-gateway/src/event.rs
+++ b/crates/hyssopfork-gateway/src/event.rs
@@ -1,7 +1,8 @@
 //! Events that an entry handles.
 
-use crate::{arrival, load, response};
+use crate::{arrival, load, occupancy, response};
 use hyssopfork_fleet::{declaration, quarantine, rate, view};
+use std::net;
 use std::sync::Arc;
 
 /// Head of an upstream's response.
@@ -81,6 +82,10 @@
     DeadlineExceeded(u64),
     /// The client disconnected.
     ClientDisconnected(u64),
+    /// [`occupancy::INTERVAL`] has passed.
+    SharingInterval,
+    /// Counts of the entry with this address arrived.
+    CountsReceived(net::SocketAddr, occupancy::Message),
     /// The process is to stop.
     Stop,
 }
@@ -99,7 +104,12 @@
             | Event::QueueTimeout(number)
             | Event::DeadlineExceeded(number)
             | Event::ClientDisconnected(number) => Some(*number),
-            Event::Tick | Event::ViewUpdated(..) | Event::Probed(..) | Event::Stop => None,
+            Event::Tick
+            | Event::ViewUpdated(..)
+            | Event::Probed(..)
+            | Event::SharingInterval
+            | Event::CountsReceived(..)
+            | Event::Stop => None,
         }
     }
 }
--- a/crates/hyssopfork-gateway/src/lib.rs
+++ b/crates/hyssopfork-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`routing`]: route and team of a request, and the pool that it goes to
 //! - [`selection`]: load balancing among the upstreams, and rejection without capacity
 //! - [`load`]: estimated load of an upstream; [`concurrency_limit`]: its AIMD limit
+//! - [`occupancy`]: exact load of the groups, which the entries tell each other
 //! - [`demand`]: demand for a model, by which the leader plans its groups
 //! - [`rendezvous`]: which upstreams an entry prefers, and how entries divide an upstream's rate
 //! - [`slow_start`]: rate after a start; [`rate_limit`]: rate that an upstream names itself
@@ -31,6 +32,7 @@
 pub mod measurement;
 pub mod moves;
 pub mod notice;
+pub mod occupancy;
 pub mod pause;
 pub mod rate_limit;
 pub mod rendezvous;
--- a/crates/hyssopfork-gateway/src/load.rs
+++ b/crates/hyssopfork-gateway/src/load.rs
@@ -6,7 +6,10 @@
 //! load is then estimated by the average over all upstreams of the pool and model. A process
 //! receives many reports per second for that average, which follows a surge by the process's own
 //! requests.
+//!
+//! Where the entries share their counts ([`occupancy`]), a recent total replaces the estimate.
 
+use crate::occupancy;
 use hyssopfork_wire::clock;
 use std::time::Duration;
 
@@ -40,6 +43,10 @@
 /// Average duration of a request before the first sample: a hundred generated tokens at 10 ms.
 const INITIAL_DURATION: Duration = Duration::from_millis(1_000);
 
+/// Requests of other entries, in multiples of the slots, above which a total is implausible and is
+/// ignored: a limit is little more than the slots.
+const MAX_TOTAL_RATIO: f64 = 4.0;
+
 /// Load that an upstream reports with a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Report {
@@ -144,6 +151,10 @@
 pub struct Load {
     /// This process's requests.
     pub own_requests: u32,
+    /// Tokens of this process's requests.
+    pub own_tokens: u64,
+    /// Count of the other entries.
+    total: Option<occupancy::Total>,
     /// Requests of other processes at the last report.
     others: f64,
     /// This process's average requests per upstream of the pool and model at the last report.
@@ -158,6 +169,8 @@
     pub fn new(slots: u32) -> Load {
         Load {
             own_requests: 0,
+            own_tokens: 0,
+            total: None,
             others: 0.0,
             own_mean: 1.0,
             reported_at: None,
@@ -172,6 +185,10 @@
         let total = f64::from(report.running + report.waiting);
         self.others = (total - f64::from(self.own_requests)).max(0.0);
         self.reported_at = Some(now);
+        // A report that is newer than the total shows requests that the coordinator has not counted.
+        if let Some(total) = &mut self.total {
+            total.others.requests = total.others.requests.max(self.others as u32);
+        }
         if report.slots > 0 {
             self.slots = report.slots;
         }
@@ -187,9 +204,43 @@
         self.others
     }
 
-    /// Estimated current requests. Other processes' requests are assumed to have grown since the
+    /// Takes the count of the other entries.
+    pub fn set_total(&mut self, total: occupancy::Total) {
+        self.total = Some(total);
+    }
+
+    /// Count of the other entries if it is recent.
+    pub fn total(&self, now: clock::Instant) -> Option<occupancy::Count> {
+        let is_plausible = |total: &occupancy::Total| {
+            f64::from(total.others.requests) <= self.slots() * MAX_TOTAL_RATIO
+        };
+        let is_recent = |total: &occupancy::Total| now.since(total.at) <= occupancy::MAX_TOTAL_AGE;
+        self.total.filter(is_recent).filter(is_plausible).map(|total| total.others)
+    }
+
+    /// Age of the count of the other entries; `None` if it isn't used.
+    pub fn total_age(&self, now: clock::Instant) -> Option<Duration> {
+        self.total(now).and(self.total).map(|total| now.since(total.at))
+    }
+
+    /// Whether the slots are known to be all in use.
+    pub fn is_known_full(&self, now: clock::Instant) -> bool {
+        self.total(now).is_some_and(|others| {
+            f64::from(self.own_requests) + f64::from(others.requests) >= self.slots()
+        })
+    }
+
+    /// Part of the requests of a full upstream that end within `time`.
+    pub fn turnover(&self, time: Duration) -> f64 {
+        time.as_secs_f64() * self.throughput() / self.slots()
+    }
+
+    /// Current requests: exact with a recent count of the other entries, otherwise estimated. Other processes' requests are assumed to have grown since the
     /// last report like this process's own.
     pub fn estimate(&self, now: clock::Instant, average: Average) -> f64 {
+        if let Some(others) = self.total(now) {
+            return f64::from(self.own_requests) + f64::from(others.requests);
+        }
         let freshness = self.freshness(now);
         let reported = self.others * average.own.smoothed_mean() / self.own_mean;
         let own = f64::from(self.own_requests);
@@ -204,8 +255,11 @@
         (average.others.max(0.0) * (1.0 - self.freshness(now))).sqrt()
     }
 
-    /// Weight of the last report: 1 if it has just arrived, 0 if there is none.
+    /// Weight of the last report: 1 if it has just arrived or the load is exact, 0 if there is none.
     pub fn freshness(&self, now: clock::Instant) -> f64 {
+        if self.total(now).is_some() {
+            return 1.0;
+        }
         self.report_age(now).map_or(0.0, |age| decay(age, REPORT_HALF_LIFE))
     }
 
--- a/crates/hyssopfork-gateway/src/notice.rs
+++ b/crates/hyssopfork-gateway/src/notice.rs
@@ -4,6 +4,7 @@
 use hyssopfork_fleet::{quarantine, rate};
 use hyssopfork_wire::{level, name};
 use std::fmt;
+use std::net;
 use std::time::Duration;
 
 /// A numbered event. Times are counted from the request's arrival.
@@ -153,6 +154,10 @@
     UpstreamLeaving(name::Instance),
     /// An upstream is stalled: no stream receives bytes.
     Stalled(name::Instance, Duration),
+    /// The coordinator of some groups has sent no totals for some time.
+    CoordinatorSilent(net::SocketAddr),
+    /// A silent coordinator sends totals again.
+    CoordinatorRestored(net::SocketAddr),
     /// The entry accepts no new connections.
     Leaving(usize),
 }
@@ -179,6 +184,8 @@
             Notice::PauseRequested { .. } => 5225,
             Notice::PauseMalformed(..) => 5226,
             Notice::UpstreamLeaving(..) => 5227,
+            Notice::CoordinatorSilent(..) => 5240,
+            Notice::CoordinatorRestored(..) => 5241,
         }
     }
 
@@ -188,6 +195,7 @@
             Notice::Cut { .. }
             | Notice::Crashed { .. }
             | Notice::Stalled(..)
+            | Notice::CoordinatorSilent(..)
             | Notice::PauseMalformed(..) => level::Level::Warn,
             _ => level::Level::Info,
         }
@@ -218,6 +226,8 @@
             | Notice::PauseMalformed(..)
             | Notice::UpstreamLeaving(..)
             | Notice::Stalled(..)
+            | Notice::CoordinatorSilent(..)
+            | Notice::CoordinatorRestored(..)
             | Notice::Leaving(..) => None,
         }
     }
@@ -319,6 +329,12 @@
             Notice::Stalled(instance, silence) => {
                 write!(formatter, "{instance} is stalled for_ms={}", silence.as_millis())
             }
+            Notice::CoordinatorSilent(entry) => {
+                write!(formatter, "{entry} sends no totals; the load of its groups is estimated")
+            }
+            Notice::CoordinatorRestored(entry) => {
+                write!(formatter, "{entry} sends totals again")
+            }
             Notice::Leaving(open) => {
                 write!(formatter, "accepts no new connections; {open} requests are open")
             }
--- a/crates/hyssopfork-gateway/src/rendezvous.rs
+++ b/crates/hyssopfork-gateway/src/rendezvous.rs
@@ -34,6 +34,14 @@
     others.filter(|other| (weight(**other, key), **other) > own).count()
 }
 
+/// First entry for the key, whose rank is 0; `None` without entries.
+pub fn first<'a>(
+    entries: impl IntoIterator<Item = &'a net::SocketAddr>,
+    key: &[u8],
+) -> Option<net::SocketAddr> {
+    entries.into_iter().copied().max_by_key(|entry| (weight(*entry, key), *entry))
+}
+
 /// Mixes all bits of the hash: the upper bits of FNV are similar for inputs with a common end.
 fn mix(mut hash: u64) -> u64 {
     hash ^= hash >> 33;
--- a/crates/hyssopfork-gateway/src/selection.rs
+++ b/crates/hyssopfork-gateway/src/selection.rs
@@ -34,6 +34,13 @@
 /// receives their reports frequently and has open connections to them.
 const AFFINITY: f64 = 1.0;
 
+/// Penalty of an upstream whose slots are known to be all in use: the request would wait there.
+/// Larger than any difference in used parts of the limits, which each entry learns for itself.
+const FULL_PENALTY: f64 = 1.0;
+
+/// Typical age of a total of the other entries at an upstream that is nearly full.
+const TOTAL_AGE: Duration = Duration::from_millis(100);
+
 /// Time after a successful response during which an upstream is used even though the leader doesn't
 /// receive its heartbeats.
 const RECENT_RESPONSE_TIME: Duration = Duration::from_secs(2);
@@ -230,7 +237,15 @@
     constraints: Constraints<'_>,
 ) -> f64 {
     let zone_penalty = if target.zone == *zone { 0.0 } else { ZONE_PREFERENCE };
-    // A process with several requests at each upstream has recent information about all of them.
-    let uncertainty = (1.0 - target.load.freshness(now)) / (1.0 + constraints.average.own.mean());
-    load / target.limit.get() + zone_penalty + target.preference * uncertainty * AFFINITY
+    let spread = if target.load.total(now).is_some() {
+        // All entries know which upstream is the emptiest, and would all send there until they
+        // receive the next total. The preference spreads these requests.
+        (target.load.turnover(TOTAL_AGE) * constraints.average.own.upstreams as f64).min(AFFINITY)
+    } else {
+        // A process with several requests at each upstream has recent information about all of
+        // them.
+        (1.0 - target.load.freshness(now)) / (1.0 + constraints.average.own.mean()) * AFFINITY
+    };
+    let full_penalty = if target.load.is_known_full(now) { FULL_PENALTY } else { 0.0 };
+    load / target.limit.get() + zone_penalty + target.preference * spread + full_penalty
 }
--- a/crates/hyssopfork-gateway/src/target.rs
+++ b/crates/hyssopfork-gateway/src/target.rs
@@ -1,6 +1,6 @@
 //! Upstreams that requests can be sent to.
 
-use crate::{concurrency_limit, health, load, rate_limit, slow_start};
+use crate::{concurrency_limit, health, load, occupancy, rate_limit, slow_start};
 use hyssopfork_fleet::{rate, view};
 use hyssopfork_wire::{clock, name};
 use std::net;
@@ -47,6 +47,8 @@
 pub struct Target {
     /// Process and group that this state belongs to.
     pub incarnation: Incarnation,
+    /// Key of the group at all entries, made from instance and incarnation.
+    pub key: occupancy::Key,
     /// Pool.
     pub pool: name::Pool,
     /// Model of the group that it leads as head; `None` for a plain service.
--- a/crates/hyssopfork-gateway/tests/gateway/fixture.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/fixture.rs
@@ -1,7 +1,7 @@
 //! Test fixture: an entry, one model with groups and one plain service.
 
 use hyssopfork_fleet::{announcement, declaration, quarantine, view};
-use hyssopfork_gateway::{action, arrival, content, core, event, settings, target};
+use hyssopfork_gateway::{action, arrival, content, core, event, occupancy, settings, target};
 use hyssopfork_wire::{clock, name, number};
 use std::net;
 use std::sync::Arc;
@@ -166,6 +166,8 @@
     pub now: clock::Instant,
     pub reports: Vec<hyssopfork_fleet::peer::Evidence>,
     pub probes: Vec<quarantine::Process>,
+    /// Messages to other entries that have not been delivered.
+    pub counts: Vec<(net::SocketAddr, occupancy::Message)>,
     count: u64,
 }
 
@@ -190,6 +192,7 @@
             now,
             reports: Vec::new(),
             probes: Vec::new(),
+            counts: Vec::new(),
             count: 0,
         }
     }
@@ -239,7 +242,11 @@
                 action::Action::Decide(_, decided) => decision = Some(decided),
                 action::Action::Report(evidence) => self.reports.push(evidence),
                 action::Action::Probe(process, _) => self.probes.push(process),
-                action::Action::Notice(_) | action::Action::Measure(_) => {}
+                action::Action::SendCounts(to, message) => self.counts.push((to, message)),
+                action::Action::Notice(_)
+                | action::Action::Measure(_)
+                | action::Action::CountsDropped
+                | action::Action::ObserveTotalAge(_) => {}
             }
         }
         decision
