--- a/crates/hyssopfork-gateway/src/core/fleet_view.rs
+++ b/crates/hyssopfork-gateway/src/core/fleet_view.rs
@@ -2,7 +2,8 @@
 
 use super::Core;
 use crate::{
-    concurrency_limit, health, load, notice, rendezvous, request, routing, slow_start, target,
+    concurrency_limit, health, load, notice, occupancy, rendezvous, request, routing, slow_start,
+    target,
 };
 use hyssopfork_fleet::{declaration, quarantine, view};
 use hyssopfork_wire::{clock, name};
@@ -58,6 +59,9 @@
         for instance in &changed {
             self.rebuild_target(instance);
         }
+        if !changed.is_empty() || entries_changed {
+            self.update_sharing();
+        }
         self.retry_queued();
         self.scheduling.on_capacity_changed();
     }
@@ -114,7 +118,8 @@
         };
         let retained = previous.filter(|it| it.incarnation == incarnation);
         let slots = engine.map_or(announcement.slots, |engine| engine.slots);
-        let mut target = retained.unwrap_or_else(|| new_target(incarnation, slots, announcement));
+        let mut target =
+            retained.unwrap_or_else(|| new_target(instance, incarnation, slots, announcement));
         target.model = group.map(|group| group.model.clone());
         let process = quarantine::Process {
             instance: instance.clone(),
@@ -140,25 +145,26 @@
         let attempts = self.requests.values().filter_map(|request| request.attempt.as_ref());
         let runs = |attempt: &&request::Attempt| attempt.instance == *instance;
         let own = attempts.filter(runs);
-        target.own_tokens = own.clone().map(|attempt| attempt.tokens).sum();
+        target.load.own_tokens = own.clone().map(|attempt| attempt.tokens).sum();
         target.load.own_requests = own.count() as u32;
         self.targets.insert(instance.clone(), target);
     }
 }
 
 fn new_target(
+    instance: &name::Instance,
     incarnation: target::Incarnation,
     slots: u32,
     announcement: &hyssopfork_fleet::announcement::Announcement,
 ) -> target::Target {
     target::Target {
+        key: occupancy::Key::new(instance, &incarnation),
         incarnation,
         pool: announcement.pool.clone(),
         model: None,
         zone: announcement.zone.clone(),
         standing: view::Status::Present,
         load: load::Load::new(slots),
-        own_tokens: 0,
         limit: concurrency_limit::Limit::new(slots),
         health: health::Health::default(),
         recent_sends: Default::default(),
--- a/crates/hyssopfork-gateway/src/core/scheduling.rs
+++ b/crates/hyssopfork-gateway/src/core/scheduling.rs
@@ -372,10 +372,8 @@
             scheduler::Progress::Continued
         } else if request.repetition.may_repeat() && request.last_event.is_some() {
             scheduler::Progress::Resumed
-        } else if self.now < request.on_time_until {
-            scheduler::Progress::OnTime
         } else {
-            scheduler::Progress::Late
+            scheduler::Progress::New
         };
         Some(scheduler::upstream_priority(progress, request.rank))
     }
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -79,6 +79,9 @@
             meter.on_arrival(now, slot_seconds);
         }
         self.has_traffic = true;
+        if let Some(sharing) = self.sharing.as_mut().filter(|_| request.model.is_some()) {
+            sharing.on_arrival();
+        }
         let is_too_large = !self.costs.fits(&request);
         self.requests.insert(number, request);
         if is_too_large {
@@ -155,9 +158,10 @@
         let Some(request) = self.requests.get_mut(&number) else { return };
         let Some(target) = self.targets.get_mut(instance) else { return };
         let load = (target.load.estimate(now, average), target.limit.get_with(limit));
+        let total_age = target.load.total_age(now);
         let tokens = self.costs.memory_tokens(request);
         target.load.own_requests += 1;
-        target.own_tokens += tokens;
+        target.load.own_tokens += tokens;
         target.recent_sends.record(now);
         if let Some(limiter) = &mut target.rate_limiter {
             limiter.record(now);
@@ -201,6 +205,7 @@
         }
         self.decide(number, action::Decision::Start(Box::new(start)));
         self.log(sent);
+        self.actions.extend(total_age.map(action::Action::ObserveTotalAge));
     }
 
     fn retry_policy(&self) -> retry_budget::Policy {
@@ -473,7 +478,7 @@
         let Some(attempt) = request.attempt.take() else { return };
         if let Some(target) = self.targets.get_mut(&attempt.instance) {
             target.load.own_requests = target.load.own_requests.saturating_sub(1);
-            target.own_tokens = target.own_tokens.saturating_sub(attempt.tokens);
+            target.load.own_tokens = target.load.own_tokens.saturating_sub(attempt.tokens);
             let waited = now.since(attempt.started_at);
             // If only attempts with a response counted, the slowest ones would not count at all.
             if attempt.last_bytes_at.is_none()
--- a/crates/hyssopfork-gateway/src/lib.rs
+++ b/crates/hyssopfork-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`load`]: estimated load of an upstream; [`concurrency_limit`]: its AIMD limit
 //! - [`engine_model`]: predicted times of a request at a group of engines; [`output_length`]: expected
 //!   length of its output
+//! - [`occupancy`]: exact load of the groups, which the entries tell each other
 //! - [`demand`]: demand for a model, by which the leader plans its groups
 //! - [`rendezvous`]: which upstreams an entry prefers, and how entries divide an upstream's rate
 //! - [`slow_start`]: rate after a start; [`rate_limit`]: rate that an upstream names itself
@@ -36,6 +37,7 @@
 pub mod measurement;
 pub mod moves;
 pub mod notice;
+pub mod occupancy;
 pub mod output_length;
 pub mod pause;
 pub mod rank_reserve;
