gateway: forward large responses as they arrive, keep only small bodies

A complete response was buffered whole, whatever its size, and a request's body was kept for as long as the request. Both are unbounded while a client or an upstream doesn't read.

LargeResponseReceived asks the core about a response whose first part was received: it retries a server error, rejects what must not promise that the work has not run, and else forwards it. From then on the response can only be aborted, and a silent upstream is waited for. A body above 256 KB is hashed on arrival and not kept; the request has one attempt once the body may have been sent. ResponseNotRead counts neither as the upstream's failure nor as a crash; BodyNotRead does. Reason memory and a bound of 256 KB for an event are new.

Ruled out: a decision for each part, which needs no more than the one before the first.

--- a/crates/hyssopfork-daemon/src/log.rs
+++ b/crates/hyssopfork-daemon/src/log.rs
@@ -155,7 +155,7 @@
         Reason::NoRoute => refusal::Reason::NoRoute,
         Reason::Unauthorized => refusal::Reason::Unauthorized,
         Reason::NoUpstream | Reason::NotAccepted => refusal::Reason::NoUpstream,
-        Reason::Overloaded | Reason::Paused => refusal::Reason::Overloaded,
+        Reason::Overloaded | Reason::Paused | Reason::Memory => refusal::Reason::Overloaded,
         Reason::TooLate | Reason::TimedOut => refusal::Reason::Deadline,
         Reason::Quarantined | Reason::Failed => refusal::Reason::UpstreamFailed,
     };
--- a/crates/hyssopfork-gateway/src/action.rs
+++ b/crates/hyssopfork-gateway/src/action.rs
@@ -26,6 +26,8 @@
     Overloaded,
     /// Every upstream has asked this entry for a pause.
     Paused,
+    /// This process holds too many bytes for other requests.
+    Memory,
     /// Upstreams crash when they run this request.
     Quarantined,
     /// None of the upstreams that were tried accepted the request.
@@ -92,7 +94,7 @@
 pub enum Decision {
     /// Start an attempt; the previous one ends.
     Start(Box<Start>),
-    /// Forward the stream to the client.
+    /// Forward the stream or large response to the client as it arrives.
     ForwardStream,
     /// Forward the complete response to the client.
     ForwardResponse,
--- a/crates/hyssopfork-gateway/src/content.rs
+++ b/crates/hyssopfork-gateway/src/content.rs
@@ -5,6 +5,10 @@
 use hyssopfork_wire::name;
 use sha2::{Digest, Sha256};
 
+/// Maximum size of a body that is kept once it is written to an upstream, in bytes. A request with
+/// a larger one has only one attempt after that.
+pub const MAX_KEPT_BODY_BYTES: usize = 256 << 10;
+
 /// Content of a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Content {
@@ -19,6 +23,11 @@
 }
 
 impl Content {
+    /// Whether the body is small enough to be kept for another attempt.
+    pub fn is_repeatable(&self) -> bool {
+        self.body.len() <= MAX_KEPT_BODY_BYTES
+    }
+
     /// Length of the body in bytes.
     pub fn length(&self) -> u64 {
         self.body.len() as u64
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -125,6 +125,9 @@
             event::Event::HeadReceived(number, head) => self.on_head(number, head),
             event::Event::EventsReceived(number, last) => self.on_events(number, last),
             event::Event::ResponseReceived(number, head) => self.on_response(number, head),
+            event::Event::LargeResponseReceived(number, head) => {
+                self.on_large_response(number, head)
+            }
             event::Event::StreamCompleted(number) => self.on_stream_completed(number),
             event::Event::AttemptFailed(number, fault, head) => {
                 self.on_attempt_failed(number, fault, head)
--- a/crates/hyssopfork-gateway/src/core/quarantine.rs
+++ b/crates/hyssopfork-gateway/src/core/quarantine.rs
@@ -106,7 +106,7 @@
     pub(super) fn quarantine_retry_after(&mut self, number: u64) -> Option<Duration> {
         let now = self.now;
         let request = self.requests.get(&number)?;
-        if !self.quarantine.may_have_verdict(request.content.length()) {
+        if !self.quarantine.may_have_verdict(request.body_length) {
             return None;
         }
         let fingerprint = request.fingerprint();
@@ -142,7 +142,7 @@
         let Some(request) = self.requests.get(&number) else { return false };
         let is_waiting =
             request.attempt.as_ref().is_some_and(|attempt| attempt.last_bytes_at.is_none());
-        if !is_waiting || !self.quarantine.may_have_verdict(request.content.length()) {
+        if !is_waiting || !self.quarantine.may_have_verdict(request.body_length) {
             return false;
         }
         self.quarantine.records.get(&request.fingerprint()).is_some_and(|record| {
@@ -154,7 +154,7 @@
     /// same content were in flight at crashes.
     pub(super) fn record_completion(&mut self, number: u64) {
         let Some(request) = self.requests.get(&number) else { return };
-        if !self.quarantine.may_have_verdict(request.content.length()) {
+        if !self.quarantine.may_have_verdict(request.body_length) {
             return;
         }
         let fingerprint = request.fingerprint();
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -259,7 +259,8 @@
         self.on_bytes(number, head.load);
         self.on_statements(number, head);
         self.record_completion(number);
-        let Some(request) = self.requests.get(&number) else { return };
+        let Some(request) = self.requests.get_mut(&number) else { return };
+        request.on_body_sent();
         if request.head_forwarded {
             // A complete response can't continue a stream whose head the client already has.
             return self.on_attempt_failed(number, event::Fault::InvalidResponse, None);
@@ -269,39 +270,83 @@
             self.finish_attempt(number, true);
             return self.forward_response(number, head.status);
         }
-        let repeatable = request.repetition.may_repeat();
-        // A pause excludes the upstream already; a failure as well would eject it after the pause.
-        if matches!(head.pause, response::Pause::Requested(_)) {
-            self.drop_attempt(number);
-        } else {
-            self.finish_attempt(number, false);
+        if !self.retry_server_error(number, head) {
+            self.end_server_error(number, head);
+            self.forward_response(number, head.status);
+        }
+    }
+
+    fn forward_response(&mut self, number: u64, status: u16) {
+        let now = self.now;
+        if let Some(request) = self.requests.get_mut(&number) {
+            request.first_bytes_at.get_or_insert(now);
+        }
+        self.decide(number, action::Decision::ForwardResponse);
+        self.complete(number, status);
+    }
+
+    /// Decides whether a response that can't be buffered is forwarded as it arrives.
+    pub(super) fn on_large_response(&mut self, number: u64, head: event::Head) {
+        let now = self.now;
+        self.on_bytes(number, head.load);
+        self.on_statements(number, head);
+        let Some(request) = self.requests.get_mut(&number) else { return };
+        request.on_body_sent();
+        if request.head_forwarded {
+            return self.on_attempt_failed(number, event::Fault::InvalidResponse, None);
         }
+        if head.status < 500 {
+            self.on_named_rate(number, head.rate);
+        } else if self.retry_server_error(number, head) {
+            return;
+        }
+        let Some(request) = self.requests.get_mut(&number) else { return };
+        request.head_forwarded = true;
+        request.large_response = Some(head);
+        request.first_bytes_at.get_or_insert(now);
+        self.decide(number, action::Decision::ForwardStream);
+    }
+
+    /// Sends a request elsewhere whose upstream responds with a server error, or rejects it if the
+    /// status would promise what the upstream doesn't state. Returns whether it has done either.
+    fn retry_server_error(&mut self, number: u64, head: event::Head) -> bool {
         self.count_possible_run(number);
+        let Some(request) = self.requests.get(&number) else { return true };
+        let repeatable = request.repetition.may_repeat();
         if repeatable && self.try_retry(number) {
-            return self.dispatch(number, true);
+            self.end_server_error(number, head);
+            self.dispatch(number, true);
+            return true;
         }
         // Forwarded, these statuses would promise that the request has not run, which this upstream
         // doesn't state.
         let promises_not_run = matches!(head.status, 408 | 421 | 429 | 503);
         if promises_not_run && !repeatable {
-            return self.end_without_response(number, action::Reason::Failed, Duration::ZERO);
+            self.end_server_error(number, head);
+            self.end_without_response(number, action::Reason::Failed, Duration::ZERO);
+            return true;
         }
-        self.forward_response(number, head.status);
+        false
     }
 
-    fn forward_response(&mut self, number: u64, status: u16) {
-        let now = self.now;
-        if let Some(request) = self.requests.get_mut(&number) {
-            request.first_bytes_at.get_or_insert(now);
+    /// Ends the attempt of a response with a server error.
+    fn end_server_error(&mut self, number: u64, head: event::Head) {
+        // A pause excludes the upstream already; a failure as well would eject it after the pause.
+        if matches!(head.pause, response::Pause::Requested(_)) {
+            self.drop_attempt(number);
+        } else {
+            self.finish_attempt(number, false);
         }
-        self.decide(number, action::Decision::ForwardResponse);
-        self.complete(number, status);
     }
 
     pub(super) fn on_stream_completed(&mut self, number: u64) {
         self.record_completion(number);
-        self.finish_attempt(number, true);
-        self.complete(number, 200);
+        let head = self.requests.get(&number).and_then(|request| request.large_response);
+        match head.filter(|head| head.status >= 500) {
+            Some(head) => self.end_server_error(number, head),
+            None => self.finish_attempt(number, true),
+        }
+        self.complete(number, head.map_or(200, |head| head.status));
     }
 
     pub(super) fn on_attempt_failed(
@@ -330,10 +375,10 @@
                 event::Fault::Unreachable | event::Fault::WrongInstance => {
                     target.health.on_unreachable(now);
                 }
-                event::Fault::NotRun => {}
-                event::Fault::ConnectionLost | event::Fault::InvalidResponse => {
-                    target.health.on_failure(now)
-                }
+                event::Fault::NotRun | event::Fault::ResponseNotRead => {}
+                event::Fault::ConnectionLost
+                | event::Fault::InvalidResponse
+                | event::Fault::BodyNotRead => target.health.on_failure(now),
             }
         }
         // Another upstream at the address states nothing about this one.
@@ -349,6 +394,8 @@
         }
         if fault == event::Fault::Unreachable {
             self.report_evidence();
+        } else if let Some(request) = self.requests.get_mut(&number) {
+            request.on_body_sent();
         }
         self.retry_or_end(number, fault.is_not_run());
     }
@@ -357,7 +404,9 @@
     fn retry_or_end(&mut self, number: u64, not_run: bool) {
         let Some(request) = self.requests.get(&number) else { return };
         let may_have_run = request.possible_runs > 0;
-        if (not_run || request.repetition.may_repeat()) && self.try_retry(number) {
+        let is_forwarded = request.large_response.is_some();
+        let may_retry = !is_forwarded && (not_run || request.repetition.may_repeat());
+        if may_retry && self.try_retry(number) {
             return self.dispatch(number, true);
         }
         let reason =
@@ -374,6 +423,7 @@
         if !has_time
             || request.possible_runs >= request.max_attempts
             || request.attempt_count >= MAX_ATTEMPTS
+            || request.is_body_gone
         {
             return false;
         }
@@ -407,15 +457,20 @@
     /// Records the result of an attempt that ended by itself.
     fn finish_attempt(&mut self, number: u64, succeeded: bool) {
         let now = self.now;
-        let started =
-            self.requests.get(&number).and_then(|it| it.attempt.as_ref()).map(|it| it.started_at);
+        let request = self.requests.get(&number);
+        let started = request.and_then(|it| it.attempt.as_ref()).map(|it| it.started_at);
+        // The rest of a large response arrives as fast as the client reads it.
+        let ended = request
+            .filter(|it| it.large_response.is_some())
+            .and_then(|it| it.first_bytes_at)
+            .unwrap_or(now);
         if let (Some(target), Some(started)) = (self.target_of(number), started) {
             if succeeded {
                 target.health.on_success(now);
-                target.load.record_duration(now.since(started));
+                target.load.record_duration(ended.since(started));
                 let kind = target.model.clone().map(|model| (target.pool.clone(), model));
                 if let Some(meter) = kind.and_then(|kind| self.demands.get_mut(&kind)) {
-                    meter.on_completed(now.since(started));
+                    meter.on_completed(ended.since(started));
                 }
             } else {
                 target.health.on_failure(now);
@@ -458,11 +513,22 @@
     let timeout = arrival.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     // The timeout of a retry is the remaining time since the first attempt.
     let elapsed = (route.timeout - timeout).saturating_sub(route.timeout / TIMEOUT_MARGIN_DIVISOR);
+    let team = matched.team.map(|team| team.name.clone());
+    let body_length = arrival.content.length();
+    let mut content = arrival.content;
+    // The fingerprint is needed after the body is gone.
+    let known_fingerprint = (!content.is_repeatable()).then(|| content.fingerprint(team.as_ref()));
+    if known_fingerprint.is_some() {
+        content.body = bytes::Bytes::new();
+    }
     request::Request {
         identifier: arrival.identifier,
         route: route.name.clone(),
-        team: matched.team.map(|team| team.name.clone()),
-        content: arrival.content,
+        team,
+        content,
+        body_length,
+        known_fingerprint,
+        is_body_gone: false,
         pool,
         model,
         size: arrival.size,
@@ -479,6 +545,7 @@
         excluded: Vec::new(),
         attempt: None,
         head_forwarded: false,
+        large_response: None,
         last_event: arrival.last_event,
         first_bytes_at: None,
     }
--- a/crates/hyssopfork-gateway/src/core/stall.rs
+++ b/crates/hyssopfork-gateway/src/core/stall.rs
@@ -25,6 +25,9 @@
             self.drop_attempt(number);
             return self.end_without_response(number, action::Reason::Failed, Duration::ZERO);
         }
+        if let Some(request) = self.requests.get_mut(&number) {
+            request.on_body_sent();
+        }
         let Some(request) = self.requests.get(&number) else { return };
         let Some(attempt) = &request.attempt else { return };
         let silence = now.since(attempt.last_bytes_at.unwrap_or(attempt.started_at));
@@ -32,7 +35,7 @@
         let all_silent = target.map_or(silence, |target| {
             now.since(target.last_bytes_at.max(attempt.started_at)).min(silence)
         });
-        if !request.repetition.may_repeat() {
+        if !request.may_run_again() {
             let left = now.until(request.deadline).max(serve::MIN_TIME_LEFT);
             return self.decide(number, action::Decision::Wait(left));
         }
--- a/crates/hyssopfork-gateway/src/event.rs
+++ b/crates/hyssopfork-gateway/src/event.rs
@@ -43,6 +43,11 @@
     /// The response is not a valid response to this request.
     #[strum(serialize = "wrong")]
     InvalidResponse,
+    /// The upstream stopped reading the request's body.
+    BodyNotRead,
+    /// The upstream ended a response that the client had not read for some time, which is no fault
+    /// of the upstream.
+    ResponseNotRead,
 }
 
 impl Fault {
@@ -67,7 +72,10 @@
     EventsReceived(u64, Option<u64>),
     /// A complete response arrived, of which nothing has been forwarded to the client.
     ResponseReceived(u64, Head),
-    /// The stream has been forwarded to its end.
+    /// The first part of a complete response arrived that is too large to be buffered. Nothing has
+    /// been forwarded to the client.
+    LargeResponseReceived(u64, Head),
+    /// The stream or large response has been forwarded to its end.
     StreamCompleted(u64),
     /// The newest attempt failed; with the head of the response if one arrived.
     AttemptFailed(u64, Fault, Option<Head>),
@@ -93,6 +101,7 @@
             | Event::HeadReceived(number, _)
             | Event::EventsReceived(number, _)
             | Event::ResponseReceived(number, _)
+            | Event::LargeResponseReceived(number, _)
             | Event::StreamCompleted(number)
             | Event::AttemptFailed(number, ..)
             | Event::IdleTimeout(number)
--- a/crates/hyssopfork-gateway/src/request.rs
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -1,6 +1,6 @@
 //! Requests of an entry.
 
-use crate::{content, selection, size, target};
+use crate::{content, event, selection, size, target};
 use hyssopfork_fleet::{declaration, quarantine};
 use hyssopfork_wire::{clock, configuration, name};
 use std::time::Duration;
@@ -29,8 +29,14 @@
     pub route: name::Route,
     /// Team.
     pub team: Option<name::Team>,
-    /// Host, path, query and body.
+    /// Host, path and query, and the body if it is small enough to be kept.
     pub content: content::Content,
+    /// Length of the body in bytes.
+    pub body_length: u64,
+    /// Fingerprint of a request whose body is not kept.
+    pub known_fingerprint: Option<quarantine::Fingerprint>,
+    /// Whether the body was written to an upstream and is no longer at hand for another attempt.
+    pub is_body_gone: bool,
     /// Pool of the upstreams.
     pub pool: name::Pool,
     /// Model.
@@ -63,6 +69,8 @@
     pub attempt: Option<Attempt>,
     /// Whether the head of the response has been forwarded to the client.
     pub head_forwarded: bool,
+    /// Head of a large response that is forwarded as it arrives.
+    pub large_response: Option<event::Head>,
     /// Last event that the client has received.
     pub last_event: Option<u64>,
     /// When the first bytes of the response arrived.
@@ -72,7 +80,17 @@
 impl Request {
     /// Fingerprint of the request, the same for each repetition.
     pub fn fingerprint(&self) -> quarantine::Fingerprint {
-        self.content.fingerprint(self.team.as_ref())
+        self.known_fingerprint.unwrap_or_else(|| self.content.fingerprint(self.team.as_ref()))
+    }
+
+    /// Records that an upstream may have received the body. A large one is not kept.
+    pub fn on_body_sent(&mut self) {
+        self.is_body_gone = self.known_fingerprint.is_some();
+    }
+
+    /// Whether the request may run again, as far as the work and the response allow it.
+    pub fn may_run_again(&self) -> bool {
+        self.repetition.may_repeat() && self.large_response.is_none() && !self.is_body_gone
     }
 
     /// Priority over other requests; `is_retry` if the request has been accepted before.
--- a/crates/hyssopfork-gateway/src/scanner.rs
+++ b/crates/hyssopfork-gateway/src/scanner.rs
@@ -5,6 +5,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Maximum size of an event, in bytes. An event is held until it is complete.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// An event identifier that does not follow the previous one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OutOfOrder {
@@ -56,9 +59,14 @@
         self.buffer.is_empty()
     }
 
+    /// Whether the beginning of an event is larger than an event may be.
+    pub fn is_event_too_large(&self) -> bool {
+        self.buffer.len() > MAX_EVENT_BYTES
+    }
+
     /// Discards the beginning of an event whose rest will not arrive.
     pub fn discard_partial(&mut self) {
-        self.buffer.clear();
+        self.buffer = BytesMut::new();
     }
 
     fn check_order(&mut self, from: usize, to: usize) -> Result<(), OutOfOrder> {
--- a/crates/hyssopfork-gateway/tests/gateway/main.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod demand;
 mod fixture;
 mod health;
+mod large_response;
 mod leaving;
 mod moves;
 mod overload;
--- a/crates/hyssopfork-gateway/tests/gateway/scanner.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/scanner.rs
@@ -60,3 +60,17 @@
         let _result = Scanner::new(None).feed(&bytes);
     }
 }
+
+/// Guards against an event without an end that takes all memory.
+#[test]
+fn an_event_without_an_end_becomes_too_large() {
+    let mut scanner = Scanner::new(None);
+    let part = vec![b'x'; 64 << 10];
+
+    let too_large = (0..8).map(|_| {
+        scanner.feed(&part).expect("no identifier is out of order");
+        scanner.is_event_too_large()
+    });
+
+    assert_eq!(too_large.collect::<Vec<_>>().iter().filter(|it| **it).count(), 4);
+}
