exchange: write a request without copying its body, fail when it isn't read

The head and the whole body were copied into one buffer for each attempt, and a server that stopped reading held both without a limit. They are now written one after the other, vectored. Bodies above 16 KB are read in larger steps, and an idle connection keeps no large buffer.

--- a/crates/hyssopfork-daemon/src/agent/upstream.rs
+++ b/crates/hyssopfork-daemon/src/agent/upstream.rs
@@ -170,9 +170,10 @@
 fn to_fault(error: error::Error) -> event::Fault {
     match error {
         error::Error::Unreachable(..) | error::Error::Unsendable(_) => event::Fault::Unreachable,
-        error::Error::ConnectionLost | error::Error::Malformed(_) | error::Error::Unframed => {
-            event::Fault::Broken
-        }
+        error::Error::ConnectionLost
+        | error::Error::NotRead
+        | error::Error::Malformed(_)
+        | error::Error::Unframed => event::Fault::Broken,
     }
 }
 
--- a/crates/hyssopfork-exchange/src/connection.rs
+++ b/crates/hyssopfork-exchange/src/connection.rs
@@ -6,12 +6,21 @@
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{self, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Uri};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
+use std::time::Duration;
 use std::{io, net};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time;
 use tokio_util::codec::{Decoder, Encoder};
 
+/// Part of a body that has arrived before the buffer grows for the rest, in bytes. Most bodies are
+/// smaller.
+const SMALL_BODY_BYTES: usize = 16 << 10;
+
+/// Minimum space of the buffer for reading the rest of a larger body, in bytes.
+const READ_BYTES: usize = 16 << 10;
+
 /// Head of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Request<'a> {
@@ -66,13 +75,41 @@
     /// the request for the start of the next one, so the connection is not reused.
     responded_early: bool,
     allows_unframed: bool,
+    /// Time without progress after which writing a request fails.
+    write_timeout: Option<Duration>,
+    /// Bytes of the current response's body that have been returned.
+    body_bytes: usize,
 }
 
 impl Connection {
     /// Connects to `address` without sending a request.
     pub async fn connect(address: net::SocketAddr) -> Result<Connection, error::Error> {
+        let connecting = TcpStream::connect(address).await;
+        Connection::new(address, connecting)
+    }
+
+    /// Connects to `address` with buffers of the kernel of this size, in bytes. Without a limit they
+    /// grow to several megabytes for each exchange whose response is read slowly.
+    pub async fn connect_with_buffers(
+        address: net::SocketAddr,
+        buffer_bytes: u32,
+    ) -> Result<Connection, error::Error> {
+        let connecting = async {
+            let socket =
+                if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+            socket.set_recv_buffer_size(buffer_bytes)?;
+            socket.set_send_buffer_size(buffer_bytes)?;
+            socket.connect(address).await
+        };
+        Connection::new(address, connecting.await)
+    }
+
+    fn new(
+        address: net::SocketAddr,
+        connected: io::Result<TcpStream>,
+    ) -> Result<Connection, error::Error> {
         let unreachable = |cause| error::Error::Unreachable(address, cause);
-        let stream = TcpStream::connect(address).await.map_err(unreachable)?;
+        let stream = connected.map_err(unreachable)?;
         stream.set_nodelay(true).map_err(unreachable)?;
         let stage = Stage::Idle(ClientCodec::default());
         Ok(Connection {
@@ -82,6 +119,8 @@
             stage,
             responded_early: false,
             allows_unframed: false,
+            write_timeout: None,
+            body_bytes: 0,
         })
     }
 
@@ -91,6 +130,11 @@
         self.allows_unframed = true;
     }
 
+    /// Sets the time after which sending a request fails if the server accepts no bytes of it.
+    pub fn set_write_timeout(&mut self, timeout: Duration) {
+        self.write_timeout = Some(timeout);
+    }
+
     /// Whether the last response was read completely and the server keeps the connection open.
     pub fn is_reusable(&self) -> bool {
         let kept = matches!(&self.stage, Stage::Idle(codec) if codec.keep_alive());
@@ -115,19 +159,19 @@
         let size = BodySize::Sized(body.len() as u64);
         let message = Message::Item((RequestHeadType::from(head), size));
         codec.encode(message, &mut bytes).map_err(|_| error::Error::Unsendable("head"))?;
-        bytes.extend_from_slice(&body);
-        self.write(&bytes).await?;
+        self.write(bytes.chain(body)).await?;
         self.stage = Stage::Head(codec);
         Ok(())
     }
 
     /// Writes a request until the server responds: a server that responds early may never read the
     /// rest, and waiting for it would delay the response.
-    async fn write(&mut self, bytes: &[u8]) -> Result<(), error::Error> {
+    async fn write(&mut self, bytes: impl Buf) -> Result<(), error::Error> {
+        let write_timeout = self.write_timeout;
         let (mut reader, mut writer) = self.stream.split();
         tokio::select! {
             biased;
-            written = writer.write_all(bytes) => written.map_err(|_| error::Error::ConnectionLost),
+            written = write_all(&mut writer, bytes, write_timeout) => written,
             read = reader.read_buf(&mut self.buffer) => match read {
                 Ok(0) | Err(_) => Err(error::Error::ConnectionLost),
                 Ok(_) => {
@@ -172,7 +216,10 @@
         }
         let Stage::Body(codec) = &mut self.stage else { return Ok(None) };
         match codec.decode(&mut self.buffer).map_err(malformed_payload)? {
-            Some(Some(part)) => Ok(Some(part)),
+            Some(Some(part)) => {
+                self.body_bytes += part.len();
+                Ok(Some(part))
+            }
             Some(None) => {
                 self.end_body();
                 Ok(None)
@@ -191,6 +238,10 @@
     }
 
     async fn fill_buffer(&mut self) -> Result<(), error::Error> {
+        let space = self.buffer.capacity() - self.buffer.len();
+        if self.body_bytes > SMALL_BODY_BYTES && space < READ_BYTES / 2 {
+            self.buffer.reserve(READ_BYTES);
+        }
         let read = self.stream.read_buf(&mut self.buffer).await;
         if matches!(read, Ok(0) | Err(_)) {
             self.stage = Stage::Failed;
@@ -225,6 +276,7 @@
         let Stage::Head(codec) = std::mem::replace(&mut self.stage, Stage::Failed) else {
             return Err(error::Error::ConnectionLost);
         };
+        self.body_bytes = 0;
         self.stage = match codec.message_type() {
             MessageType::Payload => Stage::Body(codec.into_payload_codec()),
             MessageType::None if is_framed(head) => Stage::Idle(codec),
@@ -235,6 +287,10 @@
     }
 
     fn end_body(&mut self) {
+        // An idle connection keeps no large buffer.
+        if self.body_bytes > SMALL_BODY_BYTES && self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
         self.stage = match std::mem::replace(&mut self.stage, Stage::Failed) {
             Stage::Body(codec) => Stage::Idle(codec.into_message_codec()),
             other => other,
@@ -242,6 +298,28 @@
     }
 }
 
+/// Writes all bytes without joining them into one buffer; fails if none is accepted within
+/// `timeout`.
+async fn write_all(
+    writer: &mut (impl AsyncWriteExt + Unpin),
+    mut bytes: impl Buf,
+    timeout: Option<Duration>,
+) -> Result<(), error::Error> {
+    while bytes.has_remaining() {
+        let writing = writer.write_buf(&mut bytes);
+        let written = match timeout {
+            Some(timeout) => {
+                time::timeout(timeout, writing).await.map_err(|_| error::Error::NotRead)?
+            }
+            None => writing.await,
+        };
+        if !matches!(written, Ok(1..)) {
+            return Err(error::Error::ConnectionLost);
+        }
+    }
+    Ok(())
+}
+
 /// Whether the head of a response without a payload says that it has no body. With neither a length
 /// nor chunks the body would end when the connection is closed, and the codec would not read it.
 fn is_framed(head: &ResponseHead) -> bool {
--- a/crates/hyssopfork-exchange/src/error.rs
+++ b/crates/hyssopfork-exchange/src/error.rs
@@ -20,6 +20,10 @@
         ConnectionLost {
             display("connection lost before the response was complete; the request may have run")
         }
+        /// The server stopped reading the request; it may have run a part of it.
+        NotRead {
+            display("the server stopped reading the request; check whether it is overloaded")
+        }
         /// The response is not HTTP/1.1.
         Malformed(text: String) {
             display("the response is not HTTP/1.1 ({}); check which server listens there", text)
--- a/crates/hyssopfork-exchange/tests/connection.rs
+++ b/crates/hyssopfork-exchange/tests/connection.rs
@@ -6,6 +6,7 @@
 use std::io::{Read, Write};
 use std::net;
 use std::thread;
+use std::time::Duration;
 
 const REQUEST: connection::Request<'static> =
     connection::Request { method: "POST", path: "/lodgements", headers: &[] };
@@ -218,3 +219,17 @@
 
     assert!(!connection.is_idle());
 }
+
+// A server that stops reading would otherwise hold the request's body for as long as it likes.
+#[actix_rt::test]
+async fn a_server_that_stops_reading_fails_the_request() {
+    let listener = http::free_listener().expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    let connecting = connection::Connection::connect_with_buffers(address, 64 << 10);
+    let mut connection = connecting.await.expect("it listens");
+    connection.set_write_timeout(Duration::from_millis(200));
+
+    let sent = connection.send(&REQUEST, Bytes::from(vec![b'x'; 8 << 20])).await;
+
+    assert!(matches!(sent, Err(error::Error::NotRead)), "{sent:?}");
+}
