settings: memory_mb, the memory of an edge process's instance

It bounds what the process holds for clients and upstreams. The default is 256 MB. Like link_mbps it may have decimals.

--- a/crates/hyssopfork-settings/src/edge.rs
+++ b/crates/hyssopfork-settings/src/edge.rs
@@ -34,6 +34,9 @@
     pub tolerated_losses: u32,
     /// Bandwidth of the instance's network link, in Mbit/s.
     pub link_mbps: f64,
+    /// Memory of the instance, in MB. What the process holds for clients and upstreams is limited
+    /// to a part of it.
+    pub memory_mb: f64,
     /// Interval between heartbeats of an upstream.
     pub heartbeat_interval: Duration,
     /// Time from the request to stop until the process is killed.
@@ -68,6 +71,8 @@
 
 /// Default of `link_mbps`; a slow link, so that updates don't fill one that is not declared.
 const DEFAULT_LINK_MBPS: f64 = 100.0;
+/// Default of `memory_mb`; a small instance.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
 /// Default of `heartbeat_ms`; short enough that a silent upstream is noticed within seconds.
 const DEFAULT_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_200);
 /// Default of `grace_seconds`; longer than most responses take.
@@ -108,6 +113,7 @@
     let data_folder = section.text("data_folder").filter(|folder| !folder.is_empty());
     let tolerated_losses = section.number("tolerated_losses", 1, 0..=6) as u32;
     let link_mbps = section.decimal("link_mbps", DEFAULT_LINK_MBPS, 0.1..=1_000_000.0);
+    let memory_mb = section.decimal("memory_mb", DEFAULT_MEMORY_MB, 32.0..=1_000_000.0);
     let heartbeat_interval =
         section.millis("heartbeat_ms", DEFAULT_HEARTBEAT_INTERVAL, 10..=MAX_DURATION_MS);
     let grace_period =
@@ -131,6 +137,7 @@
         data_folder: data_folder.map(path::PathBuf::from),
         tolerated_losses,
         link_mbps,
+        memory_mb,
         heartbeat_interval,
         grace_period,
         retry_ratio,
