edge: bound the memory that is held for clients and upstreams

Whatever a client didn't read of a response, and an upstream of a body, was held by the process: 2,337 MB for 225 clients that read nothing, opened twice. No peer was disconnected.

Bytes count against three eighths of memory_mb. A request whose body doesn't fit is rejected before the body is read (503, reason memory, Retry-After), and the rest of the body is discarded for 2 s so that the client can read the response. Large requests leave a quarter to small ones. Responses above 64 KB are forwarded in parts as the client takes them, with the upstream's length or in chunks. A client that accepts nothing for 5 s is reset (4520), an upstream that accepts nothing of a body for 5 s has failed (4521).

Ruled out: counting bodies as they arrive, since those that arrive together would all be rejected midway.

The new tests of the real process fail on the code before, except that for complete large responses.

--- a/crates/hyssopfork-daemon/src/edge/handler.rs
+++ b/crates/hyssopfork-daemon/src/edge/handler.rs
@@ -1,7 +1,7 @@
 //! Request handler: forwards one client's request as the gateway core decides.
 
 use crate::clock;
-use crate::edge::{attempt, http_server, traffic};
+use crate::edge::{attempt, http_server, memory, traffic};
 use bytes::{Bytes, BytesMut};
 use futures::stream;
 use hyssopfork_gateway::{action, event, scanner};
@@ -11,6 +11,14 @@
 use std::time::Duration;
 use tokio::time;
 
+/// Maximum size of a response that is buffered whole, so that a truncated one can be retried, in
+/// bytes. A larger one is forwarded as it arrives.
+const MAX_BUFFERED_BYTES: usize = 64 << 10;
+
+/// Size up to which a response is buffered even if the memory budget is used up, in bytes. It is
+/// part of what is counted for each request.
+const MIN_BUFFERED_BYTES: usize = 4 << 10;
+
 /// Handles a request up to the head of the response. The events of a stream follow in the response
 /// body.
 pub async fn handle(
@@ -35,6 +43,11 @@
         status: 0,
         headers: Vec::new(),
         body: BytesMut::new(),
+        length: None,
+        is_large: false,
+        held: request.held,
+        unread: memory::Unread::default(),
+        part_returned_at: None,
         idle_timeout: Duration::ZERO,
         deadline: wire_clock::Instant::ORIGIN,
         is_finished: false,
@@ -52,8 +65,18 @@
     status: u16,
     /// Headers of the response that are forwarded.
     headers: Vec<(String, String)>,
-    /// Received part of a buffered response body.
+    /// Received part of a response body that is not forwarded yet.
     body: BytesMut,
+    /// Length of the response body, if the upstream states it.
+    length: Option<u64>,
+    /// Whether the response is a large one, which is forwarded as it arrives.
+    is_large: bool,
+    /// Memory counted for the request.
+    held: Rc<memory::Reservation>,
+    /// Time for which the client has not read.
+    unread: memory::Unread,
+    /// When the last part was returned, to be written to the client.
+    part_returned_at: Option<time::Instant>,
     /// Time without bytes after which the core is asked what to do.
     idle_timeout: Duration,
     /// Deadline of the request.
@@ -94,6 +117,9 @@
                 }
                 action::Decision::Queue(timeout) => decision = self.wait_in_queue(timeout).await,
                 action::Decision::ForwardResponse => return self.forward_response(),
+                action::Decision::ForwardStream if self.is_large => {
+                    return self.forward_large_response();
+                }
                 action::Decision::ForwardStream => return self.forward_stream(),
                 action::Decision::Reject(rejection) => return self.reject(&rejection),
                 action::Decision::Abort => {
@@ -132,17 +158,28 @@
     /// Starts an attempt and waits for its response. The connection of the previous attempt closes.
     async fn start_attempt(&mut self, start: &action::Start) -> action::Decision {
         self.attempt = None;
-        self.body.clear();
+        self.body = BytesMut::new();
+        self.is_large = false;
         self.scanner.discard_partial();
         self.idle_timeout = start.idle_timeout;
         self.deadline = start.deadline;
         let remaining = clock::now().until(self.deadline);
-        let result =
-            attempt::Attempt::send(&self.outbound, start, remaining, &self.entry.idle_connections)
-                .await;
+        let result = attempt::Attempt::send(
+            &mut self.outbound,
+            start,
+            remaining,
+            &self.entry.idle_connections,
+        )
+        .await;
+        self.held.resize(self.outbound.body.len());
         match result {
             Ok(attempt) => self.attempt = Some(attempt),
-            Err(fault) => return self.on_fault(fault),
+            Err(fault) => {
+                if fault == event::Fault::BodyNotRead {
+                    self.entry.on_upstream_stalled(&start.instance, attempt::WRITE_TIMEOUT);
+                }
+                return self.on_fault(fault);
+            }
         }
         self.receive_response().await
     }
@@ -154,7 +191,10 @@
         };
         if attempt.response().status == 0 {
             match self.wait(attempt.read_head()).await {
-                Wait::Completed(Ok(head)) => self.headers = attempt::forwarded_headers(head),
+                Wait::Completed(Ok(head)) => {
+                    self.length = attempt::content_length(&head);
+                    self.headers = attempt::forwarded_headers(head);
+                }
                 other => return self.on_incomplete_wait(attempt, other),
             }
             if let Some(fault) = attempt.response().fault(&self.outbound.identifier) {
@@ -170,10 +210,21 @@
             return self.step(event::Event::HeadReceived(self.number, head));
         }
         let mut body = std::mem::take(&mut self.body);
-        let wait = self.wait(attempt.read_rest(&mut body)).await;
+        let held = self.held.clone();
+        let request_bytes = self.outbound.body.len();
+        let may_hold = move |length: usize| {
+            length < MIN_BUFFERED_BYTES
+                || length <= MAX_BUFFERED_BYTES && held.resize(request_bytes + length)
+        };
+        let wait = self.wait(attempt.read_rest(&mut body, may_hold)).await;
         self.body = body;
         match wait {
-            Wait::Completed(Ok(())) => {
+            Wait::Completed(Ok(false)) => {
+                self.is_large = true;
+                self.attempt = Some(attempt);
+                self.step(event::Event::LargeResponseReceived(self.number, head))
+            }
+            Wait::Completed(Ok(true)) => {
                 let decision = self.step(event::Event::ResponseReceived(self.number, head));
                 attempt.release(&self.entry.idle_connections);
                 decision
@@ -232,7 +283,9 @@
     fn forward_stream(mut self) -> http_server::Response {
         let headers = std::mem::take(&mut self.headers);
         let parts = stream::unfold(self, |mut handler| async move {
+            handler.on_part_taken();
             let part = handler.next_part().await?;
+            handler.part_returned_at = Some(time::Instant::now());
             Some((part, handler))
         });
         http_server::Response {
@@ -242,6 +295,89 @@
         }
     }
 
+    /// Forwards a response that is too large to be buffered as it arrives.
+    fn forward_large_response(mut self) -> http_server::Response {
+        let (status, headers) = (self.status, std::mem::take(&mut self.headers));
+        let length = self.length;
+        let parts = Box::pin(stream::unfold(self, |mut handler| async move {
+            handler.on_part_taken();
+            let part = handler.next_large_part().await?;
+            handler.part_returned_at = Some(time::Instant::now());
+            Some((part, handler))
+        }));
+        let body = match length {
+            Some(length) => http_server::Body::Sized(length, parts),
+            None => http_server::Body::Stream(parts),
+        };
+        http_server::Response { status, headers, body }
+    }
+
+    /// Records the time that the client took for the last part. It doesn't count against the
+    /// deadline of a large response, which is a deadline for the upstream.
+    fn on_part_taken(&mut self) {
+        let Some(returned_at) = self.part_returned_at.take() else { return };
+        let after = returned_at.elapsed();
+        self.unread.on_part_taken(after);
+        if self.is_large {
+            self.deadline = self.deadline + after;
+        }
+    }
+
+    /// Returns the next part of a large response; `None` after the last one.
+    async fn next_large_part(&mut self) -> Option<Result<Bytes, http_server::Aborted>> {
+        if self.is_finished {
+            return None;
+        }
+        if !self.body.is_empty() {
+            let part = self.body.split_to(self.body.len().min(attempt::PART_BYTES));
+            if self.body.is_empty() {
+                self.body = BytesMut::new();
+            }
+            return Some(Ok(part.freeze()));
+        }
+        self.held.resize(self.outbound.body.len());
+        loop {
+            let Some(mut attempt) = self.attempt.take() else {
+                self.on_fault(event::Fault::ConnectionLost);
+                return Some(Err(http_server::Aborted));
+            };
+            let started = time::Instant::now();
+            let decision = match self.wait(attempt.read_part()).await {
+                Wait::Completed(Ok(Some(part))) => {
+                    self.unread.on_part_received(started.elapsed());
+                    self.attempt = Some(attempt);
+                    return Some(Ok(part));
+                }
+                Wait::Completed(Ok(None)) => {
+                    self.entry.step(event::Event::StreamCompleted(self.number));
+                    self.is_finished = true;
+                    attempt.release(&self.entry.idle_connections);
+                    return None;
+                }
+                Wait::Completed(Err(fault)) => {
+                    self.on_fault(self.attributed_fault(fault, started));
+                    return Some(Err(http_server::Aborted));
+                }
+                other => self.on_incomplete_wait(attempt, other),
+            };
+            match decision {
+                action::Decision::Wait(idle_timeout) => self.idle_timeout = idle_timeout,
+                _ => return Some(Err(http_server::Aborted)),
+            }
+        }
+    }
+
+    /// Fault of a response whose read began at `started`. If the client had not read for some time,
+    /// the end of the connection is not the upstream's fault.
+    fn attributed_fault(&self, fault: event::Fault, started: time::Instant) -> event::Fault {
+        let is_lost = fault == event::Fault::ConnectionLost;
+        if is_lost && self.unread.explains_end(started.elapsed()) {
+            event::Fault::ResponseNotRead
+        } else {
+            fault
+        }
+    }
+
     /// Returns the next events of the stream; `None` after the last one.
     async fn next_part(&mut self) -> Option<Result<Bytes, http_server::Aborted>> {
         if self.is_finished {
@@ -276,21 +412,35 @@
             self.attempt = Some(attempt);
             return Read::Decided(self.receive_response().await);
         }
+        let started = time::Instant::now();
         match self.wait(attempt.read_part()).await {
-            Wait::Completed(Ok(Some(bytes))) => self.scan_events(attempt, &bytes),
+            Wait::Completed(Ok(Some(bytes))) => {
+                self.unread.on_part_received(started.elapsed());
+                self.scan_events(attempt, &bytes)
+            }
             Wait::Completed(Ok(None)) if self.scanner.is_at_event_boundary() => {
                 self.entry.step(event::Event::StreamCompleted(self.number));
                 self.is_finished = true;
                 attempt.release(&self.entry.idle_connections);
                 Read::End
             }
-            Wait::Completed(Ok(None)) => Read::Decided(self.on_fault(event::Fault::ConnectionLost)),
+            Wait::Completed(Ok(None)) => {
+                let fault = self.attributed_fault(event::Fault::ConnectionLost, started);
+                Read::Decided(self.on_fault(fault))
+            }
+            Wait::Completed(Err(fault)) => {
+                let fault = self.attributed_fault(fault, started);
+                Read::Decided(self.on_fault(fault))
+            }
             other => Read::Decided(self.on_incomplete_wait(attempt, other)),
         }
     }
 
     fn scan_events(&mut self, attempt: attempt::Attempt, bytes: &[u8]) -> Read {
         match self.scanner.feed(bytes) {
+            Ok(_) if self.scanner.is_event_too_large() => {
+                Read::Decided(self.on_fault(event::Fault::InvalidResponse))
+            }
             Ok(events) => {
                 self.attempt = Some(attempt);
                 self.idle_timeout = hyssopfork_gateway::target::SUSPECT_TIMEOUT;
--- a/crates/hyssopfork-daemon/src/edge/http_server.rs
+++ b/crates/hyssopfork-daemon/src/edge/http_server.rs
@@ -4,15 +4,17 @@
 //! has disconnected is cancelled at once. It can also abort a response in such a way that the
 //! client can't take it for a complete one.
 
+use crate::edge::memory;
 use actix_http::body::BodySize;
 use actix_http::error::ParseError;
 use actix_http::h1::{Codec, Message, MessageType};
-use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::header::{self, HeaderName, HeaderValue};
 use actix_http::{
     ConnectionType, Request as RequestHead, Response as ResponseHead, ServiceConfig, StatusCode,
 };
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use futures::stream::{LocalBoxStream, StreamExt};
+use rustix::net::sockopt;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,10 +28,25 @@
 
 /// Maximum size of pipelined requests that are read while another one is handled, in bytes. A
 /// client that sends more is blocked by flow control.
-const MAX_PIPELINED_BYTES: usize = 64 << 10;
+const MAX_PIPELINED_BYTES: usize = 16 << 10;
 
-/// Timeout for writing to a client. A client that doesn't read would otherwise hold memory.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time without progress after which a client that data waits for is disconnected. It would
+/// otherwise hold memory, and a request at its upstream.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Size up to which a write buffer is kept for the next part of a response, in bytes.
+const MAX_KEPT_BUFFER_BYTES: usize = 32 << 10;
+
+/// Size of the kernel's buffers for a client's connection, in bytes. Without a limit they grow to
+/// several megabytes for each client that doesn't read, which also takes the time to fill them.
+const SOCKET_BUFFER_BYTES: usize = 64 << 10;
+
+/// Minimum space of the buffer for reading a body, in bytes.
+const READ_BYTES: usize = 16 << 10;
+
+/// Time for which the rest of a rejected body is discarded. A client that is still sending when its
+/// connection is closed could not read the response.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A request with its complete body.
 pub struct Request {
@@ -37,6 +54,8 @@
     pub head: RequestHead,
     /// Body.
     pub body: Bytes,
+    /// Memory counted for the request until its response is written.
+    pub held: Rc<memory::Reservation>,
 }
 
 /// Error of a response body whose rest will not follow.
@@ -49,6 +68,8 @@
     Complete(Bytes),
     /// Stream of parts.
     Stream(LocalBoxStream<'static, Result<Bytes, Aborted>>),
+    /// Parts of a body with this length.
+    Sized(u64, LocalBoxStream<'static, Result<Bytes, Aborted>>),
 }
 
 /// A response.
@@ -99,13 +120,23 @@
     pub limits: Cell<Limits>,
     /// Shutdown phase.
     pub phase: watch::Receiver<Phase>,
+    memory: Rc<memory::Memory>,
     config: RefCell<Option<ServiceConfig>>,
 }
 
 impl Shared {
-    /// Creates the state.
+    /// Creates the state of connections whose memory is not limited.
     pub fn new(limits: Limits, phase: watch::Receiver<Phase>) -> Shared {
-        Shared { limits: Cell::new(limits), phase, config: RefCell::new(None) }
+        Shared::with_memory(limits, phase, memory::Memory::unlimited())
+    }
+
+    /// Creates the state of connections that share a memory budget.
+    pub fn with_memory(
+        limits: Limits,
+        phase: watch::Receiver<Phase>,
+        memory: Rc<memory::Memory>,
+    ) -> Shared {
+        Shared { limits: Cell::new(limits), phase, memory, config: RefCell::new(None) }
     }
 
     /// Resolves when the process enters [`Phase::Closing`].
@@ -130,6 +161,8 @@
     Closed,
     /// The request is rejected with this status.
     Rejected(StatusCode),
+    /// The request is rejected for lack of memory; with the length of its body if it is known.
+    OutOfMemory(Option<usize>),
 }
 
 /// Serves every connection of `listener` on this thread until the process exits.
@@ -181,7 +214,8 @@
         Handler: Fn(Request) -> Handling,
         Handling: Future<Output = Response>,
     {
-        if stream.set_nodelay(true).is_err() {
+        if let Err(error) = configure(&stream) {
+            tracing::debug!(%error, "client disconnected before its first request");
             return;
         }
         loop {
@@ -189,7 +223,11 @@
                 Ok(request) => request,
                 Err(Fault::Closed) => return,
                 Err(Fault::Rejected(status)) => return self.reject(&mut stream, status).await,
+                Err(Fault::OutOfMemory(length)) => {
+                    return self.reject_for_memory(&mut stream, length).await;
+                }
             };
+            let held = request.held.clone();
             // The request might not complete before the process exits. The response tells the client
             // that it has not run.
             if *self.shared.phase.borrow() == Phase::Closing {
@@ -202,9 +240,14 @@
                 () = wait_for_disconnect(&mut reader, &mut self.buffer) => return,
             };
             let close = *self.shared.phase.borrow() != Phase::Serving;
-            if self.write_response(&mut reader, &mut writer, response, close).await.is_err() {
+            if let Err(error) = self.write_response(&mut reader, &mut writer, response, close).await
+            {
+                if error.kind() == io::ErrorKind::TimedOut {
+                    self.disconnect_stalled(&stream);
+                }
                 return;
             }
+            drop(held);
             if close || !self.codec.keep_alive() {
                 let _peer_gone = stream.shutdown().await;
                 return;
@@ -223,8 +266,22 @@
             Ok(head) => head?,
             Err(_) => return Err(Fault::Rejected(StatusCode::REQUEST_TIMEOUT)),
         };
-        let body = self.read_body(stream, limits).await?;
-        Ok(Request { head, body })
+        let length = head.head().headers.get(header::CONTENT_LENGTH);
+        let length = length.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
+        let admitted = length.unwrap_or_default().min(limits.body_bytes);
+        let held = self.shared.memory.admit(admitted).ok_or(Fault::OutOfMemory(length))?;
+        let body = self.read_body(stream, limits, &held).await?;
+        Ok(Request { head, body, held })
+    }
+
+    /// Disconnects a client that doesn't read. The reset frees what the kernel holds for it.
+    fn disconnect_stalled(&self, stream: &TcpStream) {
+        if let Ok(client) = stream.peer_addr() {
+            self.shared.memory.on_client_stalled(client, WRITE_TIMEOUT);
+        }
+        if let Err(error) = stream.set_zero_linger() {
+            tracing::warn!(%error, "cannot reset a connection");
+        }
     }
 
     /// Waits for the first byte of a request on an idle connection.
@@ -268,19 +325,32 @@
         }
     }
 
-    async fn read_body(&mut self, stream: &mut TcpStream, limits: Limits) -> Result<Bytes, Fault> {
+    async fn read_body(
+        &mut self,
+        stream: &mut TcpStream,
+        limits: Limits,
+        held: &memory::Reservation,
+    ) -> Result<Bytes, Fault> {
         if !matches!(self.codec.message_type(), MessageType::Payload) {
             return Ok(Bytes::new());
         }
+        let admitted = held.body_bytes();
         let mut body = BytesMut::new();
         loop {
             match self.codec.decode(&mut self.buffer) {
                 Ok(Some(Message::Chunk(Some(part)))) => body.extend_from_slice(&part),
-                Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
+                Ok(Some(Message::Chunk(None))) => {
+                    // An idle connection keeps no large buffer.
+                    if self.buffer.is_empty() {
+                        self.buffer = BytesMut::new();
+                    }
+                    return Ok(body.freeze());
+                }
                 Ok(Some(Message::Item(_))) | Err(_) => {
                     return Err(Fault::Rejected(StatusCode::BAD_REQUEST));
                 }
                 Ok(None) => {
+                    self.buffer.reserve(READ_BYTES);
                     let reading = time::timeout(limits.head_timeout, self.read_more(stream));
                     reading.await.map_err(|_| Fault::Rejected(StatusCode::REQUEST_TIMEOUT))??;
                 }
@@ -288,6 +358,9 @@
             if body.len() > limits.body_bytes {
                 return Err(Fault::Rejected(StatusCode::PAYLOAD_TOO_LARGE));
             }
+            if body.len() > admitted && !held.resize(body.len()) {
+                return Err(Fault::OutOfMemory(None));
+            }
         }
     }
 
@@ -310,6 +383,27 @@
         }
     }
 
+    /// Rejects a request for lack of memory. Its body has not been read, so the connection is closed.
+    async fn reject_for_memory(&mut self, stream: &mut TcpStream, length: Option<usize>) {
+        let response = self.shared.memory.reject(length);
+        let (mut reader, mut writer) = stream.split();
+        if self.write_response(&mut reader, &mut writer, response, true).await.is_err()
+            || stream.shutdown().await.is_err()
+        {
+            return;
+        }
+        self.buffer = BytesMut::new();
+        let most = self.shared.limits.get().body_bytes;
+        let discarding = async {
+            let mut discarded = 0;
+            while discarded < most && matches!(self.read_more(stream).await, Ok(())) {
+                discarded += self.buffer.len();
+                self.buffer.clear();
+            }
+        };
+        let _still_sending = time::timeout(DISCARD_TIMEOUT, discarding).await;
+    }
+
     /// Writes a response; after an error the connection can't be used any more.
     async fn write_response(
         &mut self,
@@ -319,18 +413,23 @@
         close: bool,
     ) -> io::Result<()> {
         let mut bytes = BytesMut::new();
-        match response.body {
+        let size = match response.body {
             Body::Complete(ref body) => {
                 let size = BodySize::Sized(body.len() as u64);
                 self.encode_head(&response, size, close, &mut bytes)?;
                 self.codec.encode(Message::Chunk(Some(body.clone())), &mut bytes)?;
-                write(writer, &bytes).await
+                drop(response);
+                return write(writer, &bytes).await;
             }
-            Body::Stream(_) => {
-                self.encode_head(&response, BodySize::Stream, close, &mut bytes)?;
-                let Body::Stream(parts) = response.body else { return Ok(()) };
+            Body::Stream(_) => BodySize::Stream,
+            Body::Sized(length, _) => BodySize::Sized(length),
+        };
+        self.encode_head(&response, size, close, &mut bytes)?;
+        match response.body {
+            Body::Stream(parts) | Body::Sized(_, parts) => {
                 self.write_stream(reader, writer, parts, bytes).await
             }
+            Body::Complete(_) => Ok(()),
         }
     }
 
@@ -363,6 +462,9 @@
                 }
             }
             write(writer, &bytes).await?;
+            if bytes.capacity() > MAX_KEPT_BUFFER_BYTES {
+                bytes = BytesMut::new();
+            }
             bytes.clear();
         }
     }
@@ -389,8 +491,24 @@
     }
 }
 
-async fn write(writer: &mut (impl AsyncWriteExt + Unpin), bytes: &[u8]) -> io::Result<()> {
-    time::timeout(WRITE_TIMEOUT, writer.write_all(bytes)).await.map_err(|_| connection_aborted())?
+fn configure(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    sockopt::set_socket_send_buffer_size(stream, SOCKET_BUFFER_BYTES)?;
+    sockopt::set_socket_recv_buffer_size(stream, SOCKET_BUFFER_BYTES)?;
+    Ok(())
+}
+
+/// Writes all bytes; fails with [`io::ErrorKind::TimedOut`] if the client accepts none for
+/// [`WRITE_TIMEOUT`].
+async fn write(writer: &mut (impl AsyncWriteExt + Unpin), mut bytes: &[u8]) -> io::Result<()> {
+    while bytes.has_remaining() {
+        let writing = time::timeout(WRITE_TIMEOUT, writer.write_buf(&mut bytes)).await;
+        let written = writing.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        if written == 0 {
+            return Err(connection_aborted());
+        }
+    }
+    Ok(())
 }
 
 fn connection_aborted() -> io::Error {
--- a/crates/hyssopfork-daemon/src/edge/mod.rs
+++ b/crates/hyssopfork-daemon/src/edge/mod.rs
@@ -11,6 +11,7 @@
 pub mod handler;
 pub mod http_server;
 pub mod journal;
+pub mod memory;
 pub mod peers;
 pub mod process;
 pub mod traffic;
--- a/crates/hyssopfork-daemon/src/edge/process.rs
+++ b/crates/hyssopfork-daemon/src/edge/process.rs
@@ -1,6 +1,6 @@
 //! Life cycle of an edge process: starts its threads, reloads settings and shuts down gracefully.
 
-use crate::edge::{control, endpoints, http_server, journal, peers, traffic};
+use crate::edge::{control, endpoints, http_server, journal, memory, peers, traffic};
 use crate::{clock, listener, log, mailbox, notice, process};
 use actix_rt::{Arbiter, System};
 use hyssopfork_fleet::{core, declaration, event, settings as fleet_settings};
@@ -220,9 +220,12 @@
         let (mailbox, status) = (self.mailbox.clone(), self.status.clone());
         let (own_address, phase_receiver) = (settings.peer_address(), self.phase_receiver.clone());
         let registry = self.registry.clone();
+        let budget = memory::Budget::of_instance(settings.memory_mb);
         Arbiter::new().spawn_fn(move || {
             let limits = traffic::client_limits(&declaration::Limits::default());
-            let shared = Rc::new(http_server::Shared::new(limits, phase_receiver.clone()));
+            let memory = memory::Memory::new(budget, registry.clone());
+            let shared = http_server::Shared::with_memory(limits, phase_receiver.clone(), memory);
+            let shared = Rc::new(shared);
             let readiness_status = status.clone();
             let entry = traffic::Entry::new(core, own_address, mailbox, status, registry);
             serve(
--- a/crates/hyssopfork-daemon/src/edge/traffic.rs
+++ b/crates/hyssopfork-daemon/src/edge/traffic.rs
@@ -1,17 +1,18 @@
 //! Entry role: drives the gateway core on the traffic thread, shared by all request handlers.
 
 use crate::edge::{connection_pool, control, engine, handler, http_server};
-use crate::{clock, log, mailbox};
+use crate::{clock, log, mailbox, notice};
 use hyssopfork_fleet::{declaration, event as fleet_event, quarantine, view};
 use hyssopfork_gateway::{action, core, event};
 use hyssopfork_telemetry::metrics;
-use hyssopfork_wire::number;
+use hyssopfork_wire::{name, number};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time;
 
@@ -122,6 +123,13 @@
         }
     }
 
+    /// Records that an upstream stopped reading the body of a request.
+    pub fn on_upstream_stalled(&self, instance: &name::Instance, timeout: Duration) {
+        self.registry.count_stalled_upstream();
+        let millis = timeout.as_millis() as u64;
+        log::notice(&notice::Notice::UpstreamStalled(instance.clone(), millis));
+    }
+
     fn update_status(&self) {
         let core = self.core.borrow();
         self.status.ready.store(core.is_ready(), Ordering::Relaxed);
--- a/crates/hyssopfork-daemon/src/notice.rs
+++ b/crates/hyssopfork-daemon/src/notice.rs
@@ -1,7 +1,7 @@
 //! Numbered events of the daemon process, 4500 to 4999.
 
 use hyssopfork_wire::{level, name};
-use std::fmt;
+use std::{fmt, net};
 
 /// A numbered event.
 #[derive(Clone, Debug, PartialEq, Eq, strum::EnumDiscriminants)]
@@ -35,6 +35,13 @@
     LogUnreadable(String),
     /// A journal sync was slow: the number of writes and its duration in milliseconds.
     SyncSlow(usize, u64),
+    /// A client accepted no bytes for the time named, in milliseconds, and was disconnected.
+    ClientStalled(net::SocketAddr, u64),
+    /// An upstream accepted no bytes of a request's body for the time named, in milliseconds.
+    UpstreamStalled(name::Instance, u64),
+    /// A request was rejected before its body was read: the bytes held for other requests, and the
+    /// length of the body if it is known.
+    MemoryExhausted(usize, Option<usize>),
 }
 
 impl Notice {
@@ -53,6 +60,9 @@
             Notice::FolderUnusable(_) => 4515,
             Notice::CallRefused(..) => 4516,
             Notice::SyncSlow(..) => 4517,
+            Notice::ClientStalled(..) => 4520,
+            Notice::UpstreamStalled(..) => 4521,
+            Notice::MemoryExhausted(..) => 4522,
         }
     }
 
@@ -65,7 +75,10 @@
             | Notice::LinesDropped(_)
             | Notice::FolderUnusable(_)
             | Notice::CallRefused(..)
-            | Notice::SyncSlow(..) => level::Level::Warn,
+            | Notice::SyncSlow(..)
+            | Notice::ClientStalled(..)
+            | Notice::UpstreamStalled(..)
+            | Notice::MemoryExhausted(..) => level::Level::Warn,
             _ => level::Level::Info,
         }
     }
@@ -105,6 +118,16 @@
             Notice::SyncSlow(writes, millis) => {
                 write!(formatter, "journal sync was slow writes={writes} after_ms={millis}")
             }
+            Notice::ClientStalled(client, millis) => {
+                write!(formatter, "client {client} stopped reading, disconnected after_ms={millis}")
+            }
+            Notice::UpstreamStalled(instance, millis) => {
+                write!(formatter, "{instance} stopped reading a request after_ms={millis}")
+            }
+            Notice::MemoryExhausted(held, length) => {
+                let length = length.map_or("unknown".to_owned(), |length| length.to_string());
+                write!(formatter, "memory budget is used up held={held} body={length}")
+            }
         }
     }
 }
--- a/crates/hyssopfork-daemon/tests/edge/main.rs
+++ b/crates/hyssopfork-daemon/tests/edge/main.rs
@@ -1,12 +1,15 @@
 //! Tests of edge processes through the interfaces of clients, operators and upstreams.
 
+mod budget;
 mod crashing_upstream;
 mod end_to_end;
 mod fleet;
 mod http_server;
 mod leaving;
+mod memory;
 mod named_rate;
 mod pause;
+mod plain_upstream;
 mod query_of_death;
 mod scenario;
 mod soak;
--- a/crates/hyssopfork-daemon/tests/edge/support.rs
+++ b/crates/hyssopfork-daemon/tests/edge/support.rs
@@ -46,6 +46,11 @@
 impl Edge {
     /// Starts the only process of a fleet.
     pub fn start(name: &str) -> Edge {
+        Edge::start_with(name, "")
+    }
+
+    /// Starts the only process of a fleet with further settings, each followed by a comma.
+    pub fn start_with(name: &str, further_settings: &str) -> Edge {
         let folder = std::env::temp_dir().join(format!("hyssopfork-{name}-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("the folder can be created");
         let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
@@ -57,6 +62,7 @@
               "readiness_listen": "{readiness}", "control_listen": "{control}",
               "peer_port": {}, "metrics_port": {}, "seeds": ["{control}"], "first_start": true,
               "data_folder": "{}", "tolerated_losses": 0, "grace_seconds": 6,
+              {further_settings}
               "log": {{ "format": "json" }}
             }}"#,
             peer.port(),
@@ -88,6 +94,15 @@
             .expect("the process runs");
     }
 
+    /// Highest resident memory of the process so far, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        kilobytes.and_then(|it| it.parse::<u64>().ok()).expect("the status names it") << 10
+    }
+
     /// Waits for the process to exit; returns whether it succeeded.
     pub fn wait_for_exit(&mut self) -> bool {
         self.child.wait().expect("the process was started").success()
--- a/crates/hyssopfork-telemetry/src/metrics.rs
+++ b/crates/hyssopfork-telemetry/src/metrics.rs
@@ -45,6 +45,10 @@
     replicated_bytes: counter::Counter,
     published_bytes: counter::Counter,
     update_bytes: counter::Counter,
+    stalled_clients: counter::Counter,
+    stalled_upstreams: counter::Counter,
+    memory_rejections: counter::Counter,
+    held_bytes: gauge::Gauge,
 }
 
 impl Default for Registry {
@@ -126,6 +130,26 @@
                 "published_update_bytes",
                 "Bytes of updates of the view sent to followers, without declarations",
             ),
+            stalled_clients: register_counter(
+                metrics,
+                "stalled_clients",
+                "Clients that were disconnected because they stopped reading",
+            ),
+            stalled_upstreams: register_counter(
+                metrics,
+                "stalled_upstreams",
+                "Attempts that failed because the upstream stopped reading the request's body",
+            ),
+            memory_rejections: register_counter(
+                metrics,
+                "memory_refusals",
+                "Requests rejected because the process holds too many bytes for others",
+            ),
+            held_bytes: register_gauge(
+                metrics,
+                "held_bytes",
+                "Bytes counted against the memory budget for clients and upstreams",
+            ),
             registry,
         }
     }
@@ -217,6 +241,26 @@
         self.update_bytes.inc_by(bytes as u64);
     }
 
+    /// Counts a client that was disconnected because it stopped reading.
+    pub fn count_stalled_client(&self) {
+        self.stalled_clients.inc();
+    }
+
+    /// Counts an attempt that failed because the upstream stopped reading the request's body.
+    pub fn count_stalled_upstream(&self) {
+        self.stalled_upstreams.inc();
+    }
+
+    /// Counts a request that was rejected for lack of memory.
+    pub fn count_memory_rejection(&self) {
+        self.memory_rejections.inc();
+    }
+
+    /// Sets the bytes that count against the memory budget.
+    pub fn set_held_bytes(&self, bytes: usize) {
+        self.held_bytes.set(bytes as i64);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let mut encoded = String::new();
