--- a/crates/hyssopfork-daemon/tests/edge/main.rs
+++ b/crates/hyssopfork-daemon/tests/edge/main.rs
@@ -1,13 +1,16 @@
 //! Tests of edge processes through the interfaces of clients, operators and upstreams.
 
+mod budget;
 mod crashing_upstream;
 mod end_to_end;
 mod fleet;
 mod http_server;
 mod leaving;
+mod memory;
 mod named_rate;
 mod occupancy;
 mod pause;
+mod plain_upstream;
 mod query_of_death;
 mod scenario;
 mod soak;
--- a/crates/hyssopfork-gateway/tests/gateway/main.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod engine_model;
 mod fixture;
 mod health;
+mod large_response;
 mod leaving;
 mod moves;
 mod occupancy;
