--- a/crates/hyssopfork-fleet/src/groups/forming.rs
+++ b/crates/hyssopfork-fleet/src/groups/forming.rs
@@ -134,8 +134,9 @@
     }
 
     /// Other models with a lower fill ratio than `model`, or with a group to repair while `model` would
-    /// only grow: engines whose last group was one of theirs are kept for them. When survivors of a group of four joined groups of two, the larger model had
-    /// no group until another four engines had loaded its weights.
+    /// only grow: engines whose last group was one of theirs are kept for them. When survivors of a
+    /// group of four joined groups of two, the larger model had no group until another four engines had
+    /// loaded its weights.
     fn models_to_keep_engines_for<'s>(
         &self,
         context: &'s Context<'_>,
--- a/crates/hyssopfork-gateway/src/core/scheduling.rs
+++ b/crates/hyssopfork-gateway/src/core/scheduling.rs
@@ -9,7 +9,7 @@
 /// Part of its limit from which an upstream's load is taken for the cause of a late response.
 const MIN_LOAD_RATIO: f64 = 0.5;
 
-/// Divisor of the time that a client has left: it is told to return within that much.
+/// Divisor of the time that a client has left; its `Retry-After` is at most that part.
 const RETURN_TIME_DIVISOR: u32 = 3;
 
 /// Requests that wait for a place, and what their scheduling depends on.
@@ -107,8 +107,8 @@
     /// be capacity for a late one, if places become free every `spacing` from `wait` on.
     ///
     /// Late requests get places once those that run now have ended, which takes about the duration of
-    /// one. Where many are rejected, new requests take most of these places, and the client is told
-    /// to return later in proportion: most clients return only once.
+    /// one. Where many are rejected, new requests take most of these places, and `Retry-After` is longer in
+    /// proportion, since most clients retry only once.
     pub(super) fn return_time(
         &mut self,
         request: &request::Request,
--- a/crates/hyssopfork-gateway/src/core/stall.rs
+++ b/crates/hyssopfork-gateway/src/core/stall.rs
@@ -17,8 +17,8 @@
 /// stream after two seconds.
 const MAX_STREAM_PAUSE: Duration = Duration::from_millis(1_000);
 
-/// Longest time without bytes for a request whose group is lost. It is tried elsewhere until then, and
-/// then ends: a client that comes back finds the group replaced, which takes a second or two.
+/// Longest time without bytes for a request whose group is lost. It is retried elsewhere until then, and
+/// then ends. The group is replaced within a second or two, so that the client's retry can be served.
 const MAX_LOST_GROUP_WAIT: Duration = Duration::from_millis(1_000);
 
 impl Core {
--- a/crates/hyssopfork-gateway/src/rank_reserve.rs
+++ b/crates/hyssopfork-gateway/src/rank_reserve.rs
@@ -22,7 +22,7 @@
 /// part of them is missed.
 const MISS_FACTOR: f64 = 4.0;
 
-/// Ranks that are told apart; those from the last one on count as one.
+/// Number of ranks that are distinguished; all further ones count as the last.
 const MAX_RANKS: u32 = 16;
 
 /// Recent requests for the upstreams of one pool and model.
--- a/crates/hyssopfork-gateway/tests/gateway/costs.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/costs.rs
@@ -108,7 +108,7 @@
     assert_eq!(sent, 16);
 }
 
-/// Guards against predictions whose error nobody sees.
+/// Guards against prediction errors that no metric shows.
 #[test]
 fn the_ratio_of_observed_to_predicted_time_is_measured() {
     let mut entry = Entry::with_performance();
--- a/crates/hyssopfork-gateway/tests/gateway/moves.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/moves.rs
@@ -107,7 +107,7 @@
 }
 
 /// Guards against a request that waits at a lost group until its deadline because all others are
-/// full: its client can't come back before that.
+/// full, so that its client can retry only then.
 #[test]
 fn a_request_of_a_lost_group_without_room_elsewhere_ends() {
     let (mut entry, waiting, _) = entry_with_a_lost_group();
--- a/crates/hyssopfork-gateway/tests/gateway/scheduling.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/scheduling.rs
@@ -310,7 +310,7 @@
 /// Every eight seconds, the groups receive almost twice their capacity for two seconds, and half of
 /// it otherwise. Rejected clients return once, and wait 12 s in all.
 ///
-/// Guards against clients that are told to return during the peak, where they are rejected for good
+/// Guards against a `Retry-After` that ends during the peak, where clients are rejected for good
 /// or take places from new requests: 337 were rejected for good and 1,762 served on time when they
 /// returned after 1.5 s at most.
 #[test]
