fleet, gateway: count the age of a confirmation from its request

What clients saw: 404 from one entry, on the shifted deployment with 300 processes, for a route whose declaration had been acknowledged 3.2 s before.

Cause: an entry that may deny a route by a view of up to 1.5 s counted this time from the arrival of the leader's answer, which may take 0.9 s and longer to be handled. The answer also named the version of the leader's last publication, not the newest acknowledged one.

Evidence: the fleet's simulation now compares each confirmation with the acknowledgements before it.

Change: a follower counts from when it sent its watch. Each answer, also one without an update, names the newest version that the leader has applied; a leader acknowledges only what it has applied, and answers only under its quorum lease. So whatever was acknowledged before the watch was sent is known, however late the answer is.

a_queued_arrival_is_rejected_once_the_newest_declaration_lacks_its_route now gets the confirmation that lifts the wait in place of a view, which no longer does; what it asserts is the same.

--- a/crates/hyssopfork-daemon/src/edge/control.rs
+++ b/crates/hyssopfork-daemon/src/edge/control.rs
@@ -142,15 +142,22 @@
                     Some(event::Event::PeerProbed(peer, instance, alive))
                 });
             }
+            action::Action::Confirm { confirmed_at, newest_version } => {
+                self.publish(traffic::Publication::Confirmed { confirmed_at, newest_version });
+            }
             action::Action::Publish(update, declaration) => {
-                if self.publisher.send((update, declaration)).is_err() {
-                    tracing::error!("cannot publish a view update: the traffic thread has ended");
-                }
+                self.publish(traffic::Publication::Updated(update, declaration));
             }
             action::Action::Notice(notice) => log::notice(&notice),
         }
     }
 
+    fn publish(&self, publication: traffic::Publication) {
+        if self.publisher.send(publication).is_err() {
+            tracing::error!("cannot publish a view update: the traffic thread has ended");
+        }
+    }
+
     /// Runs `work` as a separate task and passes its event to the loop.
     fn spawn(&self, work: impl Future<Output = Option<event::Event>> + 'static) {
         let mailbox = self.mailbox.clone();
--- a/crates/hyssopfork-daemon/src/edge/traffic.rs
+++ b/crates/hyssopfork-daemon/src/edge/traffic.rs
@@ -5,7 +5,7 @@
 use hyssopfork_fleet::{declaration, event as fleet_event, quarantine, view};
 use hyssopfork_gateway::{action, core, event};
 use hyssopfork_telemetry::metrics;
-use hyssopfork_wire::{name, number};
+use hyssopfork_wire::{clock as wire_clock, name, number};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
 use std::rc::{Rc, Weak};
@@ -16,9 +16,19 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time;
 
-/// A view update that the control role publishes to the entry role, with the declaration if that is
-/// new.
-pub type Publication = (Box<view::Update>, Option<Arc<declaration::Declaration>>);
+/// What the control role publishes to the entry role.
+#[derive(Debug)]
+pub enum Publication {
+    /// The version of the newest accepted declaration at a time.
+    Confirmed {
+        /// No declaration newer than `newest_version` was acknowledged before this time.
+        confirmed_at: wire_clock::Instant,
+        /// Version of the newest accepted declaration; 0 for none.
+        newest_version: u64,
+    },
+    /// An update of the view, with the declaration if that is new.
+    Updated(Box<view::Update>, Option<Arc<declaration::Declaration>>),
+}
 
 /// Status of the entry role for other threads.
 #[derive(Debug, Default)]
@@ -185,12 +195,17 @@
     loop {
         tokio::select! {
             biased;
-            Some((update, declaration)) = publications.recv() => {
-                if let Some(declaration) = &declaration {
-                    shared.limits.set(client_limits(&declaration.limits));
+            Some(publication) = publications.recv() => match publication {
+                Publication::Confirmed { confirmed_at, newest_version } => {
+                    entry.step(event::Event::VersionConfirmed { confirmed_at, newest_version });
                 }
-                entry.step(event::Event::ViewUpdated(update, declaration));
-            }
+                Publication::Updated(update, declaration) => {
+                    if let Some(declaration) = &declaration {
+                        shared.limits.set(client_limits(&declaration.limits));
+                    }
+                    entry.step(event::Event::ViewUpdated(update, declaration));
+                }
+            },
             Ok(()) = phase.changed() => {
                 if *phase.borrow_and_update() == http_server::Phase::Draining {
                     entry.step(event::Event::Stop);
--- a/crates/hyssopfork-fleet/src/action.rs
+++ b/crates/hyssopfork-fleet/src/action.rs
@@ -2,7 +2,7 @@
 
 use crate::{declaration, document, groups, notice, peer, view};
 use hyssopfork_consensus::write;
-use hyssopfork_wire::{consensus, name};
+use hyssopfork_wire::{clock, consensus, name};
 use std::net;
 use std::sync::Arc;
 use std::time::Duration;
@@ -42,7 +42,7 @@
     /// Bytes of a declaration that the reply carries to a follower.
     pub fn document_bytes(&self) -> usize {
         match self {
-            Reply::Watched(peer::Answer::Updated(_, part)) => {
+            Reply::Watched(peer::Answer::Updated { part, .. }) => {
                 part.as_ref().map_or(0, |part| part.bytes.len())
             }
             _ => 0,
@@ -52,7 +52,7 @@
     /// Bytes of an update of the view that the reply carries to a follower.
     pub fn update_bytes(&self) -> usize {
         match self {
-            Reply::Watched(peer::Answer::Updated(delta, _)) => delta.size(),
+            Reply::Watched(peer::Answer::Updated { delta, .. }) => delta.size(),
             _ => 0,
         }
     }
@@ -97,6 +97,13 @@
         /// Address of the upstream.
         address: net::SocketAddr,
     },
+    /// Tell this process's entry which declaration was the newest at a time.
+    Confirm {
+        /// No declaration newer than `newest_version` was acknowledged before this time.
+        confirmed_at: clock::Instant,
+        /// Version of the newest accepted declaration; 0 for none.
+        newest_version: u64,
+    },
     /// Pass an update to this process's entry.
     Publish(Box<view::Update>, Option<Arc<declaration::Declaration>>),
     /// Log a numbered event.
--- a/crates/hyssopfork-fleet/src/core/follow.rs
+++ b/crates/hyssopfork-fleet/src/core/follow.rs
@@ -3,6 +3,7 @@
 use super::Core;
 use crate::{action, delta, document, notice, peer, view};
 use hyssopfork_consensus::event as log_event;
+use hyssopfork_wire::clock;
 use std::mem;
 use std::net;
 
@@ -18,7 +19,7 @@
     }
 
     fn watch_leader(&mut self) {
-        let Some((leader, sends_state)) = self.discovery.start_watch() else { return };
+        let Some((leader, sends_state)) = self.discovery.start_watch(self.now) else { return };
         let watch = peer::Watch {
             from: self.settings.address,
             stamp: self.local_view.stamp,
@@ -74,9 +75,14 @@
         from: net::SocketAddr,
         answer: Option<peer::Answer>,
     ) {
+        let sent_at = self.discovery.watch_sent_at(from);
         match answer {
-            Some(peer::Answer::Updated(delta, part)) => self.on_update(from, &delta, part),
-            Some(peer::Answer::Delayed) => {
+            Some(peer::Answer::Updated { delta, part, newest_version }) => {
+                self.on_confirmed(sent_at, newest_version);
+                self.on_update(from, &delta, part);
+            }
+            Some(peer::Answer::Delayed { newest_version }) => {
+                self.on_confirmed(sent_at, newest_version);
                 self.heartbeats.on_leader_heard(self.now);
                 self.discovery.on_delayed(from);
             }
@@ -90,6 +96,18 @@
         self.watch_leader();
     }
 
+    /// Handles the newest version of an answer to the watch that was sent at `sent_at`. The leader
+    /// stated it after that time, however late the answer arrives.
+    fn on_confirmed(&mut self, sent_at: Option<clock::Instant>, newest_version: u64) {
+        if let Some(sent_at) = sent_at {
+            self.confirm(sent_at, newest_version);
+        }
+    }
+
+    pub(super) fn confirm(&mut self, confirmed_at: clock::Instant, newest_version: u64) {
+        self.push_action(action::Action::Confirm { confirmed_at, newest_version });
+    }
+
     fn on_update(
         &mut self,
         from: net::SocketAddr,
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -244,6 +244,7 @@
         if due || leadership.publisher.stamp() != self.local_view.stamp {
             leadership.last_local_update = now;
             let update = leadership.publisher.since(self.local_view.stamp);
+            self.confirm(now, self.state.version());
             self.install_update(update, self.state.document.clone());
         }
     }
@@ -251,6 +252,8 @@
     fn answer_watches(&mut self) {
         let now = self.now;
         let own = self.settings.address;
+        // What is applied, not what is published: a change may have been acknowledged since.
+        let newest_version = self.state.version();
         let Some(leadership) = &mut self.leadership else { return };
         let Leadership { publisher, watches, update_bucket, .. } = leadership;
         let stamp = publisher.stamp();
@@ -269,10 +272,11 @@
             .map(|reply| {
                 let answer = match reply.content {
                     watches::Content::StateRequest => peer::Answer::StateRequested,
-                    watches::Content::Delay => peer::Answer::Delayed,
+                    watches::Content::Delay => peer::Answer::Delayed { newest_version },
                     watches::Content::Update(known_stamp, progress) => {
                         let part = progress.and_then(|progress| publisher.next_part(progress));
-                        peer::Answer::Updated(publisher.delta(known_stamp), part)
+                        let delta = publisher.delta(known_stamp);
+                        peer::Answer::Updated { delta, part, newest_version }
                     }
                 };
                 (reply.call, answer)
--- a/crates/hyssopfork-fleet/src/discovery.rs
+++ b/crates/hyssopfork-fleet/src/discovery.rs
@@ -18,6 +18,13 @@
 /// many addresses can't exhaust memory.
 const MAX_CONTROLS: usize = 64;
 
+/// A watch that has not been answered.
+#[derive(Clone, Copy, Debug)]
+struct PendingWatch {
+    leader: net::SocketAddr,
+    sent_at: clock::Instant,
+}
+
 /// What a process knows of the leader and the other processes.
 #[derive(Clone, Debug)]
 pub struct Discovery {
@@ -29,8 +36,8 @@
     last_greeting: Option<clock::Instant>,
     /// Process greeted last; the next round begins after it.
     last_greeted: Option<net::SocketAddr>,
-    /// Leader with a pending watch of this process.
-    watched: Option<net::SocketAddr>,
+    /// Pending watch of this process.
+    watched: Option<PendingWatch>,
     /// Whether the next watch includes the state that this process knows.
     sends_state: bool,
     /// Newest revision that this process has received.
@@ -95,7 +102,7 @@
 
     /// Forgets a leader that did not answer or no longer leads; `hint` is the leader that it named.
     pub fn forget_leader(&mut self, leader: net::SocketAddr, hint: Option<net::SocketAddr>) {
-        self.watched = self.watched.filter(|address| *address != leader);
+        self.watched = self.watched.filter(|watch| watch.leader != leader);
         if self.leader == Some(leader) {
             self.leader = hint.filter(|hint| *hint != leader);
         }
@@ -103,7 +110,7 @@
 
     /// Handles the leader's request for the state that this process knows.
     pub fn on_state_requested(&mut self, leader: net::SocketAddr) {
-        self.watched = self.watched.filter(|address| *address != leader);
+        self.watched = self.watched.filter(|watch| watch.leader != leader);
         self.sends_state = true;
     }
 
@@ -132,23 +139,28 @@
 
     /// Starts a watch if none is pending; returns the leader and whether to include the known
     /// state.
-    pub fn start_watch(&mut self) -> Option<(net::SocketAddr, bool)> {
+    pub fn start_watch(&mut self, now: clock::Instant) -> Option<(net::SocketAddr, bool)> {
         let leader = self.leader.filter(|leader| *leader != self.own_address)?;
         if self.watched.is_some() {
             return None;
         }
-        self.watched = Some(leader);
+        self.watched = Some(PendingWatch { leader, sent_at: now });
         Some((leader, std::mem::take(&mut self.sends_state)))
     }
 
+    /// When the pending watch was sent to `leader`.
+    pub fn watch_sent_at(&self, leader: net::SocketAddr) -> Option<clock::Instant> {
+        self.watched.filter(|watch| watch.leader == leader).map(|watch| watch.sent_at)
+    }
+
     /// Handles an answer of the leader without an update.
     pub fn on_delayed(&mut self, leader: net::SocketAddr) {
-        self.watched = self.watched.filter(|address| *address != leader);
+        self.watched = self.watched.filter(|watch| watch.leader != leader);
     }
 
     /// Handles an update from the leader.
     pub fn on_updated(&mut self, leader: net::SocketAddr, update: &view::Update) {
-        self.watched = self.watched.filter(|address| *address != leader);
+        self.watched = self.watched.filter(|watch| watch.leader != leader);
         self.stamp = update.stamp;
         self.add_controls(update.controls.iter().copied());
     }
--- a/crates/hyssopfork-fleet/src/peer.rs
+++ b/crates/hyssopfork-fleet/src/peer.rs
@@ -111,11 +111,20 @@
 /// Answer to a [`Watch`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
-    /// An update from the follower's revision, and the next part of a declaration newer than the
-    /// follower's.
-    Updated(delta::Delta, Option<document::Part>),
+    /// An update from the follower's revision.
+    Updated {
+        /// The update.
+        delta: delta::Delta,
+        /// Next part of a declaration newer than the follower's.
+        part: Option<document::Part>,
+        /// Version of the newest accepted declaration; 0 for none.
+        newest_version: u64,
+    },
     /// This process leads, and its link has no capacity yet for the update that the follower lacks.
-    Delayed,
+    Delayed {
+        /// Version of the newest accepted declaration; 0 for none.
+        newest_version: u64,
+    },
     /// This process leads and lacks state of earlier terms that the follower has; the next watch is
     /// to include it.
     StateRequested,
--- a/crates/hyssopfork-fleet/tests/fleet/replication.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/replication.rs
@@ -58,6 +58,21 @@
     assert_eq!(world.read_version(), Some(5));
 }
 
+/// Guards against a follower that takes a declaration for the newest because the leader's answer
+/// arrived late: a newer one was acknowledged after the leader had answered.
+#[test]
+fn a_late_answer_confirms_no_declaration_beyond_the_time_of_its_watch() {
+    let mut world = world::World::declared(3, 2);
+    world.watch_answer_delay = Duration::from_millis(700);
+
+    for version in 2..8 {
+        world.run(250);
+        assert!(world.declare(version));
+    }
+
+    assert_eq!(world.read_version(), Some(7));
+}
+
 /// All processes lose power right after an acknowledgement and restart. The acknowledged
 /// declaration must be read back, since it was on the disks of a majority.
 #[test]
--- a/crates/hyssopfork-fleet/tests/fleet/world.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/world.rs
@@ -115,6 +115,12 @@
     announcement_calls: BTreeMap<u64, name::Instance>,
     /// Number of watches that included the follower's state.
     pub state_transfers: usize,
+    /// Additional time that answers to watches take.
+    pub watch_answer_delay: Duration,
+    /// Versions of declarations, by the call that declares them.
+    declare_calls: BTreeMap<u64, u64>,
+    /// Acknowledged declarations, with the time of the acknowledgement.
+    acknowledged: Vec<(clock::Instant, u64)>,
     queue: BTreeMap<(clock::Instant, u64), (SocketAddr, u64, Delivery)>,
     last_number: u64,
     folder_count: u64,
@@ -151,6 +157,9 @@
             announcements: BTreeMap::new(),
             announcement_calls: BTreeMap::new(),
             state_transfers: 0,
+            watch_answer_delay: Duration::ZERO,
+            declare_calls: BTreeMap::new(),
+            acknowledged: Vec::new(),
             queue: BTreeMap::new(),
             last_number: 0,
             folder_count: 0,
@@ -253,6 +262,9 @@
     pub fn call(&mut self, to: SocketAddr, request: event::Request) -> u64 {
         self.last_number += 1;
         let call = self.last_number;
+        if let event::Request::Declare(declaration, _) = &request {
+            self.declare_calls.insert(call, declaration.version);
+        }
         self.push(to, LATENCY, Delivery::Call(Box::new(request), ReplyTarget::Outside(call)));
         call
     }
@@ -445,6 +457,9 @@
                     && self.probe(peer, address) == order::Liveness::Alive;
                 self.send(from, TIMEOUT, event::Event::PeerProbed(peer, instance, alive));
             }
+            action::Action::Confirm { confirmed_at, newest_version } => {
+                self.check_confirmation(from, confirmed_at, newest_version);
+            }
             action::Action::Publish(update, declaration) => {
                 let version = declaration.map(|declaration| declaration.version);
                 self.publish(from, *update, version);
@@ -479,6 +494,9 @@
         let target = self.processes.get_mut(&from).and_then(|process| process.calls.remove(&call));
         match (target, reply) {
             (Some(ReplyTarget::Outside(call)), reply) => {
+                let version = self.declare_calls.remove(&call);
+                let is_done = matches!(reply, action::Reply::Done);
+                self.acknowledged.extend(version.filter(|_| is_done).map(|it| (self.now, it)));
                 if let Some(instance) = self.announcement_calls.remove(&call) {
                     let engine = self.engines.get_mut(&instance).expect("the engine exists");
                     engine.heartbeat_address = match &reply {
@@ -494,7 +512,7 @@
             (Some(ReplyTarget::Watch(to, number)), action::Reply::Watched(answer)) => {
                 let is_pending = self.processes[&to].watch_id == number;
                 if is_pending && self.can_reach(from, to) {
-                    let after = self.transfer(from, to, &answer);
+                    let after = self.transfer(from, to, &answer) + self.watch_answer_delay;
                     self.push(to, after, Delivery::WatchAnswer(number, from, Box::new(answer)));
                 }
             }
@@ -512,6 +530,19 @@
         }
     }
 
+    fn check_confirmation(
+        &self,
+        address: SocketAddr,
+        confirmed_at: clock::Instant,
+        newest_version: u64,
+    ) {
+        let denied = self
+            .acknowledged
+            .iter()
+            .find(|(at, version)| *at < confirmed_at && *version > newest_version);
+        assert_eq!(denied, None, "{address} takes {newest_version} for the newest declaration");
+    }
+
     fn publish(&mut self, address: SocketAddr, update: view::Update, version: Option<u64>) {
         self.publications += 1;
         let process = self.processes.get_mut(&address).expect("it acts");
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -37,8 +37,9 @@
     table: Option<routing::Table>,
     /// Version of the newest accepted declaration that is known.
     newest_version: u64,
-    /// When the last view arrived.
-    viewed_at: clock::Instant,
+    /// Time up to which all acknowledged declarations are known to have at most `newest_version`: when
+    /// the newest answered watch was sent, not when its answer arrived.
+    confirmed_at: clock::Instant,
     excluded_zones: BTreeSet<name::Zone>,
     /// Entries that share the fleet's limits.
     entries: BTreeMap<net::SocketAddr, ()>,
@@ -80,7 +81,7 @@
             settings,
             table: None,
             newest_version: 0,
-            viewed_at: now,
+            confirmed_at: now,
             excluded_zones: BTreeSet::new(),
             entries: BTreeMap::new(),
             upstreams: BTreeMap::new(),
@@ -130,6 +131,9 @@
         self.now = self.now.max(now);
         match event {
             event::Event::Tick => self.on_tick(),
+            event::Event::VersionConfirmed { confirmed_at, newest_version } => {
+                self.on_version_confirmed(confirmed_at, newest_version)
+            }
             event::Event::ViewUpdated(update, declaration) => {
                 self.on_view_updated(*update, declaration)
             }
--- a/crates/hyssopfork-gateway/src/core/fleet_view.rs
+++ b/crates/hyssopfork-gateway/src/core/fleet_view.rs
@@ -11,16 +11,30 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Age from which the view may lack a declaration that should be in force here: the leader is heard
-/// from every 0.4 s, and a change is in force everywhere two seconds after its acknowledgement.
-const MAX_VIEW_AGE: Duration = Duration::from_millis(1_500);
+/// Time since the last confirmation after which a declaration may be in force that this process does
+/// not know of. A watch is held for up to 0.4 s, so a confirmation is 0.8 s old at most while the
+/// leader answers; a change is in force everywhere two seconds after its acknowledgement.
+const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(1_500);
 
 impl Core {
     /// Whether a newer declaration than the local one may be in force. A client must not be told
     /// that something doesn't exist because the local declaration lacks it.
     pub(super) fn may_be_stale(&self) -> bool {
         let version = self.table.as_ref().map_or(0, |table| table.declaration().version);
-        version < self.newest_version || self.now.since(self.viewed_at) >= MAX_VIEW_AGE
+        version < self.newest_version || self.now.since(self.confirmed_at) >= MAX_CONFIRMATION_AGE
+    }
+
+    pub(super) fn on_version_confirmed(
+        &mut self,
+        confirmed_at: clock::Instant,
+        newest_version: u64,
+    ) {
+        let was_stale = self.may_be_stale();
+        self.confirmed_at = self.confirmed_at.max(confirmed_at);
+        self.newest_version = self.newest_version.max(newest_version);
+        if was_stale && !self.may_be_stale() {
+            self.retry_queued();
+        }
     }
 
     pub(super) fn on_view_updated(
@@ -36,7 +50,6 @@
             self.table = Some(table);
         }
         self.newest_version = self.newest_version.max(update.declared_version);
-        self.viewed_at = self.now;
         let rebuild_all = update.is_full || has_new_declaration;
         if update.is_full {
             self.upstreams.clear();
--- a/crates/hyssopfork-gateway/src/event.rs
+++ b/crates/hyssopfork-gateway/src/event.rs
@@ -2,6 +2,7 @@
 
 use crate::{arrival, load, occupancy, response};
 use hyssopfork_fleet::{declaration, quarantine, rate, view};
+use hyssopfork_wire::clock;
 use std::net;
 use std::sync::Arc;
 
@@ -63,6 +64,13 @@
 pub enum Event {
     /// Time has passed. Occurs every [`crate::action::TICK_INTERVAL`].
     Tick,
+    /// The leader stated which accepted declaration is the newest.
+    VersionConfirmed {
+        /// No declaration newer than `newest_version` was acknowledged before this time.
+        confirmed_at: clock::Instant,
+        /// Version of the newest accepted declaration; 0 for none.
+        newest_version: u64,
+    },
     /// The fleet's view changed; with the declaration if that is new.
     ViewUpdated(Box<view::Update>, Option<Arc<declaration::Declaration>>),
     /// A request arrived.
@@ -114,6 +122,7 @@
             | Event::DeadlineExceeded(number)
             | Event::ClientDisconnected(number) => Some(*number),
             Event::Tick
+            | Event::VersionConfirmed { .. }
             | Event::ViewUpdated(..)
             | Event::Probed(..)
             | Event::SharingInterval
--- a/crates/hyssopfork-gateway/tests/gateway/queue.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/queue.rs
@@ -168,6 +168,37 @@
     queue_timeout(&decision);
 }
 
+/// Guards against a 404 after an acknowledgement when the leader's answers arrive late: the entry's
+/// knowledge is as old as its watch, not as the answer.
+#[test]
+fn a_late_view_does_not_make_a_declaration_the_newest() {
+    let mut entry = Entry::new();
+    entry.update_view(fixture::view());
+    entry.advance(3_000);
+    let newest_version = fixture::declaration().version;
+    let confirmed_at = entry.now - Duration::from_millis(1_600);
+    entry.step(event::Event::VersionConfirmed { confirmed_at, newest_version });
+    entry.step(event::Event::ViewUpdated(Box::new(fixture::view()), None));
+
+    let (_, decision) = entry.arrive(unrouted());
+
+    queue_timeout(&decision);
+}
+
+/// Guards against a 404 for a route of a declaration that was acknowledged after the leader's last
+/// publication.
+#[test]
+fn a_newer_version_is_known_before_its_view_arrives() {
+    let mut entry = Entry::new();
+    entry.update_view(fixture::view());
+    let (confirmed_at, newest_version) = (entry.now, fixture::declaration().version + 1);
+    entry.step(event::Event::VersionConfirmed { confirmed_at, newest_version });
+
+    let (_, decision) = entry.arrive(unrouted());
+
+    queue_timeout(&decision);
+}
+
 #[test]
 fn a_queued_arrival_is_rejected_once_the_newest_declaration_lacks_its_route() {
     let mut entry = Entry::new();
@@ -176,9 +207,9 @@
     entry.advance(2_000);
     entry.arrive(unrouted());
 
-    let update = view::Update { declared_version: version, ..fixture::view() };
-    let updated = event::Event::ViewUpdated(Box::new(update), None);
-    let decision = entry.step(updated).expect("a decision follows");
+    let confirmed_at = entry.now;
+    let confirmed = event::Event::VersionConfirmed { confirmed_at, newest_version: version };
+    let decision = entry.step(confirmed).expect("a decision follows");
 
     assert_eq!(rejection(&decision).reason, action::Reason::NoRoute);
 }
