fleet: limit declarations that are sent to followers by bytes, not by number

What clients saw: on a scratch copy of the shifted deployment with 300 processes, 234 requests in 34 s were handled by an older declaration more than 2.5 s after a newer one was acknowledged.

Cause: the leader sent parts of a declaration to at most eight followers at a time, and a part counted until the follower's next watch had arrived. At a busy leader this takes up to 0.9 s, so that 9 entries a second got a change of some hundred bytes. Evidence, from the logs of the copy: version 6, accepted at 2.71 s, was in force at 18 entries when version 8 was accepted at 4.77 s; 59 entries never got the first declaration. Ruled out: the capacity of the link, since updates without parts reached all entries meanwhile; as the only cause changes of leader, since one led from 0.3 to 6.4 s.

Change: the limit is 256 KB of parts on their way, as eight parts of 32 KB were.

Before: the new test fails, 25 of 43 processes lack a small change. Leaders still lose their quorum every two to five seconds there.

--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -257,15 +257,8 @@
         let Some(leadership) = &mut self.leadership else { return };
         let Leadership { publisher, watches, update_bucket, .. } = leadership;
         let stamp = publisher.stamp();
-        let version = publisher.version();
-        let due = watches.take_due(now, stamp, version, |known_stamp| {
-            // An update that can't be sent now isn't encoded: it changes with the next publication.
-            let may_send = update_bucket.has_capacity(now);
-            if may_send {
-                update_bucket.take(publisher.delta(known_stamp).size());
-            }
-            may_send
-        });
+        let mut outgoing = watches::Outgoing { publisher, bucket: update_bucket };
+        let due = watches.take_due(now, &mut outgoing);
         let (replicated, expired) = watches.take_replicated(now, stamp);
         let answers: Vec<(u64, peer::Answer)> = due
             .into_iter()
--- a/crates/hyssopfork-fleet/src/core/watches.rs
+++ b/crates/hyssopfork-fleet/src/core/watches.rs
@@ -1,6 +1,6 @@
 //! Long-poll watches that a leader holds, and which revision each follower has.
 
-use crate::{action, document, view};
+use crate::{action, document, link, publication, view};
 use hyssopfork_wire::{clock, number};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net;
@@ -29,9 +29,10 @@
 /// Time after which a donor that has not answered is replaced by another follower.
 const DONOR_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Followers that are sent document parts at the same time. Together with the parts sent to voters,
-/// this bounds how long a heartbeat is queued on the leader's link.
-const MAX_TRANSFERS: usize = 8;
+/// Bytes of document parts on their way to followers. Together with the parts sent to voters, this
+/// bounds how long a heartbeat is queued on the leader's link. A limit on the number of parts would
+/// hold back small changes as long as large ones: a busy leader sent 9 of them a second.
+const MAX_TRANSFER_BYTES: usize = 8 * document::MAX_PART_BYTES;
 
 #[derive(Clone, Debug)]
 struct HeldWatch {
@@ -65,6 +66,42 @@
     revision: Option<u64>,
 }
 
+/// A document part that a follower was sent, until its next watch.
+#[derive(Clone, Copy, Debug)]
+struct Transfer {
+    sent_at: clock::Instant,
+    bytes: usize,
+}
+
+/// What the leader can send to its followers.
+pub(super) struct Outgoing<'a> {
+    pub(super) publisher: &'a mut publication::Publisher,
+    pub(super) bucket: &'a mut link::Bucket,
+}
+
+impl Outgoing<'_> {
+    /// Takes the update from a revision, and `part_bytes` of a document, out of the link's capacity;
+    /// returns false if it has none.
+    fn try_take(
+        &mut self,
+        now: clock::Instant,
+        known_stamp: view::Stamp,
+        part_bytes: usize,
+    ) -> bool {
+        // An update that can't be sent now isn't encoded: it changes with the next publication.
+        let has_capacity = self.bucket.has_capacity(now);
+        if has_capacity {
+            self.bucket.take(self.publisher.delta(known_stamp).size() + part_bytes);
+        }
+        has_capacity
+    }
+
+    /// Bytes of the next document part for a follower; 0 if it needs none.
+    fn part_bytes(&mut self, progress: document::Progress) -> usize {
+        self.publisher.next_part(progress).map_or(0, |part| part.bytes.len())
+    }
+}
+
 /// What the leader knows of an entry.
 #[derive(Clone, Copy, Debug)]
 struct Follower {
@@ -98,11 +135,10 @@
     pub(super) term_start: clock::Instant,
     watches: BTreeMap<u64, HeldWatch>,
     entries: BTreeMap<net::SocketAddr, Follower>,
-    /// Followers that were sent a document part and have sent no watch since, with the time of
-    /// sending.
+    /// Document parts that followers were sent and have not confirmed by a watch.
     ///
-    /// Invariant: at most [`MAX_TRANSFERS`].
-    transfers: BTreeMap<net::SocketAddr, clock::Instant>,
+    /// Invariant: at most [`MAX_TRANSFER_BYTES`].
+    transfers: BTreeMap<net::SocketAddr, Transfer>,
     registrations: Vec<HeldRegistration>,
     prior_state: PriorState,
     /// Follower that the last upstream was assigned to.
@@ -216,18 +252,16 @@
         self.registrations.retain(|registration| registration.call != call);
     }
 
-    /// Removes and returns the watches to answer at `stamp`, where `version` is the newest
-    /// declaration. `try_send` tells whether the link has capacity for the update from a revision;
-    /// followers that have waited longest for an update come first.
+    /// Removes and returns the watches to answer now. Followers that have waited longest for an
+    /// update come first.
     pub(super) fn take_due(
         &mut self,
         now: clock::Instant,
-        stamp: view::Stamp,
-        version: u64,
-        mut try_send: impl FnMut(view::Stamp) -> bool,
+        outgoing: &mut Outgoing<'_>,
     ) -> Vec<PendingReply> {
+        let (stamp, version) = (outgoing.publisher.stamp(), outgoing.publisher.version());
         let donors = self.pick_donors(now);
-        self.transfers.retain(|_, sent_at| now.since(*sent_at) < action::WATCH_TIMEOUT);
+        self.transfers.retain(|_, transfer| now.since(transfer.sent_at) < action::WATCH_TIMEOUT);
         let mut due: Vec<(clock::Instant, u64)> = Vec::new();
         for (call, watch) in &self.watches {
             let is_due = donors.contains(&watch.from)
@@ -244,9 +278,10 @@
         for (_, call) in due {
             let Some(watch) = self.watches.get(&call) else { continue };
             let is_donor = donors.contains(&watch.from);
-            let answer = self.answer(now, stamp, version, watch, is_donor, &mut try_send);
+            let part_bytes = outgoing.part_bytes(watch.document_progress);
+            let answer = self.answer(now, watch, part_bytes, is_donor, outgoing);
             if let Some(content) = answer {
-                self.on_answered(now, call, &content);
+                self.on_answered(now, call, &content, part_bytes);
                 replies.push(PendingReply { call, content });
             }
         }
@@ -257,11 +292,10 @@
     fn answer(
         &self,
         now: clock::Instant,
-        stamp: view::Stamp,
-        version: u64,
         watch: &HeldWatch,
+        part_bytes: usize,
         is_donor: bool,
-        try_send: &mut impl FnMut(view::Stamp) -> bool,
+        outgoing: &mut Outgoing<'_>,
     ) -> Option<Content> {
         if is_donor {
             return Some(Content::StateRequest);
@@ -272,12 +306,13 @@
             return None;
         }
         let is_expired = now >= watch.expires_at;
-        let needs_part = watch.document_progress.version < version;
-        let sends_part = needs_part && self.transfers.len() < MAX_TRANSFERS;
-        if watch.known_stamp == stamp && !sends_part && !is_expired {
+        let sent_bytes: usize = self.transfers.values().map(|transfer| transfer.bytes).sum();
+        let sends_part = part_bytes > 0 && sent_bytes + part_bytes <= MAX_TRANSFER_BYTES;
+        if watch.known_stamp == outgoing.publisher.stamp() && !sends_part && !is_expired {
             return None;
         }
-        if !try_send(watch.known_stamp) {
+        let part_bytes = if sends_part { part_bytes } else { 0 };
+        if !outgoing.try_take(now, watch.known_stamp, part_bytes) {
             return is_expired.then_some(Content::Delay);
         }
         let progress = sends_part.then_some(watch.document_progress);
@@ -285,11 +320,17 @@
     }
 
     /// Removes an answered watch.
-    fn on_answered(&mut self, now: clock::Instant, call: u64, content: &Content) {
+    fn on_answered(
+        &mut self,
+        now: clock::Instant,
+        call: u64,
+        content: &Content,
+        part_bytes: usize,
+    ) {
         let Some(watch) = self.watches.remove(&call) else { return };
         let Content::Update(_, progress) = content else { return };
         if progress.is_some() {
-            self.transfers.insert(watch.from, now);
+            self.transfers.insert(watch.from, Transfer { sent_at: now, bytes: part_bytes });
         }
         if let Some(follower) = self.entries.get_mut(&watch.from) {
             follower.last_update = now;
--- a/crates/hyssopfork-fleet/tests/fleet/replication.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/replication.rs
@@ -73,6 +73,21 @@
     assert_eq!(world.read_version(), Some(7));
 }
 
+/// Guards against a small change that waits for as many rounds of transfers as a large one: each
+/// round takes as long as a busy leader needs for an answer and the next watch.
+#[test]
+fn a_small_change_reaches_the_followers_of_a_busy_leader_at_once() {
+    let mut world = world::World::declared(3, 40);
+    world.watch_answer_delay = Duration::from_millis(400);
+    world.run(1_000);
+
+    assert!(world.declare(2));
+    world.run(1_000);
+
+    let lacks = |process: &&world::Process| process.view.as_ref().map(|it| it.document) != Some(2);
+    assert_eq!(world.processes.values().filter(lacks).count(), 0);
+}
+
 /// All processes lose power right after an acknowledgement and restart. The acknowledged
 /// declaration must be read back, since it was on the disks of a majority.
 #[test]
