fleet, gateway: send a declaration ahead of the view that it belongs to

What clients saw: on the scratch copy of the shifted deployment with 300 processes, 18 requests were handled by an older declaration more than 2.5 s after a newer one was acknowledged.

Cause: a new leader sends the whole view to all followers, which its link takes seconds for, and a part of a declaration was sent only together with an update of the view. Evidence, logs of the copy: version 6 was accepted 1.5 s after a leader had begun to lead, and 107 of 300 entries had it 1.8 s later; versions accepted later in the same term were in force everywhere after 0.2 s. Ruled out: the limit on parts, which counts bytes now.

Change: a part is sent at once, with the answer that the update has to wait for the link. The entry uses the declaration with the view that it has. A process without a view still gets both together, so that it is not ready before it knows any upstream.

Before: the new test fails, 41 of 41 processes lack the declaration one second after it was acknowledged.

--- a/crates/hyssopfork-daemon/src/edge/control.rs
+++ b/crates/hyssopfork-daemon/src/edge/control.rs
@@ -152,6 +152,9 @@
             action::Action::Confirm { confirmed_at, newest_version } => {
                 self.publish(traffic::Publication::Confirmed { confirmed_at, newest_version });
             }
+            action::Action::Declare(declaration) => {
+                self.publish(traffic::Publication::Declared(declaration));
+            }
             action::Action::Publish(update, declaration) => {
                 self.publish(traffic::Publication::Updated(update, declaration));
             }
--- a/crates/hyssopfork-daemon/src/edge/traffic.rs
+++ b/crates/hyssopfork-daemon/src/edge/traffic.rs
@@ -26,6 +26,8 @@
         /// Version of the newest accepted declaration; 0 for none.
         newest_version: u64,
     },
+    /// A new declaration, ahead of the update that it belongs to.
+    Declared(Arc<declaration::Declaration>),
     /// An update of the view, with the declaration if that is new.
     Updated(Box<view::Update>, Option<Arc<declaration::Declaration>>),
 }
@@ -199,6 +201,10 @@
                 Publication::Confirmed { confirmed_at, newest_version } => {
                     entry.step(event::Event::VersionConfirmed { confirmed_at, newest_version });
                 }
+                Publication::Declared(declaration) => {
+                    shared.limits.set(client_limits(&declaration.limits));
+                    entry.step(event::Event::Declared(declaration));
+                }
                 Publication::Updated(update, declaration) => {
                     if let Some(declaration) = &declaration {
                         shared.limits.set(client_limits(&declaration.limits));
--- a/crates/hyssopfork-fleet/src/action.rs
+++ b/crates/hyssopfork-fleet/src/action.rs
@@ -42,9 +42,9 @@
     /// Bytes of a declaration that the reply carries to a follower.
     pub fn document_bytes(&self) -> usize {
         match self {
-            Reply::Watched(peer::Answer::Updated { part, .. }) => {
-                part.as_ref().map_or(0, |part| part.bytes.len())
-            }
+            Reply::Watched(
+                peer::Answer::Updated { part, .. } | peer::Answer::Delayed { part, .. },
+            ) => part.as_ref().map_or(0, |part| part.bytes.len()),
             _ => 0,
         }
     }
@@ -108,6 +108,8 @@
     },
     /// Pass an update to this process's entry.
     Publish(Box<view::Update>, Option<Arc<declaration::Declaration>>),
+    /// Pass a declaration to this process's entry ahead of the update that it belongs to.
+    Declare(Arc<declaration::Declaration>),
     /// Log a numbered event.
     Notice(notice::Notice),
 }
--- a/crates/hyssopfork-fleet/src/core/follow.rs
+++ b/crates/hyssopfork-fleet/src/core/follow.rs
@@ -1,11 +1,12 @@
 //! Following the leader: discovery, watches and updates of the local view.
 
 use super::Core;
-use crate::{action, delta, document, notice, peer, view};
+use crate::{action, declaration, delta, document, notice, peer, view};
 use hyssopfork_consensus::event as log_event;
 use hyssopfork_wire::clock;
 use std::mem;
 use std::net;
+use std::sync::Arc;
 
 impl Core {
     /// Greets all known processes while no leader is known, and keeps a watch open at the leader.
@@ -81,10 +82,14 @@
                 self.on_confirmed(sent_at, newest_version);
                 self.on_update(from, &delta, part);
             }
-            Some(peer::Answer::Delayed { newest_version }) => {
+            Some(peer::Answer::Delayed { part, newest_version }) => {
                 self.on_confirmed(sent_at, newest_version);
                 self.heartbeats.on_leader_heard(self.now);
                 self.discovery.on_delayed(from);
+                let document = part.and_then(|part| self.receive_part(part));
+                if let Some(declaration) = self.install_document(document) {
+                    self.push_action(action::Action::Declare(declaration));
+                }
             }
             Some(peer::Answer::StateRequested) => self.discovery.on_state_requested(from),
             Some(peer::Answer::NotLeader(hint)) => self.discovery.forget_leader(from, hint),
@@ -144,6 +149,17 @@
         }
     }
 
+    /// Takes over a document that is newer than the local one; returns its declaration.
+    fn install_document(
+        &mut self,
+        document: Option<document::Document>,
+    ) -> Option<Arc<declaration::Declaration>> {
+        let document = document.filter(|it| it.version > self.local_view.version())?;
+        let declaration = self.decode_declaration(&document);
+        self.local_view.document = Some(document);
+        declaration
+    }
+
     /// Applies an update to the local view and passes it to this process's entry.
     ///
     /// A delayed answer of an earlier leader is dropped, since it would revert the view.
@@ -155,9 +171,7 @@
         if update.stamp < self.local_view.stamp {
             return;
         }
-        let document = document.filter(|it| it.version > self.local_view.version());
-        let declaration = document.as_ref().and_then(|document| self.decode_declaration(document));
-        self.local_view.document = document.or(self.local_view.document.take());
+        let declaration = self.install_document(document);
         if update.is_full {
             self.local_view.upstreams.clear();
             self.local_view.groups.clear();
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -268,7 +268,10 @@
             .map(|reply| {
                 let answer = match reply.content {
                     watches::Content::StateRequest => peer::Answer::StateRequested,
-                    watches::Content::Delay => peer::Answer::Delayed { newest_version },
+                    watches::Content::Delay(progress) => {
+                        let part = progress.and_then(|progress| publisher.next_part(progress));
+                        peer::Answer::Delayed { part, newest_version }
+                    }
                     watches::Content::Update(known_stamp, progress) => {
                         let part = progress.and_then(|progress| publisher.next_part(progress));
                         let delta = publisher.delta(known_stamp);
--- a/crates/hyssopfork-fleet/src/core/watches.rs
+++ b/crates/hyssopfork-fleet/src/core/watches.rs
@@ -54,8 +54,9 @@
     Update(view::Stamp, Option<document::Progress>),
     /// A request for its state.
     StateRequest,
-    /// Only that the leader is alive: the link has no capacity for the update yet.
-    Delay,
+    /// That the leader is alive, with a part of a document if the follower's progress is given: the
+    /// link has no capacity for the update yet.
+    Delay(Option<document::Progress>),
 }
 
 #[derive(Clone, Debug)]
@@ -332,23 +333,28 @@
         if is_donor {
             return Some(Content::StateRequest);
         }
-        // An update would overwrite state that only this follower may have.
-        let is_behind = self.prior_state.is_behind(watch.known_stamp);
-        if is_behind && now < watch.expires_at + action::MAX_WATCH_HOLD {
-            return None;
-        }
-        let is_expired = now >= watch.expires_at;
         let sent_bytes: usize = self.transfers.values().map(|transfer| transfer.bytes).sum();
         let sends_part = part_bytes > 0 && sent_bytes + part_bytes <= MAX_TRANSFER_BYTES;
+        let progress = sends_part.then_some(watch.document_progress);
+        let part_bytes = if sends_part { part_bytes } else { 0 };
+        let is_expired = now >= watch.expires_at;
         if watch.known_stamp == outgoing.publisher.stamp() && !sends_part && !is_expired {
             return None;
         }
-        let part_bytes = if sends_part { part_bytes } else { 0 };
-        if !outgoing.try_take(now, watch.known_stamp, part_bytes) {
-            return is_expired.then_some(Content::Delay);
+        // An update would overwrite state that only this follower may have.
+        let is_behind = self.prior_state.is_behind(watch.known_stamp);
+        let waits_for_state = is_behind && now < watch.expires_at + action::MAX_WATCH_HOLD;
+        if !waits_for_state && outgoing.try_take(now, watch.known_stamp, part_bytes) {
+            return Some(Content::Update(watch.known_stamp, progress));
         }
-        let progress = sends_part.then_some(watch.document_progress);
-        Some(Content::Update(watch.known_stamp, progress))
+        // After a change of leader all followers need the whole view, which takes the link seconds to
+        // send. A declaration doesn't wait for that, except at a process that has no view at all.
+        let progress = progress.filter(|_| watch.known_stamp != view::Stamp::default());
+        if progress.is_some() {
+            outgoing.bucket.take(part_bytes);
+        }
+        let is_due = progress.is_some() || is_expired && !waits_for_state;
+        is_due.then_some(Content::Delay(progress))
     }
 
     /// Removes an answered watch.
@@ -360,11 +366,11 @@
         part_bytes: usize,
     ) {
         let Some(watch) = self.watches.remove(&call) else { return };
-        let Content::Update(_, progress) = content else { return };
-        if progress.is_some() {
+        let is_update = matches!(content, Content::Update(..));
+        if let Content::Update(_, Some(_)) | Content::Delay(Some(_)) = content {
             self.transfers.insert(watch.from, Transfer { sent_at: now, bytes: part_bytes });
         }
-        if let Some(follower) = self.entries.get_mut(&watch.from) {
+        if let Some(follower) = self.entries.get_mut(&watch.from).filter(|_| is_update) {
             follower.last_update = now;
         }
     }
--- a/crates/hyssopfork-fleet/src/peer.rs
+++ b/crates/hyssopfork-fleet/src/peer.rs
@@ -122,6 +122,8 @@
     },
     /// This process leads, and its link has no capacity yet for the update that the follower lacks.
     Delayed {
+        /// Next part of a declaration newer than the follower's.
+        part: Option<document::Part>,
         /// Version of the newest accepted declaration; 0 for none.
         newest_version: u64,
     },
--- a/crates/hyssopfork-fleet/tests/fleet/replication.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/replication.rs
@@ -88,6 +88,28 @@
     assert_eq!(world.processes.values().filter(lacks).count(), 0);
 }
 
+/// Guards against a declaration that waits until a new leader has sent the whole view to all of its
+/// followers.
+#[test]
+fn a_declaration_does_not_wait_for_the_views_of_a_new_leader() {
+    let link = world::Bandwidth(1_000_000 / 8);
+    let mut world = world::World::start_with_links(3, 40, |_| Some(link));
+    world.run(5_000);
+    assert!(world.declare(1));
+    world.add_engines(1..=200, "d1");
+    world.run(30_000);
+    let leader = world.leader().expect("one leads");
+    world.kill(leader);
+    world.run(1_500);
+
+    assert!(world.declare(2));
+    world.run(1_000);
+
+    let alive = world.processes.values().filter(|process| process.core.is_some());
+    let lacks = |process: &&world::Process| process.view.as_ref().map(|it| it.document) != Some(2);
+    assert_eq!(alive.filter(lacks).count(), 0);
+}
+
 /// All processes lose power right after an acknowledgement and restart. The acknowledged
 /// declaration must be read back, since it was on the disks of a majority.
 #[test]
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -134,6 +134,7 @@
             event::Event::VersionConfirmed { confirmed_at, newest_version } => {
                 self.on_version_confirmed(confirmed_at, newest_version)
             }
+            event::Event::Declared(declaration) => self.on_declared(declaration),
             event::Event::ViewUpdated(update, declaration) => {
                 self.on_view_updated(*update, declaration)
             }
--- a/crates/hyssopfork-gateway/src/core/fleet_view.rs
+++ b/crates/hyssopfork-gateway/src/core/fleet_view.rs
@@ -37,6 +37,31 @@
         }
     }
 
+    pub(super) fn on_declared(&mut self, declaration: Arc<declaration::Declaration>) {
+        self.install_declaration(declaration);
+        let known: BTreeSet<_> =
+            self.upstreams.keys().chain(self.targets.keys()).cloned().collect();
+        self.rebuild_targets(&known);
+        self.retry_queued();
+        self.scheduling.on_capacity_changed();
+    }
+
+    fn install_declaration(&mut self, declaration: Arc<declaration::Declaration>) {
+        self.log(notice::Notice::InForce(declaration.version));
+        let table = routing::Table::new(declaration);
+        self.costs.on_table(&table);
+        self.table = Some(table);
+    }
+
+    fn rebuild_targets(&mut self, instances: &BTreeSet<name::Instance>) {
+        for instance in instances {
+            self.rebuild_target(instance);
+        }
+        if !instances.is_empty() {
+            self.update_sharing();
+        }
+    }
+
     pub(super) fn on_view_updated(
         &mut self,
         update: view::Update,
@@ -44,10 +69,7 @@
     ) {
         let has_new_declaration = declaration.is_some();
         if let Some(declaration) = declaration {
-            self.log(notice::Notice::InForce(declaration.version));
-            let table = routing::Table::new(declaration);
-            self.costs.on_table(&table);
-            self.table = Some(table);
+            self.install_declaration(declaration);
         }
         self.newest_version = self.newest_version.max(update.declared_version);
         let rebuild_all = update.is_full || has_new_declaration;
@@ -69,10 +91,8 @@
         if entries_changed {
             changed.extend(self.targets.keys().cloned());
         }
-        for instance in &changed {
-            self.rebuild_target(instance);
-        }
-        if !changed.is_empty() || entries_changed {
+        self.rebuild_targets(&changed);
+        if changed.is_empty() && entries_changed {
             self.update_sharing();
         }
         self.retry_queued();
--- a/crates/hyssopfork-gateway/src/event.rs
+++ b/crates/hyssopfork-gateway/src/event.rs
@@ -71,6 +71,8 @@
         /// Version of the newest accepted declaration; 0 for none.
         newest_version: u64,
     },
+    /// A newer declaration arrived, ahead of the view that it belongs to.
+    Declared(Arc<declaration::Declaration>),
     /// The fleet's view changed; with the declaration if that is new.
     ViewUpdated(Box<view::Update>, Option<Arc<declaration::Declaration>>),
     /// A request arrived.
@@ -123,6 +125,7 @@
             | Event::ClientDisconnected(number) => Some(*number),
             Event::Tick
             | Event::VersionConfirmed { .. }
+            | Event::Declared(_)
             | Event::ViewUpdated(..)
             | Event::Probed(..)
             | Event::SharingInterval
