cli: keep the closed port of a test bound

The test took a free port and released it, so that another test of the same program could listen on it before the client connected; the client then reached somebody and rightly reports an unknown outcome.

The port now stays bound to a socket that doesn't listen, which refuses connections. What the test asserts is unchanged.

--- a/crates/hyssopfork-cli/tests/all/client.rs
+++ b/crates/hyssopfork-cli/tests/all/client.rs
@@ -2,11 +2,13 @@
 
 use crate::support::{Control, run, status};
 use hyssopfork_cli::error;
-use hyssopfork_test_support::{http, relay};
+use hyssopfork_test_support::relay;
 use hyssopfork_wire::{control, number, patch};
-use std::net::SocketAddr;
+use std::fmt;
+use std::net::Ipv4Addr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
+use tokio::net::TcpSocket;
 
 fn respond(request: &control::Request) -> control::Response {
     match request {
@@ -18,9 +20,21 @@
     }
 }
 
-fn closed_port() -> SocketAddr {
-    let listener = http::free_listener().expect("a free port");
-    listener.local_addr().expect("it is bound")
+/// A port that refuses connections. It stays bound, so that no other test can listen on it.
+struct ClosedPort(TcpSocket);
+
+impl ClosedPort {
+    fn new() -> ClosedPort {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind((Ipv4Addr::LOCALHOST, 0).into()).expect("a free port");
+        ClosedPort(socket)
+    }
+}
+
+impl fmt::Display for ClosedPort {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0.local_addr().expect("it is bound"))
+    }
 }
 
 fn identifiers(control: &Control) -> Vec<String> {
@@ -35,7 +49,8 @@
 async fn unreachable_instance_is_skipped() {
     let (leader, _) = Control::start(respond).await;
 
-    let report = run(&format!("group list --control {},{leader}", closed_port())).await;
+    let closed = ClosedPort::new();
+    let report = run(&format!("group list --control {closed},{leader}")).await;
 
     assert!(report.expect("answered").text.contains("summaries-1"));
 }
@@ -90,7 +105,8 @@
 
 #[actix_rt::test]
 async fn patch_that_reached_no_instance_is_not_reported_as_unknown() {
-    let arguments = format!("zone out lekki --base 1 --timeout-ms 300 --control {}", closed_port());
+    let closed = ClosedPort::new();
+    let arguments = format!("zone out lekki --base 1 --timeout-ms 300 --control {closed}");
 
     let error = run(&arguments).await.expect_err("nobody is there");
 
