--- a/crates/hyssopfork-daemon/tests/processes/soak/mod.rs
+++ b/crates/hyssopfork-daemon/tests/processes/soak/mod.rs
@@ -18,7 +18,10 @@
 /// Seed of the run in continuous integration.
 const SEED: u64 = 1;
 
-/// Duration of the run in continuous integration.
+/// Seed whose runs restarted idle engines.
+const IDLE_RESTART_SEED: u64 = 71117;
+
+/// Duration of the runs in continuous integration.
 const DURATION_SECONDS: u64 = 12;
 
 /// Clients for each kind of request.
@@ -43,7 +46,16 @@
 #[actix_rt::test]
 async fn reported_outcomes_match_what_ran_under_random_faults() {
     let seed = read_setting("HYSSOPFORK_SOAK_SEED", SEED);
-    let duration = Duration::from_secs(read_setting("HYSSOPFORK_SOAK_SECONDS", DURATION_SECONDS));
+    run(seed, Duration::from_secs(read_setting("HYSSOPFORK_SOAK_SECONDS", DURATION_SECONDS))).await;
+}
+
+// Engines of this seed restarted while idle and were sent requests without their model.
+#[actix_rt::test]
+async fn reported_outcomes_match_what_ran_when_idle_engines_restart() {
+    run(IDLE_RESTART_SEED, Duration::from_secs(DURATION_SECONDS)).await;
+}
+
+async fn run(seed: u64, duration: Duration) {
     let plan = fleet::Plan { engines: 5, services: 3, ..fleet::Plan::default() };
     let mut fleet = fleet::Fleet::start(plan);
     let operator = fleet.operator();
