fleet: send a batch to a new leader while one to the lost leader is unanswered

What clients would have seen: after the loss of a leader, the announcements of engines waited at a follower until the batch to the lost leader timed out, up to 0.85 s, while the next leader led already; groups would have been repaired later by that time.

Change: a batch to another process than the leader is given up, its calls are answered as not accepted, and the next batch is sent. The new test needs a function that the code before lacks.

--- a/crates/hyssopfork-fleet/src/core/calls.rs
+++ b/crates/hyssopfork-fleet/src/core/calls.rs
@@ -150,7 +150,10 @@
             }
             return;
         };
-        if let Some(batch) = self.relays.next_batch(self.now) {
+        for call in self.relays.take_superseded(to) {
+            self.on_relay_answered(call, false);
+        }
+        if let Some(batch) = self.relays.next_batch(self.now, to) {
             self.push_action(action::Action::RelayBatch(to, batch));
         }
     }
--- a/crates/hyssopfork-fleet/src/relays.rs
+++ b/crates/hyssopfork-fleet/src/relays.rs
@@ -7,6 +7,7 @@
 use crate::announcement;
 use hyssopfork_wire::clock;
 use std::collections::VecDeque;
+use std::net;
 use std::time::Duration;
 
 /// Most announcements in one batch; about 32 KB.
@@ -27,6 +28,7 @@
 #[derive(Clone, Debug)]
 struct Pending {
     number: u64,
+    to: net::SocketAddr,
     calls: Vec<u64>,
     sent_at: clock::Instant,
 }
@@ -59,8 +61,15 @@
         self.queue.push_back(Queued { call, announcement, since: now });
     }
 
-    /// Returns the next batch, if there is one and none is unanswered.
-    pub fn next_batch(&mut self, now: clock::Instant) -> Option<Batch> {
+    /// Removes and returns the calls of an unanswered batch to another process than `leader`. A lost
+    /// leader must not hold up the announcements for the next one.
+    pub fn take_superseded(&mut self, leader: net::SocketAddr) -> Vec<u64> {
+        let superseded = self.pending.take_if(|pending| pending.to != leader);
+        superseded.map_or_else(Vec::new, |pending| pending.calls)
+    }
+
+    /// Returns the next batch for the leader `to`, if there is one and none is unanswered.
+    pub fn next_batch(&mut self, now: clock::Instant, to: net::SocketAddr) -> Option<Batch> {
         if self.pending.is_some() || self.queue.is_empty() {
             return None;
         }
@@ -68,7 +77,7 @@
         self.last_number += 1;
         let number = self.last_number;
         let calls = batch.iter().map(|queued| queued.call).collect();
-        self.pending = Some(Pending { number, calls, sent_at: now });
+        self.pending = Some(Pending { number, to, calls, sent_at: now });
         let announcements = batch.into_iter().map(|queued| queued.announcement).collect();
         Some(Batch { number, announcements })
     }
--- a/crates/hyssopfork-fleet/tests/fleet/relays.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/relays.rs
@@ -16,14 +16,14 @@
 #[test]
 fn announcements_wait_for_the_answer_to_the_batch_before() {
     let mut relays = queued(1);
-    let first = relays.next_batch(fixture::at(0)).expect("a batch");
+    let first = relays.next_batch(fixture::at(0), fixture::address(1)).expect("a batch");
     for call in 2..=40 {
         relays.push(fixture::at(10), call, fixture::announcement(&format!("e{call}")));
-        assert_eq!(relays.next_batch(fixture::at(10)), None);
+        assert_eq!(relays.next_batch(fixture::at(10), fixture::address(1)), None);
     }
 
     assert_eq!(relays.take_answered(first.number), [1]);
-    let second = relays.next_batch(fixture::at(20)).expect("a batch");
+    let second = relays.next_batch(fixture::at(20), fixture::address(1)).expect("a batch");
 
     assert_eq!(second.announcements.len(), 39);
 }
@@ -33,7 +33,7 @@
 #[test]
 fn calls_that_wait_too_long_are_given_up() {
     let mut relays = queued(1);
-    let batch = relays.next_batch(fixture::at(0)).expect("a batch");
+    let batch = relays.next_batch(fixture::at(0), fixture::address(1)).expect("a batch");
     relays.push(fixture::at(500), 2, fixture::announcement("e2"));
 
     assert_eq!(relays.take_expired(fixture::at(900)), [1]);
@@ -48,7 +48,21 @@
     let mut relays = queued(3);
 
     assert_eq!(relays.take_queued(), [1, 2, 3]);
-    assert_eq!(relays.next_batch(fixture::at(0)), None);
+    assert_eq!(relays.next_batch(fixture::at(0), fixture::address(1)), None);
+}
+
+/// Guards against announcements that wait for the answer of a leader that was lost, while the next one
+/// leads.
+#[test]
+fn a_batch_to_an_earlier_leader_holds_up_nothing() {
+    let mut relays = queued(1);
+    relays.next_batch(fixture::at(0), fixture::address(1)).expect("a batch");
+    relays.push(fixture::at(100), 2, fixture::announcement("e2"));
+
+    assert_eq!(relays.take_superseded(fixture::address(2)), [1]);
+    let batch = relays.next_batch(fixture::at(100), fixture::address(2)).expect("a batch");
+
+    assert_eq!(batch.announcements, [fixture::announcement("e2")]);
 }
 
 #[test]
@@ -57,6 +71,6 @@
 
     relays.abandon(1);
 
-    let batch = relays.next_batch(fixture::at(0)).expect("a batch");
+    let batch = relays.next_batch(fixture::at(0), fixture::address(1)).expect("a batch");
     assert_eq!(batch.announcements, [fixture::announcement("e2")]);
 }
