gateway, platform: log the parts of prompts in flight at a crash

The logs of the incident don't tell whether requests have one part of their prompts in common, or upstreams end for reasons of their own: an attempt that breaks off names the fingerprint of its whole request only.

--- a/crates/hyssopfork-fleet/src/quarantine.rs
+++ b/crates/hyssopfork-fleet/src/quarantine.rs
@@ -60,6 +60,19 @@
     }
 }
 
+/// Identifier of a part of a prompt, as clients name it. It is a claim: several teams may name the same
+/// part, with or without the same content.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Part(pub u64);
+
+impl fmt::Display for Part {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:x}", self.0)
+    }
+}
+
 /// One process of an upstream; a restart at the same address is another process.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Process {
--- a/crates/hyssopfork-gateway/src/arrival.rs
+++ b/crates/hyssopfork-gateway/src/arrival.rs
@@ -1,6 +1,6 @@
 //! A client's request on arrival.
 
-use crate::{content, size};
+use crate::{content, prompt, size};
 use hyssopfork_wire::name;
 use std::time::Duration;
 
@@ -18,6 +18,8 @@
     pub model: Option<name::Model>,
     /// Size in tokens; `None` if the client states none.
     pub size: Option<size::Size>,
+    /// Parts of the prompt; empty if the client names none.
+    pub prompt: prompt::Parts,
     /// Last event of the stream that the client has received; `None` if it has none.
     pub last_event: Option<u64>,
     /// Time that the client waits for the response.
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -394,15 +394,15 @@
         let Some(request) = self.requests.get(&number) else { return };
         let Some(attempt) = request.attempt.clone() else { return };
         let is_lost = fault == event::Fault::ConnectionLost;
-        let fingerprint = is_lost.then(|| request.fingerprint());
+        let lost = is_lost.then(|| (request.fingerprint(), request.prompt));
         self.log(notice::Notice::Failed {
             identifier: request.identifier.clone(),
             instance: attempt.instance.clone(),
             fault,
             after: now.since(attempt.started_at),
-            fingerprint,
+            lost,
         });
-        if let Some(fingerprint) = fingerprint {
+        if let Some((fingerprint, _)) = lost {
             self.suspect_crash(&attempt, fingerprint);
         }
         if let Some(target) = self.targets.get_mut(&attempt.instance) {
@@ -579,6 +579,7 @@
         pool,
         model,
         size: arrival.size,
+        prompt: arrival.prompt,
         need: None,
         rank: routing::rank(route, matched.team),
         repetition: route.repetition,
--- a/crates/hyssopfork-gateway/src/lib.rs
+++ b/crates/hyssopfork-gateway/src/lib.rs
@@ -20,7 +20,8 @@
 //! - [`retry_budget`]: limit on retries; [`retry_schedule`]: `Retry-After` of rejected requests
 //! - [`scheduler`]: order of requests when there is too little capacity; [`rank_reserve`]: capacity
 //!   that is left to more urgent ones
-//! - [`content`]: fingerprint that identifies a request which crashes upstreams
+//! - [`content`]: fingerprint that identifies a request which crashes upstreams; [`prompt`]: parts of
+//!   its prompt
 //! - [`core`]: a request from arrival to end; [`scanner`]: complete events of a stream
 
 pub mod action;
@@ -40,6 +41,7 @@
 pub mod occupancy;
 pub mod output_length;
 pub mod pause;
+pub mod prompt;
 pub mod rank_reserve;
 pub mod rate_limit;
 pub mod rendezvous;
--- a/crates/hyssopfork-gateway/src/notice.rs
+++ b/crates/hyssopfork-gateway/src/notice.rs
@@ -1,6 +1,6 @@
 //! Numbered log events of an entry, 5200 to 5399.
 
-use crate::{action, event, scheduler};
+use crate::{action, event, prompt, scheduler};
 use hyssopfork_fleet::{quarantine, rate};
 use hyssopfork_wire::{level, name};
 use std::fmt;
@@ -97,8 +97,8 @@
         fault: event::Fault,
         /// Time since the attempt started.
         after: Duration,
-        /// Fingerprint of the request, if the connection was lost.
-        fingerprint: Option<quarantine::Fingerprint>,
+        /// Fingerprint of the request and parts of its prompt, if the connection was lost.
+        lost: Option<(quarantine::Fingerprint, prompt::Parts)>,
     },
     /// A request moved away from a stalled upstream.
     Moved {
@@ -317,11 +317,13 @@
                 "got no place: {cause} rank={rank} queued_ms={}",
                 waited.as_millis()
             ),
-            Notice::Failed { instance, fault, after, fingerprint, .. } => {
+            Notice::Failed { instance, fault, after, lost, .. } => {
                 let after = after.as_millis();
                 write!(formatter, "attempt at {instance} ended: {fault} after_ms={after}")?;
-                match fingerprint {
-                    Some(fingerprint) => write!(formatter, " fingerprint={fingerprint}"),
+                match lost {
+                    Some((fingerprint, prompt)) => {
+                        write!(formatter, " fingerprint={fingerprint} prompt={prompt}")
+                    }
                     None => Ok(()),
                 }
             }
--- a/crates/hyssopfork-gateway/src/request.rs
+++ b/crates/hyssopfork-gateway/src/request.rs
@@ -1,6 +1,6 @@
 //! Requests of an entry.
 
-use crate::{content, engine_model, event, selection, size, target};
+use crate::{content, engine_model, event, prompt, selection, size, target};
 use hyssopfork_fleet::{declaration, quarantine};
 use hyssopfork_wire::{clock, configuration, name};
 use std::time::Duration;
@@ -59,6 +59,8 @@
     pub model: Option<name::Model>,
     /// Size in tokens; `None` if it is not known.
     pub size: Option<size::Size>,
+    /// Parts of the prompt; empty if the client names none.
+    pub prompt: prompt::Parts,
     /// Tokens that it is expected to need; `None` if its size or the performance of the pool is not
     /// known.
     pub need: Option<engine_model::Need>,
--- a/crates/hyssopfork-gateway/tests/gateway/fixture.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/fixture.rs
@@ -2,7 +2,7 @@
 
 use hyssopfork_fleet::{announcement, declaration, quarantine, view};
 use hyssopfork_gateway::{
-    action, arrival, content, core, event, occupancy, settings, size, target,
+    action, arrival, content, core, event, occupancy, prompt, settings, size, target,
 };
 use hyssopfork_wire::{clock, name, number};
 use std::net;
@@ -191,6 +191,7 @@
         key: Some("key".to_owned()),
         model: Some(name::Model::from("large")),
         size: None,
+        prompt: prompt::Parts::default(),
         last_event: None,
         timeout: Some(Duration::from_secs(6)),
     }
