--- a/crates/hyssopfork-daemon/tests/edge/crashing_upstream.rs
+++ b/crates/hyssopfork-daemon/tests/edge/crashing_upstream.rs
@@ -1,4 +1,4 @@
-//! Upstreams that crash on a certain request and restart after a delay. They can name a rate
+//! Upstreams that crash on certain requests and restart after a delay. They can name a rate
 //! limit, reject all requests, and state that they leave.
 
 use crate::{fleet, support};
@@ -13,6 +13,9 @@
 /// Body of the request that crashes an upstream.
 pub const CRASHING_BODY: &str = "deadly";
 
+/// Part of a prompt that crashes an upstream.
+pub const CRASHING_PART: &str = "dead";
+
 /// Time that a request runs, including one that then crashes its upstream.
 const RUN_TIME: Duration = Duration::from_millis(80);
 
@@ -153,7 +156,7 @@
 fn serve(stream: TcpStream, process: &Process, record: &Record) {
     let mut writer = stream.try_clone().expect("the socket is open");
     let mut reader = BufReader::new(stream);
-    while let Some((identifier, body)) = receive(&mut reader) {
+    while let Some(Request { identifier, is_crashing }) = receive(&mut reader) {
         let (upstream, at) = (process.index, Instant::now());
         let arrival = Arrival { upstream, identifier: identifier.clone(), at };
         record.requests.lock().expect("no thread panicked").push(arrival.clone());
@@ -165,12 +168,11 @@
             }
             continue;
         }
-        let crashes = body == CRASHING_BODY;
-        if crashes {
+        if is_crashing {
             record.crashing_arrivals.lock().expect("no thread panicked").push(Instant::now());
         }
         thread::sleep(RUN_TIME);
-        if crashes {
+        if is_crashing {
             if !process.crashed.swap(true, Ordering::Relaxed) {
                 record.crashes.lock().expect("no thread panicked").push(Instant::now());
             }
@@ -201,8 +203,16 @@
     )
 }
 
-/// Receives a request; returns its attempt identifier and body.
-fn receive(reader: &mut impl BufRead) -> Option<(String, String)> {
+/// A request, as far as the upstream depends on it.
+struct Request {
+    /// Identifier of the attempt.
+    identifier: String,
+    /// Whether it crashes the upstream.
+    is_crashing: bool,
+}
+
+/// Receives a request.
+fn receive(reader: &mut impl BufRead) -> Option<Request> {
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
         if reader.read_line(&mut head).ok()? == 0 {
@@ -214,5 +224,10 @@
     let length = field("\r\ncontent-length: ")?.parse().ok()?;
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
-    Some((field("\r\nhyssopfork-attempt-id: ")?, String::from_utf8(body).ok()?))
+    let prompt = field("\r\nhyssopfork-prompt-prefix: ").unwrap_or_default();
+    let mut parts = prompt.split(',').filter_map(|entry| entry.split(':').next());
+    Some(Request {
+        identifier: field("\r\nhyssopfork-attempt-id: ")?,
+        is_crashing: body == CRASHING_BODY.as_bytes() || parts.any(|part| part == CRASHING_PART),
+    })
 }
--- a/crates/hyssopfork-daemon/tests/edge/leaving.rs
+++ b/crates/hyssopfork-daemon/tests/edge/leaving.rs
@@ -41,7 +41,7 @@
         name: "leaving",
         processes: 5,
         duration: Duration::from_secs(9),
-        sends_crashing_requests: false,
+        crashing_requests: scenario::CrashingRequests::None,
     }
     .run(start_leaving);
 
--- a/crates/hyssopfork-daemon/tests/edge/main.rs
+++ b/crates/hyssopfork-daemon/tests/edge/main.rs
@@ -11,6 +11,7 @@
 mod occupancy;
 mod pause;
 mod plain_upstream;
+mod prompt_part;
 mod query_of_death;
 mod scenario;
 mod soak;
--- a/crates/hyssopfork-daemon/tests/edge/named_rate.rs
+++ b/crates/hyssopfork-daemon/tests/edge/named_rate.rs
@@ -67,7 +67,7 @@
         name: "named-rate",
         processes: 5,
         duration,
-        sends_crashing_requests: false,
+        crashing_requests: scenario::CrashingRequests::None,
     }
     .run(name_then_lift);
 
--- a/crates/hyssopfork-daemon/tests/edge/pause.rs
+++ b/crates/hyssopfork-daemon/tests/edge/pause.rs
@@ -50,8 +50,12 @@
     let reject = |_: &mut fleet::Fleet, record: &crashing_upstream::Record, since: Duration| {
         reject_periodically(record, rejecting, since);
     };
-    let plan =
-        scenario::Plan { name, processes: 5, duration: PERIOD * 2, sends_crashing_requests: false };
+    let plan = scenario::Plan {
+        name,
+        processes: 5,
+        duration: PERIOD * 2,
+        crashing_requests: scenario::CrashingRequests::None,
+    };
     plan.run(reject)
 }
 
--- a/crates/hyssopfork-daemon/tests/edge/query_of_death.rs
+++ b/crates/hyssopfork-daemon/tests/edge/query_of_death.rs
@@ -42,7 +42,7 @@
         name: "query-of-death",
         processes: 5,
         duration: Duration::from_secs(7),
-        sends_crashing_requests: true,
+        crashing_requests: scenario::CrashingRequests::Repeated,
     }
     .run(|_, _, _| {});
 
@@ -77,7 +77,7 @@
         name: "quarantine-kept",
         processes: 5,
         duration: Duration::from_secs(24),
-        sends_crashing_requests: true,
+        crashing_requests: scenario::CrashingRequests::Repeated,
     }
     .run(kill_in_turn);
 
--- a/crates/hyssopfork-daemon/tests/edge/scenario.rs
+++ b/crates/hyssopfork-daemon/tests/edge/scenario.rs
@@ -22,8 +22,10 @@
  "Services":[{"Name":"s1","ConnectionLimit":200}],
  "Tenants":[{"Name":"t1","ApiKeys":["key"]}]}"#;
 
-fn request(identifier: &str, body: &str) -> String {
-    let headers = format!("Hyssopfork-Credential: key\r\nHyssopfork-Attempt-Id: {identifier}\r\n");
+fn request(identifier: &str, further_headers: &str, body: &str) -> String {
+    let headers = format!(
+        "Hyssopfork-Credential: key\r\nHyssopfork-Attempt-Id: {identifier}\r\n{further_headers}"
+    );
     support::request("POST", "/check/x", &headers, body)
 }
 
@@ -32,6 +34,8 @@
 pub struct Clients {
     sent: AtomicU64,
     served: AtomicU64,
+    /// When each request was sent, and whether it was served.
+    outcomes: Mutex<Vec<(Instant, bool)>>,
 }
 
 impl Clients {
@@ -40,6 +44,14 @@
         (self.sent.load(Ordering::Relaxed), self.served.load(Ordering::Relaxed))
     }
 
+    /// Ratio of served requests among those sent in this time.
+    pub fn served_ratio(&self, from: Instant, until: Instant) -> f64 {
+        let outcomes = self.outcomes.lock().expect("no thread panicked");
+        let sent = outcomes.iter().filter(|(at, _)| *at >= from && *at < until);
+        let served = sent.clone().filter(|(_, is_served)| *is_served).count();
+        served as f64 / sent.count() as f64
+    }
+
     fn send(&self, record: &crashing_upstream::Record, client: usize, entries: &[SocketAddr]) {
         for count in 0.. {
             if record.is_stopped() {
@@ -47,13 +59,16 @@
             }
             let entry = (client + count) % entries.len();
             let identifier = format!("{entry}-c{client}-{count}");
-            let request = request(&identifier, &format!("{client} {count}"));
-            let to = entries[entry];
+            let prompt = prompt_header(&prompt(client, count));
+            let request = request(&identifier, &prompt, &format!("{client} {count}"));
+            let (to, at) = (entries[entry], Instant::now());
             let response = support::call_within(to, &request, Duration::from_secs(3));
+            let is_served = response.is_some_and(|response| response.status == 200);
             self.sent.fetch_add(1, Ordering::Relaxed);
-            if response.is_some_and(|response| response.status == 200) {
+            if is_served {
                 self.served.fetch_add(1, Ordering::Relaxed);
             }
+            self.outcomes.lock().expect("no thread panicked").push((at, is_served));
             thread::sleep(Duration::from_millis(20));
         }
     }
@@ -64,6 +79,35 @@
     identifier.split('-').next()?.parse().ok()
 }
 
+/// Requests that crash upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashingRequests {
+    None,
+    /// The same request each time.
+    Repeated,
+    /// Requests with different bodies that have this part of their prompts in common. The harmless
+    /// requests have the other parts, but for the last, and the team in common with them.
+    WithPart {
+        /// Position of the part, starting at 0.
+        position: usize,
+    },
+}
+
+/// Number of values of the second part of a prompt.
+const SECOND_PART_COUNT: usize = 4;
+
+/// Prompt header of the `count`-th request of a client: a part that all requests share, one that a
+/// quarter of them shares, and one of its own.
+fn prompt(client: usize, count: usize) -> [String; 3] {
+    let second = 0xb0 + count % SECOND_PART_COUNT;
+    ["a0".to_owned(), format!("{second:x}"), format!("c{client:02}{count:05}")]
+}
+
+fn prompt_header(parts: &[String]) -> String {
+    let entries: Vec<String> = parts.iter().map(|part| format!("{part}:40")).collect();
+    format!("Hyssopfork-Prompt-Prefix: {}\r\n", entries.join(","))
+}
+
 /// Parameters of a scenario.
 pub struct Plan {
     /// Name of the folder of the processes.
@@ -72,8 +116,8 @@
     pub processes: usize,
     /// Duration.
     pub duration: Duration,
-    /// Whether a client sends the crashing request at each step.
-    pub sends_crashing_requests: bool,
+    /// Crashing requests that clients send, one at each step.
+    pub crashing_requests: CrashingRequests,
 }
 
 /// A scenario that has been run: processes, upstreams and clients.
@@ -116,9 +160,9 @@
                 if started.elapsed() >= self.duration {
                     break;
                 }
-                if self.sends_crashing_requests {
+                if let Some(request) = self.crashing_request(count) {
                     let to = entries[count % entries.len()];
-                    scope.spawn(move || send_crashing_request(to, count, responses));
+                    scope.spawn(move || send_crashing_request(to, &request, responses));
                 }
                 step(&mut fleet, record, started.elapsed());
                 thread::sleep(STEP_INTERVAL);
@@ -127,17 +171,32 @@
         });
         Scenario { fleet, record, clients, crashing_responses: responses }
     }
+
+    /// The crashing request to send at the `count`-th step.
+    fn crashing_request(&self, count: usize) -> Option<String> {
+        let identifier = format!("d{count}");
+        match self.crashing_requests {
+            CrashingRequests::None => None,
+            CrashingRequests::Repeated => {
+                Some(request(&identifier, "", crashing_upstream::CRASHING_BODY))
+            }
+            CrashingRequests::WithPart { position } => {
+                let mut parts = prompt(99, count);
+                parts[position] = crashing_upstream::CRASHING_PART.to_owned();
+                Some(request(&identifier, &prompt_header(&parts), &format!("d {count}")))
+            }
+        }
+    }
 }
 
-fn send_crashing_request(to: SocketAddr, count: usize, responses: &Mutex<Vec<support::Response>>) {
-    let request = request(&format!("d{count}"), crashing_upstream::CRASHING_BODY);
-    let response = support::call_within(to, &request, Duration::from_secs(3));
+fn send_crashing_request(to: SocketAddr, request: &str, responses: &Mutex<Vec<support::Response>>) {
+    let response = support::call_within(to, request, Duration::from_secs(3));
     responses.lock().expect("no thread panicked").extend(response);
 }
 
 fn wait_until_served(entry: SocketAddr) {
     let since = Instant::now();
-    while support::call(entry, &request("first", "first")).is_none_or(|it| it.status != 200) {
+    while support::call(entry, &request("first", "", "first")).is_none_or(|it| it.status != 200) {
         assert!(since.elapsed() < Duration::from_secs(20), "{entry} served no request within 20 s");
         thread::sleep(Duration::from_millis(50));
     }
