fleet, gateway: quarantine parts of prompts that crash upstreams

Cause: a conclusion keyed on an identity narrower than the cause.

Change: a request and a part of prompts are two kinds of cause in one ledger with one kind of evidence: in flight at crashes, completed nowhere since. A part must have crashed upstreams under two requests at least, and either at more of the crashes than any other part, three at least, or at five; crashes count for parts once all entries have had time to report them. What completes is cleared, again and again while it is suspected (an entry reported that once). Crashes that a quarantined part explains count against nothing else, and free the requests that were quarantined for them.

A trial now begins the next round when it is sent, not when it crashes: an entry tells the leader, so that a slow trial is not followed by those of other entries. An error response clears no part.

--- a/crates/hyssopfork-daemon/tests/edge/prompt_part.rs
+++ b/crates/hyssopfork-daemon/tests/edge/prompt_part.rs
@@ -1,6 +1,7 @@
 //! A part of prompts that crashes every upstream that runs a request with it.
 
 use crate::scenario;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 /// Number of crashes from which on every process must learn of the part.
@@ -54,3 +55,36 @@
         assert!(response.head.to_lowercase().contains("retry-after"), "{}", response.head);
     }
 }
+
+/// Guards against rejecting all requests of a route because the crashing part is the first of their
+/// prompts, where the others have their common part.
+#[test]
+fn a_crashing_first_part_is_told_from_the_common_one() {
+    let scenario = scenario::Plan {
+        name: "prompt-part-first",
+        processes: 5,
+        duration: Duration::from_secs(12),
+        crashing_requests: scenario::CrashingRequests::WithPart { position: 0 },
+    }
+    .run(|_, _, _| {});
+
+    assert_part_is_kept_from_upstreams(&scenario);
+}
+
+/// Guards against a verdict on a part that ends with the leader, or that a restarted process doesn't
+/// know. The run lasts beyond the first trial.
+#[test]
+fn a_quarantined_part_outlasts_its_leader_and_restarts() {
+    let kill_count = AtomicU64::new(0);
+
+    let scenario = scenario::Plan {
+        name: "prompt-part-kept",
+        processes: 5,
+        duration: Duration::from_secs(24),
+        crashing_requests: scenario::CrashingRequests::WithPart { position: 1 },
+    }
+    .run(|fleet, _, since| scenario::kill_in_turn(fleet, since, &kill_count));
+
+    assert_eq!(kill_count.load(Ordering::Relaxed), 3);
+    assert_part_is_kept_from_upstreams(&scenario);
+}
--- a/crates/hyssopfork-daemon/tests/edge/scenario.rs
+++ b/crates/hyssopfork-daemon/tests/edge/scenario.rs
@@ -1,6 +1,7 @@
 //! Scenario of several edge processes in front of several upstreams, under client load.
 
 use crate::{crashing_upstream, fleet, support};
+use rustix::process::Signal;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -189,6 +190,18 @@
     }
 }
 
+/// Kills the first three processes 3 s, 6 s and 9 s after the start, and starts each of them again;
+/// `kill_count` counts them.
+pub fn kill_in_turn(fleet: &mut fleet::Fleet, since: Duration, kill_count: &AtomicU64) {
+    let index = kill_count.load(Ordering::Relaxed) as usize;
+    if index < 3 && since >= Duration::from_secs(3 + 3 * index as u64) {
+        fleet.signal(index, Signal::KILL);
+        fleet.wait_for_exit(index);
+        fleet.start_node(index, false);
+        kill_count.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 fn send_crashing_request(to: SocketAddr, request: &str, responses: &Mutex<Vec<support::Response>>) {
     let response = support::call_within(to, request, Duration::from_secs(3));
     responses.lock().expect("no thread panicked").extend(response);
--- a/crates/hyssopfork-fleet/src/core.rs
+++ b/crates/hyssopfork-fleet/src/core.rs
@@ -62,7 +62,7 @@
     upstreams: BTreeMap<name::Instance, view::Upstream>,
     groups: BTreeMap<name::Group, view::Group>,
     entries: BTreeMap<net::SocketAddr, ()>,
-    quarantine: BTreeMap<quarantine::Fingerprint, quarantine::Verdict>,
+    quarantine: BTreeMap<quarantine::Cause, quarantine::Verdict>,
     plans: BTreeMap<name::Pool, groups::demand::Basis>,
     /// Document of the declaration that this process's entry uses.
     ///
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -145,6 +145,7 @@
             leadership.dirty = false;
             leadership.registry.remove_expired(now);
             leadership.ledger.remove_expired(now);
+            let quarantined = leadership.ledger.review(now);
             let peers = leadership.watches.probe_peers();
             let commands = declaration
                 .map(|it| {
@@ -158,6 +159,9 @@
                 })
                 .unwrap_or_default();
             self.push_commands(commands);
+            for (cause, round) in quarantined {
+                self.push_notice(notice::Notice::Quarantined(cause, round));
+            }
         }
         self.publish_if_due(due);
         self.answer_watches();
@@ -171,14 +175,20 @@
         leadership.groups.on_evidence(now, from, evidence);
         let mut notices = Vec::new();
         for crash in &evidence.crashes {
-            for (request, round) in leadership.ledger.record_crash(now, crash) {
-                notices.push(notice::Notice::Quarantined(request, round));
+            for (cause, round) in leadership.ledger.record_crash(now, crash) {
+                notices.push(notice::Notice::Quarantined(cause, round));
             }
             leadership.dirty = true;
         }
+        for trial in &evidence.trials {
+            if let Some(round) = leadership.ledger.record_trial(now, trial) {
+                notices.push(notice::Notice::Quarantined(trial.cause, round));
+                leadership.dirty = true;
+            }
+        }
         for completion in &evidence.completions {
             if leadership.ledger.record_completion(now, completion) {
-                notices.push(notice::Notice::Released(completion.request));
+                notices.push(notice::Notice::Released(completion.cause));
             }
             leadership.dirty = true;
         }
--- a/crates/hyssopfork-fleet/src/delta.rs
+++ b/crates/hyssopfork-fleet/src/delta.rs
@@ -78,7 +78,7 @@
     groups: Vec<(name::Group, Option<view::Group>)>,
     controls: Vec<net::SocketAddr>,
     entries: Vec<(net::SocketAddr, Option<()>)>,
-    quarantine: Vec<(quarantine::Fingerprint, Option<quarantine::Verdict>)>,
+    quarantine: Vec<(quarantine::Cause, Option<quarantine::Verdict>)>,
 }
 
 impl State {
--- a/crates/hyssopfork-fleet/src/notice.rs
+++ b/crates/hyssopfork-fleet/src/notice.rs
@@ -44,11 +44,11 @@
     Departed(name::Instance),
     /// An upstream does not answer and counts as dead.
     Lost(name::Instance),
-    /// A request was quarantined after crashes, or again after an attempt that crashed an upstream;
-    /// the round of its quarantine.
-    Quarantined(quarantine::Fingerprint, u32),
-    /// A quarantined request completed, which ended its quarantine.
-    Released(quarantine::Fingerprint),
+    /// Requests with a cause were quarantined after crashes, or again with a trial of one of them; the
+    /// round of the quarantine.
+    Quarantined(quarantine::Cause, u32),
+    /// A request with a quarantined cause completed, which ended the quarantine.
+    Released(quarantine::Cause),
     /// A group was formed, or an instance was put in reserve.
     Formed(name::Group, name::Model, Vec<name::Instance>, group::Phase),
     /// A group of an earlier leader was taken over.
@@ -196,11 +196,11 @@
             Notice::Lost(instance) => {
                 write!(formatter, "{instance} does not answer and counts as dead")
             }
-            Notice::Quarantined(request, round) => {
-                write!(formatter, "request {request} is quarantined after crashes round={round}")
+            Notice::Quarantined(cause, round) => {
+                write!(formatter, "{cause} is quarantined after crashes round={round}")
             }
-            Notice::Released(request) => {
-                write!(formatter, "request {request} completed and is no longer quarantined")
+            Notice::Released(cause) => {
+                write!(formatter, "{cause} completed and is no longer quarantined")
             }
             Notice::Formed(group, model, members, phase) => {
                 let members: Vec<&str> = members.iter().map(name::Instance::as_str).collect();
--- a/crates/hyssopfork-fleet/src/peer.rs
+++ b/crates/hyssopfork-fleet/src/peer.rs
@@ -42,9 +42,11 @@
     /// Processes that crashed recently with requests of this entry in flight. Reported more than
     /// once, since a message may be lost.
     pub crashes: Vec<quarantine::Crash>,
-    /// Requests that completed recently although others of the same content were in flight at
-    /// crashes.
+    /// Requests that completed recently although others with the same content, or a part in common,
+    /// were in flight at crashes.
     pub completions: Vec<quarantine::Completion>,
+    /// Quarantined requests that were recently sent as trials.
+    pub trials: Vec<quarantine::Trial>,
     /// Rate limits that upstreams recently set at this entry.
     pub rates: Vec<rate::Change>,
     /// Demand of this entry's clients for each model of engines.
@@ -71,6 +73,7 @@
         !self.stalled.is_empty()
             || !self.crashes.is_empty()
             || !self.completions.is_empty()
+            || !self.trials.is_empty()
             || !self.rates.is_empty()
             || !self.leaving.is_empty()
     }
@@ -104,8 +107,8 @@
     pub groups: Vec<(name::Group, view::Group)>,
     /// Entries.
     pub entries: Vec<net::SocketAddr>,
-    /// Suspected and quarantined requests.
-    pub quarantine: Vec<(quarantine::Fingerprint, quarantine::Verdict)>,
+    /// Suspected and quarantined causes of crashes.
+    pub quarantine: Vec<(quarantine::Cause, quarantine::Verdict)>,
 }
 
 /// Answer to a [`Watch`].
--- a/crates/hyssopfork-fleet/src/publication.rs
+++ b/crates/hyssopfork-fleet/src/publication.rs
@@ -134,8 +134,8 @@
     pub controls: Vec<net::SocketAddr>,
     /// Entries that follow the leader.
     pub entries: BTreeSet<net::SocketAddr>,
-    /// Suspected and quarantined requests.
-    pub quarantine: BTreeMap<quarantine::Fingerprint, quarantine::Verdict>,
+    /// Suspected and quarantined causes of crashes.
+    pub quarantine: BTreeMap<quarantine::Cause, quarantine::Verdict>,
 }
 
 /// Documents older than the newest that are kept because followers may still be receiving them.
@@ -160,7 +160,7 @@
     upstreams: Table<name::Instance, view::Upstream>,
     groups: Table<name::Group, view::Group>,
     entries: Table<net::SocketAddr, ()>,
-    quarantine: Table<quarantine::Fingerprint, quarantine::Verdict>,
+    quarantine: Table<quarantine::Cause, quarantine::Verdict>,
 }
 
 impl Publisher {
--- a/crates/hyssopfork-fleet/src/view.rs
+++ b/crates/hyssopfork-fleet/src/view.rs
@@ -105,6 +105,6 @@
     /// New entries that follow the leader, which is itself an entry; `None` for a removed one.
     /// Fleet-wide limits are divided among the entries.
     pub entries: Vec<(net::SocketAddr, Option<()>)>,
-    /// Requests whose verdict changed; `None` for one that is no longer suspected.
-    pub quarantine: Vec<(quarantine::Fingerprint, Option<quarantine::Verdict>)>,
+    /// Causes of crashes whose verdict changed; `None` for one that is no longer suspected.
+    pub quarantine: Vec<(quarantine::Cause, Option<quarantine::Verdict>)>,
 }
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -198,6 +198,7 @@
             traffic: self.has_traffic,
             crashes: self.crashes.confirmed(now),
             completions: self.quarantine.completions(now),
+            trials: self.quarantine.trials(now),
             rates: self.rate_changes(now),
             demands: self.reported_demands(now),
             leaving: self.leaving.to_report(&self.upstreams),
--- a/crates/hyssopfork-gateway/src/core/crash.rs
+++ b/crates/hyssopfork-gateway/src/core/crash.rs
@@ -5,10 +5,10 @@
 //! doesn't respond at all.
 
 use super::Core;
-use crate::{action, notice, request};
+use crate::{action, notice, prompt, request};
 use hyssopfork_fleet::{quarantine, view};
 use hyssopfork_wire::clock;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Time for which a process is kept after its first lost connection.
@@ -17,7 +17,7 @@
 /// Most processes that are kept at once.
 const MAX_CRASHES: usize = 64;
 
-/// Most fingerprints that are kept for one process.
+/// Most requests that are kept for one process.
 const MAX_REQUESTS_PER_CRASH: usize = 64;
 
 /// A process with lost connections.
@@ -28,7 +28,7 @@
     /// Whether its address is known to refuse connections.
     confirmed: bool,
     /// Requests whose connection was lost.
-    requests: BTreeSet<quarantine::Fingerprint>,
+    requests: BTreeMap<quarantine::Fingerprint, prompt::Parts>,
 }
 
 /// Processes with lost connections.
@@ -41,7 +41,8 @@
         &mut self,
         now: clock::Instant,
         process: &quarantine::Process,
-        request: quarantine::Fingerprint,
+        fingerprint: quarantine::Fingerprint,
+        prompt: prompt::Parts,
     ) -> bool {
         let known = self.0.contains_key(process);
         if !known && self.0.len() >= MAX_CRASHES {
@@ -50,10 +51,10 @@
         let crash = self.0.entry(process.clone()).or_insert_with(|| Crash {
             since: now,
             confirmed: false,
-            requests: BTreeSet::new(),
+            requests: BTreeMap::new(),
         });
         if crash.requests.len() < MAX_REQUESTS_PER_CRASH {
-            crash.requests.insert(request);
+            crash.requests.insert(fingerprint, prompt);
         }
         !known
     }
@@ -64,14 +65,14 @@
         &mut self,
         process: &quarantine::Process,
         refused: bool,
-    ) -> Option<Vec<quarantine::Fingerprint>> {
+    ) -> Option<BTreeMap<quarantine::Fingerprint, prompt::Parts>> {
         let crash = self.0.get_mut(process)?;
         if !refused {
             self.0.remove(process);
             return None;
         }
         crash.confirmed = true;
-        Some(crash.requests.iter().copied().collect())
+        Some(crash.requests.clone())
     }
 
     /// Crashes to report to the leader.
@@ -80,7 +81,14 @@
         let reported = ended.map(|(process, crash)| quarantine::Crash {
             process: process.clone(),
             age: now.since(crash.since),
-            requests: crash.requests.iter().copied().collect(),
+            requests: crash
+                .requests
+                .iter()
+                .map(|(fingerprint, prompt)| quarantine::Request {
+                    fingerprint: *fingerprint,
+                    parts: prompt.as_slice().to_vec(),
+                })
+                .collect(),
         });
         reported.collect()
     }
@@ -101,6 +109,7 @@
         &mut self,
         attempt: &request::Attempt,
         fingerprint: quarantine::Fingerprint,
+        prompt: prompt::Parts,
     ) {
         let process = quarantine::Process {
             instance: attempt.instance.clone(),
@@ -110,11 +119,11 @@
             return;
         }
         let ended = self.crashes.is_confirmed(&process);
-        if self.crashes.add(self.now, &process, fingerprint) {
+        if self.crashes.add(self.now, &process, fingerprint, prompt) {
             let address = attempt.incarnation.address;
             self.actions.push(action::Action::Probe(process, address));
         } else if ended {
-            self.quarantine.on_crash(self.now, &fingerprint);
+            self.quarantine.on_crash(self.now, fingerprint, &prompt);
             self.report_evidence();
         }
     }
@@ -122,8 +131,8 @@
     /// Handles the result of a probe.
     pub(super) fn on_probed(&mut self, process: &quarantine::Process, refused: bool) {
         let Some(requests) = self.crashes.on_probe_result(process, refused) else { return };
-        for request in &requests {
-            self.quarantine.on_crash(self.now, request);
+        for (fingerprint, prompt) in &requests {
+            self.quarantine.on_crash(self.now, *fingerprint, prompt);
         }
         let now = self.now;
         let target = self.targets.get_mut(&process.instance);
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -150,6 +150,7 @@
 
     pub(super) fn send(&mut self, number: u64, instance: &name::Instance) {
         let now = self.now;
+        self.record_trial(number);
         let Some(request) = self.requests.get(&number) else { return };
         let average = self.average_load(&request.pool, request.model.as_ref());
         let limit = self.forecast(request).map(|forecast| forecast.limit);
@@ -292,7 +293,7 @@
     pub(super) fn on_response(&mut self, number: u64, head: event::Head) {
         self.on_bytes(number, head.load);
         self.on_statements(number, head);
-        self.record_completion(number);
+        self.record_completion(number, head.status);
         let Some(request) = self.requests.get_mut(&number) else { return };
         request.on_body_sent();
         if request.head_forwarded {
@@ -374,9 +375,9 @@
     }
 
     pub(super) fn on_stream_completed(&mut self, number: u64) {
-        self.record_completion(number);
-        self.record_output_length(number);
         let head = self.requests.get(&number).and_then(|request| request.large_response);
+        self.record_completion(number, head.map_or(200, |head| head.status));
+        self.record_output_length(number);
         match head.filter(|head| head.status >= 500) {
             Some(head) => self.end_server_error(number, head),
             None => self.finish_attempt(number, true),
@@ -402,8 +403,8 @@
             after: now.since(attempt.started_at),
             lost,
         });
-        if let Some((fingerprint, _)) = lost {
-            self.suspect_crash(&attempt, fingerprint);
+        if let Some((fingerprint, prompt)) = lost {
+            self.suspect_crash(&attempt, fingerprint, prompt);
         }
         if let Some(target) = self.targets.get_mut(&attempt.instance) {
             match fault {
--- a/crates/hyssopfork-gateway/src/notice.rs
+++ b/crates/hyssopfork-gateway/src/notice.rs
@@ -164,8 +164,8 @@
     Trial {
         /// Identifier that the client assigned.
         identifier: String,
-        /// Fingerprint of the request.
-        fingerprint: quarantine::Fingerprint,
+        /// Why it is quarantined.
+        cause: quarantine::Cause,
     },
     /// An upstream names a different rate limit than before, or none any more.
     RateNamed {
@@ -378,8 +378,8 @@
             Notice::UpstreamLeaving(instance) => {
                 write!(formatter, "{instance} states that it leaves and gets no new requests")
             }
-            Notice::Trial { fingerprint, .. } => {
-                write!(formatter, "quarantined request sent as a trial fingerprint={fingerprint}")
+            Notice::Trial { cause, .. } => {
+                write!(formatter, "quarantined request sent as a trial of {cause}")
             }
             Notice::Stalled(instance, silence) => {
                 write!(formatter, "{instance} is stalled for_ms={}", silence.as_millis())
