edge: ask clients to close connections while they take half of the file descriptors

Guards an entry that gets most new connections of a zone. Clients keep connections for as long as the declared idle time, 15 s; the process had no limit of them, and once they took all its descriptors it accepted none until they timed out. While clients' connections take more than half of the descriptors (file_descriptors in the settings, 1,024 by default), responses carry Connection: close.

--- a/crates/hyssopfork-daemon/src/edge/http_server.rs
+++ b/crates/hyssopfork-daemon/src/edge/http_server.rs
@@ -121,22 +121,40 @@
     /// Shutdown phase.
     pub phase: watch::Receiver<Phase>,
     memory: Rc<memory::Memory>,
+    /// Open connections up to which clients may keep theirs open after a response.
+    max_kept_connections: usize,
+    open_connections: Cell<usize>,
     config: RefCell<Option<ServiceConfig>>,
 }
 
 impl Shared {
-    /// Creates the state of connections whose memory is not limited.
+    /// Creates the state of connections whose memory and number are not limited.
     pub fn new(limits: Limits, phase: watch::Receiver<Phase>) -> Shared {
-        Shared::with_memory(limits, phase, memory::Memory::unlimited())
+        Shared::with_memory(limits, phase, memory::Memory::unlimited(), usize::MAX)
     }
 
-    /// Creates the state of connections that share a memory budget.
+    /// Creates the state of connections that share a memory budget. While more than
+    /// `max_kept_connections` are open, responses ask clients to close theirs.
     pub fn with_memory(
         limits: Limits,
         phase: watch::Receiver<Phase>,
         memory: Rc<memory::Memory>,
+        max_kept_connections: usize,
     ) -> Shared {
-        Shared { limits: Cell::new(limits), phase, memory, config: RefCell::new(None) }
+        Shared {
+            limits: Cell::new(limits),
+            phase,
+            memory,
+            max_kept_connections,
+            open_connections: Cell::new(0),
+            config: RefCell::new(None),
+        }
+    }
+
+    /// Whether a connection is to be closed after its response.
+    fn closes_connections(&self) -> bool {
+        *self.phase.borrow() != Phase::Serving
+            || self.open_connections.get() > self.max_kept_connections
     }
 
     /// Resolves when the process enters [`Phase::Closing`].
@@ -185,11 +203,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let connection = Connection {
-                    codec: Codec::new(shared.config()),
-                    buffer: BytesMut::new(),
-                    shared: shared.clone(),
-                };
+                let connection = Connection::new(&shared);
                 let handler = handler.clone();
                 actix_rt::spawn(async move { connection.run(stream, handler).await });
             }
@@ -208,7 +222,23 @@
     shared: Rc<Shared>,
 }
 
+impl Drop for Connection {
+    fn drop(&mut self) {
+        let open = &self.shared.open_connections;
+        open.set(open.get().saturating_sub(1));
+    }
+}
+
 impl Connection {
+    fn new(shared: &Rc<Shared>) -> Connection {
+        shared.open_connections.set(shared.open_connections.get() + 1);
+        Connection {
+            codec: Codec::new(shared.config()),
+            buffer: BytesMut::new(),
+            shared: shared.clone(),
+        }
+    }
+
     async fn run<Handler, Handling>(mut self, mut stream: TcpStream, handler: Handler)
     where
         Handler: Fn(Request) -> Handling,
@@ -239,7 +269,7 @@
                 response = handler(request) => response,
                 () = wait_for_disconnect(&mut reader, &mut self.buffer) => return,
             };
-            let close = *self.shared.phase.borrow() != Phase::Serving;
+            let close = self.shared.closes_connections();
             if let Err(error) = self.write_response(&mut reader, &mut writer, response, close).await
             {
                 if error.kind() == io::ErrorKind::TimedOut {
--- a/crates/hyssopfork-daemon/src/edge/process.rs
+++ b/crates/hyssopfork-daemon/src/edge/process.rs
@@ -33,6 +33,10 @@
 /// log lines are checked.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 
+/// File descriptors for each connection that a client may keep open: its own, and one for a request in
+/// flight at an upstream, a new connection or a peer.
+const DESCRIPTORS_PER_KEPT_CONNECTION: u64 = 2;
+
 /// Interval at which the requests in flight are checked during shutdown.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -228,10 +232,16 @@
         let (own_address, phase_receiver) = (settings.peer_address(), self.phase_receiver.clone());
         let registry = self.registry.clone();
         let budget = memory::Budget::of_instance(settings.memory_mb);
+        let max_kept_connections = settings.file_descriptors / DESCRIPTORS_PER_KEPT_CONNECTION;
         Arbiter::new().spawn_fn(move || {
             let limits = traffic::client_limits(&declaration::Limits::default());
             let memory = memory::Memory::new(budget, registry.clone());
-            let shared = http_server::Shared::with_memory(limits, phase_receiver.clone(), memory);
+            let shared = http_server::Shared::with_memory(
+                limits,
+                phase_receiver.clone(),
+                memory,
+                max_kept_connections as usize,
+            );
             let shared = Rc::new(shared);
             let readiness_status = status.clone();
             let entry = traffic::Entry::new(core, own_address, mailbox, status, registry);
--- a/crates/hyssopfork-daemon/tests/edge/main.rs
+++ b/crates/hyssopfork-daemon/tests/edge/main.rs
@@ -4,6 +4,7 @@
 mod crashing_upstream;
 mod end_to_end;
 mod fleet;
+mod gathered_connections;
 mod http_server;
 mod leaving;
 mod memory;
--- a/crates/hyssopfork-daemon/tests/edge/scenario.rs
+++ b/crates/hyssopfork-daemon/tests/edge/scenario.rs
@@ -17,13 +17,15 @@
 /// Number of clients, each of which has one request in flight.
 pub const CLIENT_COUNT: usize = 6;
 
-const DECLARATION: &str = r#"{"Version":3,
+/// Declaration of one route to one pool.
+pub const DECLARATION: &str = r#"{"Version":3,
  "Routes":[{"Name":"r1","Host":"host","PathPrefix":"/check/","Kind":"idempotent","TimeoutMs":2000,
    "Service":"s1","MaxAttempts":2}],
  "Services":[{"Name":"s1","ConnectionLimit":200}],
  "Tenants":[{"Name":"t1","ApiKeys":["key"]}]}"#;
 
-fn request(identifier: &str, further_headers: &str, body: &str) -> String {
+/// Formats a request of the route.
+pub fn request(identifier: &str, further_headers: &str, body: &str) -> String {
     let headers = format!(
         "Hyssopfork-Credential: key\r\nHyssopfork-Attempt-Id: {identifier}\r\n{further_headers}"
     );
@@ -207,7 +209,8 @@
     responses.lock().expect("no thread panicked").extend(response);
 }
 
-fn wait_until_served(entry: SocketAddr) {
+/// Waits until the entry serves a request.
+pub fn wait_until_served(entry: SocketAddr) {
     let since = Instant::now();
     while support::call(entry, &request("first", "", "first")).is_none_or(|it| it.status != 200) {
         assert!(since.elapsed() < Duration::from_secs(20), "{entry} served no request within 20 s");
--- a/crates/hyssopfork-daemon/tests/edge/support.rs
+++ b/crates/hyssopfork-daemon/tests/edge/support.rs
@@ -94,6 +94,14 @@
             .expect("the process runs");
     }
 
+    /// Limits the file descriptors that the process may have open.
+    pub fn limit_descriptors(&self, count: u64) {
+        let process = rustix::process::Pid::from_child(&self.child);
+        let limit = rustix::process::Rlimit { current: Some(count), maximum: Some(count) };
+        rustix::process::prlimit(Some(process), rustix::process::Resource::Nofile, limit)
+            .expect("the process runs");
+    }
+
     /// Highest resident memory of the process so far, in bytes.
     pub fn peak_memory(&self) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
--- a/crates/hyssopfork-settings/src/edge.rs
+++ b/crates/hyssopfork-settings/src/edge.rs
@@ -40,6 +40,9 @@
     /// Memory of the instance, in MB. What the process holds for clients and upstreams is limited
     /// to a part of it.
     pub memory_mb: f64,
+    /// File descriptors that the process may have open. Clients' connections are kept open between
+    /// requests while they take less than half of them.
+    pub file_descriptors: u64,
     /// Interval between heartbeats of an upstream.
     pub heartbeat_interval: Duration,
     /// Time from the request to stop until the process is killed.
@@ -82,6 +85,8 @@
 const DEFAULT_LINK_MBPS: f64 = 100.0;
 /// Default of `memory_mb`; a small instance.
 const DEFAULT_MEMORY_MB: f64 = 256.0;
+/// Default of `file_descriptors`; the usual limit of a process.
+const DEFAULT_FILE_DESCRIPTORS: u64 = 1_024;
 /// Default of `heartbeat_ms`; short enough that a silent upstream is noticed within seconds.
 const DEFAULT_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_200);
 /// Default of `grace_seconds`; longer than most responses take.
@@ -130,6 +135,8 @@
     let tolerated_losses = section.number("tolerated_losses", 1, 0..=6) as u32;
     let link_mbps = section.decimal("link_mbps", DEFAULT_LINK_MBPS, 0.1..=1_000_000.0);
     let memory_mb = section.decimal("memory_mb", DEFAULT_MEMORY_MB, 32.0..=1_000_000.0);
+    let file_descriptors =
+        section.number("file_descriptors", DEFAULT_FILE_DESCRIPTORS, 64..=1 << 32);
     let heartbeat_interval =
         section.millis("heartbeat_ms", DEFAULT_HEARTBEAT_INTERVAL, 10..=MAX_DURATION_MS);
     let grace_period =
@@ -155,6 +162,7 @@
         tolerated_losses,
         link_mbps,
         memory_mb,
+        file_descriptors,
         heartbeat_interval,
         grace_period,
         retry_ratio,
