edge: take an unframed stream without events for a broken one

A stream may have neither a length nor chunks and end with its connection. One whose upstream crashed before its first event was passed on as complete and empty; the client had no way to tell. It would also have cleared a part that crashes upstreams, since the request seemed to complete. Shown by a test that failed before; one that ends inside an event was taken for broken before as well, and whole responses and streams arrive whole.

--- a/crates/hyssopfork-daemon/src/edge/attempt.rs
+++ b/crates/hyssopfork-daemon/src/edge/attempt.rs
@@ -90,6 +90,11 @@
         &self.response
     }
 
+    /// Whether the response ends with its connection, so that only its content can show its end.
+    pub fn is_unframed(&self) -> bool {
+        self.connection.is_unframed()
+    }
+
     /// Receives the next part of the body, with further parts that have arrived already; `None` at
     /// the end of the body. Cancel safe.
     pub async fn read_part(&mut self) -> Result<Option<Bytes>, event::Fault> {
--- a/crates/hyssopfork-daemon/src/edge/handler.rs
+++ b/crates/hyssopfork-daemon/src/edge/handler.rs
@@ -418,7 +418,7 @@
                 self.unread.on_part_received(started.elapsed());
                 self.scan_events(attempt, &bytes)
             }
-            Wait::Completed(Ok(None)) if self.scanner.is_at_event_boundary() => {
+            Wait::Completed(Ok(None)) if self.is_stream_complete(&attempt) => {
                 self.entry.step(event::Event::StreamCompleted(self.number));
                 self.is_finished = true;
                 attempt.release(&self.entry.idle_connections);
@@ -436,6 +436,12 @@
         }
     }
 
+    /// Whether the stream may end here. One that ends with its connection before the first event was
+    /// broken off.
+    fn is_stream_complete(&self, attempt: &attempt::Attempt) -> bool {
+        self.scanner.is_at_event_boundary() && (!attempt.is_unframed() || self.scanner.has_events())
+    }
+
     fn scan_events(&mut self, attempt: attempt::Attempt, bytes: &[u8]) -> Read {
         match self.scanner.feed(bytes) {
             Ok(_) if self.scanner.is_event_too_large() => {
--- a/crates/hyssopfork-daemon/tests/edge/main.rs
+++ b/crates/hyssopfork-daemon/tests/edge/main.rs
@@ -17,3 +17,4 @@
 mod scenario;
 mod soak;
 mod support;
+mod unframed;
--- a/crates/hyssopfork-daemon/tests/edge/plain_upstream.rs
+++ b/crates/hyssopfork-daemon/tests/edge/plain_upstream.rs
@@ -118,10 +118,23 @@
                 write_chunk(writer, format!("id: {id}\ndata: {data}\n\n").as_bytes())
             })
         }
+        // Neither a length nor chunks: these end with their connection.
+        "unframed" => {
+            write!(writer, "{SIGNED}\r\nfine")?;
+            writer.shutdown(Shutdown::Both)
+        }
+        "unframed-events" => write_unframed_events(writer, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+        "unframed-events-broken" => write_unframed_events(writer, "id: 1\ndata: a\n\nid: 2\nda"),
+        "unframed-no-events" => write_unframed_events(writer, ""),
         _ => write!(writer, "{SIGNED}Content-Length: 4\r\n\r\nfine"),
     }
 }
 
+fn write_unframed_events(writer: &mut TcpStream, events: &str) -> std::io::Result<()> {
+    write!(writer, "{SIGNED}Content-Type: text/event-stream\r\n\r\n{events}")?;
+    writer.shutdown(Shutdown::Both)
+}
+
 fn write_chunk(writer: &mut TcpStream, data: &[u8]) -> std::io::Result<()> {
     let mut chunk = format!("{:x}\r\n", data.len()).into_bytes();
     chunk.extend_from_slice(data);
--- a/crates/hyssopfork-exchange/src/connection.rs
+++ b/crates/hyssopfork-exchange/src/connection.rs
@@ -192,6 +192,11 @@
         }
     }
 
+    /// Whether the body has neither a length nor chunks and ends with the connection.
+    pub fn is_unframed(&self) -> bool {
+        matches!(self.stage, Stage::UntilClosed | Stage::Closed)
+    }
+
     /// Reads the next part of the body; `None` when the response is complete.
     pub async fn read_part(&mut self) -> Result<Option<Bytes>, error::Error> {
         loop {
--- a/crates/hyssopfork-gateway/src/scanner.rs
+++ b/crates/hyssopfork-gateway/src/scanner.rs
@@ -22,13 +22,15 @@
 pub struct Scanner {
     buffer: BytesMut,
     last_event: Option<u64>,
+    /// Whether the current attempt has sent an event.
+    has_events: bool,
 }
 
 impl Scanner {
     /// Creates a scanner for a stream of which the client has received all events up to
     /// `last_event`.
     pub fn new(last_event: Option<u64>) -> Scanner {
-        Scanner { buffer: BytesMut::new(), last_event }
+        Scanner { buffer: BytesMut::new(), last_event, has_events: false }
     }
 
     /// Takes the next bytes and returns the events that are now complete.
@@ -46,6 +48,7 @@
             complete = end;
             scanned = end;
         }
+        self.has_events |= complete > 0;
         Ok(self.buffer.split_to(complete).freeze())
     }
 
@@ -54,6 +57,11 @@
         self.last_event
     }
 
+    /// Whether an event has been returned since the attempt began.
+    pub fn has_events(&self) -> bool {
+        self.has_events
+    }
+
     /// Whether the bytes so far end with a complete event.
     pub fn is_at_event_boundary(&self) -> bool {
         self.buffer.is_empty()
@@ -64,9 +72,10 @@
         self.buffer.len() > MAX_EVENT_BYTES
     }
 
-    /// Discards the beginning of an event whose rest will not arrive.
+    /// Begins another attempt: discards the beginning of an event whose rest will not arrive.
     pub fn discard_partial(&mut self) {
         self.buffer = BytesMut::new();
+        self.has_events = false;
     }
 
     fn check_order(&mut self, from: usize, to: usize) -> Result<(), OutOfOrder> {
