fleet: test acknowledgements with a disk and all power lost at the same moment

A disk may be lost while all other machines lose power, those without a disk included. The acknowledged declaration and zone out survive whichever disk is lost, and whichever comes back first, the blank one or the others.

--- a/crates/hyssopfork-fleet/tests/fleet/replication.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/replication.rs
@@ -141,6 +141,38 @@
     assert_eq!(world.read_version(), Some(9));
 }
 
+/// Guards against losing what was acknowledged when one disk is lost and all other processes lose power at
+/// the same moment, those without a disk included: no process is left that knows more than the disks, and
+/// the blank one must not complete a quorum with the disk that lags.
+#[test]
+fn acknowledgements_survive_the_loss_of_a_disk_and_of_all_power() {
+    for lost in (1..=3).map(fixture::address) {
+        for is_first_back in [true, false] {
+            let mut world = world::World::declared(3, 4);
+            let zone = name::Zone::from("z1");
+            assert!(world.call_until_done(&event::Request::TakeOut(zone.clone())));
+            assert!(world.declare(9));
+
+            let all: Vec<_> = world.processes.keys().copied().collect();
+            all.iter().for_each(|address| world.kill(*address));
+            world.wipe_folder(lost);
+            let (first, later): (Vec<_>, Vec<_>) =
+                all.into_iter().partition(|address| (*address == lost) == is_first_back);
+            first.into_iter().for_each(|address| world.start_process(address, false));
+            world.run(2_000);
+            later.into_iter().for_each(|address| world.start_process(address, false));
+            world.run(5_000);
+
+            let view = world.leader().and_then(|leader| world.processes[&leader].view.as_ref());
+            assert!(
+                view.is_some_and(|view| view.out.contains(&zone)),
+                "without the disk of {lost}"
+            );
+            assert_eq!(world.read_version(), Some(9), "without the disk of {lost}");
+        }
+    }
+}
+
 /// Guards against answering a departure before any follower has received it. If the leader were
 /// then lost, the departed upstream would get new work.
 #[test]
