daemon: drop idle connections to control when one of them turns out to be silent

Cause: the outcome of a claim has 2 s to be recorded, and its caller tries one control instance after the other; each silent connection costs the time of a call, 0.55 s. Evidence: with the time of each lodgement printed, one took 1.74 s in 4 of 6 runs on an idle machine, three calls of the 2 s. Not reproduced: the 409 itself, in 10 runs beside 8 busy processes; the 0.26 s that were left explain it on a busier machine.

What silences one connection may silence all. A call to control that fails now also removes the connections that have been idle since it began, so that the next instance is called on a new one. Before: 1.74 s, after: 0.68 s in 3 of 6 runs (the others had no lodgement in flight). The new test, which bounds a lodgement by 1 s, failed in 2 of 3 runs before (1.74 and 2.08 s) and passed in 3 of 3 after.

--- a/crates/hyssopfork-daemon/src/rpc.rs
+++ b/crates/hyssopfork-daemon/src/rpc.rs
@@ -2,7 +2,9 @@
 //!
 //! A connection can become permanently silent while new ones work, for example when a middlebox
 //! loses its state. Each call therefore has a short timeout, and a call that times out removes its
-//! connection: the next call opens another.
+//! connection: the next call opens another. What silences one connection may silence all of them, so a
+//! call to control also removes those that have been idle since it began: otherwise a caller that tries
+//! one instance after the other would wait for each of them.
 
 use futures::future::Either;
 use hyssopfork_wire::{consensus, control, envelope, member};
@@ -20,10 +22,17 @@
 
 /// Cached clients of one service, one for each address; owned by one thread.
 pub struct Cache<Client> {
-    clients: RefCell<HashMap<net::SocketAddr, (u64, Client)>>,
+    clients: RefCell<HashMap<net::SocketAddr, Cached<Client>>>,
     last_number: Cell<u64>,
 }
 
+struct Cached<Client> {
+    number: u64,
+    client: Client,
+    /// When the connection was opened, or when the last response arrived on it.
+    last_active: Instant,
+}
+
 impl<Client> Default for Cache<Client> {
     fn default() -> Cache<Client> {
         Cache { clients: RefCell::new(HashMap::new()), last_number: Cell::new(0) }
@@ -41,23 +50,29 @@
         Opened: Future<Output = Option<Client>>,
     {
         if let Some(known) = self.clients.borrow().get(&to) {
-            return Some(known.clone());
+            return Some((known.number, known.client.clone()));
         }
         let client = open().await?;
         self.last_number.set(self.last_number.get() + 1);
-        let numbered = (self.last_number.get(), client);
-        self.clients.borrow_mut().insert(to, numbered.clone());
-        Some(numbered)
+        let number = self.last_number.get();
+        let cached = Cached { number, client: client.clone(), last_active: Instant::now() };
+        self.clients.borrow_mut().insert(to, cached);
+        Some((number, client))
     }
 
     /// Removes a client, unless it has already been replaced.
     pub fn remove(&self, to: net::SocketAddr, number: u64) {
         let mut open = self.clients.borrow_mut();
-        if open.get(&to).is_some_and(|(current, _)| *current == number) {
+        if open.get(&to).is_some_and(|current| current.number == number) {
             open.remove(&to);
         }
     }
 
+    /// Removes all clients that have been idle since `since`.
+    pub fn remove_idle(&self, since: Instant) {
+        self.clients.borrow_mut().retain(|_, cached| cached.last_active >= since);
+    }
+
     /// Passes the response through; removes the client if there is none.
     pub fn remove_if_failed<T>(
         &self,
@@ -67,6 +82,10 @@
     ) -> Option<T> {
         if response.is_none() {
             self.remove(to, number);
+        } else if let Some(cached) = self.clients.borrow_mut().get_mut(&to)
+            && cached.number == number
+        {
+            cached.last_active = Instant::now();
         }
         response
     }
@@ -88,8 +107,13 @@
         timeout: Duration,
     ) -> Option<control::Response> {
         let (number, client) = self.control_clients.get(to, || connect_control(to)).await?;
+        let called_at = Instant::now();
         let call = client.call(context_with_timeout(timeout), envelope::Envelope::new(request));
-        self.control_clients.remove_if_failed(to, number, with_timeout(timeout, call).await)
+        let response = with_timeout(timeout, call).await;
+        if response.is_none() {
+            self.control_clients.remove_idle(called_at);
+        }
+        self.control_clients.remove_if_failed(to, number, response)
     }
 
     /// Delivers a message of the replicated log; returns whether it was acknowledged.
--- a/crates/hyssopfork-daemon/tests/processes/silent_connections.rs
+++ b/crates/hyssopfork-daemon/tests/processes/silent_connections.rs
@@ -125,6 +125,43 @@
     assert_eq!(outcome, patch::Outcome::Accepted(number::Configuration(2)));
 }
 
+/// Time that a lodgement may take when the connections to control become silent: half of the time in which
+/// the outcome of a claim must be recorded.
+const MAX_LODGEMENT_TIME: Duration = Duration::from_secs(1);
+
+/// Number of times that the connections become silent.
+const SILENCES: usize = 5;
+
+/// Guards against a claim whose record waits for each silent connection to control in turn, and runs out of
+/// time.
+#[actix_rt::test]
+async fn a_claim_waits_for_one_silent_connection_to_control_only() {
+    let (fleet, _) = start_fleet(0).await;
+    let mut longest = Duration::ZERO;
+
+    for silence in 0..SILENCES {
+        for number in 0..20 {
+            let reference = format!("work-{silence}-{number}");
+            let body = format!("{{\"reference\":\"{reference}\"}}");
+            let entry = fleet.entry_addresses[number % fleet.entry_addresses.len()];
+            let since = std::time::Instant::now();
+            let lodgement = client::post(entry, "/lodge", Some(&reference), &body);
+            let silenced = async {
+                if number == 10 {
+                    // The claim is made, and its outcome is not recorded yet.
+                    actix_rt::time::sleep(Duration::from_millis(40)).await;
+                    fleet.relays.silence_open_connections(relays::Link::Control);
+                }
+            };
+            let (got, ()) = future::join(lodgement, silenced).await;
+            longest = longest.max(since.elapsed());
+            assert!(got.is_complete_success(), "{reference}: {got:?}");
+        }
+    }
+
+    assert!(longest <= MAX_LODGEMENT_TIME, "a lodgement took {longest:?}");
+}
+
 // The connections from entries to agents become silent with lodgements on them, which may not be
 // sent again. The entry resumes each one over a new connection: clients notice a delay of a second,
 // and nothing runs twice.
