fleet: skip repeated reports of a crash

Each entry repeats a crash for 2 s, four times a second. With the parts of prompts each repetition cost a lookup for every request and part of it in the leader; a repetition is now dropped by the requests that were reported.

--- a/crates/hyssopfork-fleet/src/quarantine.rs
+++ b/crates/hyssopfork-fleet/src/quarantine.rs
@@ -44,9 +44,13 @@
 /// Time after the last crash and after the end of the last backoff at which a record expires.
 const RECORD_LIFETIME: Duration = Duration::from_secs(600);
 
-/// Time for which a crash stays attributed to a quarantined cause that was in flight.
+/// Time for which a crash stays attributed to a quarantined cause that was in flight, and for which its
+/// reports are known. Entries repeat a report for 2 s.
 const ATTRIBUTION_LIFETIME: Duration = Duration::from_secs(10);
 
+/// Maximum number of crashes whose reports are known.
+const MAX_REPORTED_CRASHES: usize = 1_024;
+
 /// Maximum number of causes with a record. Records with the fewest rounds and crashes are evicted
 /// first, and among equals those whose last crash is oldest.
 const MAX_RECORDS: usize = 1_024;
@@ -319,9 +323,21 @@
     to_part: bool,
 }
 
+/// Requests that entries reported for a crash.
+#[derive(Clone, Debug)]
+struct Report {
+    known_at: clock::Instant,
+    requests: BTreeSet<Fingerprint>,
+}
+
 /// Crash records and verdicts, kept by the leader.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
+    /// Reports of recent crashes. Each entry repeats its own several times, and most repetitions are
+    /// dropped without a look at the records.
+    ///
+    /// Invariant: at most [`MAX_REPORTED_CRASHES`].
+    reports: BTreeMap<Process, Report>,
     /// Invariant: at most [`MAX_RECORDS`].
     records: BTreeMap<Cause, Record>,
     /// Crashed processes that had a quarantined cause in flight.
@@ -338,19 +354,16 @@
     /// other.
     pub fn record_crash(&mut self, now: clock::Instant, crash: &Crash) -> Vec<(Cause, u32)> {
         let end = now - crash.age;
-        let causes: BTreeMap<Cause, Fingerprint> = crash
-            .requests
-            .iter()
-            .flat_map(|request| request.causes().map(|cause| (cause, request.fingerprint)))
-            .collect();
-        for cause in causes.keys() {
+        let requests = self.add_report(now, crash);
+        let causes: BTreeSet<Cause> = requests.iter().flat_map(|it| it.causes()).collect();
+        for cause in &causes {
             let record = self.records.get(cause);
             if record.is_some_and(|it| it.is_quarantined() && end > it.quarantined_at) {
                 self.attribute(now, &crash.process, *cause);
             }
         }
         let mut quarantined = Vec::new();
-        for request in &crash.requests {
+        for request in requests {
             for cause in request.causes() {
                 if self.is_attributed(&crash.process, cause) {
                     continue;
@@ -359,7 +372,7 @@
                 record.record_crash(&crash.process, end, request.fingerprint);
             }
         }
-        for cause in causes.into_keys() {
+        for cause in causes {
             let Some(record) = self.records.get_mut(&cause) else { continue };
             let is_due = if record.is_quarantined() {
                 // A crash before this time comes from an attempt that was sent before the quarantine.
@@ -376,6 +389,17 @@
         quarantined
     }
 
+    /// Adds the report of a crash; returns the requests that were not reported before.
+    fn add_report<'a>(&mut self, now: clock::Instant, crash: &'a Crash) -> Vec<&'a Request> {
+        if self.reports.len() >= MAX_REPORTED_CRASHES && !self.reports.contains_key(&crash.process)
+        {
+            self.reports.clear();
+        }
+        let new = || Report { known_at: now, requests: BTreeSet::new() };
+        let report = self.reports.entry(crash.process.clone()).or_insert_with(new);
+        crash.requests.iter().filter(|it| report.requests.insert(it.fingerprint)).collect()
+    }
+
     /// Quarantines parts that crashed upstreams; returns them with their rounds.
     pub fn review(&mut self, now: clock::Instant) -> Vec<(Cause, u32)> {
         let mut quarantined = Vec::new();
@@ -492,6 +516,7 @@
     /// Removes expired records.
     pub fn remove_expired(&mut self, now: clock::Instant) {
         self.attributed.retain(|_, it| now.since(it.known_at) < ATTRIBUTION_LIFETIME);
+        self.reports.retain(|_, it| now.since(it.known_at) < ATTRIBUTION_LIFETIME);
         if !self.records.is_empty() {
             self.records.retain(|_, record| !record.is_expired(now));
             self.published.retain(|cause, _| self.records.contains_key(cause));
