gateway, telemetry: log and export the use of the retry budget

Logs could not tell whether a process exceeds its share because it has just started or because it divides by too few entries. Event 5228 names requests, retries, limit, number of entries and age of the view of a process that denies a retry, once a second and pool at most; metrics give the same at any time.

--- a/crates/hyssopfork-daemon/src/edge/traffic.rs
+++ b/crates/hyssopfork-daemon/src/edge/traffic.rs
@@ -3,7 +3,7 @@
 use crate::edge::{connection_pool, control, engine, handler, http_server, occupancy};
 use crate::{clock, log, mailbox, notice};
 use hyssopfork_fleet::{declaration, event as fleet_event, quarantine, view};
-use hyssopfork_gateway::{action, core, event};
+use hyssopfork_gateway::{action, core, event, retry_budget};
 use hyssopfork_telemetry::metrics;
 use hyssopfork_wire::{clock as wire_clock, name, number};
 use std::cell::{Cell, OnceCell, RefCell};
@@ -164,6 +164,16 @@
         log::notice(&notice::Notice::UpstreamStalled(instance.clone(), millis));
     }
 
+    fn update_limit_metrics(&self) {
+        let core = self.core.borrow();
+        self.registry.set_limit_entries(core.entry_count());
+        for (pool, usage) in core.retry_usage() {
+            let retry_budget::Usage { requests, retries, limit, granted, denied } = usage;
+            let usage = metrics::RetryUsage { requests, retries, limit, granted, denied };
+            self.registry.set_retry_usage(pool, usage);
+        }
+    }
+
     fn update_status(&self) {
         let core = self.core.borrow();
         self.status.ready.store(core.is_ready(), Ordering::Relaxed);
@@ -219,6 +229,7 @@
             }
             _ = ticks.tick() => {
                 entry.step(event::Event::Tick);
+                entry.update_limit_metrics();
                 entry.idle_connections.close_expired();
             }
         }
--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -217,7 +217,7 @@
     }
 
     /// Number of entries that share the fleet's limits, at least this one.
-    fn entry_count(&self) -> usize {
+    pub fn entry_count(&self) -> usize {
         self.entries.len().max(1)
     }
 
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -459,7 +459,20 @@
         }
         let Some(request) = self.requests.get(&number) else { return false };
         let pool = request.pool.clone();
-        self.retry_budgets.entry(pool).or_default().try_retry(now, policy)
+        let budget = self.retry_budgets.entry(pool.clone()).or_default();
+        let is_granted = budget.try_retry(now, policy);
+        if !is_granted && budget.should_log_denial(now) {
+            let usage = budget.usage(policy);
+            let (entries, view_age) = (self.entry_count(), now.since(self.confirmed_at));
+            self.log(notice::Notice::RetriesDenied { pool, usage, entries, view_age });
+        }
+        is_granted
+    }
+
+    /// Use of the retry budget of each pool.
+    pub fn retry_usage(&self) -> impl Iterator<Item = (&name::Pool, retry_budget::Usage)> {
+        let policy = self.retry_policy();
+        self.retry_budgets.iter().map(move |(pool, budget)| (pool, budget.usage(policy)))
     }
 
     /// Whether the request has the time and the number of attempts for another one.
--- a/crates/hyssopfork-gateway/src/notice.rs
+++ b/crates/hyssopfork-gateway/src/notice.rs
@@ -1,6 +1,6 @@
 //! Numbered log events of an entry, 5200 to 5399.
 
-use crate::{action, event, prompt, scheduler};
+use crate::{action, event, prompt, retry_budget, scheduler};
 use hyssopfork_fleet::{quarantine, rate};
 use hyssopfork_wire::{level, name};
 use std::fmt;
@@ -109,6 +109,17 @@
         /// Time without bytes for the request, and for all requests of the upstream.
         silence: (Duration, Duration),
     },
+    /// The retry budget of a pool is used up. Logged once a second at most.
+    RetriesDenied {
+        /// Pool.
+        pool: name::Pool,
+        /// Use of the budget.
+        usage: retry_budget::Usage,
+        /// Entries that the budget is divided among.
+        entries: usize,
+        /// Time since the view was confirmed.
+        view_age: Duration,
+    },
     /// A request was rejected.
     Refused {
         /// Identifier that the client assigned.
@@ -217,6 +228,7 @@
             Notice::PauseRequested { .. } => 5225,
             Notice::PauseMalformed(..) => 5226,
             Notice::UpstreamLeaving(..) => 5227,
+            Notice::RetriesDenied { .. } => 5228,
             Notice::Queued { .. } => 5240,
             Notice::Dequeued { .. } => 5241,
             Notice::QueueRejected { .. } => 5242,
@@ -264,6 +276,7 @@
             | Notice::PauseRequested { .. }
             | Notice::PauseMalformed(..)
             | Notice::UpstreamLeaving(..)
+            | Notice::RetriesDenied { .. }
             | Notice::Stalled(..)
             | Notice::CoordinatorSilent(..)
             | Notice::CoordinatorRestored(..)
@@ -378,6 +391,14 @@
             Notice::UpstreamLeaving(instance) => {
                 write!(formatter, "{instance} states that it leaves and gets no new requests")
             }
+            Notice::RetriesDenied { pool, usage, entries, view_age } => write!(
+                formatter,
+                "retry budget of {pool} is used up requests={} retries={} limit={:.1} entries={entries} view_age_ms={}",
+                usage.requests,
+                usage.retries,
+                usage.limit,
+                view_age.as_millis()
+            ),
             Notice::Trial { cause, .. } => {
                 write!(formatter, "quarantined request sent as a trial of {cause}")
             }
--- a/crates/hyssopfork-gateway/src/retry_budget.rs
+++ b/crates/hyssopfork-gateway/src/retry_budget.rs
@@ -17,6 +17,9 @@
 /// Length of the buckets that a window is divided into.
 const BUCKET_LENGTH: Duration = Duration::from_millis(500);
 
+/// Shortest interval between two logged denials.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     start: clock::Instant,
@@ -28,6 +31,24 @@
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
     buckets: VecDeque<Bucket>,
+    granted: u64,
+    denied: u64,
+    logged_at: Option<clock::Instant>,
+}
+
+/// What a budget has counted and allows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Usage {
+    /// First attempts within the window.
+    pub requests: u32,
+    /// Retries within the window.
+    pub retries: u32,
+    /// Most retries within the window.
+    pub limit: f64,
+    /// Retries that were granted since the process started.
+    pub granted: u64,
+    /// Retries that were denied since the process started.
+    pub denied: u64,
 }
 
 /// Limits of a budget.
@@ -50,17 +71,34 @@
     /// Returns whether a retry is within the budget, and counts it if so.
     pub fn try_retry(&mut self, now: clock::Instant, policy: Policy) -> bool {
         self.current_bucket(now, policy);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let max_retries =
-            (f64::from(requests) * policy.retry_ratio + policy.retry_extra) * USABLE_RATIO;
-        let is_allowed = f64::from(retries) + 1.0 <= max_retries;
+        let usage = self.usage(policy);
+        let is_allowed = f64::from(usage.retries) + 1.0 <= usage.limit;
         if is_allowed {
+            self.granted += 1;
             self.current_bucket(now, policy).retries += 1;
+        } else {
+            self.denied += 1;
         }
         is_allowed
     }
 
+    /// What has been counted up to the last request or retry.
+    pub fn usage(&self, policy: Policy) -> Usage {
+        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
+        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        let limit = (f64::from(requests) * policy.retry_ratio + policy.retry_extra) * USABLE_RATIO;
+        Usage { requests, retries, limit, granted: self.granted, denied: self.denied }
+    }
+
+    /// Whether a denial is to be logged, at most once per [`LOG_INTERVAL`].
+    pub fn should_log_denial(&mut self, now: clock::Instant) -> bool {
+        let is_due = self.logged_at.is_none_or(|at| now.since(at) >= LOG_INTERVAL);
+        if is_due {
+            self.logged_at = Some(now);
+        }
+        is_due
+    }
+
     fn current_bucket(&mut self, now: clock::Instant, policy: Policy) -> &mut Bucket {
         while self
             .buckets
--- a/crates/hyssopfork-telemetry/src/label.rs
+++ b/crates/hyssopfork-telemetry/src/label.rs
@@ -24,6 +24,19 @@
     }
 }
 
+/// Labels of metrics by pool.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Pool {
+    /// The pool.
+    pub pool: name::Pool,
+}
+
+impl EncodeLabelSet for Pool {
+    fn encode(&self, encoder: &mut LabelSetEncoder) -> Result<(), fmt::Error> {
+        EncodeLabelSet::encode(&[("pool", self.pool.as_str())], encoder)
+    }
+}
+
 /// Labels of metrics on requests that wait for a place, by rank.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Rank {
--- a/crates/hyssopfork-telemetry/src/metrics.rs
+++ b/crates/hyssopfork-telemetry/src/metrics.rs
@@ -13,6 +13,7 @@
 type RankHistograms =
     family::Family<label::Rank, histogram::Histogram, fn() -> histogram::Histogram>;
 type Counters<L> = family::Family<L, counter::Counter>;
+type Gauges = family::Family<label::Pool, gauge::Gauge>;
 type SecondsGauge = gauge::Gauge<f64, AtomicU64>;
 
 /// Upper bound of the first histogram bucket, in seconds.
@@ -66,6 +67,27 @@
     stalled_upstreams: counter::Counter,
     memory_rejections: counter::Counter,
     held_bytes: gauge::Gauge,
+    budget_requests: Gauges,
+    budget_retries: Gauges,
+    budget_limit: Gauges,
+    granted_retries: Gauges,
+    denied_retries: Gauges,
+    limit_entries: gauge::Gauge,
+}
+
+/// Use of the retry budget of a pool.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryUsage {
+    /// First attempts within the window.
+    pub requests: u32,
+    /// Retries within the window.
+    pub retries: u32,
+    /// Most retries within the window.
+    pub limit: f64,
+    /// Retries granted since the process started.
+    pub granted: u64,
+    /// Retries denied since the process started.
+    pub denied: u64,
 }
 
 impl Default for Registry {
@@ -197,6 +219,36 @@
                 "held_bytes",
                 "Bytes counted against the memory budget for clients and upstreams",
             ),
+            budget_requests: register_gauges(
+                metrics,
+                "retry_budget_requests",
+                "First attempts within the window of the retry budget",
+            ),
+            budget_retries: register_gauges(
+                metrics,
+                "retry_budget_retries",
+                "Retries within the window of the retry budget",
+            ),
+            budget_limit: register_gauges(
+                metrics,
+                "retry_budget_limit",
+                "Most retries of this process within the window of the retry budget, rounded down",
+            ),
+            granted_retries: register_gauges(
+                metrics,
+                "retries_granted",
+                "Retries that the budget has granted since the process started",
+            ),
+            denied_retries: register_gauges(
+                metrics,
+                "retries_denied",
+                "Retries that the budget has denied since the process started",
+            ),
+            limit_entries: register_gauge(
+                metrics,
+                "limit_entries",
+                "Entries that limits of the fleet are divided among",
+            ),
             registry,
         }
     }
@@ -339,6 +391,21 @@
         self.memory_rejections.inc();
     }
 
+    /// Sets the use of the retry budget of a pool.
+    pub fn set_retry_usage(&self, pool: &name::Pool, usage: RetryUsage) {
+        let labels = label::Pool { pool: pool.clone() };
+        self.budget_requests.get_or_create(&labels).set(i64::from(usage.requests));
+        self.budget_retries.get_or_create(&labels).set(i64::from(usage.retries));
+        self.budget_limit.get_or_create(&labels).set(usage.limit as i64);
+        self.granted_retries.get_or_create(&labels).set(usage.granted as i64);
+        self.denied_retries.get_or_create(&labels).set(usage.denied as i64);
+    }
+
+    /// Sets the number of entries that limits of the fleet are divided among.
+    pub fn set_limit_entries(&self, entries: usize) {
+        self.limit_entries.set(entries as i64);
+    }
+
     /// Sets the bytes that count against the memory budget.
     pub fn set_held_bytes(&self, bytes: usize) {
         self.held_bytes.set(bytes as i64);
@@ -437,6 +504,12 @@
     counter
 }
 
+fn register_gauges(registry: &mut registry::Registry, name: &str, help: &str) -> Gauges {
+    let family = Gauges::default();
+    registry.register(name, help, family.clone());
+    family
+}
+
 fn register_gauge(registry: &mut registry::Registry, name: &str, help: &str) -> gauge::Gauge {
     let gauge = gauge::Gauge::default();
     registry.register(name, help, gauge.clone());
