--- a/crates/hyssopfork-daemon/tests/edge/crashing_upstream.rs
+++ b/crates/hyssopfork-daemon/tests/edge/crashing_upstream.rs
@@ -1,11 +1,11 @@
-//! Upstreams that crash on certain requests and restart after a delay. They can name a rate
-//! limit, reject all requests, and state that they leave.
+//! Upstreams that crash on certain requests and restart after a delay. They can fail a share of the
+//! requests, name a rate limit, reject all requests, and state that they leave.
 
 use crate::{fleet, support};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -22,6 +22,9 @@
 /// Time from a crash until the upstream restarts.
 const RESTART_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Distance, in tenths, between the positions of consecutive requests.
+const FAILURE_STRIDE: usize = 7;
+
 /// Interval between announcements.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -51,6 +54,12 @@
     pub rate_limit: Mutex<Option<f64>>,
     /// `Retry-After` of the upstreams that reject all requests, by index.
     pub retry_after: Mutex<BTreeMap<usize, String>>,
+    /// Requests out of ten that fail with a server error.
+    pub failures_in_ten: AtomicUsize,
+    /// Number of requests that have run.
+    run_count: AtomicUsize,
+    /// Identifiers of the requests that failed with a server error.
+    pub failures: Mutex<Vec<String>>,
     /// Upstreams that state in their responses that they leave, by index.
     pub leaving: Mutex<BTreeSet<usize>>,
     /// Requests to which these upstreams responded, with the time of the response.
@@ -72,6 +81,12 @@
         self.retry_after.lock().expect("no thread panicked").get(&index).cloned()
     }
 
+    /// Whether the next request that has run fails. Failures are spread evenly.
+    fn takes_failure(&self) -> bool {
+        let position = self.run_count.fetch_add(1, Ordering::Relaxed) * FAILURE_STRIDE % 10;
+        position < self.failures_in_ten.load(Ordering::Relaxed)
+    }
+
     /// Whether the upstreams are to stop.
     pub fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::Relaxed)
@@ -186,8 +201,13 @@
             let response = Arrival { at: Instant::now(), ..arrival };
             record.leaving_responses.lock().expect("no thread panicked").push(response);
         }
+        let fails = record.takes_failure();
+        if fails {
+            record.failures.lock().expect("no thread panicked").push(identifier.clone());
+        }
+        let status = if fails { "500 Internal Server Error" } else { "200 OK" };
         let response = format!(
-            "HTTP/1.1 200 OK\r\nHyssopfork-Attempt-Id: {identifier}\r\n{header}\
+            "HTTP/1.1 {status}\r\nHyssopfork-Attempt-Id: {identifier}\r\n{header}\
              Hyssopfork-Server-Signature: s\r\nContent-Length: 4\r\n\r\nfine"
         );
         if process.has_ended(record) || writer.write_all(response.as_bytes()).is_err() {
--- a/crates/hyssopfork-daemon/tests/edge/main.rs
+++ b/crates/hyssopfork-daemon/tests/edge/main.rs
@@ -14,6 +14,7 @@
 mod plain_upstream;
 mod prompt_part;
 mod query_of_death;
+mod retry_budget;
 mod scenario;
 mod soak;
 mod support;
--- a/crates/hyssopfork-daemon/tests/edge/scenario.rs
+++ b/crates/hyssopfork-daemon/tests/edge/scenario.rs
@@ -55,6 +55,12 @@
         served as f64 / sent.count() as f64
     }
 
+    /// Times at which requests were sent.
+    pub fn send_times(&self) -> Vec<Instant> {
+        let outcomes = self.outcomes.lock().expect("no thread panicked");
+        outcomes.iter().map(|(at, _)| *at).collect()
+    }
+
     fn send(&self, record: &crashing_upstream::Record, client: usize, entries: &[SocketAddr]) {
         for count in 0.. {
             if record.is_stopped() {
