gateway: divide the rates of cold and rate-limited upstreams as other fleet limits

The fault of the retry budget, looked for elsewhere: the rate of a cold upstream and the rate that an upstream names are limits of the fleet over a window, kept in the memory of one process and divided by the entries of the newest view.

Both now divide by the most entries known within their window and 3 s, and a share accrues over the window from the start of the process. They don't depend on a confirmed view: while no leader answers, a cold upstream would otherwise get nothing from anybody. A share that a lost entry had is taken over once it no longer counts, at a tick instead of at the next change of the view.

The test of one entry's share names the start of the process; its bounds are the same.

--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -50,6 +50,8 @@
     targets: BTreeMap<name::Instance, target::Target>,
     /// Division of the fleet's limits among the entries.
     members: fleet_limit::Members,
+    /// Numbers of entries that the rates of upstreams were last divided by, for windows of each length.
+    rate_divisors: [usize; 3],
     retry_budgets: BTreeMap<name::Pool, retry_budget::Budget>,
     move_buckets: BTreeMap<name::Pool, moves::Bucket>,
     pauses: pause::Pauses,
@@ -93,6 +95,7 @@
             groups_by_head: BTreeMap::new(),
             targets: BTreeMap::new(),
             members: fleet_limit::Members::new(now, max_window),
+            rate_divisors: [1; 3],
             retry_budgets: BTreeMap::new(),
             move_buckets: BTreeMap::new(),
             pauses: pause::Pauses::default(),
@@ -179,6 +182,7 @@
         self.quarantine.expire(self.now);
         self.pauses.expire(self.now);
         self.leaving.expire(self.now, &self.upstreams);
+        self.update_rate_shares();
         self.expire_scheduling();
         self.report_evidence();
     }
--- a/crates/hyssopfork-gateway/src/core/fleet_view.rs
+++ b/crates/hyssopfork-gateway/src/core/fleet_view.rs
@@ -2,12 +2,13 @@
 
 use super::Core;
 use crate::{
-    concurrency_limit, health, load, notice, occupancy, rendezvous, request, routing, slow_start,
-    target,
+    concurrency_limit, health, load, notice, occupancy, rate_limit, rendezvous, request, routing,
+    slow_start, target,
 };
 use hyssopfork_fleet::{declaration, quarantine, view};
 use hyssopfork_wire::{clock, name};
 use std::collections::BTreeSet;
+use std::mem;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -154,7 +155,7 @@
         let retained = previous.filter(|it| it.incarnation == incarnation);
         let slots = engine.map_or(announcement.slots, |engine| engine.slots);
         let mut target =
-            retained.unwrap_or_else(|| new_target(instance, incarnation, slots, announcement));
+            retained.unwrap_or_else(|| self.new_target(instance, incarnation, slots, announcement));
         target.model = group.map(|group| group.model.clone());
         let process = quarantine::Process {
             instance: instance.clone(),
@@ -169,12 +170,13 @@
         // The upstream stays cold until the leader says otherwise: it may become cold again
         // meanwhile.
         let rate = table.cold_rate(&announcement.pool).filter(|_| !announcement.cold.is_zero());
-        target.slow_start_share = rate.map(|rate| slow_start::entry_share(rate, rank, entries));
+        let divisor = self.members.divisor(self.now, slow_start::WINDOW);
+        target.slow_start_share = rate.map(|rate| slow_start::entry_share(rate, rank, divisor));
         if target.published_rate != upstream.rate {
             target.published_rate = upstream.rate;
             target.named_rate.on_published(self.now, upstream.rate);
         }
-        target.update_rate_share(rank, entries);
+        target.update_rate_share(self.now, rank, &self.members);
         // Requests that were sent before the target was removed, or before its group was formed
         // again, are still in flight.
         let attempts = self.requests.values().filter_map(|request| request.attempt.as_ref());
@@ -184,32 +186,44 @@
         target.load.own_requests = own.count() as u32;
         self.targets.insert(instance.clone(), target);
     }
-}
 
-fn new_target(
-    instance: &name::Instance,
-    incarnation: target::Incarnation,
-    slots: u32,
-    announcement: &hyssopfork_fleet::announcement::Announcement,
-) -> target::Target {
-    target::Target {
-        key: occupancy::Key::new(instance, &incarnation),
-        incarnation,
-        pool: announcement.pool.clone(),
-        model: None,
-        zone: announcement.zone.clone(),
-        standing: view::Status::Present,
-        load: load::Load::new(slots),
-        limit: concurrency_limit::Limit::new(slots),
-        health: health::Health::default(),
-        recent_sends: Default::default(),
-        slow_start_share: None,
-        preference: 0.0,
-        named_rate: Default::default(),
-        published_rate: None,
-        rate_limiter: None,
-        last_bytes_at: clock::Instant::ORIGIN,
-        suspected: false,
-        stalled_since: None,
+    fn new_target(
+        &self,
+        instance: &name::Instance,
+        incarnation: target::Incarnation,
+        slots: u32,
+        announcement: &hyssopfork_fleet::announcement::Announcement,
+    ) -> target::Target {
+        target::Target {
+            key: occupancy::Key::new(instance, &incarnation),
+            incarnation,
+            pool: announcement.pool.clone(),
+            model: None,
+            zone: announcement.zone.clone(),
+            standing: view::Status::Present,
+            load: load::Load::new(slots),
+            limit: concurrency_limit::Limit::new(slots),
+            health: health::Health::default(),
+            entry_started_at: self.started_at,
+            recent_sends: Default::default(),
+            slow_start_share: None,
+            preference: 0.0,
+            named_rate: Default::default(),
+            published_rate: None,
+            rate_limiter: None,
+            last_bytes_at: clock::Instant::ORIGIN,
+            suspected: false,
+            stalled_since: None,
+        }
+    }
+
+    /// Takes the shares of the upstreams' rates again once a lost entry no longer counts.
+    pub(super) fn update_rate_shares(&mut self) {
+        let windows = [slow_start::WINDOW, rate_limit::MIN_WINDOW, rate_limit::MAX_WINDOW];
+        let divisors = windows.map(|window| self.members.divisor(self.now, window));
+        if mem::replace(&mut self.rate_divisors, divisors) != divisors {
+            let all: BTreeSet<_> = self.targets.keys().cloned().collect();
+            self.rebuild_targets(&all);
+        }
     }
 }
--- a/crates/hyssopfork-gateway/src/core/named_rates.rs
+++ b/crates/hyssopfork-gateway/src/core/named_rates.rs
@@ -17,9 +17,8 @@
         let Some(instance) = attempt.map(|attempt| attempt.instance.clone()) else { return };
         let key = instance.as_str().as_bytes();
         let rank = rendezvous::rank(self.settings.address, self.entries.keys(), key);
-        let entries = self.entry_count();
         if let Some(target) = self.targets.get_mut(&instance) {
-            target.update_rate_share(rank, entries);
+            target.update_rate_share(now, rank, &self.members);
         }
         self.log(notice::Notice::RateNamed { instance, rate });
         self.report_evidence();
--- a/crates/hyssopfork-gateway/src/fleet_limit.rs
+++ b/crates/hyssopfork-gateway/src/fleet_limit.rs
@@ -8,6 +8,13 @@
 //!   may differ by, so that what a lost entry had spent leaves the window before others take its share.
 //! - It starts as if its share had been spent: the share accrues over the length of the window. A
 //!   process that replaces another one then adds no more than the time that it runs.
+//!
+//! Limits on the rate of one upstream ([`slow_start`], [`rate_limit`]) are divided and accrue in the
+//! same way, but from the start of the process and without confirmation: an entry without a share
+//! would leave the upstream to nobody while no leader answers.
+//!
+//! [`slow_start`]: crate::slow_start
+//! [`rate_limit`]: crate::rate_limit
 
 use hyssopfork_wire::clock;
 use std::collections::VecDeque;
@@ -97,6 +104,16 @@
     }
 }
 
+/// Whole units of `share` that have accrued since `start`.
+pub fn accrued_units(
+    share: usize,
+    start: clock::Instant,
+    now: clock::Instant,
+    window: Duration,
+) -> usize {
+    (share as f64 * accrued_since(start, now, window)) as usize
+}
+
 /// Part of a share that has accrued since `start`, from 0 to 1: all of it after `window`.
 pub fn accrued_since(start: clock::Instant, now: clock::Instant, window: Duration) -> f64 {
     (now.since(start).as_secs_f64() / window.as_secs_f64()).min(1.0)
--- a/crates/hyssopfork-gateway/src/rate_limit.rs
+++ b/crates/hyssopfork-gateway/src/rate_limit.rs
@@ -4,7 +4,7 @@
 //! window that holds at least one request, so that a rate below one per second doesn't block all
 //! requests.
 
-use crate::slow_start;
+use crate::{fleet_limit, slow_start};
 use hyssopfork_fleet::rate;
 use hyssopfork_wire::clock;
 use std::collections::VecDeque;
@@ -12,12 +12,15 @@
 
 /// Shortest window that a rate is counted over. A longer one loses fewer requests to rounding, but
 /// allows larger bursts.
-const MIN_WINDOW: Duration = Duration::from_secs(4);
+pub const MIN_WINDOW: Duration = Duration::from_secs(4);
 
 /// Longest window. An upstream with a lower rate receives one request per window, whose response
 /// shows when the limit ends.
 pub const MAX_WINDOW: Duration = Duration::from_secs(30);
 
+/// Shortest delay until a share that accrues allows the next request.
+const MIN_DELAY: Duration = Duration::from_millis(1);
+
 /// Shortest interval between two accepted changes of a named rate: responses that were generated
 /// before a change may arrive after it.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(250);
@@ -77,19 +80,30 @@
     total: usize,
     /// Requests of this entry per window.
     share: usize,
+    /// Time from which the share accrues.
+    started_at: clock::Instant,
     /// Times of requests in the last window.
     sends: VecDeque<clock::Instant>,
 }
 
 impl Limiter {
-    /// Creates the limiter of the entry at `rank` of `entries`.
+    /// Creates the limiter of the entry at `rank` of `entries`, whose process has run for long.
     pub fn new(rate: rate::Rate, rank: usize, entries: usize) -> Limiter {
-        let request_interval =
-            Duration::try_from_secs_f64(1.0 / rate.per_second()).unwrap_or(MAX_WINDOW);
-        let window = request_interval.clamp(MIN_WINDOW, MAX_WINDOW);
+        let window = window_of(rate);
         let total = (rate.per_second() * window.as_secs_f64()).max(1.0);
         let part = slow_start::entry_share(total, rank, entries);
-        Limiter { window, total: total as usize, share: part, sends: VecDeque::new() }
+        Limiter {
+            window,
+            total: total as usize,
+            share: part,
+            started_at: clock::Instant::ORIGIN,
+            sends: VecDeque::new(),
+        }
+    }
+
+    /// Sets when this entry's process started.
+    pub fn with_start(self, started_at: clock::Instant) -> Limiter {
+        Limiter { started_at, ..self }
     }
 
     /// Takes over the recorded requests of the previous limiter.
@@ -113,9 +127,21 @@
             return self.window / self.total as u32;
         }
         let recent = self.sends.iter().filter(|sent| now.since(**sent) < self.window).count();
-        if recent < self.share {
+        let accrued = fleet_limit::accrued_units(self.share, self.started_at, now, self.window);
+        if recent < accrued {
             return Duration::ZERO;
         }
+        if accrued < self.share {
+            let next = self.window.mul_f64((recent + 1) as f64 / self.share as f64);
+            return now.until(self.started_at + next).max(MIN_DELAY);
+        }
         now.until(self.sends[self.sends.len() - self.share] + self.window)
     }
 }
+
+/// Window that a rate is counted over.
+pub fn window_of(rate: rate::Rate) -> Duration {
+    let request_interval =
+        Duration::try_from_secs_f64(1.0 / rate.per_second()).unwrap_or(MAX_WINDOW);
+    request_interval.clamp(MIN_WINDOW, MAX_WINDOW)
+}
--- a/crates/hyssopfork-gateway/src/selection.rs
+++ b/crates/hyssopfork-gateway/src/selection.rs
@@ -223,9 +223,7 @@
 
 /// Whether slow start and the rate limit allow another request now.
 fn is_within_rate(now: clock::Instant, target: &target::Target) -> bool {
-    let within_slow_start =
-        target.slow_start_share.is_none_or(|share| target.recent_sends.has_room(now, share));
-    within_slow_start && target.rate_limit_delay(now).is_zero()
+    target.is_within_slow_start(now) && target.rate_limit_delay(now).is_zero()
 }
 
 fn condition(
--- a/crates/hyssopfork-gateway/src/slow_start.rs
+++ b/crates/hyssopfork-gateway/src/slow_start.rs
@@ -1,14 +1,16 @@
 //! Slow start: rate limit of an upstream that has just started, divided among the entries.
 //!
 //! Invariant: the shares of all entries add up to no more than the rate. With more entries than
-//! requests per second, some entries send nothing, since one request each would exceed the rate.
+//! requests per second, some entries send nothing, since one request each would exceed the rate. The
+//! share of a process that has just started accrues, as in [`fleet_limit`].
 
+use crate::fleet_limit;
 use hyssopfork_wire::clock;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Window that the rate is counted over.
-const WINDOW: Duration = Duration::from_secs(1);
+pub const WINDOW: Duration = Duration::from_secs(1);
 
 /// Requests within `WINDOW` that the entry at `rank` of `entries` may send if all of them may
 /// send `rate`.
@@ -31,10 +33,12 @@
         self.times.push_back(now);
     }
 
-    /// Whether another request stays within this entry's `share`.
-    pub fn has_room(&self, now: clock::Instant, share: usize) -> bool {
+    /// Whether another request stays within this entry's `share`, if its process started at
+    /// `started_at`.
+    pub fn has_room(&self, now: clock::Instant, share: usize, started_at: clock::Instant) -> bool {
+        let accrued = fleet_limit::accrued_units(share, started_at, now, WINDOW);
         let recent = self.times.iter().filter(|time| now.since(**time) < WINDOW).count();
-        recent < share
+        recent < accrued
     }
 
     fn evict(&mut self, now: clock::Instant) {
--- a/crates/hyssopfork-gateway/src/target.rs
+++ b/crates/hyssopfork-gateway/src/target.rs
@@ -1,6 +1,6 @@
 //! Upstreams that requests can be sent to.
 
-use crate::{concurrency_limit, health, load, occupancy, rate_limit, slow_start};
+use crate::{concurrency_limit, fleet_limit, health, load, occupancy, rate_limit, slow_start};
 use hyssopfork_fleet::{rate, view};
 use hyssopfork_wire::{clock, name};
 use std::net;
@@ -63,6 +63,8 @@
     pub limit: concurrency_limit::Limit,
     /// Failure ratio and connection backoff.
     pub health: health::Health,
+    /// When the process of this entry started.
+    pub entry_started_at: clock::Instant,
     /// Requests of this entry in the last second.
     pub recent_sends: slow_start::Sends,
     /// Relative rank of this entry in the upstream's order of entries, from 0 for the first towards
@@ -91,12 +93,25 @@
         self.stalled_since.is_some_and(|since| now.since(since) < STALL_BACKOFF)
     }
 
-    /// Takes the share of the named rate for the entry at `rank` of `entries`.
-    pub fn update_rate_share(&mut self, rank: usize, entries: usize) {
+    /// Takes the share of the named rate for the entry at `rank` of `members`.
+    pub fn update_rate_share(
+        &mut self,
+        now: clock::Instant,
+        rank: usize,
+        members: &fleet_limit::Members,
+    ) {
         let previous = self.rate_limiter.take();
-        let limiter =
-            self.named_rate.rate.map(|rate| rate_limit::Limiter::new(rate, rank, entries));
-        self.rate_limiter = limiter.map(|limiter| limiter.with_history_of(previous));
+        self.rate_limiter = self.named_rate.rate.map(|rate| {
+            let entries = members.divisor(now, rate_limit::window_of(rate));
+            let limiter = rate_limit::Limiter::new(rate, rank, entries);
+            limiter.with_start(self.entry_started_at).with_history_of(previous)
+        });
+    }
+
+    /// Whether slow start allows another request of this entry.
+    pub fn is_within_slow_start(&self, now: clock::Instant) -> bool {
+        let has_room = |share| self.recent_sends.has_room(now, share, self.entry_started_at);
+        self.slow_start_share.is_none_or(has_room)
     }
 
     /// Time until the rate limit allows another request of this entry; zero for now.
--- a/crates/hyssopfork-gateway/tests/gateway/fixture.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/fixture.rs
@@ -220,6 +220,11 @@
 
     /// The entry with this number, without a declaration or view.
     pub fn numbered(number: u32) -> Entry {
+        Entry::started_at(number, at(1_000))
+    }
+
+    /// The entry with this number, whose process starts at `now`.
+    pub fn started_at(number: u32, now: clock::Instant) -> Entry {
         let settings = settings::Settings {
             address: entry_address(number),
             zone: name::Zone::from("z1"),
@@ -227,7 +232,6 @@
             retry_extra: 100.0,
             retry_window: Duration::from_secs(10),
         };
-        let now = at(1_000);
         Entry {
             core: core::Core::new(settings, 1, now),
             now,
@@ -362,6 +366,15 @@
         (number, started(&decision).instance.clone())
     }
 
+    /// Upstreams that requests of the route are sent to, until one is rejected.
+    pub fn send_all(&mut self, route: &str) -> Vec<name::Instance> {
+        let mut upstreams = Vec::new();
+        while let action::Decision::Start(start) = self.arrive(arrival(route)).1 {
+            upstreams.push(start.instance);
+        }
+        upstreams
+    }
+
     /// Whether an arriving request is sent.
     pub fn is_sent(&mut self, route: &str) -> bool {
         matches!(self.arrive(arrival(route)).1, action::Decision::Start(_))
--- a/crates/hyssopfork-gateway/tests/gateway/rate_limit.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/rate_limit.rs
@@ -72,6 +72,22 @@
     }
 }
 
+/// Guards against a process that restarts and spends its share of a named rate again.
+#[test]
+fn an_entry_that_restarts_does_not_spend_a_named_rate_again() {
+    let mut sent = 0;
+    for restart in 0..4 {
+        let mut entry = Entry::started_at(0, at(1_000 + 1_000 * restart));
+        entry.update_view(limited_view(1, 2.0));
+        for _ in 0..10 {
+            sent += entry.send_all("stream").len();
+            entry.advance(99);
+        }
+    }
+
+    assert!((4..=8).contains(&sent), "{sent} requests in four seconds at a rate of 2");
+}
+
 /// Guards against an upstream that never receives a request again, so that the end of its limit
 /// goes unnoticed.
 #[test]
--- a/crates/hyssopfork-gateway/tests/gateway/slow_start.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/slow_start.rs
@@ -1,6 +1,7 @@
 //! Slow start of an upstream behind many entries.
 
 use crate::fixture::{self, Entry, arrival, at};
+use hyssopfork_fleet::view;
 use hyssopfork_gateway::{action, rendezvous, slow_start};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -8,13 +9,13 @@
 #[test]
 fn an_entry_sends_its_share_in_any_second() {
     let mut recent = slow_start::Sends::default();
-    for millis in [0, 100, 200] {
-        assert!(recent.has_room(at(millis), 3));
+    for millis in [5_000, 5_100, 5_200] {
+        assert!(recent.has_room(at(millis), 3, at(0)));
         recent.record(at(millis));
     }
 
-    assert!(!recent.has_room(at(900), 3));
-    assert!(recent.has_room(at(1_000), 3));
+    assert!(!recent.has_room(at(5_900), 3, at(0)));
+    assert!(recent.has_room(at(6_000), 3, at(0)));
 }
 
 #[test]
@@ -49,6 +50,72 @@
     assert!(sent.values().sum::<u32>() >= 80, "{sent:?}");
 }
 
+/// Two groups whose heads are cold.
+fn cold_view() -> view::Update {
+    let mut update = fixture::view();
+    for (_, upstream) in update.upstreams.iter_mut().take(2) {
+        upstream.as_mut().expect("the upstream exists").announcement.cold = Duration::from_secs(3);
+    }
+    update
+}
+
+/// Requests that a cold upstream bears in a second, with the tolerance of the platform.
+const MAX_COLD_REQUESTS: usize = 6 * 3 / 2 + 5;
+
+/// Guards against a process that restarts and spends its share of the second again.
+#[test]
+fn an_entry_that_restarts_does_not_send_its_share_again() {
+    let mut sent = Vec::new();
+    for restart in 0..5 {
+        let mut entry = Entry::started_at(0, at(1_000 + 200 * restart));
+        entry.update_view(cold_view());
+        for _ in 0..10 {
+            sent.extend(entry.send_all("stream"));
+            entry.advance(19);
+        }
+    }
+
+    for head in ["e1", "e2"].map(fixture::instance) {
+        let count = sent.iter().filter(|it| **it == head).count();
+        assert!(
+            (1..=MAX_COLD_REQUESTS).contains(&count),
+            "{head} got {count} requests in a second"
+        );
+    }
+}
+
+/// Guards against entries that start together and divide the rate among the few that each of them
+/// knows.
+#[test]
+fn entries_that_start_together_respect_the_rate_of_a_cold_upstream() {
+    let entries = (0..8).map(|number| {
+        let mut entry = Entry::started_at(number, at(1_000));
+        let own = (fixture::entry_address(number), Some(()));
+        entry.update_view(view::Update { entries: vec![own], ..cold_view() });
+        entry
+    });
+    let mut entries: Vec<Entry> = entries.collect();
+
+    let mut sent = Vec::new();
+    for step in 0..10 {
+        for entry in &mut entries {
+            if step == 3 {
+                entry.update_view(view::Update { entries: fixture::entries(8), ..cold_view() });
+            }
+            sent.extend(entry.send_all("stream"));
+            entry.advance(99);
+        }
+    }
+
+    for head in ["e1", "e2"].map(fixture::instance) {
+        let count = sent.iter().filter(|it| **it == head).count();
+        assert!(
+            (1..=MAX_COLD_REQUESTS).contains(&count),
+            "{head} got {count} requests in a second"
+        );
+    }
+}
+
 /// Guards against full load on an upstream that became cold again: only the leader knows of it.
 #[test]
 fn an_upstream_stays_cold_until_the_leader_says_otherwise() {
