edge: test the quarantine of parts with crashes for other reasons, a trial and a restart of all

What the incident with a prompt's part left untested, on real processes: - upstreams that crash in turn, three at once, and one again and again while requests with common parts run: nothing is quarantined - a part whose requests crash upstreams no more: a trial frees it - all processes killed at once: the ledger is lost, and the part is quarantined again within five crashes

--- a/crates/hyssopfork-daemon/tests/edge/crashing_upstream.rs
+++ b/crates/hyssopfork-daemon/tests/edge/crashing_upstream.rs
@@ -48,6 +48,10 @@
     stopped: AtomicBool,
     /// When crashing requests arrived.
     pub crashing_arrivals: Mutex<Vec<Instant>>,
+    /// Upstreams that are to crash whatever they run, by index.
+    pub crash_orders: Mutex<BTreeSet<usize>>,
+    /// Whether requests no longer crash upstreams.
+    pub is_mended: AtomicBool,
     /// When upstreams crashed.
     pub crashes: Mutex<Vec<Instant>>,
     /// Rate limit that each upstream names, in requests per second.
@@ -103,6 +107,12 @@
 }
 
 impl Process {
+    fn crash(&self, record: &Record) {
+        if !self.crashed.swap(true, Ordering::Relaxed) {
+            record.crashes.lock().expect("no thread panicked").push(Instant::now());
+        }
+    }
+
     fn has_ended(&self, record: &Record) -> bool {
         record.is_stopped() || self.crashed.load(Ordering::Relaxed)
     }
@@ -138,6 +148,10 @@
 fn accept(listener: &TcpListener, process: &Arc<Process>, record: &Arc<Record>) {
     listener.set_nonblocking(true).expect("the socket is open");
     while !process.has_ended(record) {
+        if record.crash_orders.lock().expect("no thread panicked").remove(&process.index) {
+            process.crash(record);
+            return;
+        }
         let Ok((stream, _)) = listener.accept() else {
             thread::sleep(ACCEPT_INTERVAL);
             continue;
@@ -172,6 +186,7 @@
     let mut writer = stream.try_clone().expect("the socket is open");
     let mut reader = BufReader::new(stream);
     while let Some(Request { identifier, is_crashing }) = receive(&mut reader) {
+        let is_crashing = is_crashing && !record.is_mended.load(Ordering::Relaxed);
         let (upstream, at) = (process.index, Instant::now());
         let arrival = Arrival { upstream, identifier: identifier.clone(), at };
         record.requests.lock().expect("no thread panicked").push(arrival.clone());
@@ -188,9 +203,7 @@
         }
         thread::sleep(RUN_TIME);
         if is_crashing {
-            if !process.crashed.swap(true, Ordering::Relaxed) {
-                record.crashes.lock().expect("no thread panicked").push(Instant::now());
-            }
+            process.crash(record);
             return;
         }
         let rate = *record.rate_limit.lock().expect("no thread panicked");
--- a/crates/hyssopfork-daemon/tests/edge/prompt_part.rs
+++ b/crates/hyssopfork-daemon/tests/edge/prompt_part.rs
@@ -1,6 +1,9 @@
 //! A part of prompts that crashes every upstream that runs a request with it.
 
 use crate::scenario;
+use rustix::process::Signal;
+use std::cell::Cell;
+use std::fs;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
@@ -35,6 +38,116 @@
     );
 }
 
+/// Log lines of all processes with this event.
+fn logged_lines(scenario: &scenario::Scenario, event: &str) -> Vec<String> {
+    let folders = fs::read_dir(scenario.fleet.folder()).expect("the folder exists");
+    let logs =
+        folders.filter_map(|folder| fs::read_to_string(folder.ok()?.path().join("log")).ok());
+    let name = format!("\"name\":\"{event}\"");
+    let lines = |log: String| -> Vec<String> {
+        log.lines().filter(|line| line.contains(&name)).map(str::to_owned).collect()
+    };
+    logs.flat_map(lines).collect()
+}
+
+/// Guards against a quarantine of parts that many requests have in common when upstreams crash for
+/// other reasons: in turn as in a release, several at once as in a lost zone, one again and again.
+#[test]
+fn crashes_for_other_reasons_quarantine_nothing() {
+    let order_count = Cell::new(0);
+    // Times in milliseconds, and upstreams that crash.
+    let orders: [(u64, &[usize]); 12] = [
+        (2_000, &[0]),
+        (2_600, &[1]),
+        (3_200, &[2]),
+        (3_800, &[3]),
+        (4_400, &[4]),
+        (5_000, &[5]),
+        (7_500, &[0, 3, 6]),
+        (10_000, &[1, 4, 7]),
+        (12_500, &[2]),
+        (14_500, &[2]),
+        (16_500, &[2]),
+        (18_500, &[2]),
+    ];
+
+    let scenario = scenario::Plan {
+        name: "prompt-part-none",
+        processes: 5,
+        duration: Duration::from_secs(21),
+        crashing_requests: scenario::CrashingRequests::None,
+    }
+    .run(|_, record, since| {
+        let next = orders.get(order_count.get()).filter(|(at, _)| since.as_millis() as u64 >= *at);
+        if let Some((_, upstreams)) = next {
+            record.crash_orders.lock().expect("no thread panicked").extend(*upstreams);
+            order_count.set(order_count.get() + 1);
+        }
+    });
+
+    let crash_count = scenario.record.crashes.lock().expect("no thread panicked").len();
+    assert_eq!(crash_count, orders.iter().map(|(_, upstreams)| upstreams.len()).sum::<usize>());
+    assert_eq!(logged_lines(&scenario, "Quarantined"), Vec::<String>::new());
+    let (sent, served) = scenario.clients.counts();
+    assert!(served * 100 >= sent * 98, "{served} of {sent} requests were served");
+}
+
+/// Guards against a part that stays quarantined although requests with it crash upstreams no more.
+#[test]
+fn a_trial_frees_a_part_that_no_longer_crashes_upstreams() {
+    let scenario = scenario::Plan {
+        name: "prompt-part-freed",
+        processes: 5,
+        duration: Duration::from_secs(26),
+        crashing_requests: scenario::CrashingRequests::WithPart { position: 1 },
+    }
+    .run(|_, record, since| {
+        record.is_mended.store(since >= Duration::from_secs(6), Ordering::Relaxed);
+    });
+
+    assert_ne!(logged_lines(&scenario, "Quarantined"), Vec::<String>::new());
+    let responses = scenario.crashing_responses.lock().expect("no thread panicked");
+    let statuses: Vec<u16> = responses.iter().map(|response| response.status).collect();
+    let served_last = statuses.iter().rev().take_while(|status| **status == 200).count();
+    assert!(statuses.contains(&503), "no request with the part was rejected");
+    assert!(served_last >= 30, "the last {served_last} of {} were served", statuses.len());
+}
+
+/// Guards against crashes without end after all processes have lost what they knew of a part at once.
+#[test]
+fn a_part_is_quarantined_again_after_all_processes_restart() {
+    let killed_at = Cell::new(None);
+
+    let scenario = scenario::Plan {
+        name: "prompt-part-again",
+        processes: 5,
+        duration: Duration::from_secs(20),
+        crashing_requests: scenario::CrashingRequests::WithPart { position: 1 },
+    }
+    .run(|fleet, _, since| {
+        if killed_at.get().is_none() && since >= Duration::from_secs(6) {
+            killed_at.set(Some(Instant::now()));
+            (0..fleet.nodes.len()).for_each(|index| fleet.signal(index, Signal::KILL));
+            (0..fleet.nodes.len()).for_each(|index| fleet.wait_for_exit(index));
+            (0..fleet.nodes.len()).for_each(|index| fleet.start_node(index, false));
+        }
+    });
+
+    let killed_at = killed_at.get().expect("the processes were killed");
+    let crashes = scenario.record.crashes.lock().expect("no thread panicked").clone();
+    let later: Vec<Instant> = crashes.into_iter().filter(|at| *at > killed_at).collect();
+    let arrivals = scenario.record.crashing_arrivals.lock().expect("no thread panicked");
+    let known = later.get(MAX_CRASHES - 1).or(later.last()).copied().unwrap_or(killed_at);
+    let count = arrivals.iter().filter(|at| **at > known + PROPAGATION_TIME).count();
+    let logs = scenario.fleet.folder().display();
+    assert!(
+        count <= MAX_LATER_ARRIVALS,
+        "{count} requests with the part reached upstreams later than {PROPAGATION_TIME:?} after crash \
+         {MAX_CRASHES} of {} since the restart; logs in {logs}",
+        later.len(),
+    );
+}
+
 /// Guards against requests that crash one upstream after the other because each of them is judged by
 /// its whole content, although all have one part of their prompts in common.
 #[test]
