gateway: divide the retry budget's extra among no more entries than it has retries

Found by reading the bound: each entry's bucket held at least one retry, so that 380 entries at an extra of 160 could exceed the budget by 380. Buckets and what a window may hold at once now add up to the extra for any number of entries: the latter is half of what the buckets leave, and where there are more entries than retries, those of the last ranks have an empty bucket.

For the fleets of today it changes less than 0.5 retries an entry.

--- a/crates/hyssopfork-gateway/src/core.rs
+++ b/crates/hyssopfork-gateway/src/core.rs
@@ -52,6 +52,8 @@
     members: fleet_limit::Members,
     /// Numbers of entries that the rates of upstreams were last divided by, for windows of each length.
     rate_divisors: [usize; 3],
+    /// Rank of this entry among those that the retry budget is divided among.
+    retry_rank: usize,
     retry_budgets: BTreeMap<name::Pool, retry_budget::Budget>,
     move_buckets: BTreeMap<name::Pool, moves::Bucket>,
     pauses: pause::Pauses,
@@ -96,6 +98,7 @@
             targets: BTreeMap::new(),
             members: fleet_limit::Members::new(now, max_window),
             rate_divisors: [1; 3],
+            retry_rank: 0,
             retry_budgets: BTreeMap::new(),
             move_buckets: BTreeMap::new(),
             pauses: pause::Pauses::default(),
--- a/crates/hyssopfork-gateway/src/core/fleet_view.rs
+++ b/crates/hyssopfork-gateway/src/core/fleet_view.rs
@@ -17,6 +17,9 @@
 /// leader answers; a change is in force everywhere two seconds after its acknowledgement.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(1_500);
 
+/// Key of the order of the entries in which the retry budget is divided.
+const RETRY_BUDGET_KEY: &[u8] = b"retry budget";
+
 impl Core {
     /// Whether a newer declaration than the local one may be in force. A client must not be told
     /// that something doesn't exist because the local declaration lacks it.
@@ -92,6 +95,8 @@
             changed.extend(self.upstreams.keys().chain(self.targets.keys()).cloned());
         }
         if entries_changed {
+            let address = self.settings.address;
+            self.retry_rank = rendezvous::rank(address, self.entries.keys(), RETRY_BUDGET_KEY);
             changed.extend(self.targets.keys().cloned());
         }
         self.rebuild_targets(&changed);
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -220,6 +220,7 @@
             settings.retry_extra,
             settings.retry_window,
             &self.members,
+            self.retry_rank,
             self.now,
         )
     }
--- a/crates/hyssopfork-gateway/src/retry_budget.rs
+++ b/crates/hyssopfork-gateway/src/retry_budget.rs
@@ -11,8 +11,8 @@
 //!
 //! Invariant: an entry spends at most [`EARNED_RATIO`] of the share of its requests since it started,
 //! a bucket of at most [`MAX_BURST`], and per window [`BURST_RATIO`] of the share of the requests in
-//! it and its share of [`EXTRA_RATIO`] of the extra. The sum for all entries stays within the budget
-//! even if each of them is replaced, and its requests go to others, once it has spent all of it.
+//! it and its share of half of the extra that the buckets leave. The sum for all entries stays within the
+//! budget even if each of them is replaced, and its requests go to others, once it has spent all of it.
 
 use crate::fleet_limit;
 use hyssopfork_wire::clock;
@@ -26,11 +26,12 @@
 /// this part is 1: the requests of an entry that is lost are counted by another one again.
 const BURST_RATIO: f64 = 0.1;
 
-/// Part of the extra that the window may hold at once. Twice this part and [`BUCKET_EXTRA_RATIO`] are 1:
-/// a process that replaces another one accrues its share again within the window.
-const EXTRA_RATIO: f64 = 0.4;
+/// Part of the extra that a window may hold at once, of what the buckets leave: a process that replaces
+/// another one accrues its share again within the window.
+const EXTRA_RATIO: f64 = 0.5;
 
-/// Part of the extra that the buckets of all entries may hold together.
+/// Part of the extra that the buckets of all entries hold together, where that is at least one retry
+/// each.
 const BUCKET_EXTRA_RATIO: f64 = 0.2;
 
 /// Lower and upper bound of the retries that a bucket may hold.
@@ -86,6 +87,9 @@
     pub window: Duration,
     /// Number of entries that the extra is divided among.
     pub entries: usize,
+    /// Rank of this entry among them. If there are more of them than the extra has retries, those of
+    /// the last ranks have an empty bucket.
+    pub rank: usize,
     /// Part of this entry's share of the extra that has accrued, from 0 to 1.
     pub accrued: f64,
 }
@@ -97,20 +101,28 @@
         retry_extra: f64,
         window: Duration,
         members: &fleet_limit::Members,
+        rank: usize,
         now: clock::Instant,
     ) -> Policy {
         let (entries, accrued) = (members.divisor(now, window), members.accrued(now, window));
-        Policy { retry_ratio, retry_extra, window, entries, accrued }
+        Policy { retry_ratio, retry_extra, window, entries, rank, accrued }
     }
 
-    /// This entry's share of the extra.
-    fn extra_share(self) -> f64 {
-        self.retry_extra / self.entries as f64
+    /// Most retries that the bucket may hold.
+    pub fn max_tokens(self) -> f64 {
+        if self.rank as f64 + MIN_BURST > self.retry_extra {
+            return 0.0;
+        }
+        let share = self.retry_extra / self.entries as f64;
+        (share * BUCKET_EXTRA_RATIO).clamp(MIN_BURST, MAX_BURST)
     }
 
-    /// Most retries that the bucket may hold.
-    fn max_tokens(self) -> f64 {
-        (self.extra_share() * BUCKET_EXTRA_RATIO).clamp(MIN_BURST, MAX_BURST)
+    /// Most retries from the extra that a window may hold at once.
+    pub fn extra_share(self) -> f64 {
+        let entries = self.entries as f64;
+        let share = self.retry_extra / entries;
+        let bucket = (share * BUCKET_EXTRA_RATIO).clamp(MIN_BURST, MAX_BURST);
+        (share - bucket).max(0.0) * EXTRA_RATIO
     }
 }
 
@@ -257,7 +269,7 @@
         let requests: u32 = self.buckets_within(now, window).map(|bucket| bucket.requests).sum();
         let of_requests =
             if is_whole { f64::from(requests) * policy.retry_ratio * BURST_RATIO } else { 0.0 };
-        of_requests + policy.extra_share() * EXTRA_RATIO * policy.accrued
+        of_requests + policy.extra_share() * policy.accrued
     }
 
     /// Retries within the window that count against what it may hold at once.
