--- a/crates/hyssopfork-gateway/src/retry_budget.rs
+++ b/crates/hyssopfork-gateway/src/retry_budget.rs
@@ -41,17 +41,17 @@
 /// Part of what the window may hold at once that is left to retries of high priority.
 const RESERVED_RATIO: f64 = 0.5;
 
-/// Length of the buckets that a window is divided into.
-const BUCKET_LENGTH: Duration = Duration::from_millis(500);
+/// Length of the intervals that a window is divided into.
+const INTERVAL_LENGTH: Duration = Duration::from_millis(500);
 
 /// Shortest interval between two logged denials.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Copy, Debug)]
-struct Bucket {
+struct Interval {
     start: clock::Instant,
     requests: u32,
-    /// Retries that were earned.
+    /// Retries from the bucket.
     earned_retries: u32,
     /// Retries that count against what the window may hold at once.
     burst_retries: u32,
@@ -145,8 +145,8 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     started_at: clock::Instant,
-    buckets: VecDeque<Bucket>,
-    /// Retries that were earned and not granted.
+    intervals: VecDeque<Interval>,
+    /// Content of the bucket: retries that were earned and not granted.
     tokens: f64,
     /// Grants that are neither used nor returned.
     pending_earned: u32,
@@ -161,7 +161,7 @@
     pub fn new(started_at: clock::Instant) -> Budget {
         Budget {
             started_at,
-            buckets: VecDeque::new(),
+            intervals: VecDeque::new(),
             tokens: 0.0,
             pending_earned: 0,
             pending_burst: 0,
@@ -173,7 +173,7 @@
 
     /// Counts the first attempt of a request.
     pub fn count_request(&mut self, now: clock::Instant, policy: Policy) {
-        self.current_bucket(now, policy).requests += 1;
+        self.current_interval(now, policy).requests += 1;
         self.add_tokens(policy.retry_ratio * EARNED_RATIO, policy);
     }
 
@@ -184,7 +184,7 @@
         policy: Policy,
         priority: Priority,
     ) -> Option<Grant> {
-        self.current_bucket(now, policy);
+        self.current_interval(now, policy);
         self.add_tokens(0.0, policy);
         let grant = if self.tokens >= 1.0 {
             self.tokens -= 1.0;
@@ -208,11 +208,11 @@
         match grant {
             Grant::Earned => {
                 self.pending_earned = self.pending_earned.saturating_sub(1);
-                self.current_bucket(now, policy).earned_retries += 1;
+                self.current_interval(now, policy).earned_retries += 1;
             }
             Grant::Burst => {
                 self.pending_burst = self.pending_burst.saturating_sub(1);
-                self.current_bucket(now, policy).burst_retries += 1;
+                self.current_interval(now, policy).burst_retries += 1;
             }
         }
     }
@@ -230,9 +230,9 @@
 
     /// What has been counted and is allowed at `now`.
     pub fn usage(&self, now: clock::Instant, policy: Policy) -> Usage {
-        let buckets = self.buckets_within(now, policy.window + BUCKET_LENGTH);
-        let (requests, earned) = buckets.fold((0, 0), |(requests, earned), bucket| {
-            (requests + bucket.requests, earned + bucket.earned_retries)
+        let intervals = self.intervals_within(now, policy.window + INTERVAL_LENGTH);
+        let (requests, earned) = intervals.fold((0, 0), |(requests, earned), interval| {
+            (requests + interval.requests, earned + interval.earned_retries)
         });
         let burst = self.burst_retries(now, policy);
         let earned = earned + self.pending_earned;
@@ -265,8 +265,9 @@
         // A process that started within the window doesn't know what an earlier one on its machine
         // has spent.
         let is_whole = now.since(self.started_at) >= policy.window;
-        let window = policy.window.saturating_sub(BUCKET_LENGTH);
-        let requests: u32 = self.buckets_within(now, window).map(|bucket| bucket.requests).sum();
+        let window = policy.window.saturating_sub(INTERVAL_LENGTH);
+        let requests: u32 =
+            self.intervals_within(now, window).map(|interval| interval.requests).sum();
         let of_requests =
             if is_whole { f64::from(requests) * policy.retry_ratio * BURST_RATIO } else { 0.0 };
         of_requests + policy.extra_share() * policy.accrued
@@ -274,13 +275,17 @@
 
     /// Retries within the window that count against what it may hold at once.
     fn burst_retries(&self, now: clock::Instant, policy: Policy) -> u32 {
-        let buckets = self.buckets_within(now, policy.window + BUCKET_LENGTH);
-        self.pending_burst + buckets.map(|bucket| bucket.burst_retries).sum::<u32>()
+        let intervals = self.intervals_within(now, policy.window + INTERVAL_LENGTH);
+        self.pending_burst + intervals.map(|interval| interval.burst_retries).sum::<u32>()
     }
 
-    /// Buckets that began at most `age` before `now`.
-    fn buckets_within(&self, now: clock::Instant, age: Duration) -> impl Iterator<Item = &Bucket> {
-        self.buckets.iter().filter(move |bucket| now.since(bucket.start) <= age)
+    /// Intervals that began at most `age` before `now`.
+    fn intervals_within(
+        &self,
+        now: clock::Instant,
+        age: Duration,
+    ) -> impl Iterator<Item = &Interval> {
+        self.intervals.iter().filter(move |interval| now.since(interval.start) <= age)
     }
 
     fn add_tokens(&mut self, tokens: f64, policy: Policy) {
@@ -288,22 +293,22 @@
         self.tokens = (self.tokens + tokens).min(max_tokens.max(0.0));
     }
 
-    fn current_bucket(&mut self, now: clock::Instant, policy: Policy) -> &mut Bucket {
+    fn current_interval(&mut self, now: clock::Instant, policy: Policy) -> &mut Interval {
         while self
-            .buckets
+            .intervals
             .front()
-            .is_some_and(|it| now.since(it.start) > policy.window + BUCKET_LENGTH)
+            .is_some_and(|it| now.since(it.start) > policy.window + INTERVAL_LENGTH)
         {
-            self.buckets.pop_front();
+            self.intervals.pop_front();
         }
-        if self.buckets.back().is_none_or(|it| now.since(it.start) >= BUCKET_LENGTH) {
-            self.buckets.push_back(Bucket {
+        if self.intervals.back().is_none_or(|it| now.since(it.start) >= INTERVAL_LENGTH) {
+            self.intervals.push_back(Interval {
                 start: now,
                 requests: 0,
                 earned_retries: 0,
                 burst_retries: 0,
             });
         }
-        self.buckets.back_mut().expect("a bucket was just added")
+        self.intervals.back_mut().expect("an interval was just added")
     }
 }
