fleet: return requests to quarantine when the part that explained them is released

A part now keeps the records that it explained, and its release puts them back unless they are quarantined anew. The unit test failed before (None for the request's verdict).

--- a/crates/hyssopfork-fleet/src/quarantine.rs
+++ b/crates/hyssopfork-fleet/src/quarantine.rs
@@ -6,6 +6,9 @@
 //! was in flight at [`CRASHES_TO_QUARANTINE`] crashes. A part needs as many crashes under different
 //! requests, and more crashes than any other part or [`CRASHES_TO_QUARANTINE_ALL`].
 //!
+//! A quarantined part explains the crashes of requests that were quarantined for them, and frees these; its
+//! release returns them to quarantine.
+//!
 //! A cause may have been in flight by coincidence, so entries let a trial attempt through after a
 //! backoff that grows with each trial; an attempt that completes ends the quarantine. The leader keeps
 //! the ledger in memory. A new leader takes it over from its followers, and a restart of all processes
@@ -15,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::mem;
 use std::time::Duration;
 
 /// Crashes after which a cause is quarantined.
@@ -213,6 +217,9 @@
     /// round.
     due_at: clock::Instant,
     last_crash: clock::Instant,
+    /// Requests that this quarantined part freed, as they were; they return to quarantine if the part
+    /// is released.
+    explained: Vec<(Cause, Record)>,
 }
 
 impl Record {
@@ -225,6 +232,7 @@
             quarantined_at: now,
             due_at: now,
             last_crash: now,
+            explained: Vec::new(),
         }
     }
 
@@ -306,7 +314,7 @@
         self.crashes.retain(|_, crash| crash.end > at);
         self.inherited = 0;
         self.ignored_until = self.ignored_until.max(Some(at));
-        std::mem::take(&mut self.round) > 0
+        mem::take(&mut self.round) > 0
     }
 
     fn is_expired(&self, now: clock::Instant) -> bool {
@@ -461,15 +469,19 @@
             let is_explained = !record.crashes.is_empty()
                 && record.crashes.keys().all(|process| crashes.contains(process));
             if matches!(cause, Cause::Request(_)) && record.round == 1 && is_explained {
+                freed.push((*cause, record.clone()));
                 record.round = 0;
                 record.crashes.clear();
-                freed.push(*cause);
             }
         }
+        let causes: Vec<Cause> = freed.iter().map(|(cause, _)| *cause).collect();
+        if let Some(record) = self.records.get_mut(&part) {
+            record.explained = freed;
+        }
         for process in &crashes {
             self.attribute(now, process, part);
         }
-        for cause in freed {
+        for cause in causes {
             self.publish(&cause);
         }
     }
@@ -478,7 +490,15 @@
     pub fn record_completion(&mut self, now: clock::Instant, completion: &Completion) -> bool {
         let Some(record) = self.records.get_mut(&completion.cause) else { return false };
         let ended = record.record_completion(now - completion.age);
+        let explained = if ended { mem::take(&mut record.explained) } else { Vec::new() };
         self.publish(&completion.cause);
+        for (cause, record) in explained {
+            if !self.records.get(&cause).is_some_and(Record::is_quarantined) {
+                self.records.insert(cause, record);
+                self.publish(&cause);
+            }
+        }
+        self.evict_excess();
         ended
     }
 
--- a/crates/hyssopfork-fleet/tests/fleet/quarantine.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/quarantine.rs
@@ -346,6 +346,25 @@
     assert_eq!((before, verdict(&ledger, HARMLESS)), (ROUND_1, None));
 }
 
+/// Guards against a request that crashes upstreams again because a part that others share was
+/// quarantined in its place, and released when one of these completed.
+#[test]
+fn a_released_part_returns_its_requests_to_quarantine() {
+    let mut ledger = Ledger::default();
+    let beside_another = |upstream: u64| {
+        let mut crash = crash_with_parts(upstream, &[&[7]]);
+        crash.requests.push(Request { fingerprint: request(CRASHING), parts: vec![Part(7)] });
+        crash
+    };
+    record_crashes(&mut ledger, &[1, 2, 3].map(beside_another));
+    let before = (part_verdict(&ledger, 7), verdict(&ledger, CRASHING));
+
+    ledger.record_completion(at(3_000), &part_completion(7));
+
+    assert_eq!(before, (ROUND_1, None));
+    assert_eq!((part_verdict(&ledger, 7), verdict(&ledger, CRASHING)), (None, ROUND_1));
+}
+
 /// Guards against several trials in one round, each by another entry, while the first one runs.
 #[test]
 fn a_trial_begins_the_next_round() {
