test-support: wait for bytes that must arrive longer than for silence

That time is how long a connection must stay silent, and was the timeout of bytes that must arrive as well.

Silence is still required for 150 ms, and each byte that must arrive still has to.

--- a/crates/hyssopfork-test-support/tests/relay.rs
+++ b/crates/hyssopfork-test-support/tests/relay.rs
@@ -7,7 +7,10 @@
 use std::time::Duration;
 
 /// Time without bytes after which a connection counts as silent.
-const READ_TIMEOUT: Duration = Duration::from_millis(150);
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Timeout of bytes that must arrive.
+const READ_TIMEOUT: Duration = Duration::from_secs(20);
 
 fn echo_target() -> SocketAddr {
     let listener = http::free_listener().expect("a free port");
@@ -38,6 +41,12 @@
     Ok(byte[0])
 }
 
+/// Sends a byte that must not come back.
+fn echo_error(stream: &mut TcpStream) -> std::io::Error {
+    stream.set_read_timeout(Some(SILENCE_TIMEOUT)).expect("the timeout can be set");
+    echo(stream).expect_err("no byte comes back")
+}
+
 #[test]
 fn bytes_are_forwarded_in_both_directions() {
     let relay = relay::Relay::start(echo_target()).expect("the relay starts");
@@ -70,7 +79,7 @@
     relay.blackhole_connections();
     relay.heal();
 
-    let error = echo(&mut stream).expect_err("no byte comes back");
+    let error = echo_error(&mut stream);
     assert!(matches!(error.kind(), std::io::ErrorKind::WouldBlock), "{error}");
     assert!(echo(&mut connect(&relay)).is_ok());
 }
@@ -81,7 +90,7 @@
     let mut stream = connect(&relay);
     echo(&mut stream).expect("echoed");
     relay.pause();
-    echo(&mut stream).expect_err("no byte comes back");
+    echo_error(&mut stream);
 
     relay.heal();
 
