--- a/crates/hyssopfork-gateway/src/fleet_limit.rs
+++ b/crates/hyssopfork-gateway/src/fleet_limit.rs
@@ -10,8 +10,8 @@
 //!   process that replaces another one then adds no more than the time that it runs.
 //!
 //! Limits on the rate of one upstream ([`slow_start`], [`rate_limit`]) are divided and accrue in the
-//! same way, but from the start of the process and without confirmation: an entry without a share
-//! would leave the upstream to nobody while no leader answers.
+//! same way, but from the start of the process and without confirmation: otherwise the
+//! upstream would receive no requests while no leader answers.
 //!
 //! [`slow_start`]: crate::slow_start
 //! [`rate_limit`]: crate::rate_limit
--- a/crates/hyssopfork-test-support/tests/relay.rs
+++ b/crates/hyssopfork-test-support/tests/relay.rs
@@ -41,7 +41,7 @@
     Ok(byte[0])
 }
 
-/// Sends a byte that must not come back.
+/// Sends a byte and returns the error of reading it back within the silence timeout.
 fn echo_error(stream: &mut TcpStream) -> std::io::Error {
     stream.set_read_timeout(Some(SILENCE_TIMEOUT)).expect("the timeout can be set");
     echo(stream).expect_err("no byte comes back")
