edge: give the test of simultaneous pauses a load that needs all upstreams

Cause, from a trace of requests by entry and upstream with the entry's rank for each upstream (6 runs at once): in each run all 40 pairs of entry and upstream had been rejected and paused, and after the pauses each entry sent its 36 requests to the one to three upstreams that it ranks first. Ranks come from the ports, so that some entries rank several upstreams first and others none; among equal ranks the first by name is taken. An entry with five first ranks used two of them (24 and 12 requests). The upstreams without a request were those, and each had been usable.

Ruled out: pauses that don't end (the pairs that were used again include each rank-0 upstream that the load reached), a trial that keeps an upstream unhealthy (the missing ones had no trial in flight).

Change: the check stays; the load makes it independent of ranks. Each upstream announces 4 slots and 30 requests are in flight, 2 more than seven upstreams take. The check of requests in a pause now holds under five times the load.

--- a/crates/hyssopfork-daemon/tests/edge/crashing_upstream.rs
+++ b/crates/hyssopfork-daemon/tests/edge/crashing_upstream.rs
@@ -25,6 +25,9 @@
 /// Distance, in tenths, between the positions of consecutive requests.
 const FAILURE_STRIDE: usize = 7;
 
+/// Concurrent requests that an upstream announces unless a test sets another number.
+pub const DEFAULT_SLOTS: usize = 16;
+
 /// Interval between announcements.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -46,6 +49,8 @@
 #[derive(Debug, Default)]
 pub struct Record {
     stopped: AtomicBool,
+    /// Concurrent requests that each upstream announces; `None` for [`DEFAULT_SLOTS`].
+    slots: Option<usize>,
     /// When crashing requests arrived.
     pub crashing_arrivals: Mutex<Vec<Instant>>,
     /// Upstreams that are to crash whatever they run, by index.
@@ -75,6 +80,11 @@
 }
 
 impl Record {
+    /// Record of upstreams that announce this number of concurrent requests.
+    pub fn with_slots(slots: usize) -> Record {
+        Record { slots: Some(slots), ..Record::default() }
+    }
+
     /// Stops the upstreams.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::Relaxed);
@@ -167,12 +177,13 @@
 fn announce(process: &Process, record: &Record, control: &[SocketAddr]) {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("the clock is set");
     let born = now.as_millis();
+    let slots = record.slots.unwrap_or(DEFAULT_SLOTS);
     for sequence in 1.. {
         if process.has_ended(record) {
             return;
         }
         let body = format!(
-            r#"{{"Service":"s1","Address":"{}","Zone":"z1","Slots":16,"State":"ready","Sequence":{sequence},"born":{born}}}"#,
+            r#"{{"Service":"s1","Address":"{}","Zone":"z1","Slots":{slots},"State":"ready","Sequence":{sequence},"born":{born}}}"#,
             process.address
         );
         let path = format!("/instances/{}", process.instance);
--- a/crates/hyssopfork-daemon/tests/edge/pause.rs
+++ b/crates/hyssopfork-daemon/tests/edge/pause.rs
@@ -45,8 +45,11 @@
     }
 }
 
+/// Load that seven of eight upstreams can't take.
+const FULL_LOAD: scenario::Load = scenario::Load { clients: 30, slots: 4 };
+
 /// Runs clients for two periods while these upstreams reject requests.
-fn run(name: &'static str, rejecting: &[usize]) -> scenario::Scenario {
+fn run(name: &'static str, load: scenario::Load, rejecting: &[usize]) -> scenario::Scenario {
     let reject = |_: &mut fleet::Fleet, record: &crashing_upstream::Record, since: Duration| {
         reject_periodically(record, rejecting, since);
     };
@@ -56,14 +59,14 @@
         duration: PERIOD * 2,
         crashing_requests: scenario::CrashingRequests::None,
     };
-    plan.run(reject)
+    plan.run_with_load(load, reject)
 }
 
 /// Guards against an entry that keeps sending requests to an upstream that has asked it for a pause,
 /// and ends requests without a response although other upstreams have capacity.
 #[test]
 fn an_upstream_receives_no_requests_in_a_pause_that_it_asked_for() {
-    let scenario = run("pause", &[2, 5]);
+    let scenario = run("pause", scenario::Load::LIGHT, &[2, 5]);
 
     let received = max_requests_in_pause(&scenario.record);
     assert!(received <= MAX_REQUESTS, "{received} requests in one pause, {MAX_REQUESTS} allowed");
@@ -82,7 +85,7 @@
 fn all_upstreams_may_pause_at_once() {
     let everyone: Vec<usize> = (0..scenario::UPSTREAM_COUNT).collect();
 
-    let scenario = run("pause-all", &everyone);
+    let scenario = run("pause-all", FULL_LOAD, &everyone);
 
     let received = max_requests_in_pause(&scenario.record);
     assert!(received <= MAX_REQUESTS, "{received} requests in one pause, {MAX_REQUESTS} allowed");
--- a/crates/hyssopfork-daemon/tests/edge/scenario.rs
+++ b/crates/hyssopfork-daemon/tests/edge/scenario.rs
@@ -14,9 +14,23 @@
 /// Number of upstreams.
 pub const UPSTREAM_COUNT: usize = 8;
 
-/// Number of clients, each of which has one request in flight.
+/// Number of clients of a light load, each of which has one request in flight.
 pub const CLIENT_COUNT: usize = 6;
 
+/// Load of the upstreams.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    /// Number of clients, each of which has one request in flight.
+    pub clients: usize,
+    /// Concurrent requests that each upstream announces.
+    pub slots: usize,
+}
+
+impl Load {
+    /// A few requests at each upstream.
+    pub const LIGHT: Load = Load { clients: CLIENT_COUNT, slots: crashing_upstream::DEFAULT_SLOTS };
+}
+
 /// Declaration of one route to one pool.
 pub const DECLARATION: &str = r#"{"Version":3,
  "Routes":[{"Name":"r1","Host":"host","PathPrefix":"/check/","Kind":"idempotent","TimeoutMs":2000,
@@ -139,10 +153,20 @@
 }
 
 impl Plan {
-    /// Runs the scenario. Calls `step` every 100 ms with the time since the first call.
+    /// Runs the scenario under a light load. Calls `step` every 100 ms with the time since the first
+    /// call.
     pub fn run(
         self,
         step: impl Fn(&mut fleet::Fleet, &crashing_upstream::Record, Duration),
+    ) -> Scenario {
+        self.run_with_load(Load::LIGHT, step)
+    }
+
+    /// Runs the scenario like [`Plan::run`], under this load.
+    pub fn run_with_load(
+        self,
+        load: Load,
+        step: impl Fn(&mut fleet::Fleet, &crashing_upstream::Record, Duration),
     ) -> Scenario {
         let mut fleet = fleet::Fleet::start(self.name, 3, self.processes - 3);
         let control: Vec<SocketAddr> =
@@ -151,7 +175,7 @@
         let declare = support::request("PUT", "/configuration", "", DECLARATION);
         fleet::Fleet::call_until_ok(&control, &declare, 100)
             .expect("the declaration is acknowledged");
-        let record = Arc::<crashing_upstream::Record>::default();
+        let record = Arc::new(crashing_upstream::Record::with_slots(load.slots));
         let port = support::free_port();
         let (clients, responses) = (Clients::default(), Mutex::default());
         thread::scope(|scope| {
@@ -161,7 +185,7 @@
                 scope.spawn(move || crashing_upstream::run(record, index, port, control));
             }
             entries.iter().copied().for_each(wait_until_served);
-            for client in 0..CLIENT_COUNT {
+            for client in 0..load.clients {
                 scope.spawn(move || clients.send(record, client, entries));
             }
             let started = Instant::now();
