fleet: end recovered groups by what their members announce, not by time

What callers saw: after all processes of the whole fleet were killed, 64 of 120 groups that served were ended 2.8 s after the next leader began, 109 answers were cut and 273 attempts failed in that second.

Cause: a new leader without state took over the groups of which it had not heard every member within STARTUP_GRACE_PERIOD as leaving. With 30 engines all have called by then; with 760 engines and 127 processes that all start they have not. Elapsed time stood in for evidence.

Change: an open head is evidence enough; its group is adopted as serving at once, and members are added as they announce themselves. A group that the head is closing goes on closing. Members of other groups leave when their head says that it is broken, has called twice and is not open, when this leader ended the epoch, or when each known member has called eight times after the fleet was known and the head never has. A group that lacks members ends early only if it is also stalled. The same constant held back plans that follow demand and the closing of groups for other models: both now wait until no upstream has called for a silence timeout that the leader did not know (event 5036), which grows with the time that calls take.

Tests: announcements of 1,000 and 3,000 engines in random order, a fifth of the calls lost, the others up to 2.5 s late, played into a leader without network. On the code before, three of the five fail (engines of serving groups are ordered to leave; a closing group is aborted).

--- a/crates/hyssopfork-fleet/src/declaration.rs
+++ b/crates/hyssopfork-fleet/src/declaration.rs
@@ -227,6 +227,13 @@
         faults
     }
 
+    /// Number of members of a group of the model; `None` if the model is not declared.
+    pub fn group_size(&self, pool: &name::Pool, model: &name::Model) -> Option<usize> {
+        let engine = self.pools.get(pool)?.engine.as_ref()?;
+        let declared = engine.models.iter().find(|declared| declared.name == *model)?;
+        Some(declared.size as usize)
+    }
+
     /// Pools whose upstreams serve in groups.
     pub fn engines(&self) -> impl Iterator<Item = (&name::Pool, &Engine)> {
         self.pools.iter().filter_map(|(name, pool)| Some((name, pool.engine.as_ref()?)))
--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -42,10 +42,6 @@
 /// stays for its group's requests for ten seconds at most.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(8);
 
-/// Time within which every upstream has announced itself to a leader that started without state: two
-/// heartbeats of the usual interval, one of which may be lost.
-const STARTUP_GRACE_PERIOD: Duration = Duration::from_millis(2_800);
-
 /// Bits of an epoch that count the groups formed by one leader; the bits above hold its term.
 const EPOCH_COUNTER_BITS: u32 = 24;
 
@@ -80,10 +76,12 @@
     ///
     /// Invariant: contains the members of `groups` and no other instances.
     group_by_member: BTreeMap<name::Instance, name::Group>,
-    /// Open groups whose members have not all announced themselves to this leader since it started.
-    provisional: BTreeMap<name::Group, view::Group>,
+    /// Calls of the members of groups of which this leader has not heard all members.
+    member_calls: BTreeMap<name::Group, recovery::Calls>,
     /// Epochs that this leader has ended before it ordered their groups to open.
     ended_epochs: BTreeSet<u64>,
+    /// Epochs whose members have left or were lost under this leader.
+    left_epochs: BTreeSet<u64>,
     /// Engines that have left an epoch, with their last announcement that may predate that. A later
     /// announcement that shows them as members is valid: a delayed order to join has put them back.
     left_members: BTreeMap<(u64, name::Instance), reports::Position>,
@@ -93,6 +91,8 @@
     term: number::Term,
     formed_count: u64,
     started_at: clock::Instant,
+    /// Whether this leader knows the fleet. Until then it takes no group for surplus.
+    is_fleet_known: bool,
     /// Whether clients have started to send requests; until then, loads of weights have the weight
     /// store to themselves.
     has_traffic: bool,
@@ -120,13 +120,15 @@
         Groups {
             groups: BTreeMap::new(),
             group_by_member: BTreeMap::new(),
-            provisional: BTreeMap::new(),
+            member_calls: BTreeMap::new(),
             ended_epochs: BTreeSet::new(),
+            left_epochs: BTreeSet::new(),
             left_members: BTreeMap::new(),
             adopted_epochs: BTreeSet::new(),
             term,
             formed_count: 0,
             started_at: now,
+            is_fleet_known: false,
             has_traffic: traffic,
             failure_detector: failure_detector::Detector::default(),
             reports: reports::Reports::default(),
@@ -146,8 +148,7 @@
 
     /// The groups as they are published to followers.
     pub fn to_views(&self) -> BTreeMap<name::Group, view::Group> {
-        let formed = self.groups.iter().map(|(name, group)| (name.clone(), group.to_view()));
-        formed.chain(self.provisional.clone()).collect()
+        self.groups.iter().map(|(name, group)| (name.clone(), group.to_view())).collect()
     }
 
     /// Takes over the plans of an earlier leader.
@@ -341,6 +342,7 @@
         peers: &BTreeSet<net::SocketAddr>,
         out: &BTreeSet<name::Zone>,
     ) -> Vec<Command> {
+        self.update_fleet_known(now, registry);
         self.probe_suspects(now, registry, peers);
         self.recover_groups(now, registry, declaration);
         self.advance_groups(now, registry);
@@ -417,6 +419,8 @@
         if let Some(group) = self.remove_group(name) {
             if group.phase.is_reserve() || group.phase == Phase::Joining {
                 self.ended_epochs.insert(group.epoch);
+            } else {
+                self.left_epochs.insert(group.epoch);
             }
             self.push_notice(notice::Notice::Ended(name.clone()));
         }
@@ -435,9 +439,20 @@
             || self.ended_epochs.contains(&membership.epoch) && !serves
     }
 
-    /// Whether every upstream has had the time to announce itself to this leader.
-    fn is_startup_complete(&self, now: clock::Instant) -> bool {
-        now.since(self.started_at) >= STARTUP_GRACE_PERIOD
+    /// Whether this leader knows the fleet: for the silence timeout, no upstream has called that it did
+    /// not know.
+    pub fn is_fleet_known(&self) -> bool {
+        self.is_fleet_known
+    }
+
+    fn update_fleet_known(&mut self, now: clock::Instant, registry: &registry::Registry) {
+        let since = registry.last_new_at().unwrap_or(self.started_at).max(self.started_at);
+        if !self.is_fleet_known && now.since(since) >= registry.silence_timeout() {
+            self.is_fleet_known = true;
+            let (upstreams, groups) = (registry.len(), self.groups.len());
+            let after = now.since(self.started_at);
+            self.push_notice(notice::Notice::FleetKnown { upstreams, groups, after });
+        }
     }
 
     fn insert_group(&mut self, name: name::Group, group: Group) {
--- a/crates/hyssopfork-fleet/src/groups/planner.rs
+++ b/crates/hyssopfork-fleet/src/groups/planner.rs
@@ -110,7 +110,7 @@
         let is_domain_out = || self.is_domain_out(now, pool, &usable_counts, &peak_counts);
         if !zones_out.is_empty() || is_domain_out() {
             self.demand.suspend(now, pool);
-        } else if self.has_traffic && self.is_startup_complete(now) {
+        } else if self.has_traffic && self.is_fleet_known {
             self.follow_demand(now, pool, engine, registry, &peak_counts, &models);
         }
         let layout = self.planned_layout(pool, &peak_counts, &models);
--- a/crates/hyssopfork-fleet/src/groups/rebalance.rs
+++ b/crates/hyssopfork-fleet/src/groups/rebalance.rs
@@ -19,9 +19,9 @@
     /// with a low one. Otherwise one model's requests would be rejected while another model's groups
     /// are half empty.
     ///
-    /// A leader that has just started doesn't rebalance: after all processes were killed, it knows
-    /// only the groups whose heads have announced themselves, and would close those for a model whose
-    /// heads are about to do so.
+    /// A leader that doesn't know the fleet yet doesn't rebalance: after all processes were killed, it
+    /// knows only the groups whose heads have announced themselves, and would close those for a model
+    /// whose heads are about to do so.
     pub(super) fn rebalance(&mut self, context: &Context<'_>) {
         // Members of a group that is ending are free soon.
         // Declared shares may differ from the plan of an earlier leader, so they count only once it is
@@ -32,7 +32,7 @@
         let is_ending =
             |group: &super::Group| matches!(group.phase, Phase::Closing | Phase::Leaving);
         if !self.has_traffic
-            || !self.is_startup_complete(context.now)
+            || !self.is_fleet_known
             || is_undecided
             || self.groups.values().any(is_ending)
         {
--- a/crates/hyssopfork-fleet/src/notice.rs
+++ b/crates/hyssopfork-fleet/src/notice.rs
@@ -5,6 +5,7 @@
 use hyssopfork_wire::{level, name, number};
 use std::fmt;
 use std::net;
+use std::time::Duration;
 
 /// A numbered log event.
 #[derive(Clone, Debug, PartialEq, Eq, strum::EnumDiscriminants)]
@@ -59,6 +60,15 @@
     Ended(name::Group),
     /// An order was answered or failed.
     Ordered(name::Instance, name::Group, order::Outcome),
+    /// This leader knows the fleet: no upstream has called for some time that it did not know.
+    FleetKnown {
+        /// Known upstreams.
+        upstreams: usize,
+        /// Known groups.
+        groups: usize,
+        /// Time since it began to lead.
+        after: Duration,
+    },
     /// The plan of a pool follows the demand; the loads and what the change is expected to bring.
     Replanned(name::Pool, String),
     /// The log holds data that this release can't read.
@@ -102,6 +112,7 @@
             Notice::Ended(..) => 5033,
             Notice::Ordered(..) => 5034,
             Notice::Replanned(..) => 5035,
+            Notice::FleetKnown { .. } => 5036,
         }
     }
 
@@ -214,6 +225,13 @@
             Notice::Ordered(instance, group, outcome) => {
                 write!(formatter, "order to {instance} for {group}: {outcome}")
             }
+            Notice::FleetKnown { upstreams, groups, after } => {
+                write!(
+                    formatter,
+                    "leader knows the fleet upstreams={upstreams} groups={groups} after_ms={}",
+                    after.as_millis()
+                )
+            }
             Notice::Replanned(pool, change) => {
                 write!(formatter, "capacity plan of pool {pool} follows the demand: {change}")
             }
--- a/crates/hyssopfork-fleet/src/registry.rs
+++ b/crates/hyssopfork-fleet/src/registry.rs
@@ -98,6 +98,8 @@
     has_removals: bool,
     /// Time without a call after which an upstream is published as silent.
     silence_timeout: Duration,
+    /// When an upstream last called that had no record.
+    last_new_at: Option<clock::Instant>,
 }
 
 impl Registry {
@@ -110,6 +112,7 @@
             changed: BTreeSet::new(),
             has_removals: false,
             silence_timeout,
+            last_new_at: None,
         }
     }
 
@@ -118,6 +121,16 @@
         self.records.get(instance)
     }
 
+    /// Time without a call after which an upstream is published as silent.
+    pub fn silence_timeout(&self) -> Duration {
+        self.silence_timeout
+    }
+
+    /// When an upstream last called that had no record; `None` if none did.
+    pub fn last_new_at(&self) -> Option<clock::Instant> {
+        self.last_new_at
+    }
+
     /// Number of records.
     pub fn len(&self) -> usize {
         self.records.len()
@@ -146,6 +159,7 @@
         let cold_until = now + announcement.cold;
         let Some(known) = self.records.get_mut(&announcement.instance) else {
             self.insert(Record::new(announcement, now));
+            self.last_new_at = Some(now);
             return Outcome::Changed;
         };
         let restarted = known.announcement.start_time_ms != announcement.start_time_ms;
--- a/crates/hyssopfork-fleet/tests/fleet/main.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/main.rs
@@ -19,6 +19,7 @@
 mod publication;
 mod quarantine;
 mod random;
+mod recovery;
 mod registry;
 mod relays;
 mod replication;
