fleet: probe plain upstreams that entries can't reach

Cause: the leader probed only members of groups. That a plain upstream is dead was learnt by each of 102 entries by itself, by a client's request for each of seven upstreams, until its silence showed it: 2.3 heartbeats, which are 11.5 s where upstreams call each 5 s. With 30 machines the few entries learn it within the first second.

Evidence: one dead upstream received 24 requests after the loss, from ten entries, each of which found it unreachable after 401 ms; its status stayed Present throughout.

Change: entries already report upstreams that they can't reach to the leader. It now probes those outside of groups as well, with a connection instead of a report, and after three misses and the failure of all probing peers marks them dead, as members of groups. An upstream from which any entry receives bytes is not probed, and its next call makes it present.

Tests: dark_upstreams.rs (without the change no probe is sent).

--- a/crates/hyssopfork-daemon/src/edge/control.rs
+++ b/crates/hyssopfork-daemon/src/edge/control.rs
@@ -3,6 +3,7 @@
 
 use crate::edge::{engine, journal, peers, traffic, view_store};
 use crate::{clock, log, mailbox};
+use hyssopfork_fleet::groups::order;
 use hyssopfork_fleet::{action, core, event};
 use hyssopfork_telemetry::metrics;
 use hyssopfork_wire::consensus;
@@ -148,8 +149,11 @@
                 let outcome = engine::send_order(&order).await;
                 Some(event::Event::OrderAnswered(order.id, outcome))
             }),
-            action::Action::Probe(instance, to) => self.spawn(async move {
-                let liveness = engine::probe(to).await;
+            action::Action::Probe(instance, to, probe) => self.spawn(async move {
+                let liveness = match probe {
+                    order::Probe::Report => engine::probe(to).await,
+                    order::Probe::Connection => engine::probe_connection(to).await,
+                };
                 Some(event::Event::Probed(instance, liveness))
             }),
             action::Action::RequestReport(instance, to) => self.spawn(async move {
--- a/crates/hyssopfork-daemon/src/edge/engine.rs
+++ b/crates/hyssopfork-daemon/src/edge/engine.rs
@@ -45,17 +45,25 @@
     }
 }
 
-/// Whether an address refuses connections, which means that its instance runs but nothing listens
-/// there.
-pub async fn refuses_connections(address: net::SocketAddr) -> bool {
+/// Opens a connection to an upstream.
+pub async fn probe_connection(address: net::SocketAddr) -> order::Liveness {
     match time::timeout(PROBE_TIMEOUT, connection::Connection::connect(address)).await {
-        Ok(Err(error::Error::Unreachable(_, cause))) => {
-            cause.kind() == io::ErrorKind::ConnectionRefused
+        Ok(Err(error::Error::Unreachable(_, cause)))
+            if cause.kind() == io::ErrorKind::ConnectionRefused =>
+        {
+            order::Liveness::Refused
         }
-        Ok(_) | Err(_) => false,
+        Ok(Err(_)) | Err(_) => order::Liveness::TimedOut,
+        Ok(Ok(_)) => order::Liveness::Alive,
     }
 }
 
+/// Whether an address refuses connections, which means that its instance runs but nothing listens
+/// there.
+pub async fn refuses_connections(address: net::SocketAddr) -> bool {
+    probe_connection(address).await == order::Liveness::Refused
+}
+
 /// Requests the report of an engine; `None` if none arrives, in which case the leader asks again.
 pub async fn request_report(
     instance: &name::Instance,
--- a/crates/hyssopfork-fleet/src/action.rs
+++ b/crates/hyssopfork-fleet/src/action.rs
@@ -89,7 +89,7 @@
     /// Send an order to an upstream.
     Order(groups::order::Order),
     /// Probe an upstream.
-    Probe(name::Instance, net::SocketAddr),
+    Probe(name::Instance, net::SocketAddr, groups::order::Probe),
     /// Request a report from an engine.
     RequestReport(name::Instance, net::SocketAddr),
     /// Have a peer probe an upstream (indirect probe).
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -212,7 +212,9 @@
         for command in commands {
             let action = match command {
                 groups::Command::Order(order) => action::Action::Order(order),
-                groups::Command::Probe(instance, to) => action::Action::Probe(instance, to),
+                groups::Command::Probe(instance, to, probe) => {
+                    action::Action::Probe(instance, to, probe)
+                }
                 groups::Command::RequestReport(instance, to) => {
                     action::Action::RequestReport(instance, to)
                 }
--- a/crates/hyssopfork-fleet/src/groups.rs
+++ b/crates/hyssopfork-fleet/src/groups.rs
@@ -51,7 +51,7 @@
     /// Send an order to an engine.
     Order(order::Order),
     /// Probe an upstream.
-    Probe(name::Instance, net::SocketAddr),
+    Probe(name::Instance, net::SocketAddr, order::Probe),
     /// Request a report from an engine.
     RequestReport(name::Instance, net::SocketAddr),
     /// Have a peer probe an upstream.
@@ -307,7 +307,12 @@
         let Some(record) = registry.get(instance) else { return };
         let address = record.announcement.address;
         if directly {
-            self.commands.push(Command::Probe(instance.clone(), address));
+            // A plain upstream serves no reports, and one that is full answers nothing in time.
+            let probe = match self.group_of(instance) {
+                Some(_) => order::Probe::Report,
+                None => order::Probe::Connection,
+            };
+            self.commands.push(Command::Probe(instance.clone(), address, probe));
         }
         let probe = |peer: &net::SocketAddr| Command::ProbeIndirectly {
             peer: *peer,
@@ -352,7 +357,9 @@
         std::mem::take(&mut self.commands)
     }
 
-    /// Probes members that are silent, and all members of groups that are stalled.
+    /// Probes members that are silent, all members of groups that are stalled, and plain upstreams that
+    /// entries can't reach: without that, each entry of a large fleet would learn by itself that an
+    /// upstream is dead, at the expense of its clients, until the upstream's silence shows it.
     fn probe_suspects(
         &mut self,
         now: clock::Instant,
@@ -372,6 +379,10 @@
                 }
             }
         }
+        let is_plain = |instance: &&name::Instance| {
+            self.group_of(instance).is_none() && registry.get(instance).is_some_and(|it| !it.dead)
+        };
+        suspects.extend(self.failure_detector.stalled_upstreams(now).filter(is_plain).cloned());
         for instance in suspects {
             if self.failure_detector.start_probe(now, &instance, peers) {
                 self.send_probes(&instance, &BTreeSet::new(), true, registry);
--- a/crates/hyssopfork-fleet/src/groups/failure_detector.rs
+++ b/crates/hyssopfork-fleet/src/groups/failure_detector.rs
@@ -1,4 +1,5 @@
-//! Failure detector: decides by direct and indirect probes whether a silent upstream is dead.
+//! Failure detector: decides by direct and indirect probes whether an upstream is dead that is silent or
+//! that entries can't reach.
 //!
 //! An upstream that is cut off from the leader or from some entries goes on serving the others. If an
 //! open head were declared dead, its members would join other groups while it still serves clients.
@@ -100,6 +101,11 @@
         self.stalled.contains_key(instance) && !self.has_recent_activity(now, instance)
     }
 
+    /// Upstreams that are stalled or can't be reached for all entries that use them.
+    pub fn stalled_upstreams(&self, now: clock::Instant) -> impl Iterator<Item = &name::Instance> {
+        self.stalled.keys().filter(move |instance| !self.has_recent_activity(now, instance))
+    }
+
     /// Starts a probe of the upstream if one is due; returns whether it did. The upstream counts as
     /// dead only after each of `peers` has failed to reach it too.
     pub fn start_probe(
--- a/crates/hyssopfork-fleet/src/groups/order.rs
+++ b/crates/hyssopfork-fleet/src/groups/order.rs
@@ -74,6 +74,15 @@
     Unknown,
 }
 
+/// Kind of a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Probe {
+    /// Request the engine's report.
+    Report,
+    /// Open a connection.
+    Connection,
+}
+
 /// Result of a probe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Liveness {
--- a/crates/hyssopfork-fleet/tests/fleet/main.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the fleet's control, driven without network, clock or disk.
 
 mod bootstrap;
+mod dark_upstreams;
 mod declaration;
 mod demand;
 mod document;
--- a/crates/hyssopfork-fleet/tests/fleet/world.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/world.rs
@@ -472,7 +472,7 @@
                 }
             }
             action::Action::Order(order) => self.send_order(from, order),
-            action::Action::Probe(instance, to) => {
+            action::Action::Probe(instance, to, _) => {
                 let sign = self.probe(from, to);
                 let after = if sign == order::Liveness::TimedOut { TIMEOUT } else { LATENCY };
                 self.send(from, after, event::Event::Probed(instance, sign));
