fleet, telemetry: show whether a leader knows the fleet; cold time by heartbeat

A new leader that learns the fleet looked like any other one.

ASSUMED_COLD_TIME, 3.4 s, was two heartbeats of 1.2 s and a call that times out. The whole fleet calls each 5 s, so that a new leader would have taken cold upstreams of a zone that is out for warm up to 7.6 s before they can have called. It now follows the declared interval; 3.4 s stays for 1.2 s.

--- a/crates/hyssopfork-daemon/src/edge/control.rs
+++ b/crates/hyssopfork-daemon/src/edge/control.rs
@@ -220,6 +220,7 @@
         self.step(event::Event::Tick);
         if let Some((term, committed)) = self.core.progress() {
             self.registry.set_consensus(term, committed, self.core.is_active_leader());
+            self.registry.set_knows_fleet(self.core.knows_fleet());
         }
         let closed: Vec<u64> = self
             .pending_calls
--- a/crates/hyssopfork-fleet/src/core.rs
+++ b/crates/hyssopfork-fleet/src/core.rs
@@ -196,6 +196,12 @@
         })
     }
 
+    /// Whether this process leads and knows the fleet.
+    pub fn knows_fleet(&self) -> bool {
+        self.is_active_leader()
+            && self.leadership.as_ref().is_some_and(|it| it.groups.is_fleet_known())
+    }
+
     /// The leader, if known.
     pub fn leader(&self) -> Option<net::SocketAddr> {
         self.discovery.leader()
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -8,10 +8,6 @@
 use std::net;
 use std::time::Duration;
 
-/// Time for which an upstream of a zone that is out counts as cold for a new leader, unless it
-/// announces otherwise: two heartbeats of the usual interval and a call that times out.
-const ASSUMED_COLD_TIME: Duration = Duration::from_millis(3_400);
-
 /// Time between two reviews of the groups when nothing has changed.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -95,12 +91,13 @@
         let LocalView { upstreams, groups: known, entries, quarantine, .. } =
             self.local_view.clone();
         let departed = self.state.departed();
+        let assumed_cold_time = self.settings.assumed_cold_time();
         for upstream in upstreams.into_values() {
             let mut upstream = Core::with_departure(&departed, upstream);
             // Upstreams of a zone that is out may have become cold while there was no leader.
             if self.state.zones_out.contains(&upstream.announcement.zone) {
                 let cold = &mut upstream.announcement.cold;
-                *cold = ASSUMED_COLD_TIME.max(*cold);
+                *cold = assumed_cold_time.max(*cold);
             }
             registry.adopt(now, upstream);
         }
--- a/crates/hyssopfork-fleet/src/settings.rs
+++ b/crates/hyssopfork-fleet/src/settings.rs
@@ -3,6 +3,9 @@
 use std::net;
 use std::time::Duration;
 
+/// Time for which an upstream waits for the answer to a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Settings of one process.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -30,6 +33,12 @@
         2 * self.tolerated_losses as usize + 1
     }
 
+    /// Time for which an upstream of a zone that is out counts as cold for a new leader, unless it
+    /// announces otherwise: two heartbeats and a call that times out.
+    pub fn assumed_cold_time(&self) -> Duration {
+        self.heartbeat_interval * 2 + CALL_TIMEOUT
+    }
+
     /// Time without a call after which an upstream counts as silent: two missed heartbeats, and
     /// about a third of one for network delay.
     pub fn silence_timeout(&self) -> Duration {
--- a/crates/hyssopfork-fleet/tests/fleet/saved_view.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/saved_view.rs
@@ -164,6 +164,24 @@
     }
 }
 
+/// Guards against a new leader that takes upstreams of a zone that is out for warm before they have had
+/// the time to call: with a long heartbeat interval, a fixed time ends before their first call.
+#[test]
+fn the_assumed_cold_time_follows_the_heartbeat_interval() {
+    let settings = |heartbeat: u64| hyssopfork_fleet::settings::Settings {
+        address: fixture::address(1),
+        seeds: Vec::new(),
+        first_start: false,
+        has_folder: true,
+        tolerated_losses: 1,
+        link_rate: 1,
+        heartbeat_interval: Duration::from_millis(heartbeat),
+    };
+
+    assert_eq!(settings(1_200).assumed_cold_time(), Duration::from_millis(3_400));
+    assert_eq!(settings(5_000).assumed_cold_time(), Duration::from_millis(11_000));
+}
+
 /// Guards against a view that is saved again and again although nothing has changed.
 #[test]
 fn a_view_that_does_not_change_is_not_saved_again() {
--- a/crates/hyssopfork-telemetry/src/metrics.rs
+++ b/crates/hyssopfork-telemetry/src/metrics.rs
@@ -56,6 +56,7 @@
     consensus_term: gauge::Gauge,
     commit_index: gauge::Gauge,
     is_leader: gauge::Gauge,
+    knows_fleet: gauge::Gauge,
     replicated_bytes: counter::Counter,
     published_bytes: counter::Counter,
     update_bytes: counter::Counter,
@@ -164,6 +165,11 @@
                 "Committed index of the replicated log",
             ),
             is_leader: register_gauge(metrics, "consensus_leads", "1 while this instance leads"),
+            knows_fleet: register_gauge(
+                metrics,
+                "leader_knows_fleet",
+                "1 while this instance leads and is no longer learning the fleet",
+            ),
             replicated_bytes: register_counter(
                 metrics,
                 "consensus_sent_bytes",
@@ -341,6 +347,11 @@
         self.is_leader.set(i64::from(is_leader));
     }
 
+    /// Sets whether this instance leads and knows the fleet.
+    pub fn set_knows_fleet(&self, knows_fleet: bool) {
+        self.knows_fleet.set(i64::from(knows_fleet));
+    }
+
     /// Adds bytes of log entries or of a snapshot that were sent to another voter.
     pub fn add_replicated_bytes(&self, bytes: usize) {
         self.replicated_bytes.inc_by(bytes as u64);
--- a/crates/hyssopfork-telemetry/tests/metrics.rs
+++ b/crates/hyssopfork-telemetry/tests/metrics.rs
@@ -80,11 +80,13 @@
     registry.set_versions(number::Configuration(7), number::Version(41));
     registry.set_lease_remaining(Duration::from_millis(1_500));
     registry.set_consensus(number::Term(3), number::Index(99), true);
+    registry.set_knows_fleet(true);
 
     let text = registry.encode();
     assert!(text.contains("hyssopfork_configuration_number 7\n"), "{text}");
     assert!(text.contains("hyssopfork_lease_left_seconds 1.5\n"), "{text}");
     assert!(text.contains("hyssopfork_consensus_leads 1\n"), "{text}");
+    assert!(text.contains("hyssopfork_leader_knows_fleet 1\n"), "{text}");
 }
 
 #[test]
