fleet: hold a declaration until an entry with a restored view has one

Cause: a process that has restored a saved view names its revision in its watches. A leader whose link is busy answers such a watch with a part of the declaration ahead of the view, which it must not do to an entry without any view. The entry would take all upstreams for missing.

Seen in the simulation, whose entries refuse a declaration without a view: 150 processes on links of 10 Mbit/s before 972 engines. Not seen on a deployment.

Change: the process holds the declaration and passes it on with the first view. Test: a_restarted_process_passes_a_declaration_on_with_its_view, which fails before. A second test shows that verdicts of the quarantine survive a restart of all processes with the saved view.

--- a/crates/hyssopfork-fleet/src/core/follow.rs
+++ b/crates/hyssopfork-fleet/src/core/follow.rs
@@ -87,7 +87,9 @@
                 self.heartbeats.on_leader_heard(self.now);
                 self.discovery.on_delayed(from);
                 let document = part.and_then(|part| self.receive_part(part));
-                if let Some(declaration) = self.install_document(document) {
+                let declaration = self.install_document(document);
+                let declaration = declaration.and_then(|it| self.saved_view.hold_declaration(it));
+                if let Some(declaration) = declaration {
                     self.push_action(action::Action::Declare(declaration));
                 }
             }
@@ -171,7 +173,8 @@
         if update.stamp < self.local_view.stamp {
             return;
         }
-        let declaration = self.install_document(document);
+        let held = self.saved_view.take_declaration();
+        let declaration = self.install_document(document).or(held);
         if update.is_full {
             self.local_view.upstreams.clear();
             self.local_view.groups.clear();
@@ -189,8 +192,8 @@
         view::merge(&mut self.local_view.quarantine, update.quarantine.iter().copied());
         self.saved_view.on_update(&update);
         // The entry doesn't have the restored view that this update changes.
-        let is_complete = self.saved_view.take_restored() && !update.is_full;
-        let update = if is_complete { self.full_update(&update) } else { update };
+        let needs_full_view = self.saved_view.take_restored() && !update.is_full;
+        let update = if needs_full_view { self.full_update(&update) } else { update };
         self.push_action(action::Action::Publish(Box::new(update), declaration));
     }
 }
--- a/crates/hyssopfork-fleet/src/core/saved_view.rs
+++ b/crates/hyssopfork-fleet/src/core/saved_view.rs
@@ -7,8 +7,10 @@
 //! and reports. Acknowledged departures are in the log, since the view may be older.
 
 use super::{Core, LocalView};
-use crate::{action, notice, quarantine, view};
+use crate::{action, declaration, notice, quarantine, view};
 use hyssopfork_wire::clock;
+use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Time between two saves of a view that changes.
@@ -22,6 +24,8 @@
     has_changed: bool,
     /// Whether the local view is a restored one, which this process's entry doesn't have.
     is_restored: bool,
+    /// Declaration that the entry gets together with its first view.
+    declaration: Option<Arc<declaration::Declaration>>,
 }
 
 impl State {
@@ -34,6 +38,23 @@
             || !update.quarantine.is_empty();
     }
 
+    /// Holds a declaration until the entry has a view; returns it if the entry has one.
+    pub(super) fn hold_declaration(
+        &mut self,
+        declaration: Arc<declaration::Declaration>,
+    ) -> Option<Arc<declaration::Declaration>> {
+        if !self.is_restored {
+            return Some(declaration);
+        }
+        self.declaration = Some(declaration);
+        None
+    }
+
+    /// Removes and returns the held declaration.
+    pub(super) fn take_declaration(&mut self) -> Option<Arc<declaration::Declaration>> {
+        self.declaration.take()
+    }
+
     /// Returns whether the local view is a restored one; it no longer counts as such.
     pub(super) fn take_restored(&mut self) -> bool {
         std::mem::take(&mut self.is_restored)
@@ -86,7 +107,7 @@
 
     /// The upstream as it was known before, marked as leaving if its departure was acknowledged since.
     pub(super) fn with_departure(
-        departed: &std::collections::BTreeSet<&quarantine::Process>,
+        departed: &BTreeSet<&quarantine::Process>,
         mut upstream: view::Upstream,
     ) -> view::Upstream {
         let process = quarantine::Process {
--- a/crates/hyssopfork-fleet/tests/fleet/replication.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/replication.rs
@@ -352,6 +352,28 @@
     assert_eq!(after, [quarantined; 4]);
 }
 
+/// Guards against upstreams that crash again after a restart of all processes, because the processes
+/// have forgotten which request crashes them.
+#[test]
+fn a_quarantine_survives_a_restart_of_all_processes() {
+    let mut world = world::World::declared(3, 2);
+    let request = quarantine::Fingerprint { length: 1, digest: [1; 16] };
+    for upstream in 1..=3 {
+        world.report_evidence(fixture::address(2), crash_evidence(request, upstream));
+        world.run(300);
+    }
+    world.run(1_200);
+
+    world.restart_all();
+    world.run(3_000);
+
+    for (address, process) in &world.processes {
+        let view = process.view.as_ref().expect("it follows the leader");
+        let verdict = view.quarantine.get(&quarantine::Cause::Request(request)).copied();
+        assert_eq!(verdict, Some(quarantine::Verdict::Quarantined { round: 1 }), "{address}");
+    }
+}
+
 /// Guards against a leader that loses its lease while decoding the same state from a hundred
 /// followers.
 #[test]
--- a/crates/hyssopfork-fleet/tests/fleet/saved_view.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/saved_view.rs
@@ -164,6 +164,28 @@
     }
 }
 
+/// Guards against an entry that is given a declaration without a view, because its process has restored
+/// one: it would take all upstreams for missing.
+#[test]
+fn a_restarted_process_passes_a_declaration_on_with_its_view() {
+    let mut world =
+        world::World::start_with_links(5, 145, |_| Some(world::Bandwidth(10_000_000 / 8)));
+    world.run(2_500);
+    assert!(world.declare(1));
+    for domain in 0..54_u16 {
+        world.add_engines(domain * 18 + 1..=domain * 18 + 18, &format!("d{domain}"));
+    }
+    world.run(26_000);
+
+    world.restart_all();
+    world.run(15_000);
+
+    for (address, process) in &world.processes {
+        let view = process.view.as_ref().expect("it follows the leader");
+        assert_eq!((view.document, view.upstreams.len()), (1, 972), "{address}");
+    }
+}
+
 /// Guards against a new leader that takes upstreams of a zone that is out for warm before they have had
 /// the time to call: with a long heartbeat interval, a fixed time ends before their first call.
 #[test]
