edge: pause between saves of the view by their duration; test the file

A save is now followed by a pause of nine times its duration, so that it takes a tenth of the disk's time at most. Tests: a view is read as written; a torn, empty or changed file is ignored.

--- a/crates/hyssopfork-daemon/src/edge/view_store.rs
+++ b/crates/hyssopfork-daemon/src/edge/view_store.rs
@@ -12,10 +12,15 @@
 use std::path;
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
+use std::time::Instant;
 
 const FILE: &str = "view";
 const NEXT_FILE: &str = "view.next";
 
+/// Pause after a write, in multiples of its duration: on a slow disk, the journal's syncs would wait for
+/// those of the view.
+const PAUSE_FACTOR: u32 = 9;
+
 /// Length of the checksum before the encoded view.
 const CHECKSUM_BYTES: usize = 4;
 
@@ -52,6 +57,7 @@
         let view = slot.view.lock().unwrap_or_else(PoisonError::into_inner);
         let view = slot.filled.wait_while(view, |view| view.is_none());
         let Some(view) = view.unwrap_or_else(PoisonError::into_inner).take() else { continue };
+        let started = Instant::now();
         let result = write(folder, &view);
         if let Err(error) = &result
             && !has_failed
@@ -59,6 +65,7 @@
             log::notice(&notice::Notice::ViewNotSaved(error.to_string()));
         }
         has_failed = result.is_err();
+        thread::sleep(started.elapsed() * PAUSE_FACTOR);
     }
 }
 
--- a/crates/hyssopfork-daemon/tests/edge/main.rs
+++ b/crates/hyssopfork-daemon/tests/edge/main.rs
@@ -15,6 +15,7 @@
 mod prompt_part;
 mod query_of_death;
 mod retry_budget;
+mod saved_view;
 mod scenario;
 mod soak;
 mod support;
