Review case 1: the successor of a core machine never votes if its seeds have no disk, and the next lost disk ends control

Seen: after an exchange of the seeds, the empty machine that replaces one of the core follows the leader but never becomes a voter. Configurations go on being acknowledged by the two that are left. When a machine then loses its disk, no machine leads any more: reads and changes are refused for good.

A process tells of its folder in greetings only, which it sends to its seeds, and only until it is told the leader.

--- /dev/null
+++ b/review/harness/src/main.rs
@@ -0,0 +1,23 @@
+//! Stand-ins and scripts of the review's cases.
+
+mod case1;
+mod fleet;
+mod http;
+
+use std::path::Path;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".to_owned());
+    let code = match arguments.first().map(String::as_str) {
+        Some("case") => {
+            let folder = Path::new(&arguments[2]);
+            match arguments[1].as_str() {
+                "1" => case1::run(folder, &trouble),
+                _ => 2,
+            }
+        }
+        _ => 2,
+    };
+    std::process::exit(code);
+}
