Review case 3: a replaced machine's seat and one lost disk end control for good

Seen: the seat of a machine that was removed stays for 4 s after it has ended, though its successor votes. The loss of one disk meanwhile leaves two of four voters; no machine leads any more, reads and changes are refused for good.

Evidence: review/3/record.txt; the former leader got no response from a quorum, no seat was removed.

--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and scripts of the review's cases.
 
 mod case1;
+mod case3;
 mod fleet;
 mod http;
 
@@ -14,6 +15,7 @@
             let folder = Path::new(&arguments[2]);
             match arguments[1].as_str() {
                 "1" => case1::run(folder, &trouble),
+                "3" => case3::run(folder, &trouble),
                 _ => 2,
             }
         }
