Review case 4: a configuration is acknowledged with one copy and lost with that disk

Seen: the first seed, cut off from the other two at the first start, acknowledges the first configuration 3 s later as the only voter. When it loses its disk the configuration is gone, and nothing is acknowledged again.

--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -2,8 +2,10 @@
 
 mod case1;
 mod case3;
+mod case4;
 mod fleet;
 mod http;
+mod relay;
 
 use std::path::Path;
 
@@ -16,6 +18,7 @@
             match arguments[1].as_str() {
                 "1" => case1::run(folder, &trouble),
                 "3" => case3::run(folder, &trouble),
+                "4" => case4::run(folder, &trouble),
                 _ => 2,
             }
         }
