Review case 5: a late ping of a runner's first life undoes its second life's departure

Seen: a runner that has crashed, started again under its name and left is published as ready again when a ping of its first life arrives late. Requests reach it for over 8 s after its departure was acknowledged: DRAIN. Those at work when it ends are lost.

Evidence: review/5/record.txt, with the time and the outcome of each late request.

--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -3,9 +3,12 @@
 mod case1;
 mod case3;
 mod case4;
+mod case5;
 mod fleet;
 mod http;
 mod relay;
+mod runner;
+mod traffic;
 
 use std::path::Path;
 
@@ -19,9 +22,14 @@
                 "1" => case1::run(folder, &trouble),
                 "3" => case3::run(folder, &trouble),
                 "4" => case4::run(folder, &trouble),
+                "5" => case5::run(folder, &trouble),
                 _ => 2,
             }
         }
+        Some("runner") => {
+            runner::run(&arguments[1..]);
+            0
+        }
         _ => 2,
     };
     std::process::exit(code);
