fleet: state in each watch whether a process has a data folder

What callers saw: the seeds were replaced by processes without a disk, then a core machine by an empty one.

Cause: a process stated that it has a data folder only in its greeting, which it sends while it knows no leader. A seed that doesn't lead names the leader and keeps the statement to itself, and the leader drops the requests to join of an instance that it doesn't list. On related paths: seeds without a folder that restart together knew only each other and never found the leader; addresses of machines that are gone filled the bounded list of processes with a folder; requests to join of machines that are gone kept a leader from hearing others for the rest of its term.

Evidence: event 1017 (a request to join that gets no seat) was added first. With it alone, on a scratch copy, the leader logs 1017 for the successor 21 ms after it starts and never 1012; the case fails as before. Ruled out thereby: a replacement that asks nobody, and one that is admitted and doesn't catch up.

Change: each watch states whether the process has a folder; processes with a folder greet their seeds every second also while they follow a leader; the oldest statement and the oldest request to join give way.

Before: a_replacement_whose_seeds_have_no_folder_becomes_a_voter and seeds_without_a_folder_find_the_leader_after_all_of_them_restarted fail. A successor whose seeds have a folder joins as before.

--- a/crates/hyssopfork-consensus/src/node/leader_state.rs
+++ b/crates/hyssopfork-consensus/src/node/leader_state.rs
@@ -63,13 +63,24 @@
     pub voter: consensus::Voter,
 }
 
+/// Request of a non-voter to join.
+#[derive(Clone, Debug)]
+pub struct JoinRequest {
+    /// Identity that requested to join.
+    pub voter: consensus::Voter,
+    /// When the latest request arrived.
+    pub received_at: clock::Instant,
+    /// Whether it has a seat or may get one.
+    pub is_admissible: bool,
+}
+
 /// State of a leader.
 #[derive(Debug)]
 pub struct State {
     /// Progress of all other voters and of the learners.
     pub progress: collections::BTreeMap<consensus::Voter, progress::Progress>,
-    /// Identities that requested to join, the latest of each instance.
-    pub join_requests: collections::BTreeMap<name::Instance, consensus::Voter>,
+    /// Requests to join, the latest of each instance.
+    pub join_requests: collections::BTreeMap<name::Instance, JoinRequest>,
     /// Addition by an operator, until the new voter has caught up.
     pub addition: Option<Addition>,
     /// When the next heartbeats are due.
@@ -103,7 +114,8 @@
         let voters = context.log.voters();
         let join_requests = &self.join_requests;
         self.progress.retain(|voter, _| {
-            voters.contains(voter) || join_requests.get(&voter.instance) == Some(voter)
+            let request = join_requests.get(&voter.instance);
+            voters.contains(voter) || request.is_some_and(|request| request.voter == *voter)
         });
         for voter in voters {
             if voter != context.identity && voter.folder != consensus::VACANT {
--- a/crates/hyssopfork-consensus/src/node/membership.rs
+++ b/crates/hyssopfork-consensus/src/node/membership.rs
@@ -9,10 +9,14 @@
 use crate::notice;
 use crate::{action, voters};
 use hyssopfork_wire::{consensus, name};
+use std::time::Duration;
 
 /// Requests to join that a leader stores, one per instance.
 const MAX_JOIN_REQUESTS: usize = 32;
 
+/// Time after which a request to join that was not repeated gives way to that of another instance.
+const JOIN_REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Entries by which a learner may lag when it is admitted.
 const MAX_ADMISSION_LAG_ENTRIES: u64 = 64;
 
@@ -31,18 +35,33 @@
         let Some((state, context)) = self.leader_state() else {
             return;
         };
-        let is_full = state.join_requests.len() >= MAX_JOIN_REQUESTS;
-        if is_voter || is_own || is_full && !state.join_requests.contains_key(&from.instance) {
+        if is_voter || is_own {
             return;
         }
-        let is_new = state.join_requests.get(&from.instance) != Some(&from);
-        state.join_requests.insert(from.instance.clone(), from.clone());
+        let is_known = state.join_requests.contains_key(&from.instance);
+        if !is_known && state.join_requests.len() >= MAX_JOIN_REQUESTS {
+            state
+                .join_requests
+                .retain(|_, request| context.now.since(request.received_at) < JOIN_REQUEST_TIMEOUT);
+            if state.join_requests.len() >= MAX_JOIN_REQUESTS {
+                return;
+            }
+        }
+        let voter = from.clone();
+        let received_at = context.now;
+        let request = leader_state::JoinRequest { voter, received_at, is_admissible };
+        let previous = state.join_requests.insert(from.instance.clone(), request);
+        let is_new =
+            previous.is_none_or(|it| it.voter != from || it.is_admissible != is_admissible);
         state.track_voters(context);
         if is_admissible {
             state.track(&from, context);
         }
-        if is_admissible && is_new {
-            self.push_notice(notice::Notice::CatchingUp(from));
+        if is_new {
+            self.push_notice(match is_admissible {
+                true => notice::Notice::CatchingUp(from),
+                false => notice::Notice::JoinDeferred(from),
+            });
         }
     }
 
@@ -81,9 +100,10 @@
         let Some((state, context)) = self.leader_state() else {
             return false;
         };
-        let Some(voter) = state.join_requests.get(instance).cloned() else {
+        let Some(request) = state.join_requests.get(instance) else {
             return false;
         };
+        let voter = request.voter.clone();
         if has_seat || state.addition.is_some() {
             return false;
         }
@@ -99,6 +119,9 @@
         if voters.len() == self.log.voters().len() || !self.has_responsive_quorum(&voters) {
             return false;
         }
+        if let Some((state, _)) = self.leader_state() {
+            state.join_requests.remove(instance);
+        }
         self.append_voters(Some(ticket), voters);
         true
     }
--- a/crates/hyssopfork-consensus/src/notice.rs
+++ b/crates/hyssopfork-consensus/src/notice.rs
@@ -21,6 +21,8 @@
     Voters(number::Index, Vec<consensus::Voter>),
     /// The leader started to replicate the log to a learner.
     CatchingUp(consensus::Voter),
+    /// A non-voter requests to join and gets no seat yet.
+    JoinDeferred(consensus::Voter),
     /// This follower replaced its state with a snapshot from the leader.
     Installed(number::Index),
     /// Another instance requests to form a log from a different list of voters.
@@ -46,6 +48,7 @@
             Notice::ListDiffers(..) => 1014,
             Notice::ChangeRejected(..) => 1015,
             Notice::HandedOver(..) => 1016,
+            Notice::JoinDeferred(..) => 1017,
         }
     }
 
@@ -87,6 +90,11 @@
                     voter.instance
                 )
             }
+            Notice::JoinDeferred(voter) => write!(
+                formatter,
+                "{} requests to join and gets no seat; it is not listed, or there are enough voters",
+                voter.instance
+            ),
             Notice::Installed(index) => {
                 write!(formatter, "this instance installed a snapshot up to index {index}")
             }
--- a/crates/hyssopfork-consensus/tests/rules/members.rs
+++ b/crates/hyssopfork-consensus/tests/rules/members.rs
@@ -78,6 +78,34 @@
     assert_eq!((fixture::written_voters(&joined), fixture::written_voters(&ticked)), (None, None));
 }
 
+/// Guards against requests of instances that are gone, which kept a leader from hearing those of a
+/// live one for the rest of its term.
+#[test]
+fn requests_to_join_that_are_not_repeated_give_way_to_others() {
+    let mut fixture = fixture::Fixture::committed_leader();
+    let join = || consensus::Message::Join { relayed: false };
+    for number in 0..40 {
+        let gone = fixture::voter(&format!("gone-{number}"));
+        fixture.receive_from(gone, join());
+    }
+    let replacement = consensus::Voter { folder: 8, ..fixture::voter("c") };
+
+    let early = fixture.receive_from(replacement.clone(), join());
+    for _ in 0..110 {
+        fixture.now += 100;
+        let actions = fixture.step(event::Event::Tick);
+        for message in fixture::sent_messages(&actions) {
+            if let consensus::Message::Append { round, .. } = message {
+                fixture.receive("b", fixture::append_accepted(*round, 1));
+            }
+        }
+    }
+    let late = fixture.receive_from(replacement.clone(), join());
+
+    let notice = action::Action::Notice(notice::Notice::CatchingUp(replacement));
+    assert_eq!((early.contains(&notice), late.contains(&notice)), (false, true));
+}
+
 /// A folder that has been written to, even with only a vote, may have been part of a log and never
 /// takes part in forming another.
 #[test]
--- a/crates/hyssopfork-fleet/src/core.rs
+++ b/crates/hyssopfork-fleet/src/core.rs
@@ -143,7 +143,7 @@
             settings.first_start && settings.seeds.first() == Some(&settings.address);
         let mut discovery = discovery::Discovery::new(settings.address, settings.seeds.clone());
         if settings.has_folder {
-            discovery.add_controls([settings.address]);
+            discovery.confirm_control(now, settings.address);
         }
         Core {
             decode,
@@ -329,7 +329,7 @@
 
     /// Instances that may host a voter.
     fn listed_instances(&self) -> Vec<name::Instance> {
-        self.discovery.controls().iter().copied().map(instance_of).collect()
+        self.discovery.controls().map(instance_of).collect()
     }
 
     fn push_log_event(&mut self, event: log_event::Event) {
--- a/crates/hyssopfork-fleet/src/core/calls.rs
+++ b/crates/hyssopfork-fleet/src/core/calls.rs
@@ -46,7 +46,7 @@
 
     fn on_hello(&mut self, call: u64, hello: &peer::Hello) {
         if hello.has_folder {
-            self.add_controls([hello.address]);
+            self.confirm_control(hello.address);
         }
         self.bootstrap.add_candidate(hello);
         let founder = self.bootstrap.choose_founder(self.now);
@@ -244,6 +244,9 @@
     }
 
     fn on_watch(&mut self, call: u64, watch: peer::Watch) {
+        if watch.has_folder {
+            self.confirm_control(watch.from);
+        }
         let is_leader = self.is_active_leader();
         let now = self.now;
         let Some(leadership) = self.leadership.as_mut().filter(|_| is_leader) else {
--- a/crates/hyssopfork-fleet/src/core/follow.rs
+++ b/crates/hyssopfork-fleet/src/core/follow.rs
@@ -9,11 +9,11 @@
 use std::sync::Arc;
 
 impl Core {
-    /// Greets all known processes while no leader is known, and keeps a watch open at the leader.
+    /// Greets other processes, and keeps a watch open at the leader.
     pub(super) fn follow_leader(&mut self) {
         self.update_log_leader();
         let hello = self.hello();
-        for to in self.discovery.due_greetings(self.now) {
+        for to in self.discovery.due_greetings(self.now, self.settings.has_folder) {
             self.push_action(action::Action::Greet(to, hello.clone()));
         }
         self.watch_leader();
@@ -23,6 +23,7 @@
         let Some((leader, sends_state)) = self.discovery.start_watch(self.now) else { return };
         let watch = peer::Watch {
             from: self.settings.address,
+            has_folder: self.settings.has_folder,
             stamp: self.local_view.stamp,
             document_progress: self.local_view.partial.progress(self.local_view.version()),
             known: sends_state.then(|| self.known_state()),
@@ -56,21 +57,32 @@
     }
 
     pub(super) fn on_greeting(&mut self, greeting: &peer::Greeting) {
-        self.add_controls(greeting.controls.iter().copied());
+        self.learn_controls(greeting.controls.iter().copied());
         self.discovery.suggest_leader(greeting.leader);
         if greeting.founder == Some(self.settings.address) {
             self.bootstrap_log();
         }
     }
 
-    /// Adds processes with a data folder and reports new ones to the consensus node.
-    pub(super) fn add_controls(&mut self, controls: impl IntoIterator<Item = net::SocketAddr>) {
-        if self.discovery.add_controls(controls) {
-            let listed = self.listed_instances();
-            self.push_log_event(log_event::Event::SetListedVoters(listed));
+    /// Records that a process stated that it has a data folder.
+    pub(super) fn confirm_control(&mut self, control: net::SocketAddr) {
+        if self.discovery.confirm_control(self.now, control) {
+            self.update_listed_voters();
         }
     }
 
+    /// Adds processes with a data folder that another process named.
+    pub(super) fn learn_controls(&mut self, controls: impl IntoIterator<Item = net::SocketAddr>) {
+        if self.discovery.learn_controls(controls) {
+            self.update_listed_voters();
+        }
+    }
+
+    fn update_listed_voters(&mut self) {
+        let listed = self.listed_instances();
+        self.push_log_event(log_event::Event::SetListedVoters(listed));
+    }
+
     pub(super) fn on_watch_answered(
         &mut self,
         from: net::SocketAddr,
@@ -134,7 +146,7 @@
         }
         self.heartbeats.on_leader_heard(self.now);
         self.discovery.on_updated(from, &update);
-        self.add_controls(update.controls.clone());
+        self.learn_controls(update.controls.iter().copied());
         let document = part.and_then(|part| self.receive_part(part));
         self.install_update(update, document);
     }
--- a/crates/hyssopfork-fleet/src/discovery.rs
+++ b/crates/hyssopfork-fleet/src/discovery.rs
@@ -2,7 +2,7 @@
 
 use crate::{peer, view};
 use hyssopfork_wire::clock;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net;
 use std::time::Duration;
 
@@ -10,6 +10,10 @@
 /// on average this interval adds a tenth of that until the new leader is known.
 const GREETING_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Time between two rounds of greetings of a process with a data folder while a leader is known. A
+/// seed that has restarted may know no other process that has a folder or follows the leader.
+const SEED_GREETING_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Processes greeted in one round: enough that some of them follow the leader, and few enough that
 /// the rounds of all processes don't grow with the square of their number.
 const MAX_GREETINGS: usize = 6;
@@ -30,8 +34,11 @@
 pub struct Discovery {
     own_address: net::SocketAddr,
     seeds: Vec<net::SocketAddr>,
-    /// Processes with a data folder.
-    controls: BTreeSet<net::SocketAddr>,
+    /// Processes with a data folder, and when each last stated that it has one; `None` if only others
+    /// named it.
+    ///
+    /// Invariant: at most [`MAX_CONTROLS`].
+    controls: BTreeMap<net::SocketAddr, Option<clock::Instant>>,
     leader: Option<net::SocketAddr>,
     last_greeting: Option<clock::Instant>,
     /// Process greeted last; the next round begins after it.
@@ -50,7 +57,7 @@
         Discovery {
             own_address,
             seeds,
-            controls: BTreeSet::new(),
+            controls: BTreeMap::new(),
             leader: None,
             last_greeting: None,
             last_greeted: None,
@@ -71,16 +78,33 @@
     }
 
     /// Known processes with a data folder.
-    pub fn controls(&self) -> &BTreeSet<net::SocketAddr> {
-        &self.controls
+    pub fn controls(&self) -> impl Iterator<Item = net::SocketAddr> {
+        self.controls.keys().copied()
+    }
+
+    /// Records that a process stated that it has a data folder; returns whether the known ones
+    /// changed. It takes the place of the one that has not stated so for longest.
+    pub fn confirm_control(&mut self, now: clock::Instant, control: net::SocketAddr) -> bool {
+        if let Some(confirmed_at) = self.controls.get_mut(&control) {
+            *confirmed_at = Some(now);
+            return false;
+        }
+        if self.controls.len() >= MAX_CONTROLS {
+            let others = self.controls.iter().filter(|(it, _)| **it != self.own_address);
+            let oldest = others.min_by_key(|(_, confirmed_at)| **confirmed_at).map(|(it, _)| *it);
+            oldest.map(|oldest| self.controls.remove(&oldest));
+        }
+        self.controls.insert(control, Some(now));
+        true
     }
 
-    /// Adds processes with a data folder; returns whether any was not known.
-    pub fn add_controls(&mut self, controls: impl IntoIterator<Item = net::SocketAddr>) -> bool {
+    /// Adds processes with a data folder that another process named, while there is room; returns
+    /// whether any was not known.
+    pub fn learn_controls(&mut self, controls: impl IntoIterator<Item = net::SocketAddr>) -> bool {
         let before = self.controls.len();
-        for address in controls {
+        for control in controls {
             if self.controls.len() < MAX_CONTROLS {
-                self.controls.insert(address);
+                self.controls.entry(control).or_insert(None);
             }
         }
         self.controls.len() > before
@@ -114,19 +138,25 @@
         self.sends_state = true;
     }
 
-    /// Processes to greet now: the next of the known ones, at each greeting interval while no leader
-    /// is known.
-    pub fn due_greetings(&mut self, now: clock::Instant) -> Vec<net::SocketAddr> {
-        let is_due = self.last_greeting.is_none_or(|last| now.since(last) >= GREETING_INTERVAL);
-        if self.leader.is_some() || !is_due {
+    /// Processes to greet now: the next of the known ones while no leader is known. Otherwise, if
+    /// this process has a data folder, its seeds.
+    pub fn due_greetings(&mut self, now: clock::Instant, has_folder: bool) -> Vec<net::SocketAddr> {
+        let has_leader = self.leader.is_some();
+        let interval = if has_leader { SEED_GREETING_INTERVAL } else { GREETING_INTERVAL };
+        let is_due = self.last_greeting.is_none_or(|last| now.since(last) >= interval);
+        if !is_due || has_leader && !has_folder {
             return Vec::new();
         }
         self.last_greeting = Some(now);
+        if has_leader {
+            let others = self.seeds.iter().copied().filter(|it| *it != self.own_address);
+            return others.take(MAX_GREETINGS).collect();
+        }
         let known: BTreeSet<net::SocketAddr> = self
             .seeds
             .iter()
-            .chain(&self.controls)
             .copied()
+            .chain(self.controls())
             .filter(|it| *it != self.own_address)
             .collect();
         // Processes begin at different ones, so that no process is greeted by all at once.
@@ -162,7 +192,6 @@
     pub fn on_updated(&mut self, leader: net::SocketAddr, update: &view::Update) {
         self.watched = self.watched.filter(|watch| watch.leader != leader);
         self.stamp = update.stamp;
-        self.add_controls(update.controls.iter().copied());
     }
 }
 
@@ -172,6 +201,6 @@
     leader: Option<net::SocketAddr>,
     founder: Option<net::SocketAddr>,
 ) -> peer::Greeting {
-    let controls = discovery.controls.iter().copied().collect();
+    let controls = discovery.controls().collect();
     peer::Greeting { leader, controls, founder }
 }
--- a/crates/hyssopfork-fleet/src/peer.rs
+++ b/crates/hyssopfork-fleet/src/peer.rs
@@ -85,6 +85,9 @@
 pub struct Watch {
     /// The follower.
     pub from: net::SocketAddr,
+    /// Whether it has a data folder and can become a voter. Each watch states it, since the leader
+    /// may have been greeted through another process or may have changed.
+    pub has_folder: bool,
     /// Revision that the follower has.
     pub stamp: view::Stamp,
     /// Its progress in receiving declarations.
--- a/crates/hyssopfork-fleet/tests/fleet/main.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod dark_upstreams;
 mod declaration;
 mod demand;
+mod discovery;
 mod document;
 mod durable;
 mod engine;
--- a/crates/hyssopfork-fleet/tests/fleet/replication.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/replication.rs
@@ -3,6 +3,7 @@
 use crate::{fixture, world};
 use hyssopfork_fleet::{action, event, peer, quarantine, view};
 use hyssopfork_wire::name;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 #[test]
@@ -264,6 +265,84 @@
     assert_eq!(world.read_version(), Some(11));
 }
 
+/// Addresses of the voters that a process knows.
+fn voters_known_to(world: &world::World, host: u16) -> Vec<SocketAddr> {
+    let view = world.processes[&fixture::address(host)].view.as_ref();
+    view.map(|view| view.controls.clone()).unwrap_or_default()
+}
+
+/// A voter that runs, other than the leader.
+fn other_voter(world: &world::World) -> SocketAddr {
+    let leader = world.leader().expect("one leads");
+    let voters = voters_known_to(world, 4);
+    let runs = |it: &SocketAddr| world.processes[it].core.is_some();
+    voters.into_iter().find(|it| *it != leader && runs(it)).expect("there are several voters")
+}
+
+/// Guards against a replacement that never votes because it finds the leader through a process that
+/// keeps its greeting to itself: the next lost disk then ends control.
+#[test]
+fn a_replacement_whose_seeds_have_no_folder_becomes_a_voter() {
+    let mut world = world::World::declared(3, 3);
+    world.change_seeds(4..=6);
+    world.run(2_000);
+    let removed = other_voter(&world);
+    world.kill(removed);
+    world.run(2_000);
+
+    world.add_process(7, true);
+    world.run(8_000);
+
+    assert!(voters_known_to(&world, 4).contains(&fixture::address(7)));
+    assert!(world.declare(2));
+    let wiped = other_voter(&world);
+    world.kill(wiped);
+    world.wipe_folder(wiped);
+    world.run(1_000);
+    world.start_process(wiped, false);
+    world.run(4_000);
+    assert_eq!(world.read_version(), Some(2));
+}
+
+/// Guards against a replacement that is known only to the leader that it greeted, which then dies.
+#[test]
+fn a_replacement_becomes_a_voter_under_the_next_leader() {
+    let mut world = world::World::declared(3, 3);
+    world.change_seeds(4..=6);
+    let removed = other_voter(&world);
+    world.kill(removed);
+    world.add_process(7, true);
+    world.run(300);
+    let leader = world.leader().expect("one leads");
+    world.kill(leader);
+    world.run(1_000);
+    world.start_process(leader, false);
+
+    world.run(10_000);
+
+    assert!(voters_known_to(&world, 4).contains(&fixture::address(7)));
+}
+
+/// Guards against processes that never find the leader because all of their seeds have restarted and
+/// know only each other.
+#[test]
+fn seeds_without_a_folder_find_the_leader_after_all_of_them_restarted() {
+    let mut world = world::World::declared(3, 4);
+    world.change_seeds(4..=6);
+    (4..=7).for_each(|host| world.kill(fixture::address(host)));
+    world.run(3_000);
+
+    (4..=7).for_each(|host| world.start_process(fixture::address(host), false));
+    world.run(4_000);
+
+    let leader = world.leader();
+    assert!(leader.is_some());
+    for host in 4..=7 {
+        let core = world.processes[&fixture::address(host)].core.as_ref().expect("it runs");
+        assert_eq!(core.leader(), leader, "process {host}");
+    }
+}
+
 /// A leader that is partitioned from all others still believes that it leads. It must not answer a
 /// read with its outdated declaration.
 #[test]
--- a/crates/hyssopfork-fleet/tests/fleet/world.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/world.rs
@@ -102,6 +102,8 @@
 pub struct World {
     pub now: clock::Instant,
     pub processes: BTreeMap<SocketAddr, Process>,
+    /// Seeds in the settings of processes that start.
+    seeds: Vec<SocketAddr>,
     pub engines: BTreeMap<name::Instance, engine::Engine>,
     engine_addresses: BTreeMap<SocketAddr, name::Instance>,
     /// Pairs (from, to) between which messages are dropped.
@@ -163,6 +165,7 @@
         let mut world = World {
             now: fixture::at(1_000),
             processes: BTreeMap::new(),
+            seeds: (1..=3).map(fixture::address).collect(),
             engines: BTreeMap::new(),
             engine_addresses: BTreeMap::new(),
             blocked_links: BTreeSet::new(),
@@ -190,23 +193,9 @@
             folder_count: 0,
         };
         for host in 1..=folders + others {
-            let host_address = fixture::address(host);
-            let process = Process {
-                core: None,
-                durable: node::Durable::default(),
-                saved_view: None,
-                has_folder: host <= folders,
-                view: None,
-                folder: 0,
-                calls: BTreeMap::new(),
-                watch_id: 0,
-                starts: 0,
-                bandwidth: bandwidth(host <= folders),
-                link: Link::default(),
-            };
-            world.processes.insert(host_address, process);
-            world.wipe_folder(host_address);
-            world.start_process(host_address, true);
+            let has_folder = host <= folders;
+            world.insert_process(host, has_folder, bandwidth(has_folder));
+            world.start_process(fixture::address(host), true);
         }
         world
     }
@@ -219,9 +208,42 @@
         world
     }
 
+    /// Starts an additional process, whose folder is blank if it has one.
+    pub fn add_process(&mut self, host: u16, has_folder: bool) {
+        self.insert_process(host, has_folder, None);
+        self.start_process(fixture::address(host), false);
+    }
+
+    fn insert_process(&mut self, host: u16, has_folder: bool, bandwidth: Option<Bandwidth>) {
+        let process = Process {
+            core: None,
+            durable: node::Durable::default(),
+            saved_view: None,
+            has_folder,
+            view: None,
+            folder: 0,
+            calls: BTreeMap::new(),
+            watch_id: 0,
+            starts: 0,
+            bandwidth,
+            link: Link::default(),
+        };
+        self.processes.insert(fixture::address(host), process);
+        self.wipe_folder(fixture::address(host));
+    }
+
+    /// Replaces the seeds in the settings of all processes.
+    pub fn change_seeds(&mut self, hosts: impl IntoIterator<Item = u16>) {
+        self.seeds = hosts.into_iter().map(fixture::address).collect();
+        let all: Vec<SocketAddr> = self.processes.keys().copied().collect();
+        for address in all {
+            self.step(address, event::Event::SeedsChanged(self.seeds.clone()));
+        }
+    }
+
     /// Starts a process with the contents of its folder.
     pub fn start_process(&mut self, address: SocketAddr, first_start: bool) {
-        let seeds: Vec<SocketAddr> = (1..=3).map(fixture::address).collect();
+        let seeds = self.seeds.clone();
         let now = self.now;
         let process = self.processes.get_mut(&address).expect("it is there");
         let settings = settings::Settings {
