fleet: drop late calls of earlier processes, whether or not the later one is alive

What callers saw: an upstream crashed, started again under its name and left.

Cause: a call of a process that started earlier than the known one was accepted if the known one was silent or had departed, so that an upstream whose clock was set back is not shut out. A late call of the process before met this.

Ruled out: a late call of the second process (a departed process stays departed) and a follower's view (it has the departure).

Change: processes that a later one of their name has replaced are remembered, and their calls dropped. Another process with an earlier start, of the name or at its address, is taken only once it has gone on calling for the silence timeout while the known one has not: as long as before, since the known one had to be silent for that time. Related: a follower's newer knowledge of a process undid a departure that an entry had learnt of.

--- a/crates/hyssopfork-fleet/src/precedence.rs
+++ b/crates/hyssopfork-fleet/src/precedence.rs
@@ -6,14 +6,89 @@
 //! shows a newer epoch. A call that shows no membership while a report showed one is ambiguous: the
 //! membership is kept until the next report or call shows that it is over.
 
-use crate::announcement::{Membership, State};
+use crate::announcement::{Announcement, Membership, State};
 use crate::groups::order;
+use hyssopfork_wire::{clock, name};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// Longest time between the state that a report shows and its arrival: reports are some hundred milliseconds
 /// old, and requests for them time out sooner.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(1);
 
+/// Ended processes that are remembered for each name.
+const MAX_ENDED_PROCESSES: usize = 8;
+
+/// Starts of earlier processes of a name, which are known to have ended.
+#[derive(Clone, Debug, Default)]
+pub struct Ended(VecDeque<u64>);
+
+impl Ended {
+    /// Records that a later process has replaced the one that started at `start_time_ms`.
+    pub fn record(&mut self, start_time_ms: u64) {
+        self.0.push_back(start_time_ms);
+        if self.0.len() > MAX_ENDED_PROCESSES {
+            self.0.pop_front();
+        }
+    }
+
+    /// Whether the process that started at `start_time_ms` has ended.
+    pub fn contains(&self, start_time_ms: u64) -> bool {
+        self.0.contains(&start_time_ms)
+    }
+}
+
+/// Calls of a process with an earlier start than the known one.
+#[derive(Clone, Copy, Debug)]
+struct Contender {
+    start_time_ms: u64,
+    sequence: u64,
+    since: clock::Instant,
+}
+
+/// Processes that call although one with a later start is known under their name or address. They have
+/// ended, unless the clock of their machine was set back before they started.
+#[derive(Clone, Debug, Default)]
+pub struct Contenders(BTreeMap<name::Instance, Contender>);
+
+impl Contenders {
+    /// Records a call; returns whether the process goes on calling for `period` while the known one,
+    /// last heard at `rival_heard_at`, does not. Late calls of an ended process come to an end.
+    pub fn is_persistent(
+        &mut self,
+        now: clock::Instant,
+        call: &Announcement,
+        rival_heard_at: clock::Instant,
+        period: Duration,
+    ) -> bool {
+        let (start_time_ms, sequence) = (call.start_time_ms, call.sequence);
+        let known = self
+            .0
+            .get_mut(&call.instance)
+            .filter(|it| it.start_time_ms == start_time_ms && it.since >= rival_heard_at);
+        let Some(known) = known else {
+            let contender = Contender { start_time_ms, sequence, since: now };
+            self.0.insert(call.instance.clone(), contender);
+            return false;
+        };
+        if sequence <= known.sequence {
+            return false;
+        }
+        known.sequence = sequence;
+        now.since(known.since) >= period
+    }
+
+    /// Removes the contenders of a name.
+    pub fn remove(&mut self, instance: &name::Instance) {
+        self.0.remove(instance);
+    }
+
+    /// Removes contenders that began to call more than `retention` ago.
+    pub fn remove_expired(&mut self, now: clock::Instant, retention: Duration) {
+        self.0.retain(|_, contender| now.since(contender.since) < retention);
+    }
+}
+
 /// Where the known membership of a process comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Source {
--- a/crates/hyssopfork-fleet/src/registry.rs
+++ b/crates/hyssopfork-fleet/src/registry.rs
@@ -15,10 +15,6 @@
 /// recognized as stale. Network partitions delay calls by seconds.
 const RECORD_RETENTION: Duration = Duration::from_secs(60);
 
-/// Silence timeouts after which a process with an earlier start time may take over a name: the
-/// machine's clock was set back, and the process known before no longer calls.
-const CLOCK_STEP_SILENCES: u32 = 1;
-
 /// Result of handling an upstream's call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -58,6 +54,8 @@
     pub dead: bool,
     /// What the membership in `announcement` rests on.
     evidence: precedence::Evidence,
+    /// Earlier processes of its name.
+    ended: precedence::Ended,
 }
 
 impl Record {
@@ -74,6 +72,7 @@
             unresponsive: false,
             dead: false,
             evidence: precedence::Evidence::from_first_call(announcement.membership.as_ref()),
+            ended: precedence::Ended::default(),
             announcement,
         }
     }
@@ -117,6 +116,8 @@
     silence_timeout: Duration,
     /// When an upstream last called that had no record.
     last_new_at: Option<clock::Instant>,
+    /// Processes that call although one with a later start is known.
+    contenders: precedence::Contenders,
 }
 
 impl Registry {
@@ -130,6 +131,7 @@
             has_removals: false,
             silence_timeout,
             last_new_at: None,
+            contenders: precedence::Contenders::default(),
         }
     }
 
@@ -179,6 +181,7 @@
         if !self.is_newer(now, &announcement) {
             return Outcome::Stale;
         }
+        self.contenders.remove(&announcement.instance);
         self.evict_from_address(&announcement);
         let cold_until = now + announcement.cold;
         let Some(known) = self.records.get_mut(&announcement.instance) else {
@@ -190,6 +193,7 @@
         if restarted {
             let membership = announcement.membership.as_ref();
             known.evidence = known.evidence.on_restart(membership);
+            known.ended.record(known.announcement.start_time_ms);
         } else {
             let membership = known.announcement.membership.as_ref();
             announcement.membership =
@@ -278,7 +282,16 @@
             }
             return changed;
         }
-        let departed = upstream.status == view::Status::Leaving && !announcement.draining;
+        let mut ended = precedence::Ended::default();
+        let mut departed = upstream.status == view::Status::Leaving && !announcement.draining;
+        if let Some(known) = self.records.get(&announcement.instance) {
+            ended = known.ended.clone();
+            if known.announcement.start_time_ms == announcement.start_time_ms {
+                departed |= known.departed;
+            } else {
+                ended.record(known.announcement.start_time_ms);
+            }
+        }
         let instance = announcement.instance.clone();
         // A silent upstream stays silent until it calls, so that no work is planned on it.
         let silent = upstream.status == view::Status::Silent;
@@ -294,6 +307,7 @@
             last_model,
             rate,
             evidence,
+            ended,
             ..Record::new(announcement, now)
         };
         if let Some(previous) = self.records.get(&instance) {
@@ -416,6 +430,7 @@
 
     /// Removes the records of upstreams not heard from within the retention period.
     pub fn remove_expired(&mut self, now: clock::Instant) {
+        self.contenders.remove_expired(now, RECORD_RETENTION);
         let is_expired = |record: &Record| now.since(record.last_heard) >= RECORD_RETENTION;
         let expired: Vec<name::Instance> = self
             .records
@@ -460,23 +475,28 @@
         &self.published
     }
 
-    fn is_newer(&self, now: clock::Instant, announcement: &announcement::Announcement) -> bool {
-        let is_alive = |record: &Record| {
-            now.since(record.last_heard) < self.silence_timeout * CLOCK_STEP_SILENCES
-                && !record.departed
-        };
-        if let Some(known) = self.records.get(&announcement.instance) {
-            let known_start_ms = known.announcement.start_time_ms;
-            return match announcement.start_time_ms.cmp(&known_start_ms) {
-                std::cmp::Ordering::Equal => announcement.sequence > known.announcement.sequence,
-                std::cmp::Ordering::Greater => true,
-                std::cmp::Ordering::Less => !is_alive(known),
-            };
+    /// Whether a call is newer than what is known of its name and address. A call of an earlier process is
+    /// not, whether or not the later one is alive.
+    fn is_newer(&mut self, now: clock::Instant, call: &announcement::Announcement) -> bool {
+        let start_time_ms = call.start_time_ms;
+        let known = self.records.get(&call.instance);
+        if known.is_some_and(|known| known.ended.contains(start_time_ms)) {
+            return false;
         }
-        let is_newer = |record: &Record| {
-            record.announcement.start_time_ms > announcement.start_time_ms && is_alive(record)
+        let rival = match known {
+            Some(known) if known.announcement.start_time_ms == start_time_ms => {
+                return call.sequence > known.announcement.sequence;
+            }
+            Some(known) => Some(known),
+            None => self.records_at(call.address).max_by_key(|it| it.announcement.start_time_ms),
         };
-        !self.records_at(announcement.address).any(is_newer)
+        match rival.filter(|rival| rival.announcement.start_time_ms > start_time_ms) {
+            Some(rival) => {
+                let heard_at = rival.last_heard;
+                self.contenders.is_persistent(now, call, heard_at, self.silence_timeout)
+            }
+            None => true,
+        }
     }
 
     /// Removes other upstreams with the same address: only one can listen there, and requests meant
--- a/crates/hyssopfork-fleet/tests/fleet/main.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/main.rs
@@ -19,6 +19,7 @@
 mod loads;
 mod moves;
 mod plan;
+mod precedence;
 mod publication;
 mod quarantine;
 mod random;
--- a/crates/hyssopfork-fleet/tests/fleet/registry.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/registry.rs
@@ -74,6 +74,92 @@
     assert!(registry.get(&e1()).is_none());
 }
 
+/// Guards against a process whose departure was acknowledged and that gets requests again, because a late
+/// call of the process before it arrives.
+#[test]
+fn a_late_call_of_an_earlier_process_does_not_undo_a_departure() {
+    let mut registry = registry();
+    let second = Announcement { start_time_ms: 2_000, sequence: 1, ..fixture::announcement("e1") };
+    registry.record_announcement(fixture::at(10), second);
+    registry.record_departure(fixture::at(20), &e1());
+
+    for (sequence, at) in [(7, 30), (8, 4_000), (9, 8_000), (10, 12_000)] {
+        let late = Announcement { sequence, ..fixture::announcement("e1") };
+        let taken = registry.record_announcement(fixture::at(at), late);
+
+        assert_eq!(taken, Outcome::Stale, "at {at} ms");
+        let published = &registry.published(fixture::at(at))[&e1()];
+        assert_eq!(published.status, view::Status::Leaving, "at {at} ms");
+    }
+}
+
+/// Guards against the same where the leader knows the second process alone: the first one called
+/// another leader, or has another name at the same address.
+#[test]
+fn a_late_call_of_an_unknown_earlier_process_does_not_undo_a_departure() {
+    for late_name in ["e1", "e2"] {
+        let mut registry = Registry::new(SILENCE_TIMEOUT);
+        let second = Announcement { start_time_ms: 2_000, ..fixture::announcement("e1") };
+        registry.record_announcement(fixture::at(10), second);
+        registry.record_departure(fixture::at(20), &e1());
+
+        // Both were held up by one partition.
+        for (sequence, at) in [(7, 4_000), (8, 4_300)] {
+            let late = Announcement {
+                sequence,
+                address: fixture::announcement("e1").address,
+                ..fixture::announcement(late_name)
+            };
+            let taken = registry.record_announcement(fixture::at(at), late);
+
+            assert_eq!(taken, Outcome::Stale, "{late_name} at {at} ms");
+        }
+        assert!(registry.get(&e1()).is_some_and(|record| record.departed), "{late_name}");
+    }
+}
+
+/// A machine's clock is set back before the next process of a name starts there. Guards against a process
+/// that never gets requests.
+#[test]
+fn a_process_with_an_earlier_start_time_is_taken_once_it_persists() {
+    for (departs, silence) in [(false, 2_700), (true, 0)] {
+        let mut registry = registry();
+        if departs {
+            registry.record_departure(fixture::at(10), &e1());
+        }
+
+        let called = |sequence, at| {
+            let next = Announcement { start_time_ms: 500, sequence, ..fixture::announcement("e1") };
+            (fixture::at(silence + at), next)
+        };
+        let taken: Vec<bool> = (1..=4)
+            .map(|sequence| called(sequence, 100 + sequence * 1_200))
+            .map(|(at, next)| registry.record_announcement(at, next) != Outcome::Stale)
+            .collect();
+
+        assert_eq!(taken, [false, false, false, true], "departs: {departs}");
+        assert!(registry.get(&e1()).is_some_and(|record| record.is_healthy()));
+    }
+}
+
+/// Guards against a departure that an entry learnt of and that a follower's newer knowledge undoes.
+#[test]
+fn a_departure_outlasts_the_knowledge_of_followers() {
+    let mut registry = registry();
+    let start_time_ms = start_time_ms(&registry);
+    registry.record_leaving(&quarantine::Process { instance: e1(), start_time_ms });
+
+    let known = view::Upstream {
+        announcement: Announcement { sequence: 9, ..fixture::announcement("e1") },
+        status: view::Status::Present,
+        last_model: None,
+        rate: None,
+    };
+    registry.adopt(fixture::at(20), known);
+
+    assert!(registry.get(&e1()).is_some_and(|record| record.departed));
+}
+
 #[test]
 fn a_silent_upstream_is_published_as_silent_until_it_calls() {
     let mut registry = registry();
