fleet: acknowledge nothing with one copy while other voters may exist

Cause: three seconds after its start a leader took any number of voters as enough, also itself alone. It must not know less than that the missing voters are lost, or that there are none.

Change: after the timeout a majority of the required voters is enough. A smaller log acknowledges only if every other seed has called and each known process with a folder votes.

--- a/crates/hyssopfork-fleet/src/core/calls.rs
+++ b/crates/hyssopfork-fleet/src/core/calls.rs
@@ -11,7 +11,8 @@
 use std::time::Duration;
 
 /// Time at the start of a leader's term during which it acknowledges nothing until the required
-/// voters have joined; on the first start they join within a second.
+/// voters have joined; on the first start they join within a second. Afterwards a majority of them is
+/// enough: the others are lost.
 const VOTER_JOIN_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Ticket of proposals without a waiting call.
@@ -45,6 +46,7 @@
     }
 
     fn on_hello(&mut self, call: u64, hello: &peer::Hello) {
+        self.discovery.record_heard(hello.address);
         if hello.has_folder {
             self.confirm_control(hello.address);
         }
@@ -106,13 +108,23 @@
         }
     }
 
-    /// Whether there are enough voters for an acknowledged command to survive the tolerated losses.
-    /// After [`VOTER_JOIN_TIMEOUT`] the existing voters are taken as enough.
+    /// Whether there are enough voters for an acknowledged command to survive the tolerated losses. A
+    /// smaller log may be that of a process that is itself cut off. It is enough only if no other
+    /// process can vote.
     fn has_required_voters(&self) -> bool {
-        let voters = self.node.as_ref().map_or(0, |node| node.voters().len());
+        let Some(node) = &self.node else { return false };
+        let required = self.settings.required_voters();
+        let voters = node.voters().len();
         let since = self.leadership.as_ref().map(|it| self.now.since(it.watches.term_start));
-        voters >= self.settings.required_voters()
-            || since.is_some_and(|since| since >= VOTER_JOIN_TIMEOUT)
+        let has_timed_out = since.is_some_and(|since| since >= VOTER_JOIN_TIMEOUT);
+        let is_voter = |control: &net::SocketAddr| {
+            node.voters().iter().any(|voter| super::address_of(&voter.instance) == Some(*control))
+        };
+        voters >= required
+            || has_timed_out && voters > required / 2
+            || has_timed_out
+                && self.discovery.has_heard_all_seeds()
+                && self.discovery.controls().all(|control| is_voter(&control))
     }
 
     /// Records an upstream's registration, or relays it to the leader.
@@ -244,6 +256,7 @@
     }
 
     fn on_watch(&mut self, call: u64, watch: peer::Watch) {
+        self.discovery.record_heard(watch.from);
         if watch.has_folder {
             self.confirm_control(watch.from);
         }
--- a/crates/hyssopfork-fleet/src/discovery.rs
+++ b/crates/hyssopfork-fleet/src/discovery.rs
@@ -34,6 +34,8 @@
 pub struct Discovery {
     own_address: net::SocketAddr,
     seeds: Vec<net::SocketAddr>,
+    /// Seeds that have called this process since it started.
+    heard_seeds: BTreeSet<net::SocketAddr>,
     /// Processes with a data folder, and when each last stated that it has one; `None` if only others
     /// named it.
     ///
@@ -57,6 +59,7 @@
         Discovery {
             own_address,
             seeds,
+            heard_seeds: BTreeSet::new(),
             controls: BTreeMap::new(),
             leader: None,
             last_greeting: None,
@@ -67,8 +70,22 @@
         }
     }
 
+    /// Records a greeting or watch of another process.
+    pub fn record_heard(&mut self, from: net::SocketAddr) {
+        if self.seeds.contains(&from) {
+            self.heard_seeds.insert(from);
+        }
+    }
+
+    /// Whether every other seed has called this process, so that it knows which of them have a data
+    /// folder.
+    pub fn has_heard_all_seeds(&self) -> bool {
+        self.seeds.iter().all(|it| *it == self.own_address || self.heard_seeds.contains(it))
+    }
+
     /// Replaces the seeds; other known processes are kept.
     pub fn set_seeds(&mut self, seeds: Vec<net::SocketAddr>) {
+        self.heard_seeds.retain(|seed| seeds.contains(seed));
         self.seeds = seeds;
     }
 
--- a/crates/hyssopfork-fleet/tests/fleet/replication.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/replication.rs
@@ -304,6 +304,46 @@
     assert_eq!(world.read_version(), Some(2));
 }
 
+/// Guards against a declaration that is acknowledged with one copy: the first seed is cut off at the first
+/// start, forms the log alone, and loses its disk.
+#[test]
+fn a_first_seed_that_is_cut_off_acknowledges_nothing_alone() {
+    let mut world = world::World::start(3, 1);
+    let first = fixture::address(1);
+    for other in [2, 3, 4].map(fixture::address) {
+        world.blocked_links.insert((first, other));
+        world.blocked_links.insert((other, first));
+    }
+    world.run(4_500);
+    assert_eq!(world.leader(), Some(first));
+    let declaration = Box::new(fixture::declaration(1));
+    let call = world.call(first, event::Request::Declare(declaration, fixture::document(1)));
+    world.run(1_000);
+    assert!(!matches!(world.replies.get(&call), Some(action::Reply::Done)));
+
+    world.blocked_links.clear();
+    world.run(1_000);
+    assert!(world.declare(2));
+    world.kill(first);
+    world.wipe_folder(first);
+    world.start_process(first, false);
+    world.run(4_000);
+
+    assert_eq!(world.read_version(), Some(2));
+}
+
+/// Guards against a fleet that acknowledges nothing for good because one of three processes with a folder
+/// is lost at the first start.
+#[test]
+fn two_of_three_voters_acknowledge_declarations() {
+    let mut world = world::World::start(3, 1);
+    world.kill(fixture::address(3));
+
+    world.run(6_000);
+
+    assert!(world.declare(1));
+}
+
 /// Guards against a replacement that is known only to the leader that it greeted, which then dies.
 #[test]
 fn a_replacement_becomes_a_voter_under_the_next_leader() {
--- a/crates/hyssopfork-fleet/tests/fleet/world.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/world.rs
@@ -172,7 +172,7 @@
         let mut world = World {
             now: fixture::at(1_000),
             processes: BTreeMap::new(),
-            seeds: (1..=3).map(fixture::address).collect(),
+            seeds: (1..=(folders + others).min(3)).map(fixture::address).collect(),
             engines: BTreeMap::new(),
             engine_addresses: BTreeMap::new(),
             blocked_links: BTreeSet::new(),
