consensus: let a voter that stops give up its seat

Cause: the dead seat stayed until it had been silent for 4 s, so that three of four voters were needed and two were left.

Change: a voter whose process stops requests the removal of its seat every 250 ms. The leader removes it while enough other voters answer, at once and not with the review of silent ones. With three voters nothing changes: a restart keeps its seat. A request counts for a second, so a process that is back keeps its seat as well.

Before: a_lost_disk_is_tolerated_after_a_planned_replacement and all_voters_can_be_replaced_at_once fail. Open: a machine that is killed keeps its seat for 4 s.

--- a/crates/hyssopfork-consensus/src/node.rs
+++ b/crates/hyssopfork-consensus/src/node.rs
@@ -266,6 +266,13 @@
         self.other_voters().into_iter().filter_map(contact_age).collect()
     }
 
+    /// Voters whose processes are stopping; empty unless this node leads.
+    pub fn leaving_voters(&self, now: clock::Instant) -> Vec<name::Instance> {
+        let Role::Leader(state) = &self.role else { return Vec::new() };
+        let voters = self.log.voters().iter().filter(|voter| state.is_leaving(voter, now));
+        voters.map(|voter| voter.instance.clone()).collect()
+    }
+
     /// End of the quorum lease, until which no other node can lead. It runs from the time at which
     /// the newest round answered by a quorum was sent. `None` unless this node leads, has committed
     /// an entry of its own term and is not handing over.
@@ -286,7 +293,9 @@
             self.on_leader_tick();
             return;
         }
-        if self.is_eligible() {
+        if self.resigned {
+            self.request_leave();
+        } else if self.is_eligible() {
             self.on_voter_tick();
         } else {
             self.on_nonvoter_tick();
@@ -345,6 +354,7 @@
             consensus::Message::Join { relayed } => self.on_join_request(from, relayed),
             consensus::Message::Form { instances } => self.on_form_request(from, instances),
             consensus::Message::Blank { folder } => self.on_blank_response(from, folder),
+            consensus::Message::Leave => self.on_leave_request(from),
         }
     }
 
--- a/crates/hyssopfork-consensus/src/node/formation.rs
+++ b/crates/hyssopfork-consensus/src/node/formation.rs
@@ -14,8 +14,8 @@
 use std::collections;
 use std::time::Duration;
 
-/// Interval between requests to join or to form the log.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between requests to join, to leave or to form the log.
+pub const REQUEST_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Interval between requests to join of an instance that is probably not needed as a voter.
 const SURPLUS_REQUEST_INTERVAL: Duration = Duration::from_secs(2);
@@ -34,9 +34,6 @@
             return;
         }
         self.next_request_at = self.now + REQUEST_INTERVAL;
-        if self.resigned {
-            return;
-        }
         if self.is_forming_instance() {
             self.request_formation();
         }
--- a/crates/hyssopfork-consensus/src/node/leader.rs
+++ b/crates/hyssopfork-consensus/src/node/leader.rs
@@ -203,11 +203,12 @@
         self.hand_over_to(successor);
     }
 
-    /// Voter with the longest log; among equals, the one with the latest contact.
+    /// Voter with the longest log that is not leaving; among equals, the one with the latest contact.
     fn choose_successor(&self, state: &leader_state::State) -> Option<consensus::Voter> {
-        let rank = |voter: &consensus::Voter| -> (number::Index, clock::Instant) {
+        let rank = |voter: &consensus::Voter| -> (bool, number::Index, clock::Instant) {
             let progress = &state.progress[voter];
-            (progress.matched, progress.last_contact)
+            let stays = !state.is_leaving(voter, self.now);
+            (stays, progress.matched, progress.last_contact)
         };
         self.other_voters().into_iter().max_by_key(rank)
     }
--- a/crates/hyssopfork-consensus/src/node/leader_state.rs
+++ b/crates/hyssopfork-consensus/src/node/leader_state.rs
@@ -19,6 +19,10 @@
 /// Time without contact after which a follower is sent no parts until it answers a heartbeat.
 const PART_SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time after the last request to leave for which a voter counts as leaving. Its process may have
+/// started again since.
+const LEAVE_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// View of the node that the leader state works with.
 #[derive(Clone, Copy)]
 pub struct Context<'a> {
@@ -81,6 +85,8 @@
     pub progress: collections::BTreeMap<consensus::Voter, progress::Progress>,
     /// Requests to join, the latest of each instance.
     pub join_requests: collections::BTreeMap<name::Instance, JoinRequest>,
+    /// When each voter whose process is stopping last requested to leave.
+    pub leave_requests: collections::BTreeMap<consensus::Voter, clock::Instant>,
     /// Addition by an operator, until the new voter has caught up.
     pub addition: Option<Addition>,
     /// When the next heartbeats are due.
@@ -98,6 +104,7 @@
         let mut state = State {
             progress: collections::BTreeMap::new(),
             join_requests: collections::BTreeMap::new(),
+            leave_requests: collections::BTreeMap::new(),
             addition: None,
             next_heartbeat_at: context.now,
             uncommitted_bytes: 0,
@@ -113,6 +120,7 @@
     pub fn track_voters(&mut self, context: Context<'_>) {
         let voters = context.log.voters();
         let join_requests = &self.join_requests;
+        self.leave_requests.retain(|voter, _| voters.contains(voter));
         self.progress.retain(|voter, _| {
             let request = join_requests.get(&voter.instance);
             voters.contains(voter) || request.is_some_and(|request| request.voter == *voter)
@@ -124,6 +132,12 @@
         }
     }
 
+    /// Whether the voter's process is stopping.
+    pub fn is_leaving(&self, voter: &consensus::Voter, now: clock::Instant) -> bool {
+        let requested_at = self.leave_requests.get(voter);
+        requested_at.is_some_and(|requested_at| now.since(*requested_at) < LEAVE_REQUEST_TIMEOUT)
+    }
+
     /// Starts to replicate the log to `voter`.
     pub fn track(&mut self, voter: &consensus::Voter, context: Context<'_>) {
         let last = context.log.last().index;
--- a/crates/hyssopfork-consensus/src/node/membership.rs
+++ b/crates/hyssopfork-consensus/src/node/membership.rs
@@ -5,7 +5,7 @@
 //! quorum of the new ones. A lost folder is replaced in two changes, with a vacant seat in between;
 //! replacing it in one would allow {A, old B} and {C, new B} to be quorums at the same time.
 
-use crate::node::{self, Node, leader_state, progress};
+use crate::node::{self, Node, formation, leader_state, progress};
 use crate::notice;
 use crate::{action, voters};
 use hyssopfork_wire::{consensus, name};
@@ -77,6 +77,29 @@
         self.actions.push(action::Action::Send(consensus::Packet { from, to, message }));
     }
 
+    /// Requests the removal of this node's seat while its process is stopping. If the seat stayed, its
+    /// replacement would enlarge the quorum until the leader had missed its answers for long.
+    pub(super) fn request_leave(&mut self) {
+        if self.now < self.next_request_at || !self.is_voter() {
+            return;
+        }
+        self.next_request_at = self.now + formation::REQUEST_INTERVAL;
+        let leader = self.leader.as_ref().filter(|leader| **leader != self.identity);
+        if let Some(leader) = leader.map(|leader| leader.instance.clone()) {
+            self.send(&leader, consensus::Message::Leave);
+        }
+    }
+
+    pub(super) fn on_leave_request(&mut self, from: consensus::Voter) {
+        let now = self.now;
+        let is_voter = self.log.voters().contains(&from);
+        if let node::Role::Leader(state) = &mut self.role
+            && is_voter
+        {
+            state.leave_requests.insert(from, now);
+        }
+    }
+
     pub(super) fn on_change_voters(&mut self, ticket: u64, change: voters::Change) {
         let (voters::Change::Add(instance) | voters::Change::Remove(instance)) = &change;
         let instance = instance.clone();
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -31,6 +31,9 @@
 /// Time between two reviews of the voters.
 const VOTER_REVIEW_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time between two reviews of the voters while one of them is leaving: its process ends within seconds.
+const LEAVING_VOTER_REVIEW_INTERVAL: Duration = Duration::from_millis(100);
+
 /// When the voters were last reviewed, and since when voters have been vacant (without a folder).
 #[derive(Clone, Debug, Default)]
 pub(super) struct VoterReview {
@@ -312,17 +315,19 @@
         }
     }
 
-    /// Removes a voter that is gone, so that its replacement does not enlarge the quorum
+    /// Removes a voter that is gone or leaving, so that its replacement does not enlarge the quorum
     /// permanently. Only done while enough other voters answer, since each membership change
     /// reduces fault tolerance while it is in progress.
     fn review_voters(&mut self) {
         let now = self.now;
         let (Some(leadership), Some(node)) = (&mut self.leadership, &self.node) else { return };
         let voter_review = &mut leadership.voter_review;
-        if voter_review
-            .last_review
-            .is_some_and(|last_review| now.since(last_review) < VOTER_REVIEW_INTERVAL)
-        {
+        let leaving = node.leaving_voters(now);
+        let interval = match leaving.is_empty() {
+            true => VOTER_REVIEW_INTERVAL,
+            false => LEAVING_VOTER_REVIEW_INTERVAL,
+        };
+        if voter_review.last_review.is_some_and(|last_review| now.since(last_review) < interval) {
             return;
         }
         voter_review.last_review = Some(now);
@@ -334,7 +339,9 @@
             voter_review.vacant_since.entry(instance).or_insert(now);
         }
         let mut silences = node.contact_ages(now);
-        let answers = |(_, silence): &&(name::Instance, Duration)| *silence < MAX_VOTER_SILENCE;
+        let answers = |(instance, silence): &&(name::Instance, Duration)| {
+            *silence < MAX_VOTER_SILENCE && !leaving.contains(instance)
+        };
         let answering = silences.iter().filter(answers).count() + 1;
         if answering < self.settings.required_voters() {
             return;
@@ -342,8 +349,9 @@
         silences.extend(
             voter_review.vacant_since.iter().map(|(it, since)| (it.clone(), now.since(*since))),
         );
-        let timed_out = silences.into_iter().find(|(_, silence)| *silence >= VOTER_TIMEOUT);
-        if let Some((instance, _)) = timed_out {
+        let mut timed_out = silences.into_iter().filter(|(_, silence)| *silence >= VOTER_TIMEOUT);
+        let gone = timed_out.next().map(|(instance, _)| instance);
+        if let Some(instance) = gone.or_else(|| leaving.into_iter().next()) {
             let change = voters::Change::Remove(instance.clone());
             self.push_notice(notice::Notice::SeatRemoved(instance));
             self.push_log_event(log_event::Event::ChangeVoters { ticket: 0, change });
--- a/crates/hyssopfork-fleet/tests/fleet/replication.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/replication.rs
@@ -344,6 +344,59 @@
     assert!(world.declare(1));
 }
 
+/// Guards against the seat of a process that was stopped for good after its replacement had joined: until
+/// it is removed, the next lost disk ends control.
+#[test]
+fn a_lost_disk_is_tolerated_after_a_planned_replacement() {
+    let mut world = world::World::declared(3, 1);
+    world.add_process(7, true);
+    world.run(6_000);
+    let removed = other_voter(&world);
+    world.stop(&[removed]);
+    world.run(500);
+    assert!(world.declare(2));
+
+    let wiped = other_voter(&world);
+    world.kill(wiped);
+    world.wipe_folder(wiped);
+    world.run(1_000);
+    world.start_process(wiped, false);
+    world.run(4_000);
+
+    assert_eq!(world.read_version(), Some(2));
+    assert!(world.declare(3));
+}
+
+/// Guards against the same where all processes with a folder are replaced at once, the leader among them.
+#[test]
+fn all_voters_can_be_replaced_at_once() {
+    let mut world = world::World::declared(3, 1);
+    (7..=9).for_each(|host| world.add_process(host, true));
+    world.run(6_000);
+    assert!(world.declare(2));
+
+    world.stop(&[1, 2, 3].map(fixture::address));
+    world.run(2_000);
+
+    assert_eq!(world.read_version(), Some(2));
+    assert!(world.declare(3));
+}
+
+/// Guards against a voter that is removed although it has started again.
+#[test]
+fn a_voter_that_restarts_keeps_its_seat() {
+    let mut world = world::World::declared(3, 1);
+    let restarted = other_voter(&world);
+
+    world.stop(&[restarted]);
+    world.start_process(restarted, false);
+    world.run(1_000);
+    world.add_process(7, true);
+    world.run(6_000);
+
+    assert!(voters_known_to(&world, 4).contains(&restarted));
+}
+
 /// Guards against a replacement that is known only to the leader that it greeted, which then dies.
 #[test]
 fn a_replacement_becomes_a_voter_under_the_next_leader() {
--- a/crates/hyssopfork-fleet/tests/fleet/world.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/world.rs
@@ -24,6 +24,8 @@
 const STALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Largest fleet of which each process's view is checked; of a larger one, only the leader's is.
 const MAX_CHECKED_PROCESSES: usize = 64;
+/// Time for which a process runs after it was asked to stop, in milliseconds.
+const STOP_TIME_MS: u64 = 2_800;
 /// Time after which an unanswered call has failed.
 const TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -288,6 +290,15 @@
         }
     }
 
+    /// Asks processes to stop, and kills them once they have had the time to do so.
+    pub fn stop(&mut self, addresses: &[SocketAddr]) {
+        for address in addresses {
+            self.step(*address, event::Event::Stop);
+        }
+        self.run(STOP_TIME_MS);
+        addresses.iter().for_each(|address| self.kill(*address));
+    }
+
     /// Ends the watches at a killed process one after the other within 150 ms, as resets of their
     /// connections do. Further ones are refused.
     pub fn reset_watches(&mut self, killed: SocketAddr) {
--- a/crates/hyssopfork-wire/src/consensus.rs
+++ b/crates/hyssopfork-wire/src/consensus.rs
@@ -148,6 +148,8 @@
         /// is ignored.
         folder: u64,
     },
+    /// A voter's process is stopping: the leader may remove its seat.
+    Leave,
 }
 
 impl Payload {
