exchange: read on to the final response, and bound what reports may hold

By RFC 9110, 15.2, a client reads on to the final one.

Cause: the head that was decoded first was taken for the response. Related: any bytes that arrived while a long request was written counted as an early response, so after an interim one the rest of the body was never sent; and the reports of engines were read without a limit for as long as their timeout of 80 ms.

Change: interim responses are dropped, also while the request is written; more than 16, or a switch of protocols that was not asked for, are malformed, which counts as the upstream's fault and lets the request be tried elsewhere. Reports and health responses are read up to 64 KiB. New tests of the connection (100, 102 and 103 before a good answer, without end, 101 unasked, before the end of a body), and of entries beside upstreams that send bytes without end: in heads, chunk sizes, extensions and trailers, bodies, events and reports, fast and one unit each 20 ms.

--- a/crates/hyssopfork-daemon/src/agent/engine.rs
+++ b/crates/hyssopfork-daemon/src/agent/engine.rs
@@ -39,6 +39,9 @@
     members: Vec<&'a str>,
 }
 
+/// Maximum size of a health response, in bytes.
+const MAX_HEALTH_BYTES: usize = 64 << 10;
+
 /// Probes the upstream until the process ends.
 pub async fn probe(upstream: net::SocketAddr, mailbox: mailbox::Mailbox<role::Input>) {
     let mut ticks = tokio::time::interval(timing::PROBE_INTERVAL);
@@ -68,7 +71,7 @@
     let exchange = async {
         connection.send(&request, Bytes::new()).await.ok()?;
         let head = connection.read_head().await.ok()?;
-        let body = connection.read_rest().await.ok()?;
+        let body = connection.read_rest_up_to(MAX_HEALTH_BYTES).await.ok()?;
         (head.status == SUCCESS_STATUS).then(|| parse_health(&body))
     };
     tokio::time::timeout(PROBE_TIMEOUT, exchange).await.ok()?
--- a/crates/hyssopfork-daemon/src/agent/upstream.rs
+++ b/crates/hyssopfork-daemon/src/agent/upstream.rs
@@ -189,6 +189,7 @@
         error::Error::ConnectionLost
         | error::Error::NotRead
         | error::Error::Malformed(_)
+        | error::Error::TooLong(_)
         | error::Error::Unframed => event::Fault::Broken,
     }
 }
--- a/crates/hyssopfork-daemon/src/edge/attempt.rs
+++ b/crates/hyssopfork-daemon/src/edge/attempt.rs
@@ -160,7 +160,9 @@
         error::Error::Unsendable(_) => event::Fault::NotRun,
         error::Error::NotRead => event::Fault::BodyNotRead,
         error::Error::ConnectionLost => event::Fault::ConnectionLost,
-        error::Error::Malformed(_) | error::Error::Unframed => event::Fault::InvalidResponse,
+        error::Error::Malformed(_) | error::Error::TooLong(_) | error::Error::Unframed => {
+            event::Fault::InvalidResponse
+        }
     }
 }
 
--- a/crates/hyssopfork-daemon/src/edge/engine.rs
+++ b/crates/hyssopfork-daemon/src/edge/engine.rs
@@ -18,6 +18,9 @@
 /// its member's death.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(80);
 
+/// Maximum size of a report, in bytes; reports have some hundred.
+const MAX_REPORT_BYTES: usize = 64 << 10;
+
 /// Sends an order.
 pub async fn send_order(order: &order::Order) -> order::Outcome {
     let headers = [
@@ -78,7 +81,8 @@
             .await
             .ok()?
             .ok()?;
-    let body = time::timeout(PROBE_TIMEOUT, connection.read_rest()).await.ok()?.ok()?;
+    let body = time::timeout(PROBE_TIMEOUT, connection.read_rest_up_to(MAX_REPORT_BYTES)).await;
+    let body = body.ok()?.ok()?;
     platform_order::parse_report(&body)
         .inspect_err(|error| tracing::warn!(%instance, %error, "an engine sent an invalid report"))
         .ok()
--- a/crates/hyssopfork-daemon/tests/edge/main.rs
+++ b/crates/hyssopfork-daemon/tests/edge/main.rs
@@ -4,6 +4,7 @@
 mod crashing_upstream;
 mod disk;
 mod end_to_end;
+mod endless;
 mod engine_upstream;
 mod fleet;
 mod gathered_connections;
--- a/crates/hyssopfork-exchange/src/connection.rs
+++ b/crates/hyssopfork-exchange/src/connection.rs
@@ -21,6 +21,9 @@
 /// Minimum space of the buffer for reading the rest of a larger body, in bytes.
 const READ_BYTES: usize = 16 << 10;
 
+/// Maximum number of interim responses before a final one.
+const MAX_INTERIM_RESPONSES: u32 = 16;
+
 /// Head of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Request<'a> {
@@ -53,8 +56,9 @@
 enum Stage {
     /// No exchange is in progress.
     Idle(ClientCodec),
-    /// The request is sent; the response's head is to be read.
-    Head(ClientCodec),
+    /// The request is sent; the response's head is to be read, unless it arrived while the request was
+    /// written.
+    Head(ClientCodec, Option<ResponseHead>),
     /// The response's body is to be read.
     Body(ClientPayloadCodec),
     /// The body has neither a length nor chunks: it ends when the server closes the connection.
@@ -79,6 +83,8 @@
     write_timeout: Option<Duration>,
     /// Bytes of the current response's body that have been returned.
     body_bytes: usize,
+    /// Interim responses to the current request.
+    interim_responses: u32,
 }
 
 impl Connection {
@@ -121,6 +127,7 @@
             allows_unframed: false,
             write_timeout: None,
             body_bytes: 0,
+            interim_responses: 0,
         })
     }
 
@@ -159,30 +166,41 @@
         let size = BodySize::Sized(body.len() as u64);
         let message = Message::Item((RequestHeadType::from(head), size));
         codec.encode(message, &mut bytes).map_err(|_| error::Error::Unsendable("head"))?;
-        self.write(bytes.chain(body)).await?;
-        self.stage = Stage::Head(codec);
+        self.interim_responses = 0;
+        let early_head = self.write(&mut codec, bytes.chain(body)).await?;
+        self.responded_early |= early_head.is_some();
+        self.stage = Stage::Head(codec, early_head);
         Ok(())
     }
 
-    /// Writes a request until the server responds: a server that responds early may never read the
-    /// rest, and waiting for it would delay the response.
-    async fn write(&mut self, bytes: impl Buf) -> Result<(), error::Error> {
-        let write_timeout = self.write_timeout;
+    /// Writes a request until the server responds, and returns the head of an early response: a server
+    /// that responds early may never read the rest, and waiting for it would delay the response.
+    async fn write(
+        &mut self,
+        codec: &mut ClientCodec,
+        bytes: impl Buf,
+    ) -> Result<Option<ResponseHead>, error::Error> {
         let (mut reader, mut writer) = self.stream.split();
-        tokio::select! {
-            biased;
-            written = write_all(&mut writer, bytes, write_timeout) => written,
-            read = reader.read_buf(&mut self.buffer) => match read {
-                Ok(0) | Err(_) => Err(error::Error::ConnectionLost),
-                Ok(_) => {
-                    self.responded_early = true;
-                    Ok(())
+        let writing = write_all(&mut writer, bytes, self.write_timeout);
+        tokio::pin!(writing);
+        loop {
+            tokio::select! {
+                biased;
+                written = &mut writing => return written.map(|()| None),
+                read = reader.read_buf(&mut self.buffer) => {
+                    if matches!(read, Ok(0) | Err(_)) {
+                        return Err(error::Error::ConnectionLost);
+                    }
                 }
-            },
+            }
+            let head = decode_final(codec, &mut self.buffer, &mut self.interim_responses)?;
+            if head.is_some() {
+                return Ok(head);
+            }
         }
     }
 
-    /// Reads the head of the response.
+    /// Reads the head of the response; interim responses before it are dropped.
     pub async fn read_head(&mut self) -> Result<Head, error::Error> {
         loop {
             if let Some(head) = self.decode_head()? {
@@ -207,7 +225,7 @@
                 Stage::Idle(_) | Stage::Closed => return Ok(None),
                 Stage::UntilClosed => self.fill_until_closed().await?,
                 Stage::Body(_) => self.fill_buffer().await?,
-                Stage::Head(_) | Stage::Failed => return Err(error::Error::ConnectionLost),
+                Stage::Head(..) | Stage::Failed => return Err(error::Error::ConnectionLost),
             }
         }
     }
@@ -235,8 +253,17 @@
 
     /// Reads the rest of the body; fails if the body is truncated.
     pub async fn read_rest(&mut self) -> Result<Bytes, error::Error> {
+        self.read_rest_up_to(usize::MAX).await
+    }
+
+    /// Reads the rest of the body; fails if the body is truncated or longer than `max_bytes`.
+    pub async fn read_rest_up_to(&mut self, max_bytes: usize) -> Result<Bytes, error::Error> {
         let mut rest = BytesMut::new();
         while let Some(part) = self.read_part().await? {
+            if part.len() > max_bytes - rest.len() {
+                self.stage = Stage::Failed;
+                return Err(error::Error::TooLong(max_bytes));
+            }
             rest.extend_from_slice(&part);
         }
         Ok(rest.freeze())
@@ -269,16 +296,20 @@
     }
 
     fn decode_head(&mut self) -> Result<Option<Head>, error::Error> {
-        let Stage::Head(codec) = &mut self.stage else { return Err(error::Error::ConnectionLost) };
-        let decoded = codec.decode(&mut self.buffer);
-        let head = decoded.map_err(|error| error::Error::Malformed(error.to_string()))?;
+        let Stage::Head(codec, early_head) = &mut self.stage else {
+            return Err(error::Error::ConnectionLost);
+        };
+        let head = match early_head.take() {
+            Some(head) => Some(head),
+            None => decode_final(codec, &mut self.buffer, &mut self.interim_responses)?,
+        };
         let Some(head) = head else { return Ok(None) };
         self.begin_body(&head)?;
         Ok(Some(convert_head(&head)))
     }
 
     fn begin_body(&mut self, head: &ResponseHead) -> Result<(), error::Error> {
-        let Stage::Head(codec) = std::mem::replace(&mut self.stage, Stage::Failed) else {
+        let Stage::Head(codec, _) = std::mem::replace(&mut self.stage, Stage::Failed) else {
             return Err(error::Error::ConnectionLost);
         };
         self.body_bytes = 0;
@@ -303,6 +334,32 @@
     }
 }
 
+/// Decodes the head of a final response; drops interim responses and counts them.
+fn decode_final(
+    codec: &mut ClientCodec,
+    buffer: &mut BytesMut,
+    interim_responses: &mut u32,
+) -> Result<Option<ResponseHead>, error::Error> {
+    loop {
+        let decoded = codec.decode(buffer);
+        let head = decoded.map_err(|error| error::Error::Malformed(error.to_string()))?;
+        let head = match head {
+            Some(head) if head.status.is_informational() => head,
+            head => return Ok(head),
+        };
+        *interim_responses += 1;
+        // No request asks for a switch of protocols.
+        if head.status == StatusCode::SWITCHING_PROTOCOLS
+            || *interim_responses > MAX_INTERIM_RESPONSES
+        {
+            return Err(error::Error::Malformed(format!(
+                "status {} instead of a final one",
+                head.status
+            )));
+        }
+    }
+}
+
 /// Writes all bytes without joining them into one buffer; fails if none is accepted within
 /// `timeout`.
 async fn write_all(
@@ -328,9 +385,8 @@
 /// Whether the head of a response without a payload says that it has no body. With neither a length
 /// nor chunks the body would end when the connection is closed, and the codec would not read it.
 fn is_framed(head: &ResponseHead) -> bool {
-    let has_no_body = head.status.is_informational()
-        || head.status == StatusCode::NO_CONTENT
-        || head.status == StatusCode::NOT_MODIFIED;
+    let has_no_body =
+        head.status == StatusCode::NO_CONTENT || head.status == StatusCode::NOT_MODIFIED;
     has_no_body || head.headers.contains_key(header::CONTENT_LENGTH)
 }
 
--- a/crates/hyssopfork-exchange/src/error.rs
+++ b/crates/hyssopfork-exchange/src/error.rs
@@ -28,6 +28,10 @@
         Malformed(text: String) {
             display("the response is not HTTP/1.1 ({}); check which server listens there", text)
         }
+        /// The body is longer than the limit, in bytes.
+        TooLong(limit: usize) {
+            display("the response is longer than {} bytes; check which server listens there", limit)
+        }
         /// The response has neither a length nor chunks: its end looks like a lost connection.
         Unframed {
             display("the response has neither a length nor chunks; have the server send either")
--- a/crates/hyssopfork-exchange/tests/connection.rs
+++ b/crates/hyssopfork-exchange/tests/connection.rs
@@ -117,6 +117,81 @@
     assert!(matches!(malformed, Err(error::Error::Malformed(_))), "{malformed:?}");
 }
 
+/// Guards against interim responses that pass for the final one.
+#[actix_rt::test]
+async fn interim_responses_are_dropped() {
+    let response = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nx-a: 1\r\n\r\n\
+        HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc";
+    let address = start_scripted_server(response);
+    let mut connection = connection::Connection::connect(address).await.expect("it listens");
+    connection.send(&REQUEST, body()).await.expect("sent");
+
+    let head = connection.read_head().await.expect("a final response");
+
+    assert_eq!((head.status, head.header("x-a")), (200, None));
+    let rest = connection.read_rest().await.expect("a complete body");
+    assert_eq!(rest, Bytes::from_static(b"abc"));
+    assert!(connection.is_reusable());
+}
+
+/// Guards against waiting forever for a final response after interim ones, and against a switch to a
+/// protocol that was not asked for.
+#[actix_rt::test]
+async fn endless_interim_responses_and_unasked_upgrades_are_malformed() {
+    let endless = "HTTP/1.1 100 Continue\r\n\r\n".repeat(1_000).into_bytes();
+    let upgrade = b"HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\n".to_vec();
+    for response in [endless, upgrade] {
+        let malformed = exchange(start_scripted_server(response.leak())).await;
+
+        assert!(matches!(malformed, Err(error::Error::Malformed(_))), "{malformed:?}");
+    }
+}
+
+/// Guards against a request whose body is never sent completely, because an interim response arrives
+/// while it is written.
+#[actix_rt::test]
+async fn a_body_is_sent_completely_after_an_interim_response() {
+    let length = 8 << 20;
+    let listener = http::free_listener().expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a client connects");
+        stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").expect("the client is connected");
+        thread::sleep(Duration::from_millis(100));
+        let mut read = 0;
+        while read < length {
+            read += stream.read(&mut [0; 64 << 10]).expect("the client sends");
+        }
+        stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").expect("the client reads");
+    });
+    let mut connection = connection::Connection::connect(address).await.expect("it listens");
+    connection.set_write_timeout(Duration::from_secs(5));
+
+    connection.send(&REQUEST, Bytes::from(vec![b'x'; length])).await.expect("sent");
+    let head = connection.read_head().await.expect("a final response");
+
+    assert_eq!(head.status, 204);
+}
+
+/// Guards against a response without an end that fills the memory of its reader.
+#[actix_rt::test]
+async fn a_body_beyond_the_limit_is_an_error() {
+    let response = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n\
+        3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\n";
+    for (limit, is_read) in [(6, true), (5, false)] {
+        let address = start_scripted_server(response);
+        let mut connection = connection::Connection::connect(address).await.expect("it listens");
+        connection.send(&REQUEST, body()).await.expect("sent");
+        connection.read_head().await.expect("a response");
+
+        let rest = connection.read_rest_up_to(limit).await;
+
+        assert_eq!(rest.is_ok(), is_read, "{rest:?}");
+        assert!(is_read || matches!(rest, Err(error::Error::TooLong(5))));
+        assert_eq!(connection.is_reusable(), is_read);
+    }
+}
+
 #[actix_rt::test]
 async fn a_closed_port_is_unreachable() {
     let listener = http::free_listener().expect("a free port");
