--- a/crates/hyssopfork-fleet/tests/fleet/discovery.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/discovery.rs
@@ -31,8 +31,7 @@
     }
 }
 
-/// Guards against seeds that know nobody after their restart: a process with a folder that follows a
-/// leader must go on greeting them.
+/// Guards against restarted seeds without a folder that never learn the address of a voter.
 #[test]
 fn a_process_with_a_folder_greets_its_seeds_while_it_follows_a_leader() {
     for has_folder in [true, false] {
