consensus: let half of four voters elect once another folder is lost

What callers saw: a core machine was killed after its successor had joined, and another one lost its disk within 4 s: the newest configuration, acknowledged in between, was never read again and no change acknowledged (CONFIG).

Cause: the killed voter's seat stays for 4 s, so that three of four voters decide, also about the removal of the dead seat and the vacating of the lost one. Two are left. Ruled out: that the declaration is lost (an entry is on three of four disks, so any two have it), and that the request to leave is (a killed process sends none).

Change: of an even number of voters, four or more, half are a quorum once another seat's folder is proven lost. The proof is a response of its instance, with another folder, to a request of the pre-vote before the term. Half of four need not share a voter with a majority of the next list, so until a change from or to such a list is committed, elections, commits and leases need a quorum of both. An operator's recovery writes the list twice for the same reason, so its test expects one index more. A learner is admitted only after it has answered a round of this leader: a_lost_folder_is_replaced_through_a_vacant_seat now sends it one.

Processes of an earlier release can't decode the two new messages, which are sent only in elections of four or more voters.

--- a/crates/hyssopfork-consensus/src/lib.rs
+++ b/crates/hyssopfork-consensus/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod node;
 pub mod notice;
 pub mod proposals;
+mod quorum;
 pub mod recovery;
 pub mod voters;
 pub mod write;
--- a/crates/hyssopfork-consensus/src/log.rs
+++ b/crates/hyssopfork-consensus/src/log.rs
@@ -1,6 +1,6 @@
 //! In-memory log: the retained entries, the newest snapshot, and the voters at each index.
 
-use crate::write;
+use crate::{quorum, write};
 use hyssopfork_wire::{consensus, number};
 use std::collections;
 use std::sync;
@@ -97,6 +97,18 @@
         self.memberships.iter().rev().nth(1).map_or(&[], |membership| &membership.voters)
     }
 
+    /// Voters before the last change if decisions need a quorum of them as well: the change is not
+    /// known to be committed, and quorums of the two lists need not share a voter. Empty otherwise.
+    pub fn replaced_voters(&self, committed: number::Index) -> &[consensus::Voter] {
+        let is_committed = self.voters_changed_at() <= committed;
+        if is_committed || !self.is_change_reducible() { &[] } else { self.previous_voters() }
+    }
+
+    /// Whether half of the voters before or after the last change may be a quorum.
+    pub fn is_change_reducible(&self) -> bool {
+        quorum::is_reducible(self.voters()) || quorum::is_reducible(self.previous_voters())
+    }
+
     /// Index of the last change of the voters.
     pub fn voters_changed_at(&self) -> number::Index {
         self.membership().since
--- a/crates/hyssopfork-consensus/src/node.rs
+++ b/crates/hyssopfork-consensus/src/node.rs
@@ -12,7 +12,7 @@
 mod progress;
 mod write_tracker;
 
-use crate::{action, event, log, notice, write};
+use crate::{action, event, log, notice, quorum, write};
 use hyssopfork_wire::{clock, consensus, name, number, timing};
 use rand::SeedableRng;
 use std::collections;
@@ -355,6 +355,10 @@
             consensus::Message::Form { instances } => self.on_form_request(from, instances),
             consensus::Message::Blank { folder } => self.on_blank_response(from, folder),
             consensus::Message::Leave => self.on_leave_request(from),
+            consensus::Message::FolderRequest { nonce } => {
+                self.send(&from.instance, consensus::Message::FolderResponse { nonce });
+            }
+            consensus::Message::FolderResponse { nonce } => self.on_folder_response(from, nonce),
         }
     }
 
@@ -460,6 +464,15 @@
         self.actions.push(action::Action::Rejected { ticket, leader });
     }
 
+    /// Quorums of the voters, while the folders of `lost` are known to be lost.
+    fn quorums<'a>(
+        &'a self,
+        lost: &'a collections::BTreeSet<consensus::Voter>,
+    ) -> quorum::Quorums<'a> {
+        let previous = self.log.replaced_voters(self.committed);
+        quorum::Quorums { voters: self.log.voters(), previous, lost }
+    }
+
     fn is_voter(&self) -> bool {
         self.log.voters().contains(&self.identity)
     }
--- a/crates/hyssopfork-consensus/src/node/election.rs
+++ b/crates/hyssopfork-consensus/src/node/election.rs
@@ -1,7 +1,7 @@
 //! Leader election with pre-vote, and the rules for granting votes.
 
 use crate::node::{self, Node, leader_state};
-use crate::{log, notice, write};
+use crate::{log, notice, quorum, write};
 use hyssopfork_wire::{clock, consensus, number};
 use rand::RngExt;
 use std::collections;
@@ -20,6 +20,10 @@
     votes: collections::BTreeSet<consensus::Voter>,
     /// Number of the write that contains the candidate's ballot.
     ballot_write: u64,
+    /// Random number of the pre-vote, which ties responses about folders to it.
+    nonce: u64,
+    /// Voters whose instances responded with another folder during the pre-vote.
+    lost: collections::BTreeSet<consensus::Voter>,
 }
 
 impl Node {
@@ -43,7 +47,7 @@
         if self.now < self.election_at || self.resigned || self.is_ballot_unsynced() {
             return;
         }
-        self.start_candidacy(true);
+        self.start_candidacy(true, collections::BTreeSet::new());
         // The local list of voters may never have been committed: a folder whose admission was lost
         // considers itself a voter, but no leader sends to it. Without a request to join, its seat
         // would stay vacant.
@@ -70,8 +74,9 @@
         !candidacy.pre && candidacy.ballot_write > self.writes.synced()
     }
 
-    /// Starts an election, or a pre-vote if `pre` is set.
-    fn start_candidacy(&mut self, pre: bool) {
+    /// Starts an election, or a pre-vote if `pre` is set. `lost` are the voters whose folders are known
+    /// to be lost.
+    fn start_candidacy(&mut self, pre: bool, lost: collections::BTreeSet<consensus::Voter>) {
         self.become_follower();
         let mut term = self.ballot.term.next();
         let votes = if pre { [self.identity.clone()].into() } else { collections::BTreeSet::new() };
@@ -82,15 +87,42 @@
             self.leader_heard_at = None;
             term = self.ballot.term;
         }
-        let ballot_write = self.newest_write();
-        self.role = node::Role::Candidate(Candidacy { pre, votes, ballot_write });
+        let (ballot_write, nonce) = (self.newest_write(), self.rng.random());
+        self.role = node::Role::Candidate(Candidacy { pre, votes, ballot_write, nonce, lost });
         self.request_votes(pre, term);
+        if pre {
+            self.request_folders(nonce);
+        }
         self.count_votes();
     }
 
+    /// Asks the instances of the other voters for their folders where a lost one changes the quorum.
+    fn request_folders(&mut self, nonce: u64) {
+        let replaced = self.log.replaced_voters(self.committed);
+        if !quorum::is_reducible(self.log.voters()) && !quorum::is_reducible(replaced) {
+            return;
+        }
+        for voter in self.electorate() {
+            self.send(&voter.instance, consensus::Message::FolderRequest { nonce });
+        }
+    }
+
+    pub(super) fn on_folder_response(&mut self, from: consensus::Voter, nonce: u64) {
+        let is_lost = |voter: &consensus::Voter| voter.instance == from.instance && *voter != from;
+        let lost = self.electorate().into_iter().find(is_lost);
+        if let node::Role::Candidate(candidacy) = &mut self.role
+            && candidacy.pre
+            && candidacy.nonce == nonce
+            && let Some(lost) = lost
+        {
+            candidacy.lost.insert(lost);
+            self.count_votes();
+        }
+    }
+
     fn request_votes(&mut self, pre: bool, term: number::Term) {
         let last = self.log.last();
-        for voter in self.other_voters() {
+        for voter in self.electorate() {
             let message = consensus::Message::Vote {
                 pre,
                 term,
@@ -109,6 +141,18 @@
         self.log.voters().iter().filter(other).cloned().collect()
     }
 
+    /// Other voters that an election depends on: also those that an uncommitted change removes.
+    fn electorate(&self) -> Vec<consensus::Voter> {
+        let mut voters = self.other_voters();
+        for voter in self.log.replaced_voters(self.committed) {
+            let is_listed = self.find_seat(&voter.instance).is_some();
+            if !is_listed && *voter != self.identity && voter.folder != consensus::VACANT {
+                voters.push(voter.clone());
+            }
+        }
+        voters
+    }
+
     pub(super) fn on_vote_request(
         &mut self,
         from: consensus::Voter,
@@ -190,26 +234,30 @@
         let node::Role::Candidate(candidacy) = &self.role else {
             return;
         };
-        let voters = self.log.voters();
         // Only listed identities count: a folder that replaced a lost one may respond, but does not
         // know how the lost one voted.
-        let votes = voters.iter().filter(|voter| candidacy.votes.contains(voter)).count();
-        if votes <= voters.len() / 2 {
+        let is_elected =
+            self.quorums(&candidacy.lost).value(|voter| candidacy.votes.contains(voter));
+        if !is_elected {
             return;
         }
+        let lost = candidacy.lost.clone();
         if candidacy.pre {
-            self.start_candidacy(false);
+            self.start_candidacy(false, lost);
         } else {
-            self.become_leader();
+            self.become_leader(lost);
         }
     }
 
-    fn become_leader(&mut self) {
+    fn become_leader(&mut self, lost: collections::BTreeSet<consensus::Voter>) {
         assert!(self.leader.is_none(), "a term has at most one leader");
         self.leader = Some(self.identity.clone());
-        let state = leader_state::State::new(self.context());
+        let state = leader_state::State::new(self.context(), lost.clone());
         self.role = node::Role::Leader(Box::new(state));
         self.push_notice(notice::Notice::Leads(self.ballot.term));
+        for voter in lost {
+            self.push_notice(notice::Notice::FolderLost(voter));
+        }
         let first = self.log.last().index.0 == 0;
         let payload = if first {
             // Only the node that formed the log knows the voters; the others learn them from this
@@ -233,7 +281,7 @@
         }
         self.leader_heard_at = None;
         if successor == self.identity && self.is_voter() && !self.resigned {
-            self.start_candidacy(false);
+            self.start_candidacy(false, collections::BTreeSet::new());
         }
     }
 }
--- a/crates/hyssopfork-consensus/src/node/leader.rs
+++ b/crates/hyssopfork-consensus/src/node/leader.rs
@@ -78,7 +78,9 @@
             state.heartbeats(context)
         });
         self.replicate();
+        self.vacate_lost_seats();
         self.admit_ready_learner();
+        self.confirm_voters();
         self.try_hand_over();
     }
 
--- a/crates/hyssopfork-consensus/src/node/leader_state.rs
+++ b/crates/hyssopfork-consensus/src/node/leader_state.rs
@@ -1,7 +1,7 @@
 //! Leader state: replication to each follower, and the index and lease that a quorum supports.
 
-use crate::log;
 use crate::node::progress;
+use crate::{log, quorum};
 use hyssopfork_wire::{clock, consensus, name, number};
 use std::collections;
 use std::sync;
@@ -95,12 +95,14 @@
     pub uncommitted_bytes: usize,
     /// When the handover of leadership started.
     pub handover_since: Option<clock::Instant>,
+    /// Voters whose folders were known to be lost before the term began.
+    pub lost: collections::BTreeSet<consensus::Voter>,
     round: u64,
 }
 
 impl State {
     /// Creates the state of a new leader.
-    pub fn new(context: Context<'_>) -> State {
+    pub fn new(context: Context<'_>, lost: collections::BTreeSet<consensus::Voter>) -> State {
         let mut state = State {
             progress: collections::BTreeMap::new(),
             join_requests: collections::BTreeMap::new(),
@@ -109,21 +111,23 @@
             next_heartbeat_at: context.now,
             uncommitted_bytes: 0,
             handover_since: None,
+            lost,
             round: 0,
         };
         state.track_voters(context);
         state
     }
 
-    /// Tracks the current voters, and drops the progress of nodes that are neither voters nor
-    /// requested to join.
+    /// Tracks the voters that decisions depend on, and drops the progress of nodes that are neither
+    /// voters nor requested to join.
     pub fn track_voters(&mut self, context: Context<'_>) {
-        let voters = context.log.voters();
+        let replaced = context.log.replaced_voters(context.committed);
+        let voters: Vec<&consensus::Voter> = context.log.voters().iter().chain(replaced).collect();
         let join_requests = &self.join_requests;
-        self.leave_requests.retain(|voter, _| voters.contains(voter));
+        self.leave_requests.retain(|voter, _| context.log.voters().contains(voter));
         self.progress.retain(|voter, _| {
             let request = join_requests.get(&voter.instance);
-            voters.contains(voter) || request.is_some_and(|request| request.voter == *voter)
+            voters.contains(&voter) || request.is_some_and(|request| request.voter == *voter)
         });
         for voter in voters {
             if voter != context.identity && voter.folder != consensus::VACANT {
@@ -132,6 +136,11 @@
         }
     }
 
+    /// Whether `voter` is the latest of its instance that requested to join.
+    pub fn has_requested_to_join(&self, voter: &consensus::Voter) -> bool {
+        self.join_requests.get(&voter.instance).is_some_and(|request| request.voter == *voter)
+    }
+
     /// Whether the voter's process is stopping.
     pub fn is_leaving(&self, voter: &consensus::Voter, now: clock::Instant) -> bool {
         let requested_at = self.leave_requests.get(voter);
@@ -188,7 +197,7 @@
     /// Highest index that a quorum has synced; the leader itself has synced up to `durable`.
     pub fn quorum_index(&self, context: Context<'_>, durable: number::Index) -> number::Index {
         let matched = |progress: &progress::Progress| progress.matched;
-        self.quorum_value(context, durable, matched).unwrap_or_default()
+        self.quorum_value(context, durable, matched)
     }
 
     /// Start of the quorum lease: latest time such that a quorum answered a round sent at that time
@@ -198,31 +207,32 @@
         context: Context<'_>,
         now: clock::Instant,
     ) -> Option<clock::Instant> {
-        self.quorum_value(context, Some(now), |progress| progress.lease_start)?
+        self.quorum_value(context, Some(now), |progress| progress.lease_start)
     }
 
     /// Latest time such that the last contact with a quorum is not older.
     pub fn quorum_contact(&self, context: Context<'_>) -> Option<clock::Instant> {
-        self.quorum_value(context, Some(context.now), |progress| Some(progress.last_contact))?
+        self.quorum_value(context, Some(context.now), |progress| Some(progress.last_contact))
     }
 
-    /// Greatest value that a quorum reaches; a vacant seat counts with the default.
+    /// Greatest value that a quorum reaches.
     fn quorum_value<T: Copy + Default + Ord>(
         &self,
         context: Context<'_>,
         own: T,
         of: impl Fn(&progress::Progress) -> T,
-    ) -> Option<T> {
-        let value = |voter: &consensus::Voter| {
+    ) -> T {
+        let quorums = quorum::Quorums {
+            voters: context.log.voters(),
+            previous: context.log.replaced_voters(context.committed),
+            lost: &self.lost,
+        };
+        quorums.value(|voter| {
             if voter == context.identity {
                 return own;
             }
             self.progress.get(voter).map(&of).unwrap_or_default()
-        };
-        let voters = context.log.voters();
-        let mut values: Vec<T> = voters.iter().map(value).collect();
-        values.sort_unstable_by(|left, right| right.cmp(left));
-        values.get(voters.len() / 2).copied()
+        })
     }
 }
 
--- a/crates/hyssopfork-consensus/src/node/membership.rs
+++ b/crates/hyssopfork-consensus/src/node/membership.rs
@@ -1,13 +1,15 @@
 //! Membership changes, one voter at a time.
 //!
 //! One seat changes at a time, and a leader starts no change before it has committed the previous
-//! change and an entry of its own term. Any quorum of the old voters then shares a voter with any
-//! quorum of the new ones. A lost folder is replaced in two changes, with a vacant seat in between;
-//! replacing it in one would allow {A, old B} and {C, new B} to be quorums at the same time.
+//! change and an entry of its own term. Majorities of the voters before and after a change share a
+//! voter. Half of an even number of voters, which may be a quorum ([`quorum::Quorums`]), need not share
+//! one with a majority of the next list, so that until such a change is committed a decision needs a
+//! quorum of both. A lost folder is replaced in two changes, with a vacant seat in between; replacing it
+//! in one would allow {A, old B} and {C, new B} to be quorums at the same time.
 
 use crate::node::{self, Node, formation, leader_state, progress};
 use crate::notice;
-use crate::{action, voters};
+use crate::{action, quorum, voters};
 use hyssopfork_wire::{consensus, name};
 use std::time::Duration;
 
@@ -155,11 +157,12 @@
         let node::Role::Leader(state) = &self.role else {
             return false;
         };
-        let is_responsive = |voter: &&consensus::Voter| {
+        let is_responsive = |voter: &consensus::Voter| {
             let progress = state.progress.get(voter);
-            **voter == self.identity || progress.is_some_and(|progress| !self.is_silent(progress))
+            *voter == self.identity || progress.is_some_and(|progress| !self.is_silent(progress))
         };
-        voters.iter().filter(is_responsive).count() > voters.len() / 2
+        let quorums = quorum::Quorums { voters, previous: &[], lost: &state.lost };
+        quorums.value(is_responsive)
     }
 
     fn is_silent(&self, progress: &progress::Progress) -> bool {
@@ -173,6 +176,36 @@
             && self.log.voters_changed_at() <= self.committed
     }
 
+    /// Vacates the seats whose folders were lost before the term began, so that a later leader need not
+    /// learn it again.
+    pub(super) fn vacate_lost_seats(&mut self) {
+        let node::Role::Leader(state) = &self.role else {
+            return;
+        };
+        let mut voters = self.log.voters().to_vec();
+        let lost = voters.iter_mut().find(|voter| state.lost.contains(voter));
+        let Some(lost) = lost.filter(|_| self.is_change_allowed() && !self.resigned) else {
+            return;
+        };
+        lost.folder = consensus::VACANT;
+        self.append_voters(None, voters);
+    }
+
+    /// Repeats the list of voters once their last change is committed. A process that starts with both
+    /// entries in its log knows from the second that the first is committed, and needs no quorum of the
+    /// voters before it, which may be gone.
+    pub(super) fn confirm_voters(&mut self) {
+        let log = &self.log;
+        let previous = log.previous_voters();
+        let is_confirmed =
+            previous.is_empty() || previous == log.voters() || !log.is_change_reducible();
+        if is_confirmed || !self.is_change_allowed() || !self.is_voter() || self.resigned {
+            return;
+        }
+        let voters = log.voters().to_vec();
+        self.append_voters(None, voters);
+    }
+
     /// Starts the next step of admitting a learner that has caught up.
     pub(super) fn admit_ready_learner(&mut self) {
         if !self.is_change_allowed() || self.resigned {
@@ -182,10 +215,10 @@
             return;
         };
         let voters = self.log.voters();
-        let ready = state
-            .progress
-            .iter()
-            .find(|(voter, progress)| !voters.contains(voter) && self.is_caught_up(progress));
+        let ready = state.progress.iter().find(|(voter, progress)| {
+            let is_learner = !voters.contains(voter) && state.has_requested_to_join(voter);
+            is_learner && self.is_caught_up(progress)
+        });
         let Some((learner, _)) = ready else {
             return;
         };
@@ -195,7 +228,9 @@
 
     fn is_caught_up(&self, progress: &progress::Progress) -> bool {
         let lag = self.log.last().index.0 - progress.matched.0;
-        lag <= MAX_ADMISSION_LAG_ENTRIES && progress.matched.0 > 0 && !self.is_silent(progress)
+        // A late response to an earlier request of a folder that was lost since answers no round.
+        let has_answered = progress.lease_start.is_some() && !self.is_silent(progress);
+        lag <= MAX_ADMISSION_LAG_ENTRIES && progress.matched.0 > 0 && has_answered
     }
 
     /// Vacates the seat of the learner's instance, fills it if vacant, or adds a seat.
@@ -248,7 +283,7 @@
         self.replicate();
     }
 
-    fn find_seat(&self, instance: &name::Instance) -> Option<&consensus::Voter> {
+    pub(super) fn find_seat(&self, instance: &name::Instance) -> Option<&consensus::Voter> {
         self.log.voters().iter().find(|voter| voter.instance == *instance)
     }
 }
--- a/crates/hyssopfork-consensus/src/notice.rs
+++ b/crates/hyssopfork-consensus/src/notice.rs
@@ -31,6 +31,8 @@
     ChangeRejected(name::Instance),
     /// The leader hands over its leadership.
     HandedOver(number::Term, consensus::Voter),
+    /// This node was elected while the folder of a voter was known to be lost.
+    FolderLost(consensus::Voter),
 }
 
 impl Notice {
@@ -49,15 +51,17 @@
             Notice::ChangeRejected(..) => 1015,
             Notice::HandedOver(..) => 1016,
             Notice::JoinDeferred(..) => 1017,
+            Notice::FolderLost(..) => 1018,
         }
     }
 
     /// Severity.
     pub const fn level(&self) -> level::Level {
         match self {
-            Notice::QuorumLost(..) | Notice::ListDiffers(..) | Notice::ChangeRejected(..) => {
-                level::Level::Warn
-            }
+            Notice::QuorumLost(..)
+            | Notice::ListDiffers(..)
+            | Notice::ChangeRejected(..)
+            | Notice::FolderLost(..) => level::Level::Warn,
             _ => level::Level::Info,
         }
     }
@@ -113,6 +117,11 @@
                     successor.instance
                 )
             }
+            Notice::FolderLost(voter) => write!(
+                formatter,
+                "this instance was elected after {} lost its data folder; its seat is vacant until its new folder has caught up",
+                voter.instance
+            ),
         }
     }
 }
--- a/crates/hyssopfork-consensus/src/recovery.rs
+++ b/crates/hyssopfork-consensus/src/recovery.rs
@@ -32,14 +32,14 @@
     }
     let kept = log.last().index;
     let removed = log.voters().iter().filter(|voter| **voter != identity).cloned().collect();
-    let payload = consensus::Payload::Voters(vec![identity.clone()]);
-    let entry = consensus::Entry { index: kept.next(), term, payload };
+    let entry = |index| {
+        let payload = consensus::Payload::Voters(vec![identity.clone()]);
+        consensus::Entry { index, term, payload }
+    };
+    // The second entry states that the first is committed, so that no quorum of the others is needed.
+    let entries = vec![entry(kept.next()), entry(kept.next().next())];
     // A term that no other voter has used, so that the entry differs from any of a former leader.
     let ballot = write::Ballot { term, vote: Some(identity) };
-    journal.write(&write::Write {
-        ballot: Some(ballot),
-        entries: vec![entry],
-        ..write::Write::default()
-    })?;
+    journal.write(&write::Write { ballot: Some(ballot), entries, ..write::Write::default() })?;
     Ok(Recovery { last_index: kept, removed_voters: removed })
 }
--- a/crates/hyssopfork-consensus/tests/histories/cluster.rs
+++ b/crates/hyssopfork-consensus/tests/histories/cluster.rs
@@ -54,6 +54,8 @@
     pub history: collections::BTreeMap<number::Index, (consensus::Entry, u64)>,
     pub acknowledged: Vec<u64>,
     pub rejected: Vec<u64>,
+    /// Leader of each term.
+    leaders: collections::BTreeMap<number::Term, consensus::Voter>,
     /// Bytes added to each snapshot, so that it is sent in parts.
     pub snapshot_padding_bytes: usize,
     queue: collections::BTreeMap<(u64, u64), Scheduled>,
@@ -84,6 +86,7 @@
             history: collections::BTreeMap::new(),
             acknowledged: Vec::new(),
             rejected: Vec::new(),
+            leaders: collections::BTreeMap::new(),
             snapshot_padding_bytes: 0,
             queue: collections::BTreeMap::new(),
             sequence: 0,
@@ -135,6 +138,16 @@
         voters.iter().filter(|voter| !identities.contains(voter)).count()
     }
 
+    /// Whether the disk of each of `voters` whose folder is not lost has the entry at `index`.
+    pub fn all_voters_have(&self, index: number::Index, voters: &[consensus::Voter]) -> bool {
+        let listed = (0..self.slots.len()).filter(|slot| voters.contains(&self.identity(*slot)));
+        listed.into_iter().all(|slot| {
+            let durable = &self.slots[slot].durable;
+            let last = durable.entries.last().map(|entry| entry.index);
+            last.or(durable.snapshot.as_ref().map(|snapshot| snapshot.index)) >= Some(index)
+        })
+    }
+
     pub fn is_voter(&self, slot: usize) -> bool {
         let newest = self.slots.iter().filter_map(|slot| slot.node.as_ref());
         let newest = newest.max_by_key(|node| node.committed());
@@ -218,6 +231,7 @@
         for action in actions {
             self.execute(slot, action);
         }
+        self.check_leader(slot);
         self.check_quorum_leases();
     }
 
@@ -324,6 +338,17 @@
         self.slots[slot].applied = snapshot.index;
     }
 
+    /// Checks that a process that leads is the only leader of its term, also of those that no longer run.
+    fn check_leader(&mut self, slot: usize) {
+        let node = self.slots[slot].node.as_ref();
+        let Some(term) = node.filter(|node| node.is_leader()).map(|node| node.term()) else {
+            return;
+        };
+        let identity = self.identity(slot);
+        let leader = self.leaders.entry(term).or_insert_with(|| identity.clone());
+        assert_eq!(*leader, identity, "a term has one leader");
+    }
+
     /// Checks that at most one process, paused ones included, holds an unexpired quorum lease.
     fn check_quorum_leases(&self) {
         let holds = |slot: &usize| {
--- a/crates/hyssopfork-consensus/tests/rules/main.rs
+++ b/crates/hyssopfork-consensus/tests/rules/main.rs
@@ -4,4 +4,5 @@
 mod fixture;
 mod founding;
 mod members;
+mod quorums;
 mod votes;
--- a/crates/hyssopfork-daemon/tests/edge/fleet.rs
+++ b/crates/hyssopfork-daemon/tests/edge/fleet.rs
@@ -55,6 +55,21 @@
         fleet
     }
 
+    /// Starts another process with an empty data folder, and returns its index.
+    pub fn add_node_with_disk(&mut self) -> usize {
+        let index = self.nodes.len();
+        let first = &self.nodes[0];
+        self.nodes.push(Node {
+            client_address: address(index, first.client_address.port()),
+            control_address: address(index, first.control_address.port()),
+            folder: self.folder.join(format!("edge-{index}")),
+            has_disk: true,
+            child: None,
+        });
+        self.start_node(index, false);
+        index
+    }
+
     /// Starts the process at `index` with the content of its data folder.
     pub fn start_node(&mut self, index: usize, first_start: bool) {
         let Ports { readiness, peer, metrics } = self.ports;
--- a/crates/hyssopfork-daemon/tests/edge/main.rs
+++ b/crates/hyssopfork-daemon/tests/edge/main.rs
@@ -19,6 +19,7 @@
 mod plain_upstream;
 mod prompt_part;
 mod query_of_death;
+mod replaced_seat;
 mod retry_budget;
 mod saved_view;
 mod scenario;
--- a/crates/hyssopfork-fleet/tests/fleet/main.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/main.rs
@@ -26,6 +26,7 @@
 mod recovery;
 mod registry;
 mod relays;
+mod replaced_seats;
 mod replication;
 mod saved_view;
 mod silence;
--- /dev/null
+++ b/crates/hyssopfork-fleet/tests/fleet/replaced_seats.rs
@@ -0,0 +1,240 @@
+//! Seats of voters that are gone for good, beside a lost disk.
+
+use crate::{fixture, world};
+use hyssopfork_fleet::{action, event};
+use std::net::SocketAddr;
+
+/// Host of the process that replaces a voter.
+const SUCCESSOR: u16 = 7;
+
+/// Times between the end of a voter and the loss of another one's disk, in milliseconds.
+const DELAYS_MS: [u64; 6] = [0, 100, 500, 1_000, 2_500, 4_000];
+
+/// Time that a process is away when it loses its disk, in milliseconds.
+const OUTAGE_MS: u64 = 1_000;
+
+/// A fleet of three voters whose replacement for one of them has had its time to catch up. Returns the
+/// leader and the two other old voters.
+fn with_successor() -> (world::World, SocketAddr, [SocketAddr; 2]) {
+    let mut world = world::World::declared(3, 1);
+    world.add_process(SUCCESSOR, true);
+    world.run(6_000);
+    assert!(world.declare(2));
+    let leader = world.leader().expect("one leads");
+    let others = [1, 2, 3].map(fixture::address).into_iter().filter(|it| *it != leader);
+    let others: Vec<SocketAddr> = others.collect();
+    (world, leader, [others[0], others[1]])
+}
+
+fn lose_disk(world: &mut world::World, address: SocketAddr) {
+    world.kill(address);
+    world.wipe_folder(address);
+    world.run(OUTAGE_MS);
+    world.start_process(address, false);
+}
+
+/// Kills `removed` for good, declares the next version without waiting, loses the disk of `wiped` after
+/// `delay_ms`, and checks that what was acknowledged is read back and changes are acknowledged again.
+fn check_lost_disk(
+    world: &mut world::World,
+    removed: SocketAddr,
+    wiped: SocketAddr,
+    delay_ms: u64,
+) {
+    world.kill(removed);
+    let leader = world.leader();
+    let declaration = Box::new(fixture::declaration(3));
+    let request = event::Request::Declare(declaration, fixture::document(3));
+    let call = leader.map(|leader| world.call(leader, request));
+    world.run(delay_ms);
+    lose_disk(world, wiped);
+    world.run(6_000);
+
+    let reply = call.and_then(|call| world.replies.get(&call));
+    let is_acknowledged = matches!(reply, Some(action::Reply::Done));
+    let read = world.read_version();
+    assert!(read >= Some(if is_acknowledged { 3 } else { 2 }), "{read:?} is read");
+    assert!(world.declare(4));
+}
+
+/// Guards against the seat of a process that was killed for good after its replacement had joined: until
+/// it is removed, the next lost disk ends control, whichever instance leads.
+#[test]
+fn a_lost_disk_is_tolerated_after_a_replaced_voter_was_killed() {
+    for delay_ms in DELAYS_MS {
+        for case in 0..5 {
+            let (mut world, leader, others) = with_successor();
+            let successor = fixture::address(SUCCESSOR);
+            let (removed, wiped) = [
+                (others[0], others[1]),
+                (others[0], leader),
+                (others[0], successor),
+                (leader, others[0]),
+                (leader, successor),
+            ][case];
+
+            check_lost_disk(&mut world, removed, wiped, delay_ms);
+        }
+    }
+}
+
+/// Guards against the same where the disk is lost first and its process is back before the kill.
+#[test]
+fn a_replaced_voter_may_be_killed_while_a_lost_disk_is_replaced() {
+    for delay_ms in DELAYS_MS {
+        let (mut world, leader, others) = with_successor();
+        world.kill(others[0]);
+        world.wipe_folder(others[0]);
+        world.start_process(others[0], false);
+        world.run(delay_ms);
+
+        world.kill(leader);
+        world.run(6_000);
+
+        assert_eq!(world.read_version(), Some(2), "{delay_ms} ms");
+        assert!(world.declare(3));
+    }
+}
+
+/// Guards against the end of control where a process that stops is killed, or cut off, before the leader
+/// has its request to leave.
+#[test]
+fn a_lost_disk_is_tolerated_where_a_request_to_leave_is_lost() {
+    for is_cut in [false, true] {
+        let (mut world, leader, [removed, wiped]) = with_successor();
+        let all: Vec<SocketAddr> = world.processes.keys().copied().collect();
+        for other in all.into_iter().filter(|other| is_cut && *other != removed) {
+            world.blocked_links.insert((removed, other));
+        }
+        if is_cut {
+            world.stop(&[removed]);
+        }
+
+        check_lost_disk(&mut world, removed, wiped, 100);
+
+        assert_ne!(world.leader(), Some(removed), "{leader} led");
+    }
+}
+
+/// Guards against the end of control where two voters are replaced at once and killed together.
+#[test]
+fn two_replaced_voters_may_be_killed_at_once() {
+    for with_leader in [false, true] {
+        let (mut world, leader, others) = with_successor();
+        world.add_process(SUCCESSOR + 1, true);
+        world.run(6_000);
+        let (removed, wiped) = if with_leader { (leader, others[1]) } else { (others[1], leader) };
+
+        world.kill(others[0]);
+        check_lost_disk(&mut world, removed, wiped, 6_000);
+    }
+}
+
+/// Guards against acknowledged state that a second lost disk takes with it once the first is replaced.
+#[test]
+fn two_disks_may_be_lost_one_after_the_other() {
+    for is_replaced in [false, true] {
+        let (mut world, leader, others) = with_successor();
+        if is_replaced {
+            world.kill(leader);
+        }
+        lose_disk(&mut world, others[0]);
+        world.run(4_000);
+        assert!(world.declare(3));
+
+        lose_disk(&mut world, others[1]);
+        world.run(4_000);
+
+        assert_eq!(world.read_version(), Some(3));
+        assert!(world.declare(4));
+    }
+}
+
+/// Guards against two logs, and against lost declarations, where a voter is cut off with the successor
+/// while another one loses its disk: both halves of the four seats are candidates.
+#[test]
+fn halves_of_four_voters_make_one_history() {
+    for cut_ms in [1_000, 4_000, 9_000] {
+        let (mut world, leader, others) = with_successor();
+        let all: Vec<SocketAddr> = world.processes.keys().copied().collect();
+        let cut = [others[0], fixture::address(SUCCESSOR)];
+        for inside in cut {
+            for outside in all.iter().filter(|it| !cut.contains(it)) {
+                world.blocked_links.insert((inside, *outside));
+                world.blocked_links.insert((*outside, inside));
+            }
+        }
+        world.kill(others[1]);
+        world.wipe_folder(others[1]);
+        world.start_process(others[1], false);
+
+        world.run(cut_ms);
+        let declared = world.declare(3);
+        world.blocked_links.clear();
+        world.run(6_000);
+
+        let read = world.read_version();
+        assert!(read >= Some(if declared { 3 } else { 2 }), "{read:?} is read, {leader} led");
+        assert!(world.declare(4));
+    }
+}
+
+/// Guards against a voter that was cut off, or paused, and is back with what it had acknowledged, while
+/// another one was replaced meanwhile.
+#[test]
+fn a_voter_that_is_cut_off_during_a_replacement_keeps_what_it_acknowledged() {
+    let (mut world, leader, [removed, cut]) = with_successor();
+    let all: Vec<SocketAddr> = world.processes.keys().copied().collect();
+    for other in all.into_iter().filter(|other| *other != cut) {
+        world.blocked_links.insert((cut, other));
+        world.blocked_links.insert((other, cut));
+    }
+    world.kill(removed);
+    world.run(3_000);
+    world.blocked_links.clear();
+    world.run(6_000);
+
+    assert_eq!(world.read_version(), Some(2), "{leader} led");
+    assert!(world.declare(3));
+}
+
+/// Guards against a voter of four that loses its seat for good because it restarts.
+#[test]
+fn a_voter_of_four_that_restarts_has_a_seat() {
+    let (mut world, _, [restarted, _]) = with_successor();
+    world.kill(restarted);
+    world.run(1_000);
+    world.start_process(restarted, false);
+    world.run(6_000);
+
+    let controls =
+        &world.processes[&fixture::address(4)].view.as_ref().expect("it has one").controls;
+    assert!(controls.contains(&restarted));
+    assert!(world.declare(3));
+}
+
+/// Guards against the end of control where two of five voters are killed at once and a disk is lost before
+/// their seats are removed. An acknowledged entry may be on just these three disks.
+#[test]
+fn a_lost_disk_is_tolerated_right_after_two_replaced_voters_were_killed() {
+    let (mut world, leader, others) = with_successor();
+    world.add_process(SUCCESSOR + 1, true);
+    world.run(6_000);
+
+    world.kill(others[0]);
+    check_lost_disk(&mut world, others[1], leader, 100);
+}
+
+/// Guards against the end of control where a replaced voter is killed for good and another one stays down
+/// with its disk before the seat is removed.
+#[test]
+fn a_voter_that_is_down_is_tolerated_right_after_a_replaced_voter_was_killed() {
+    let (mut world, _, others) = with_successor();
+
+    world.kill(others[0]);
+    world.run(100);
+    world.kill(others[1]);
+    world.run(6_000);
+
+    assert_eq!(world.read_version(), Some(2));
+}
--- a/crates/hyssopfork-wire/src/consensus.rs
+++ b/crates/hyssopfork-wire/src/consensus.rs
@@ -150,6 +150,16 @@
     },
     /// A voter's process is stopping: the leader may remove its seat.
     Leave,
+    /// Request of a candidate for the folder of the receiver's instance.
+    FolderRequest {
+        /// Random number, returned in the response.
+        nonce: u64,
+    },
+    /// Response to [`Message::FolderRequest`]; the sender's identity has the folder.
+    FolderResponse {
+        /// Random number of the request.
+        nonce: u64,
+    },
 }
 
 impl Payload {
