--- a/crates/hyssopfork-consensus/src/quorum.rs
+++ b/crates/hyssopfork-consensus/src/quorum.rs
@@ -47,8 +47,7 @@
         if has_lost_seat && is_reducible(voters) { voters.len() / 2 } else { voters.len() / 2 + 1 }
     }
 
-    /// Whether nobody votes or acknowledges for the seat of `voter`. The change of the voters may be
-    /// the one that vacates it.
+    /// Whether the voter's seat is vacant, also by the last change, or its folder is lost.
     fn is_lost(&self, voter: &consensus::Voter) -> bool {
         let vacated = consensus::Voter { folder: consensus::VACANT, ..voter.clone() };
         self.lost.contains(voter) || *voter == vacated || self.voters.contains(&vacated)
