--- a/review/harness-2/src/deployment.rs
+++ b/review/harness-2/src/deployment.rs
@@ -7,11 +7,16 @@
 use std::thread;
 use std::time::Duration;
 
-const CONFIGURATION: &str = r#"{"Version":1,"Routes":[{"Name":"r-submit","Host":"levy.example","PathPrefix":"/submit/","Kind":"non_idempotent","TimeoutMs":1500,"TargetLatencyMs":150,"Priority":2,"Service":"levy-desk","MaxAttempts":2,"Anonymous":true}],"Services":[{"Name":"levy-desk","HealthPath":"/health","ConnectionLimit":120,"Protocol":"h1","TransportSecurity":false,"ColdStartS":0.0,"ColdPerS":0.0}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":[]}"#;
+const REST: &str = r#","Routes":[{"Name":"r-submit","Host":"levy.example","PathPrefix":"/submit/","Kind":"non_idempotent","TimeoutMs":1500,"TargetLatencyMs":150,"Priority":2,"Service":"levy-desk","MaxAttempts":2,"Anonymous":true}],"Services":[{"Name":"levy-desk","HealthPath":"/health","ConnectionLimit":120,"Protocol":"h1","TransportSecurity":false,"ColdStartS":0.0,"ColdPerS":0.0}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":[]}"#;
+
+/// The configuration under this version.
+pub fn configuration(version: u64) -> String {
+    format!("{{\"Version\":{version}{REST}")
+}
 
 pub struct Deployment {
     /// Its processes end with it.
-    _fleet: Fleet,
+    pub fleet: Fleet,
     pub controls: Vec<SocketAddr>,
     pub callers: Vec<SocketAddr>,
 }
@@ -23,12 +28,12 @@
         let controls = (0..3).map(|index| fleet.control(index)).collect();
         let callers = (0..3).map(|index| fleet.callers(index)).collect();
         let limit = Duration::from_secs(20);
-        if !fleet.order("PUT", "/configuration", CONFIGURATION, limit)
+        if !fleet.order("PUT", "/configuration", &configuration(1), limit)
             || !fleet.wait_until_ready(limit)
         {
             return Err("the deployment doesn't start".to_owned());
         }
-        Ok(Deployment { _fleet: fleet, controls, callers })
+        Ok(Deployment { fleet, controls, callers })
     }
 
     /// Has a runner beat, and waits until all machines are in touch and know it.
--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -77,6 +77,19 @@
         (0..self.nodes.len()).filter(|index| !self.nodes[*index].is_removed)
     }
 
+    /// Adds a machine with an empty disk in the zone of another one, and starts its process.
+    pub fn add_successor(&mut self, neighbour: usize) -> usize {
+        let index = self.nodes.len();
+        self.nodes.push(Node {
+            child: None,
+            folder: self.folder.join(format!("edge-{index}")),
+            zone: self.nodes[neighbour].zone,
+            is_removed: false,
+        });
+        self.start_node(index, false);
+        index
+    }
+
     pub fn callers(&self, index: usize) -> SocketAddr {
         (ip(index), self.ports.callers).into()
     }
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -4,6 +4,7 @@
 mod deployment;
 mod fleet;
 mod http;
+mod lost_vote;
 mod promises;
 mod runner;
 mod stale_drain;
@@ -49,6 +50,7 @@
     let mut record = Record { start: Instant::now(), lines: Vec::new() };
     record.add(format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let verdict = match case.as_str() {
+        "lost-vote" => lost_vote::run(&mut record, trouble),
         "promises" => promises::run(&mut record, trouble),
         "stale-drain" => stale_drain::run(&mut record, trouble),
         _ => Verdict::CannotRun(format!("no such case: {case:?}")),
--- a/review/harness-2/src/promises.rs
+++ b/review/harness-2/src/promises.rs
@@ -33,7 +33,8 @@
              without Hyssopfork-Not-Executed; its health is good, and the other two are sound",
         );
     }
-    record.add(format!("{SUBMISSIONS} submissions, one each 50 ms, to the three processes in turn"));
+    record
+        .add(format!("{SUBMISSIONS} submissions, one each 50 ms, to the three processes in turn"));
     let attempts = client::submit(&deployment.callers, SUBMISSIONS, INTERVAL).join();
     let Ok(attempts) = attempts else { return Verdict::CannotRun("a requester failed".to_owned()) };
     let mut runs: BTreeMap<String, Vec<(String, Run)>> = BTreeMap::new();
--- a/review/harness-2/src/stale_drain.rs
+++ b/review/harness-2/src/stale_drain.rs
@@ -24,8 +24,7 @@
         Err(why) => return Verdict::CannotRun(why),
     };
     let free = SocketAddr::from(([127, 0, 0, 1], 0));
-    let other =
-        Runner::start("levy-desk", "ikeja", "i-desk-0", free, runner::unix_ms(), WORK);
+    let other = Runner::start("levy-desk", "ikeja", "i-desk-0", free, runner::unix_ms(), WORK);
     deployment.add(&other);
     deployment.settle();
     let submitting = client::submit(&deployment.callers, SUBMISSIONS, INTERVAL);
