--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -7,6 +7,7 @@
 mod lost_vote;
 mod promises;
 mod runner;
+mod same_place;
 mod stale_drain;
 
 use std::process::ExitCode;
@@ -52,6 +53,7 @@
     let verdict = match case.as_str() {
         "lost-vote" => lost_vote::run(&mut record, trouble),
         "promises" => promises::run(&mut record, trouble),
+        "same-place" => same_place::run(&mut record, trouble),
         "stale-drain" => stale_drain::run(&mut record, trouble),
         _ => Verdict::CannotRun(format!("no such case: {case:?}")),
     };
