--- a/review/harness-2/src/deployment.rs
+++ b/review/harness-2/src/deployment.rs
@@ -24,14 +24,14 @@
 impl Deployment {
     /// Starts the processes and configures them; an error if they don't start.
     pub fn start() -> Result<Deployment, String> {
-        let fleet = Fleet::start(3);
+        let mut fleet = Fleet::start(3);
         let controls = (0..3).map(|index| fleet.control(index)).collect();
         let callers = (0..3).map(|index| fleet.callers(index)).collect();
         let limit = Duration::from_secs(20);
         if !fleet.order("PUT", "/configuration", &configuration(1), limit)
             || !fleet.wait_until_ready(limit)
         {
-            return Err("the deployment doesn't start".to_owned());
+            return Err(format!("the deployment doesn't start; {}", fleet.describe()));
         }
         Ok(Deployment { fleet, controls, callers })
     }
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -51,6 +51,10 @@
     let mut record = Record { start: Instant::now(), lines: Vec::new() };
     record.add(format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let verdict = match case.as_str() {
+        "start" => match deployment::Deployment::start() {
+            Ok(_) => Verdict::Held,
+            Err(why) => Verdict::CannotRun(why),
+        },
         "lost-vote" => lost_vote::run(&mut record, trouble),
         "promises" => promises::run(&mut record, trouble),
         "same-place" => same_place::run(&mut record, trouble),
--- a/review/harness-2/src/same_place.rs
+++ b/review/harness-2/src/same_place.rs
@@ -46,7 +46,7 @@
     deployment.add(&desk);
     deployment.add(&trial);
     deployment.settle();
-    let submitting = client::submit(&deployment.callers, SUBMISSIONS, INTERVAL);
+    let submitting = client::submit(&deployment.callers, 0..SUBMISSIONS, INTERVAL);
     thread::sleep(Duration::from_secs(2));
     let host = if trouble { "Levy.Example" } else { "trial.example" };
     let mut status = 0;
--- a/review/harness-2/src/stale_drain.rs
+++ b/review/harness-2/src/stale_drain.rs
@@ -27,7 +27,7 @@
     let other = Runner::start("levy-desk", "ikeja", "i-desk-0", free, runner::unix_ms(), WORK);
     deployment.add(&other);
     deployment.settle();
-    let submitting = client::submit(&deployment.callers, SUBMISSIONS, INTERVAL);
+    let submitting = client::submit(&deployment.callers, 0..SUBMISSIONS, INTERVAL);
     let ahead = if trouble { CLOCK_STEP_MS } else { 0 };
     let born = runner::unix_ms() + ahead;
     let first = Runner::start("levy-desk", "lekki", "i-desk-1", free, born, WORK);
