--- a/review/harness-2/src/client.rs
+++ b/review/harness-2/src/client.rs
@@ -35,14 +35,19 @@
         for submission in submissions {
             let (to, attempts) = (to.clone(), attempts.clone());
             pending.push(thread::spawn(move || {
+                let began = Instant::now();
                 for number in 0..2 {
-                    let attempt = attempt(to[(submission + number) % to.len()], submission, number);
+                    let left = TIME_LIMIT.saturating_sub(began.elapsed());
+                    let to = to[(submission + number) % to.len()];
+                    let (attempt, retry_after) = attempt(to, submission, number, left);
                     let is_promise = matches!(attempt.status, 408 | 421 | 429 | 503);
                     attempts.lock().expect("no panic").push(attempt);
                     if !is_promise {
                         return;
                     }
-                    thread::sleep(Duration::from_millis(300));
+                    // `Retry-After` is honoured up to a third of the time left.
+                    let left = TIME_LIMIT.saturating_sub(began.elapsed());
+                    thread::sleep(retry_after.unwrap_or(Duration::from_millis(300)).min(left / 3));
                 }
             }));
             thread::sleep(interval);
@@ -54,25 +59,32 @@
     })
 }
 
-fn attempt(to: SocketAddr, submission: usize, number: usize) -> Attempt {
+fn attempt(
+    to: SocketAddr,
+    submission: usize,
+    number: usize,
+    left: Duration,
+) -> (Attempt, Option<Duration>) {
     let id = format!("{:012x}{number:04x}", 0x9c41_d07b_e200 + submission);
     let sent = Instant::now();
-    let status = exchange(to, &id).unwrap_or(0);
-    Attempt { submission, id, sent, status }
+    let (status, retry_after) = exchange(to, &id, left).unwrap_or_default();
+    (Attempt { submission, id, sent, status }, retry_after)
 }
 
-fn exchange(to: SocketAddr, id: &str) -> Option<u16> {
+/// Status and `Retry-After` of the answer; `None` without a whole answer in time.
+fn exchange(to: SocketAddr, id: &str, left: Duration) -> Option<(u16, Option<Duration>)> {
     let mut stream = std::net::TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
-    stream.set_read_timeout(Some(TIME_LIMIT + Duration::from_millis(500))).ok()?;
+    stream.set_read_timeout(Some(left + Duration::from_millis(500))).ok()?;
     let body = "certificate";
     let head = format!(
         "POST /submit/certificate HTTP/1.1\r\nHost: levy.example\r\nHyssopfork-Attempt-Id: {id}\r\n\
          Hyssopfork-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n{body}",
-        TIME_LIMIT.as_millis(),
+        left.as_millis(),
         body.len()
     );
     stream.write_all(head.as_bytes()).ok()?;
     let mut head = http::read_head(&mut stream, Vec::new()).ok()??;
     http::read_body(&mut stream, &mut head).ok()?;
-    Some(head.status())
+    let retry_after = head.header("retry-after").and_then(|it| it.parse().ok());
+    Some((head.status(), retry_after.map(Duration::from_secs_f64)))
 }
--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -168,14 +168,8 @@
         while Instant::now() < until {
             for index in self.present() {
                 let timeout = Duration::from_secs(1);
-                let reply = http::call(self.control(index), method, path, body, timeout);
-                let reply = match reply {
-                    Some(reply) if reply.status == 307 => {
-                        let to = reply.header("location").and_then(http::address_of);
-                        to.and_then(|to| http::call(to, method, path, body, timeout))
-                    }
-                    other => other,
-                };
+                let to = self.control(index);
+                let reply = http::call_control(to, method, path, body, timeout);
                 if reply.is_some_and(|it| it.status == 200) {
                     return true;
                 }
--- a/review/harness-2/src/http.rs
+++ b/review/harness-2/src/http.rs
@@ -98,6 +98,24 @@
     Some(Reply { status: head.status(), headers: head.headers, body })
 }
 
+/// Makes a call and follows a 307 twice, as callers of the control address do.
+pub fn call_control(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    timeout: Duration,
+) -> Option<Reply> {
+    let mut reply = call(to, method, path, body, timeout)?;
+    for _ in 0..2 {
+        if reply.status == 307 {
+            let to = reply.header("location").and_then(address_of)?;
+            reply = call(to, method, path, body, timeout)?;
+        }
+    }
+    Some(reply)
+}
+
 /// Address of a URL.
 pub fn address_of(url: &str) -> Option<SocketAddr> {
     url.strip_prefix("http://")?.split('/').next()?.parse().ok()
--- a/review/harness-2/src/lost_vote.rs
+++ b/review/harness-2/src/lost_vote.rs
@@ -1,7 +1,7 @@
 //! A machine of the core is replaced by one in another zone, and then another one loses its disk.
 
 use crate::deployment::{self, Deployment};
-use crate::http::{self, Reply};
+use crate::http;
 use crate::{Record, Verdict};
 use rustix::process::Signal;
 use std::net::SocketAddr;
@@ -102,13 +102,7 @@
 
 /// Version that a read gives, with redirects followed as by the operator.
 fn version_at(to: SocketAddr) -> Option<u64> {
-    let read = |to| http::call(to, "GET", "/configuration", "", Duration::from_secs(1));
-    let mut reply: Reply = read(to)?;
-    for _ in 0..2 {
-        if reply.status == 307 {
-            reply = read(reply.header("location").and_then(http::address_of)?)?;
-        }
-    }
+    let reply = http::call_control(to, "GET", "/configuration", "", Duration::from_secs(1))?;
     let body: serde_json::Value = serde_json::from_slice(&reply.body).ok()?;
     if reply.status == 200 { body["Version"].as_u64() } else { None }
 }
--- a/review/harness-2/src/runner.rs
+++ b/review/harness-2/src/runner.rs
@@ -116,7 +116,7 @@
             self.service, self.address, self.zone, self.born
         );
         let path = format!("/instances/{}", self.instance);
-        let reply = http::call(to, "PUT", &path, &body, Duration::from_secs(1))?;
+        let reply = http::call_control(to, "PUT", &path, &body, Duration::from_secs(1))?;
         if reply.status != 200 {
             return None;
         }
@@ -134,6 +134,15 @@
         self.is_draining.store(true, Ordering::SeqCst);
     }
 
+    /// Reports that it is gone, to one process after the other until one acknowledges it.
+    pub fn depart(&self, controls: &[SocketAddr]) -> bool {
+        let path = format!("/instances/{}", self.instance);
+        controls.iter().any(|to| {
+            let reply = http::call_control(*to, "DELETE", &path, "", Duration::from_secs(1));
+            reply.is_some_and(|it| it.status == 200)
+        })
+    }
+
     /// Ends the lifetime: nothing listens any more, and its channels are closed.
     pub fn end(&self) {
         self.has_ended.store(true, Ordering::SeqCst);
--- a/review/harness-2/src/same_place.rs
+++ b/review/harness-2/src/same_place.rs
@@ -52,13 +52,8 @@
     let mut status = 0;
     for to in deployment.controls.iter().cycle().take(9) {
         let body = configuration(2, host);
-        let mut reply = http::call(*to, "PUT", "/configuration", &body, Duration::from_secs(1));
-        if let Some(location) = reply.as_ref().and_then(|it| it.header("location")) {
-            let to = http::address_of(location);
-            reply = to.and_then(|to| {
-                http::call(to, "PUT", "/configuration", &body, Duration::from_secs(1))
-            });
-        }
+        let timeout = Duration::from_secs(1);
+        let reply = http::call_control(*to, "PUT", "/configuration", &body, timeout);
         status = reply.map_or(0, |it| it.status);
         record.add(format!(
             "version 2 is sent: levy.example/submit/ to levy-desk, {host}/submit/ to trial-desk; answered \
--- a/review/harness-2/src/stale_drain.rs
+++ b/review/harness-2/src/stale_drain.rs
@@ -55,8 +55,12 @@
     };
     record.add("the draining of i-desk-1 was acknowledged; it goes on beating and serving");
     thread::sleep((DRAIN_TIMEOUT + LONGER).saturating_sub(acknowledged.elapsed()));
+    let departed = second.depart(&deployment.controls);
     second.end();
-    record.add("i-desk-1 has exited, DrainTimeoutMs and 0.5 s after the ack");
+    record.add(format!(
+        "i-desk-1 has sent DELETE (acknowledged: {departed}) and exited, DrainTimeoutMs and 0.5 s after \
+         the ack of its draining"
+    ));
     let Ok(attempts) = submitting.join() else {
         return Verdict::CannotRun("a requester failed".to_owned());
     };
