--- a/review/harness-3/src/http.rs
+++ b/review/harness-3/src/http.rs
@@ -1,6 +1,6 @@
 //! A small HTTP/1.1 client, with blocking sockets.
 
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
