review/9: a zone that is taken back sends a cold runner its full part (FAILBACK)

A zone is evacuated and taken back while its runner has become cold 0.1 s before, right after one of its pings.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,7 @@
 # build of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
-CARGO_TARGET_DIR=target/review-2 cargo build --release --locked --offline \
-  --manifest-path review/harness-2/Cargo.toml
+for harness in harness-2 harness-3; do
+  CARGO_TARGET_DIR=target/review-2 cargo build --release --locked --offline \
+    --manifest-path "review/$harness/Cargo.toml"
+done
--- a/review/harness-3/src/cold_zone.rs
+++ b/review/harness-3/src/cold_zone.rs
@@ -1,33 +1,35 @@
 //! A zone is evacuated and taken back; its runner has become cold shortly before.
 
+use crate::Outcome;
 use crate::clients::Clients;
 use crate::record::Record;
 use crate::runner::{Runner, Service};
 use crate::system::System;
-use crate::Outcome;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// `ColdPerS` of the service.
-const COLD_PER_S: usize = 8;
+/// `ColdPerS` of the service, that of the cold runners of the users' sites.
+const COLD_PER_S: usize = 38;
 /// `ColdPerS` x `ColdOvershoot` + `ColdSlack`, with the bounds of the users' sites.
-pub const MAX_COLD: usize = COLD_PER_S * 3 / 2 + 5;
+const MAX_COLD: usize = COLD_PER_S * 3 / 2 + 5;
 /// Requests a second of all clients.
-pub const RATE: usize = 120;
+const RATE: usize = 300;
 
-pub fn configuration() -> String {
+/// The configuration: one route that may not be repeated, to one service.
+fn configuration() -> String {
     format!(
-        r#"{{"Version":7,"Routes":[{{"Name":"submit","Host":"desk.example","PathPrefix":"/submit/","Kind":"non_idempotent","TimeoutMs":1500,"TargetLatencyMs":150,"Priority":1,"Service":"desk","MaxAttempts":1,"Anonymous":true}}],"Services":[{{"Name":"desk","HealthPath":"/health","ConnectionLimit":120,"Protocol":"h1","TransportSecurity":false,"ColdStartS":3.0,"ColdPerS":{COLD_PER_S}.0}}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}},"Tenants":[]}}"#
+        r#"{{"Version":7,"Routes":[{{"Name":"submit","Host":"desk.example","PathPrefix":"/submit/","Kind":"non_idempotent","TimeoutMs":1500,"TargetLatencyMs":150,"Priority":1,"Service":"desk","MaxAttempts":1,"Anonymous":true}}],"Services":[{{"Name":"desk","HealthPath":"/health","ConnectionLimit":516,"Protocol":"h1","TransportSecurity":false,"ColdStartS":3.0,"ColdPerS":{COLD_PER_S}.0}}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}},"Tenants":[]}}"#
     )
 }
 
-pub const SERVICE: Service = Service {
-    slots: 8,
-    work: Duration::from_millis(50),
+/// The runners of the service.
+const SERVICE: Service = Service {
+    slots: 34,
+    work: Duration::from_millis(100),
     cold_time: Duration::from_secs(3),
-    crash_rate: 3 * COLD_PER_S,
+    crash_rate: 2 * COLD_PER_S,
 };
 
 pub fn run(has_trouble: bool, record: &Arc<Record>) -> Outcome {
@@ -35,10 +37,10 @@
     let all = [0, 1, 2];
     let start = |id: &str, zone: &str, last: u8| {
         let ip = Ipv4Addr::new(127, 0, 22, last);
-        Runner::start(id, zone, ip, None, SERVICE, false, system.controls(), record)
+        Runner::start(id, zone, ip, SERVICE, system.controls(), record)
     };
     let in_zone = start("i-one", "z1", 1);
-    let _other = start("i-two", "z2", 2);
+    let _others = [start("i-two", "z2", 2), start("i-three", "z3", 3)];
     let accepted =
         system.order(&all, "PUT", "/configuration", &configuration(), Duration::from_secs(15));
     if !accepted.is_some_and(|(status, _)| status == 200)
--- a/review/harness-3/src/http.rs
+++ b/review/harness-3/src/http.rs
@@ -72,7 +72,11 @@
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line)? == 0 {
-            return if head.is_empty() { Ok(head) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
+            return if head.is_empty() {
+                Ok(head)
+            } else {
+                Err(io::ErrorKind::UnexpectedEof.into())
+            };
         }
         if line == "\r\n" {
             return Ok(head);
--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -1,10 +1,9 @@
-//! Stand-ins and scripts of the second review, part of this sitting: `review-3 CASE RECORD`.
+//! Case review/9: `harness-3 cold-zone RECORD`, run at the root of the repository.
 //!
 //! Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. `TROUBLE=0` leaves
 //! the disruption out.
 
 mod clients;
-mod cold_restart;
 mod cold_zone;
 mod http;
 mod record;
@@ -25,7 +24,7 @@
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, path] = arguments.as_slice() else {
-        println!("usage: review-3 CASE RECORD");
+        println!("usage: harness-3 CASE RECORD");
         return ExitCode::from(2);
     };
     let record = Arc::new(record::Record::create(Path::new(path)));
@@ -33,7 +32,6 @@
     record.line(&format!("case {case}, disruption: {has_trouble}"));
     let outcome = match case.as_str() {
         "cold-zone" => cold_zone::run(has_trouble, &record),
-        "cold-restart" => cold_restart::run(has_trouble, &record),
         _ => Outcome::CouldNotRun("no such case"),
     };
     match outcome {
--- a/review/harness-3/src/runner.rs
+++ b/review/harness-3/src/runner.rs
@@ -3,6 +3,7 @@
 
 use crate::http;
 use crate::record::Record;
+use std::collections::BTreeMap;
 use std::io::{BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -25,60 +26,54 @@
     cold_until: Option<Instant>,
     /// Requests that arrived and were not refused with 421: when, and whether it was cold then.
     arrivals: Vec<(Instant, bool)>,
-    connections: Vec<TcpStream>,
-    crashes: usize,
+    /// Open connections, by their numbers.
+    connections: BTreeMap<u64, TcpStream>,
 }
 
-/// One lifetime of a runner.
+/// A runner.
 pub struct Runner {
-    pub id: String,
-    pub zone: String,
-    pub address: SocketAddr,
+    id: String,
+    zone: String,
+    address: SocketAddr,
     born: u64,
     service: Service,
     state: Mutex<State>,
     running: AtomicUsize,
     sequence: AtomicU64,
     is_up: AtomicBool,
-    /// When its last ping was acknowledged, and the number of those that were.
-    acknowledged: Mutex<(Option<Instant>, usize)>,
+    /// Number of acknowledged pings.
+    acknowledged: AtomicUsize,
     record: Arc<Record>,
 }
 
 impl Runner {
-    /// Starts a lifetime at `address`, or at a free port of `ip`.
+    /// Starts a runner at a free port of `ip`. It is warm, since it starts before the traffic.
     pub fn start(
         id: &str,
         zone: &str,
         ip: Ipv4Addr,
-        address: Option<SocketAddr>,
         service: Service,
-        is_cold: bool,
         controls: Vec<SocketAddr>,
         record: &Arc<Record>,
     ) -> Arc<Runner> {
-        let listener = TcpListener::bind(address.unwrap_or(SocketAddr::from((ip, 0))));
+        let listener = TcpListener::bind((ip, 0));
         let listener = listener.expect("the runner's address is free");
         let address = listener.local_addr().expect("bound");
         let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis();
-        let state = State {
-            cold_until: is_cold.then(|| Instant::now() + service.cold_time),
-            ..State::default()
-        };
         let runner = Arc::new(Runner {
             id: id.to_owned(),
             zone: zone.to_owned(),
             address,
             born: born as u64,
             service,
-            state: Mutex::new(state),
+            state: Mutex::default(),
             running: AtomicUsize::new(0),
             sequence: AtomicU64::new(0),
             is_up: AtomicBool::new(true),
-            acknowledged: Mutex::new((None, 0)),
+            acknowledged: AtomicUsize::new(0),
             record: record.clone(),
         });
-        record.line(&format!("runner {id} starts at {address}, cold: {is_cold}"));
+        record.line(&format!("runner {id} starts at {address}"));
         listener.set_nonblocking(true).expect("a listener");
         let accepting = runner.clone();
         thread::spawn(move || accepting.accept(&listener));
@@ -87,14 +82,13 @@
         runner
     }
 
-    /// Ends the lifetime as a crash does.
-    pub fn crash(&self) {
+    /// Ends as a crash does.
+    fn crash(&self) {
         if !self.is_up.swap(false, Ordering::SeqCst) {
             return;
         }
-        let mut state = self.state.lock().expect("no holder panics");
-        state.crashes += 1;
-        for connection in state.connections.drain(..) {
+        let state = self.state.lock().expect("no holder panics");
+        for connection in state.connections.values() {
             let _closed = connection.shutdown(Shutdown::Both);
         }
         self.record.say(&format!("runner {} crashes", self.id));
@@ -119,7 +113,7 @@
 
     /// Number of acknowledged pings.
     pub fn acknowledged(&self) -> usize {
-        self.acknowledged.lock().expect("no holder panics").1
+        self.acknowledged.load(Ordering::SeqCst)
     }
 
     /// Requests that arrived so far.
@@ -140,21 +134,28 @@
     }
 
     fn accept(self: Arc<Self>, listener: &TcpListener) {
+        let mut number = 0;
         while self.is_up() {
             match listener.accept() {
                 Ok((stream, _)) => {
+                    number += 1;
                     let runner = self.clone();
-                    let _nonblocking = stream.set_nonblocking(false);
-                    let _nodelay = stream.set_nodelay(true);
-                    let kept = stream.try_clone().expect("a descriptor");
-                    self.state.lock().expect("no holder panics").connections.push(kept);
-                    thread::spawn(move || runner.serve(stream));
+                    thread::spawn(move || runner.serve_connection(stream, number));
                 }
                 Err(_) => thread::sleep(Duration::from_millis(1)),
             }
         }
     }
 
+    /// Serves a connection, which a crash closes.
+    fn serve_connection(&self, stream: TcpStream, number: u64) {
+        let configured = stream.set_nonblocking(false).and_then(|()| stream.set_nodelay(true));
+        let Ok(kept) = configured.and_then(|()| stream.try_clone()) else { return };
+        self.state.lock().expect("no holder panics").connections.insert(number, kept);
+        self.serve(stream);
+        self.state.lock().expect("no holder panics").connections.remove(&number);
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let Ok(reading) = stream.try_clone() else { return };
         let mut reader = BufReader::new(reading);
@@ -274,8 +275,7 @@
                         "ping {sequence} of {} is acknowledged by {to}, cold for {cold} ms",
                         self.id
                     ));
-                    let mut acknowledged = self.acknowledged.lock().expect("no holder panics");
-                    *acknowledged = (Some(Instant::now()), acknowledged.1 + 1);
+                    self.acknowledged.fetch_add(1, Ordering::SeqCst);
                     let text = answer.text();
                     let named = text.split("\"HeartbeatAddress\":\"").nth(1);
                     return Some(named.and_then(|it| it.split('"').next()?.parse().ok()));
--- a/review/harness-3/src/system.rs
+++ b/review/harness-3/src/system.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Bounds of a small deployment; those of the users' first sites.
+/// `HeartbeatIntervalMs`.
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
 #[derive(Clone, Copy)]
@@ -23,17 +23,19 @@
     metrics: u16,
 }
 
-pub struct Node {
-    pub name: String,
-    pub zone: String,
+/// A machine with one process.
+struct Node {
+    name: String,
+    zone: String,
     ip: Ipv4Addr,
-    pub has_disk: bool,
+    has_disk: bool,
     folder: PathBuf,
     child: Option<Child>,
 }
 
+/// The processes. Dropping it ends them and deletes their folders.
 pub struct System {
-    pub nodes: Vec<Node>,
+    nodes: Vec<Node>,
     ports: Ports,
     folder: PathBuf,
     record: Arc<Record>,
@@ -41,10 +43,17 @@
 }
 
 fn free_ports() -> Ports {
-    let listeners: Vec<TcpListener> =
-        (0..5).map(|_| TcpListener::bind((Ipv4Addr::new(127, 0, 21, 1), 0)).expect("a port")).collect();
+    let listeners: Vec<TcpListener> = (0..5)
+        .map(|_| TcpListener::bind((Ipv4Addr::new(127, 0, 21, 1), 0)).expect("a port"))
+        .collect();
     let port = |index: usize| listeners[index].local_addr().expect("bound").port();
-    Ports { clients: port(0), readiness: port(1), control: port(2), peer: port(3), metrics: port(4) }
+    Ports {
+        clients: port(0),
+        readiness: port(1),
+        control: port(2),
+        peer: port(3),
+        metrics: port(4),
+    }
 }
 
 impl System {
@@ -73,12 +82,12 @@
             program,
         };
         let seeds: Vec<usize> = (0..zones.len().min(3)).collect();
-        (0..zones.len()).for_each(|index| system.start_node(index, true, &seeds));
+        (0..zones.len()).for_each(|index| system.start_node(index, &seeds));
         system
     }
 
     /// Starts the process at `index` with the settings that the platform would write.
-    pub fn start_node(&mut self, index: usize, first_start: bool, seeds: &[usize]) {
+    fn start_node(&mut self, index: usize, seeds: &[usize]) {
         let seeds: Vec<String> =
             seeds.iter().map(|it| format!("\"{}\"", self.control(*it))).collect();
         let ports = self.ports;
@@ -97,7 +106,7 @@
   "share_load": false,
   "metrics_port": {},
   "seeds": [{}],
-  "first_start": {first_start},
+  "first_start": true,
   "data_folder": "{}",
   "tolerated_losses": 1,
   "link_mbps": 1000.0,
@@ -156,25 +165,6 @@
         (0..self.nodes.len()).map(|index| self.control(index)).collect()
     }
 
-    /// Sends a signal to the process at `index`.
-    pub fn signal(&mut self, index: usize, signal: &str) {
-        let node = &mut self.nodes[index];
-        let Some(child) = &node.child else { return };
-        let status =
-            Command::new("kill").args([&format!("-{signal}"), &child.id().to_string()]).status();
-        assert!(status.is_ok_and(|it| it.success()), "a signal could not be sent");
-        self.record.line(&format!("SIG{signal} to {}", node.name));
-    }
-
-    /// Waits for the process at `index` to end.
-    pub fn wait_for_end(&mut self, index: usize) {
-        let node = &mut self.nodes[index];
-        if let Some(mut child) = node.child.take() {
-            let _status = child.wait();
-            self.record.line(&format!("{} has ended", node.name));
-        }
-    }
-
     /// Sends an order of the operator as the pages say: to one machine after the other, following two
     /// redirects, until one answers it; returns the status and the body.
     pub fn order(
@@ -190,12 +180,11 @@
             for index in among {
                 let mut to = self.control(*index);
                 for _ in 0..3 {
-                    let answer =
-                        http::call(to, method, path, &[], body, Duration::from_secs(1));
+                    let answer = http::call(to, method, path, &[], body, Duration::from_secs(1));
                     let Ok(answer) = answer else { break };
-                    let target = answer.header("location").and_then(|it| {
-                        it.strip_prefix("http://")?.split('/').next()?.parse().ok()
-                    });
+                    let target = answer
+                        .header("location")
+                        .and_then(|it| it.strip_prefix("http://")?.split('/').next()?.parse().ok());
                     match (answer.status, target) {
                         (307, Some(target)) => to = target,
                         (408 | 429 | 500.., _) => break,
