--- a/review/harness-2/src/stale_drain.rs
+++ b/review/harness-2/src/stale_drain.rs
@@ -24,8 +24,10 @@
         Err(why) => return Verdict::CannotRun(why),
     };
     let free = SocketAddr::from(([127, 0, 0, 1], 0));
-    let other = Runner::start("levy-desk", "ikeja", "i-desk-0", free, runner::unix_ms(), WORK);
-    deployment.add(&other);
+    for (instance, zone) in [("i-desk-0", "ikeja"), ("i-desk-2", "apapa")] {
+        let other = Runner::start("levy-desk", zone, instance, free, runner::unix_ms(), WORK);
+        deployment.add(&other);
+    }
     deployment.settle();
     let submitting = client::submit(&deployment.callers, 0..SUBMISSIONS, INTERVAL);
     let ahead = if trouble { CLOCK_STEP_MS } else { 0 };
