gateway: don't forward a promise that the upstream doesn't state

Cause: `on_response` and `on_large_response` forwarded every status below 500. Only statuses of 500 and more reached the check of those that promise (408, 421, 429, 503), so of the four it covered 503 alone.

Evidence: one attempt for each refused request, with the upstream's signature in the answer, so that it was no rejection of this system. Ruled out by a table test over statuses, sizes, first and later attempts: our own rejections after an attempt that may have run (deadline, queue timeout, retry budget) promise nothing.

Change: one function, `is_false_promise`, decides for small and large responses. Also, a success or redirect with `Hyssopfork-Not-Executed` contradicts itself: it counted as no run, so that the request was sent to another upstream; it is an invalid response now.

--- a/crates/hyssopfork-daemon/tests/edge/main.rs
+++ b/crates/hyssopfork-daemon/tests/edge/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod crashing_upstream;
 mod disk;
+mod drawn_responses;
 mod end_to_end;
 mod endless;
 mod engine_upstream;
--- a/crates/hyssopfork-gateway/src/core/serve.rs
+++ b/crates/hyssopfork-gateway/src/core/serve.rs
@@ -327,7 +327,7 @@
             // A complete response can't continue a stream whose head the client already has.
             return self.on_attempt_failed(number, event::Fault::InvalidResponse, None);
         }
-        if head.status < 500 {
+        if head.status < 500 && !self.is_false_promise(number, head.status) {
             self.on_named_rate(number, head.rate);
             self.finish_attempt(number, true);
             return self.forward_response(number, head.status);
@@ -357,7 +357,7 @@
         if request.head_forwarded {
             return self.on_attempt_failed(number, event::Fault::InvalidResponse, None);
         }
-        if head.status < 500 {
+        if head.status < 500 && !self.is_false_promise(number, head.status) {
             self.on_named_rate(number, head.rate);
         } else if self.retry_server_error(number, head) {
             return;
@@ -369,8 +369,16 @@
         self.decide(number, action::Decision::ForwardStream);
     }
 
+    /// Whether the status of a response would promise that a request has not run, which its upstream
+    /// doesn't state. Clients send a request again after such a promise, also one that must run once.
+    fn is_false_promise(&self, number: u64, status: u16) -> bool {
+        let may_repeat =
+            self.requests.get(&number).is_some_and(|request| request.repetition.may_repeat());
+        !may_repeat && response::promises_not_run(status)
+    }
+
     /// Sends a request elsewhere whose upstream responds with a server error, or rejects it if the
-    /// status would promise what the upstream doesn't state. Returns whether it has done either.
+    /// status would be a false promise. Returns whether it has done either.
     fn retry_server_error(&mut self, number: u64, head: event::Head) -> bool {
         self.count_possible_run(number);
         let Some(request) = self.requests.get(&number) else { return true };
@@ -384,10 +392,7 @@
             self.dispatch(number, true);
             return true;
         }
-        // Forwarded, these statuses would promise that the request has not run, which this upstream
-        // doesn't state.
-        let promises_not_run = matches!(head.status, 408 | 421 | 429 | 503);
-        if promises_not_run && !repeatable {
+        if self.is_false_promise(number, head.status) {
             self.end_server_error(number, head);
             self.end_without_response(number, action::Reason::Failed, Duration::ZERO);
             return true;
--- a/crates/hyssopfork-gateway/src/response.rs
+++ b/crates/hyssopfork-gateway/src/response.rs
@@ -45,17 +45,27 @@
     pub keep_alive: Option<Duration>,
 }
 
+/// Whether a status promises that the request has not run and never will. Only an upstream that states
+/// it as well keeps this promise.
+pub fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 impl Response {
     /// Checks whether this is a valid response to the request `identifier`.
     ///
     /// A response to another request can arrive in place of the expected one if an upstream
     /// responds twice. A success that is unsigned or has an encoded body does not come from the
-    /// upstream.
+    /// upstream. A success, or a redirect, that states that the request has not run contradicts itself.
     pub fn fault(&self, identifier: &str) -> Option<event::Fault> {
         let success = (200..300).contains(&self.status);
         let identified = self.identifier.as_deref();
         let is_other = identified.is_some_and(|it| it != identifier);
-        if is_other || success && (identified.is_none() || !self.signed || self.encoded) {
+        let is_contradictory = self.not_run && self.status < 400;
+        if is_other
+            || is_contradictory
+            || success && (identified.is_none() || !self.signed || self.encoded)
+        {
             return Some(event::Fault::InvalidResponse);
         }
         if self.wrong_instance {
--- a/crates/hyssopfork-gateway/tests/gateway/main.rs
+++ b/crates/hyssopfork-gateway/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod output_length;
 mod overload;
 mod pause;
+mod promises;
 mod queue;
 mod rate_limit;
 mod readiness;
