fleet: acknowledge a change once most instances have it

Seen: two instances with a disk were added in two zones.

Cause: an added instance takes the vote of the sound one in its zone, so five instances have three voters, and a majority of the voters can be a minority of the instances. The larger side has no leader and goes on with the declaration that it has.

Ruled out: a lagging leader on the larger side; there is none.

Change: a leader holds the answer to a committed change until each instance in contact has it (0.5 s at most) and those that may run without it are at most half of all. Counted are the voters and the former voters that the log lists: superseded ones, and displaced ones, whose silent seats were removed or given away. One that refuses connections, stops, or has been silent for 4 s while most are in contact is absent, which the log records for the next leader. Votes, quorums, leases and reads are as before. 5017 tells what was not acknowledged.

--- a/crates/hyssopfork-consensus/src/event.rs
+++ b/crates/hyssopfork-consensus/src/event.rs
@@ -41,6 +41,9 @@
     SetListedVoters(Vec<name::Instance>),
     /// Replaces the instances of [`Settings::learners`](crate::node::Settings::learners).
     SetLearners(Vec<name::Instance>),
+    /// Records which of the superseded and displaced instances are absent; the others are present. Dropped
+    /// while another change of the voters is in progress.
+    SetAbsent(Vec<name::Instance>),
     /// Form the log with this node as its only voter. Ignored unless the data folder is blank. The
     /// owner designates one folder in the lifetime of the system; two would form two logs.
     Form,
--- a/crates/hyssopfork-consensus/src/log.rs
+++ b/crates/hyssopfork-consensus/src/log.rs
@@ -25,32 +25,92 @@
 struct Membership {
     since: number::Index,
     voters: Vec<consensus::Voter>,
-    /// Instances that gave their votes to newer ones, oldest first.
-    superseded: Vec<name::Instance>,
+    former: FormerVoters,
+}
+
+/// Instances that had a vote and have none, as far as a list of voters states them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FormerVoters {
+    /// Instances that gave their votes to newer ones, oldest first. They take no seat by themselves.
+    pub superseded: Vec<name::Instance>,
+    /// Superseded instances whose processes have ended, or have not been heard for long.
+    ///
+    /// Invariant: each is one of `superseded`.
+    pub absent: collections::BTreeSet<name::Instance>,
+    /// Instances whose seats were removed, or given to a superseded instance, since they were silent.
+    /// They may still run and get a seat as any new instance.
+    ///
+    /// Invariant: none is one of `superseded`.
+    pub displaced: collections::BTreeSet<name::Instance>,
+}
+
+/// Number of times that a list names a superseded, an absent and a displaced instance. Releases that know
+/// only superseded instances take each of them for one.
+const SUPERSEDED_COUNT: usize = 1;
+const ABSENT_COUNT: usize = 2;
+const DISPLACED_COUNT: usize = 3;
+
+impl FormerVoters {
+    fn from_list<'a>(list: impl IntoIterator<Item = &'a name::Instance>) -> FormerVoters {
+        let mut counts: Vec<(name::Instance, usize)> = Vec::new();
+        for instance in list {
+            match counts.iter_mut().find(|(it, _)| it == instance) {
+                Some((_, count)) => *count += 1,
+                None => counts.push((instance.clone(), 1)),
+            }
+        }
+        let mut former = FormerVoters::default();
+        for (instance, count) in counts {
+            if count >= DISPLACED_COUNT {
+                former.displaced.insert(instance);
+                continue;
+            }
+            if count >= ABSENT_COUNT {
+                former.absent.insert(instance.clone());
+            }
+            former.superseded.push(instance);
+        }
+        former
+    }
+
+    fn to_list(&self) -> impl Iterator<Item = name::Instance> {
+        let count = |it: &name::Instance| {
+            if self.absent.contains(it) { ABSENT_COUNT } else { SUPERSEDED_COUNT }
+        };
+        let superseded = self.superseded.iter().map(move |it| (it, count(it)));
+        let displaced = self.displaced.iter().map(|it| (it, DISPLACED_COUNT));
+        superseded.chain(displaced).flat_map(|(it, count)| std::iter::repeat_n(it.clone(), count))
+    }
+
+    /// Keeps the superseded instances for which `is_kept` holds.
+    pub fn retain_superseded(&mut self, is_kept: impl Fn(&name::Instance) -> bool) {
+        self.superseded.retain(|instance| is_kept(instance));
+        self.absent.retain(|instance| is_kept(instance));
+    }
 }
 
 impl Membership {
     fn new(since: number::Index, list: &[consensus::Voter]) -> Membership {
         let (superseded, voters): (Vec<_>, Vec<_>) =
             list.iter().cloned().partition(|it| it.folder == consensus::SUPERSEDED);
-        let superseded = superseded.into_iter().map(|it| it.instance).collect();
-        Membership { since, voters, superseded }
+        let former = FormerVoters::from_list(superseded.iter().map(|it| &it.instance));
+        Membership { since, voters, former }
     }
 
     /// List for an entry or a snapshot.
     fn to_list(&self) -> Vec<consensus::Voter> {
-        membership_list(self.voters.clone(), &self.superseded)
+        membership_list(self.voters.clone(), &self.former)
     }
 }
 
-/// List of voters and superseded instances for an entry or a snapshot.
+/// List of voters and former ones for an entry or a snapshot.
 pub fn membership_list(
     voters: Vec<consensus::Voter>,
-    superseded: &[name::Instance],
+    former: &FormerVoters,
 ) -> Vec<consensus::Voter> {
     let folder = consensus::SUPERSEDED;
-    let superseded = superseded.iter().map(|it| consensus::Voter { instance: it.clone(), folder });
-    voters.into_iter().chain(superseded).collect()
+    let former = former.to_list().map(|instance| consensus::Voter { instance, folder });
+    voters.into_iter().chain(former).collect()
 }
 
 /// In-memory log.
@@ -118,9 +178,9 @@
         &self.membership().voters
     }
 
-    /// Instances that gave their votes to newer ones, oldest first.
-    pub fn superseded(&self) -> &[name::Instance] {
-        &self.membership().superseded
+    /// Instances that had a vote and have none.
+    pub fn former_voters(&self) -> &FormerVoters {
+        &self.membership().former
     }
 
     /// Voters before the last change; empty if not known.
--- a/crates/hyssopfork-consensus/src/node.rs
+++ b/crates/hyssopfork-consensus/src/node.rs
@@ -238,6 +238,7 @@
             event::Event::Snapshotted { index, data } => self.on_snapshotted(index, data),
             event::Event::SetListedVoters(instances) => self.settings.voters = instances,
             event::Event::SetLearners(instances) => self.settings.learners = instances,
+            event::Event::SetAbsent(instances) => self.on_set_absent(&instances),
             event::Event::Form => self.on_form(),
             event::Event::Resign => self.on_resign(),
         }
@@ -273,7 +274,34 @@
     /// Instances that gave their votes to newer ones and take no seat by themselves, oldest first. One
     /// that got a seat again remains listed.
     pub fn superseded(&self) -> &[name::Instance] {
-        self.log.superseded()
+        &self.log.former_voters().superseded
+    }
+
+    /// Instances whose seats were removed, or given to a superseded instance, since they were silent, and
+    /// that may still run.
+    pub fn displaced(&self) -> &collections::BTreeSet<name::Instance> {
+        &self.log.former_voters().displaced
+    }
+
+    /// Whether an instance that gave its vote to a newer one is recorded as absent.
+    pub fn is_absent(&self, instance: &name::Instance) -> bool {
+        self.log.former_voters().absent.contains(instance)
+    }
+
+    /// Age of the newest answered message for an instance, whichever its folder; `None` if it has
+    /// answered none in this term or this node doesn't lead.
+    pub fn answer_age(&self, instance: &name::Instance, now: clock::Instant) -> Option<Duration> {
+        let Role::Leader(state) = &self.role else { return None };
+        let of_instance = state.progress.iter().filter(|(voter, _)| voter.instance == *instance);
+        let answered_at = of_instance.filter_map(|(_, progress)| progress.lease_start).max()?;
+        Some(now.since(answered_at))
+    }
+
+    /// Whether the process of a voter or superseded instance is stopping; false unless this node leads.
+    pub fn is_leaving(&self, instance: &name::Instance, now: clock::Instant) -> bool {
+        let Role::Leader(state) = &self.role else { return false };
+        let mut requests = state.leave_requests.keys().filter(|it| it.instance == *instance);
+        requests.any(|voter| state.is_leaving(voter, now))
     }
 
     /// Learners that have caught up; empty unless this node leads.
--- a/crates/hyssopfork-consensus/src/node/leader.rs
+++ b/crates/hyssopfork-consensus/src/node/leader.rs
@@ -82,6 +82,7 @@
         self.admit_ready_learner();
         self.confirm_voters();
         self.forget_superseded();
+        self.probe_former_voters();
         self.try_hand_over();
     }
 
--- a/crates/hyssopfork-consensus/src/node/leader_state.rs
+++ b/crates/hyssopfork-consensus/src/node/leader_state.rs
@@ -85,12 +85,14 @@
     pub progress: collections::BTreeMap<consensus::Voter, progress::Progress>,
     /// Requests to join, the latest of each instance.
     pub join_requests: collections::BTreeMap<name::Instance, JoinRequest>,
-    /// When each voter whose process is stopping last requested to leave.
+    /// When each voter or superseded instance whose process is stopping last requested to leave.
     pub leave_requests: collections::BTreeMap<consensus::Voter, clock::Instant>,
     /// Addition by an operator, until the new voter has caught up.
     pub addition: Option<Addition>,
     /// When an instance was last superseded, or when the term began.
     pub superseded_at: clock::Instant,
+    /// When the next probes of former voters are due.
+    pub next_probe_at: clock::Instant,
     /// When the next heartbeats are due.
     pub next_heartbeat_at: clock::Instant,
     /// Bytes of this leader's uncommitted commands.
@@ -111,6 +113,7 @@
             leave_requests: collections::BTreeMap::new(),
             addition: None,
             superseded_at: context.now,
+            next_probe_at: context.now,
             next_heartbeat_at: context.now,
             uncommitted_bytes: 0,
             handover_since: None,
@@ -127,7 +130,10 @@
         let replaced = context.log.replaced_voters(context.committed);
         let voters: Vec<&consensus::Voter> = context.log.voters().iter().chain(replaced).collect();
         let join_requests = &self.join_requests;
-        self.leave_requests.retain(|voter, _| context.log.voters().contains(voter));
+        let superseded = &context.log.former_voters().superseded;
+        self.leave_requests.retain(|voter, _| {
+            context.log.voters().contains(voter) || superseded.contains(&voter.instance)
+        });
         self.progress.retain(|voter, _| {
             let request = join_requests.get(&voter.instance);
             voters.contains(&voter) || request.is_some_and(|request| request.voter == *voter)
--- a/crates/hyssopfork-consensus/src/node/membership.rs
+++ b/crates/hyssopfork-consensus/src/node/membership.rs
@@ -29,6 +29,9 @@
 /// Maximum number of superseded instances in the log; the oldest gives way.
 const MAX_SUPERSEDED: usize = 16;
 
+/// Nonce of a probe, whose response belongs to no pre-vote.
+const PROBE_NONCE: u64 = 0;
+
 impl Node {
     /// Handles the request of a non-voter to join.
     pub(super) fn on_join_request(&mut self, from: consensus::Voter, relayed: bool) {
@@ -85,9 +88,11 @@
     }
 
     /// Requests the removal of this node's seat while its process is stopping. If the seat stayed, its
-    /// replacement would enlarge the quorum until the leader had missed its answers for long.
+    /// replacement would enlarge the quorum until the leader had missed its answers for long. A
+    /// superseded node states that it ends, so that nothing waits for it.
     pub(super) fn request_leave(&mut self) {
-        if self.now < self.next_request_at || !self.is_voter() {
+        let is_superseded = self.log.former_voters().superseded.contains(&self.identity.instance);
+        if self.now < self.next_request_at || !self.is_voter() && !is_superseded {
             return;
         }
         self.next_request_at = self.now + formation::REQUEST_INTERVAL;
@@ -100,8 +105,9 @@
     pub(super) fn on_leave_request(&mut self, from: consensus::Voter) {
         let now = self.now;
         let is_voter = self.log.voters().contains(&from);
+        let is_superseded = self.log.former_voters().superseded.contains(&from.instance);
         if let node::Role::Leader(state) = &mut self.role
-            && is_voter
+            && (is_voter || is_superseded)
         {
             state.leave_requests.insert(from, now);
         }
@@ -110,6 +116,7 @@
     pub(super) fn on_change_voters(&mut self, ticket: u64, change: voters::Change) {
         let (voters::Change::Add(instance)
         | voters::Change::Remove(instance)
+        | voters::Change::Displace(instance)
         | voters::Change::Replace { to: instance, .. }) = &change;
         let instance = instance.clone();
         let accepted =
@@ -123,7 +130,17 @@
     fn try_change_voters(&mut self, ticket: u64, change: voters::Change) -> bool {
         match change {
             voters::Change::Add(instance) => self.start_addition(ticket, &instance),
-            voters::Change::Remove(instance) => self.remove_voter(ticket, &instance),
+            voters::Change::Remove(instance) => {
+                let former = self.log.former_voters().clone();
+                self.remove_voter(ticket, &instance, former)
+            }
+            voters::Change::Displace(instance) => {
+                let mut former = self.log.former_voters().clone();
+                if !former.superseded.contains(&instance) {
+                    former.displaced.insert(instance.clone());
+                }
+                self.remove_voter(ticket, &instance, former)
+            }
             voters::Change::Replace { from, to } => self.replace_voter(ticket, &from, &to),
         }
     }
@@ -146,18 +163,23 @@
         if !is_ready || !self.has_responsive_quorum(&voters) {
             return false;
         }
-        let mut superseded = self.log.superseded().to_vec();
+        let mut former = self.log.former_voters().clone();
         // A superseded instance that takes a silent seat is no successor: the silent one may be back.
-        let is_successor = !superseded.contains(to);
-        if (is_responsive || is_successor) && !superseded.contains(from) {
-            superseded.push(from.clone());
+        let is_successor = !former.superseded.contains(to);
+        if former.superseded.contains(from) {
+            former.absent.remove(from);
+        } else if is_responsive || is_successor {
+            former.superseded.push(from.clone());
             if let Some((state, context)) = self.leader_state() {
                 state.superseded_at = context.now;
             }
-            let surplus = superseded.len().saturating_sub(MAX_SUPERSEDED);
-            superseded.drain(..surplus);
+            let surplus = former.superseded.len().saturating_sub(MAX_SUPERSEDED);
+            let dropped: Vec<name::Instance> = former.superseded[..surplus].to_vec();
+            former.retain_superseded(|instance| !dropped.contains(instance));
+        } else {
+            former.displaced.insert(from.clone());
         }
-        self.append_membership(Some(ticket), voters, &superseded);
+        self.append_membership(Some(ticket), voters, former);
         true
     }
 
@@ -179,7 +201,12 @@
         true
     }
 
-    fn remove_voter(&mut self, ticket: u64, instance: &name::Instance) -> bool {
+    fn remove_voter(
+        &mut self,
+        ticket: u64,
+        instance: &name::Instance,
+        former: log::FormerVoters,
+    ) -> bool {
         let mut voters = self.log.voters().to_vec();
         voters.retain(|voter| voter.instance != *instance);
         if voters.len() == self.log.voters().len() || !self.has_responsive_quorum(&voters) {
@@ -188,7 +215,7 @@
         if let Some((state, _)) = self.leader_state() {
             state.join_requests.remove(instance);
         }
-        self.append_voters(Some(ticket), voters);
+        self.append_membership(Some(ticket), voters, former);
         true
     }
 
@@ -260,15 +287,52 @@
         if is_expected || !self.is_change_allowed() || !self.is_voter() || self.resigned {
             return;
         }
-        let mut superseded = self.log.superseded().to_vec();
-        superseded.retain(|instance| {
+        let mut former = self.log.former_voters().clone();
+        former.retain_superseded(|instance| {
             let request = state.join_requests.get(instance);
             let is_present = request.is_some_and(|it| self.now.since(it.received_at) < timeout);
             is_present || self.find_seat(instance).is_some()
         });
-        if superseded.len() < self.log.superseded().len() {
+        if former != *self.log.former_voters() {
+            let voters = self.log.voters().to_vec();
+            self.append_membership(None, voters, former);
+        }
+    }
+
+    /// Sends a message to each former voter that may run and has not answered, so that the owner learns
+    /// whether its address refuses connections.
+    pub(super) fn probe_former_voters(&mut self) {
+        let now = self.now;
+        let Some((state, _)) = self.leader_state() else { return };
+        if now < state.next_probe_at {
+            return;
+        }
+        state.next_probe_at = now + formation::REQUEST_INTERVAL;
+        let former = self.log.former_voters();
+        let present = former.superseded.iter().filter(|it| !former.absent.contains(*it));
+        let is_silent = |instance: &&name::Instance| {
+            let answer_age = self.answer_age(instance, now);
+            answer_age.is_none_or(|age| age >= self.settings.election_timeout)
+        };
+        let silent = present.chain(&former.displaced).filter(|it| self.find_seat(it).is_none());
+        for instance in silent.filter(is_silent).cloned().collect::<Vec<_>>() {
+            self.send(&instance, consensus::Message::FolderRequest { nonce: PROBE_NONCE });
+        }
+    }
+
+    /// Records which of the former voters are absent, unless another change is in progress. Displaced
+    /// instances that are absent are forgotten.
+    pub(super) fn on_set_absent(&mut self, absent: &[name::Instance]) {
+        if !self.is_change_allowed() || !self.is_voter() || self.resigned {
+            return;
+        }
+        let mut former = self.log.former_voters().clone();
+        let is_absent = |it: &&name::Instance| absent.contains(it) && self.find_seat(it).is_none();
+        former.absent = former.superseded.iter().filter(is_absent).cloned().collect();
+        former.displaced.retain(|instance| !absent.contains(instance));
+        if former != *self.log.former_voters() {
             let voters = self.log.voters().to_vec();
-            self.append_membership(None, voters, &superseded);
+            self.append_membership(None, voters, former);
         }
     }
 
@@ -316,7 +380,8 @@
     fn is_learner(&self, instance: &name::Instance) -> bool {
         let learners = &self.settings.learners;
         self.is_listed(instance)
-            && (learners.contains(instance) || self.log.superseded().contains(instance))
+            && (learners.contains(instance)
+                || self.log.former_voters().superseded.contains(instance))
     }
 
     fn is_caught_up(&self, progress: &progress::Progress) -> bool {
@@ -363,17 +428,19 @@
     }
 
     fn append_voters(&mut self, ticket: Option<u64>, voters: Vec<consensus::Voter>) {
-        let superseded = self.log.superseded().to_vec();
-        self.append_membership(ticket, voters, &superseded);
+        let former = self.log.former_voters().clone();
+        self.append_membership(ticket, voters, former);
     }
 
     fn append_membership(
         &mut self,
         ticket: Option<u64>,
         voters: Vec<consensus::Voter>,
-        superseded: &[name::Instance],
+        mut former: log::FormerVoters,
     ) {
-        let list = log::membership_list(voters, superseded);
+        let has_seat = |it: &name::Instance| voters.iter().any(|voter| voter.instance == *it);
+        former.displaced.retain(|instance| !has_seat(instance));
+        let list = log::membership_list(voters, &former);
         let payload = consensus::Payload::Voters(list);
         match ticket {
             Some(ticket) => self.append_proposal(ticket, payload),
--- a/crates/hyssopfork-consensus/src/voters.rs
+++ b/crates/hyssopfork-consensus/src/voters.rs
@@ -13,6 +13,8 @@
     /// Removes the voter of an instance. Stop its process or remove it from the listed voters
     /// first: a listed instance that requests to join is admitted again.
     Remove(name::Instance),
+    /// Removes the voter of an instance that does not respond. Unlike one that is removed, it may still run.
+    Displace(name::Instance),
     /// Gives the seat of `from` to the learner `to`, which has caught up. `from` becomes a learner that
     /// does not take a seat by itself again, unless it does not respond and `to` is such a learner.
     Replace {
--- a/crates/hyssopfork-consensus/tests/rules/replacements.rs
+++ b/crates/hyssopfork-consensus/tests/rules/replacements.rs
@@ -95,3 +95,48 @@
     assert_eq!(restarted.superseded(), [name::Instance::from("b")]);
     assert_eq!(restarted.voters(), ["a", "c", "d"].map(fixture::voter));
 }
+
+/// Restarts `c` from the snapshot that the leader takes at its committed index.
+fn restart_from_snapshot(fixture: &mut fixture::Fixture) -> node::Node {
+    let index = fixture.node.committed();
+    let actions = fixture.step(event::Event::Snapshotted { index, data: vec![1] });
+    let snapshot = actions.into_iter().find_map(|action| match action {
+        action::Action::Persist(write::Write { snapshot, .. }) => snapshot,
+        _ => None,
+    });
+    let durable = node::Durable { snapshot, ..node::Durable::default() };
+    let (settings, now) = (node::Settings::default(), clock::Instant::from_millis(0));
+    node::Node::new(fixture::voter("c"), durable, settings, 1, now)
+}
+
+/// Lets `c` and `d` store everything that the leader has.
+fn commit_all(fixture: &mut fixture::Fixture) {
+    for _ in 0..4 {
+        fixture.now += 100;
+        let actions = fixture.step(event::Event::Tick);
+        fixture.persist();
+        let newest = fixture.node.committed().0 + 1;
+        for name in ["c", "d"] {
+            acknowledge(fixture, &actions, name, newest);
+        }
+    }
+}
+
+/// Guards against a leader that waits for an instance of which the leader before knew that it had ended.
+#[test]
+fn a_snapshot_lists_the_absent_instances() {
+    let replaced = name::Instance::from("b");
+    for absent in [vec![], vec![replaced.clone()]] {
+        let (mut fixture, actions) = leader_with_replacement();
+        acknowledge(&mut fixture, &actions, "c", 2);
+        commit_all(&mut fixture);
+
+        fixture.step(event::Event::SetAbsent(absent.clone()));
+        commit_all(&mut fixture);
+        let restarted = restart_from_snapshot(&mut fixture);
+
+        assert_eq!(restarted.superseded(), std::slice::from_ref(&replaced), "{absent:?}");
+        assert_eq!(restarted.is_absent(&replaced), !absent.is_empty(), "{absent:?}");
+        assert_eq!(restarted.voters(), ["a", "c", "d"].map(fixture::voter), "{absent:?}");
+    }
+}
--- a/crates/hyssopfork-daemon/src/edge/control.rs
+++ b/crates/hyssopfork-daemon/src/edge/control.rs
@@ -213,9 +213,10 @@
         in_flight.set(in_flight.get() + 1);
         self.registry.add_replicated_bytes(packet.message.bytes());
         let peers = self.peers.clone();
-        actix_rt::spawn(async move {
-            peers.deliver(to, packet).await;
+        self.spawn(async move {
+            let delivery = peers.deliver(to, packet).await;
             in_flight.set(in_flight.get() - 1);
+            (delivery == peers::Delivery::Refused).then_some(event::Event::Refused(to))
         });
     }
 }
--- a/crates/hyssopfork-daemon/src/edge/peers.rs
+++ b/crates/hyssopfork-daemon/src/edge/peers.rs
@@ -5,6 +5,7 @@
 use hyssopfork_fleet::groups::order;
 use hyssopfork_fleet::{action, announcement, event, peer};
 use hyssopfork_wire::{consensus, envelope};
+use std::cell::Cell;
 use std::net;
 use std::time::Duration;
 use tarpc::{client, context, serde_transport, tokio_serde};
@@ -21,6 +22,17 @@
 /// response.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(850);
 
+/// Outcome of a message of the replicated log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Delivery {
+    /// It arrived.
+    Delivered,
+    /// It may be lost.
+    Failed,
+    /// The peer's address refused the connection.
+    Refused,
+}
+
 /// RPC clients of the peers.
 #[derive(Default)]
 pub struct Peers {
@@ -32,16 +44,21 @@
 }
 
 impl Peers {
-    /// Delivers a replicated log message; returns whether it arrived.
-    pub async fn deliver(&self, to: net::SocketAddr, packet: consensus::Packet) -> bool {
+    /// Delivers a replicated log message.
+    pub async fn deliver(&self, to: net::SocketAddr, packet: consensus::Packet) -> Delivery {
         let timeout = rpc::DELIVERY_TIMEOUT;
-        let client = self.log_clients.get(to, || connect(to)).await;
-        let Some((number, client)) = client else { return false };
+        let outcome = Cell::new(Delivery::Failed);
+        let connecting = || connect_or_refused(to, || outcome.set(Delivery::Refused));
+        let Some((number, client)) = self.log_clients.get(to, connecting).await else {
+            return outcome.get();
+        };
         let call =
             client.deliver(rpc::context_with_timeout(timeout), envelope::Envelope::new(packet));
-        self.log_clients
-            .remove_if_failed(to, number, rpc::with_timeout(timeout, call).await)
-            .is_some()
+        let response = rpc::with_timeout(timeout, call).await;
+        match self.log_clients.remove_if_failed(to, number, response) {
+            Some(()) => Delivery::Delivered,
+            None => Delivery::Failed,
+        }
     }
 
     /// Greets a peer.
@@ -130,9 +147,16 @@
 }
 
 async fn connect(to: net::SocketAddr) -> Option<peer::PeerClient> {
+    connect_or_refused(to, || {}).await
+}
+
+async fn connect_or_refused(
+    to: net::SocketAddr,
+    on_refused: impl FnOnce(),
+) -> Option<peer::PeerClient> {
     let mut connecting = serde_transport::tcp::connect(to, tokio_serde::formats::Bincode::default);
     connecting.config_mut().max_frame_length(listener::MAX_MESSAGE_BYTES);
-    let transport = rpc::connect(connecting).await?;
+    let transport = rpc::connect_or_refused(connecting, on_refused).await?;
     Some(peer::PeerClient::new(client::Config::default(), transport).spawn())
 }
 
--- a/crates/hyssopfork-daemon/src/rpc.rs
+++ b/crates/hyssopfork-daemon/src/rpc.rs
@@ -156,6 +156,23 @@
     Some(member::MemberClient::new(client::Config::default(), transport).spawn())
 }
 
+/// The connection, if it opens within `CONNECT_TIMEOUT`; `on_refused` is called if the other side refuses
+/// it, as where no process listens.
+pub async fn connect_or_refused<Transport>(
+    connecting: impl Future<Output = io::Result<Transport>>,
+    on_refused: impl FnOnce(),
+) -> Option<Transport> {
+    match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await.ok()? {
+        Ok(transport) => Some(transport),
+        Err(error) => {
+            if error.kind() == io::ErrorKind::ConnectionRefused {
+                on_refused();
+            }
+            None
+        }
+    }
+}
+
 /// Context of a call with this timeout.
 pub fn context_with_timeout(timeout: Duration) -> context::Context {
     let mut context = context::current();
--- a/crates/hyssopfork-fleet/src/core.rs
+++ b/crates/hyssopfork-fleet/src/core.rs
@@ -1,5 +1,6 @@
 //! The control state machine of one process: a step function that takes events and returns actions.
 
+mod acknowledge;
 mod calls;
 mod follow;
 mod lead;
@@ -99,6 +100,10 @@
     /// When this process's own entry last received an update.
     last_local_update: clock::Instant,
     voter_review: lead::VoterReview,
+    /// Calls whose changes are applied, and wait until enough instances have received them.
+    held_calls: Vec<acknowledge::HeldCall>,
+    /// When the newest connection to a process was refused; only recent refusals count.
+    refusals: BTreeMap<net::SocketAddr, clock::Instant>,
 }
 
 /// The control state machine of a process.
@@ -249,6 +254,7 @@
             event::Event::PeerProbed(from, instance, alive) => {
                 self.on_peer_probed(from, &instance, alive)
             }
+            event::Event::Refused(address) => self.on_refused(address),
             event::Event::SeedsChanged(seeds) => self.discovery.set_seeds(seeds),
             event::Event::Stop => self.push_log_event(log_event::Event::Resign),
         }
@@ -262,6 +268,7 @@
         for call in self.proposals.take_expired(self.now, PROPOSAL_TIMEOUT) {
             self.reply(call, action::Reply::Unknown);
         }
+        self.answer_held_calls();
         for call in self.relays.take_expired(self.now) {
             self.on_relay_answered(call, false);
         }
@@ -398,19 +405,28 @@
         }
         self.applied = (entry.index, entry.term);
         let mut applied = durable::Applied::Unchanged;
+        let mut is_declaration = false;
         if let consensus::Payload::Command(bytes) = &entry.payload {
             match durable::Command::decode(bytes) {
-                Ok(command) => applied = self.execute(command),
+                Ok(command) => {
+                    is_declaration = command.is_declaration();
+                    applied = self.execute(command);
+                }
                 Err(error) => return self.on_unreadable_log(&error),
             }
             self.bytes_since_snapshot += bytes.len();
         }
         if let Some(call) = self.proposals.take_applied(entry.index, entry.term) {
-            let reply = match applied {
-                durable::Applied::Changed | durable::Applied::Unchanged => action::Reply::Done,
-                durable::Applied::Incomplete => action::Reply::Unknown,
+            let receipt = match is_declaration {
+                true => acknowledge::Receipt::Declaration(self.state.version()),
+                false => acknowledge::Receipt::View(None),
             };
-            self.reply(call, reply);
+            match applied {
+                durable::Applied::Changed | durable::Applied::Unchanged => {
+                    self.acknowledge(call, receipt);
+                }
+                durable::Applied::Incomplete => self.reply(call, action::Reply::Unknown),
+            }
         }
         self.applied_since_snapshot += 1;
         self.snapshot_if_due();
--- a/crates/hyssopfork-fleet/src/core/calls.rs
+++ b/crates/hyssopfork-fleet/src/core/calls.rs
@@ -1,6 +1,6 @@
 //! Handlers for calls from operators, upstreams and peers.
 
-use super::Core;
+use super::{Core, acknowledge};
 use crate::{
     action, announcement, declaration, discovery, document, durable, event, heartbeats, notice,
     peer, read_refusal, registry,
@@ -111,7 +111,8 @@
     ) {
         debug_assert_eq!(declaration.version, document.version);
         if self.is_active_leader() && document.version <= self.state.version() {
-            return self.reply(call, action::Reply::Done);
+            let receipt = acknowledge::Receipt::Declaration(self.state.version());
+            return self.acknowledge(call, receipt);
         }
         if document.bytes.len() > document::MAX_BYTES {
             return self.reply(call, action::Reply::TooLarge);
@@ -336,6 +337,7 @@
         self.relays.abandon(call);
         if let Some(leadership) = &mut self.leadership {
             leadership.watches.abandon(call);
+            leadership.held_calls.retain(|held| held.call != call);
         }
     }
 
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -73,6 +73,9 @@
 
     pub(super) fn end_leadership(&mut self) {
         if let Some(leadership) = self.leadership.take() {
+            for held in &leadership.held_calls {
+                self.reply(held.call, action::Reply::Unknown);
+            }
             self.push_notice(notice::Notice::Ceased(leadership.term));
         }
     }
@@ -119,6 +122,8 @@
             last_publication: None,
             publication_pending: false,
             voter_review: VoterReview::default(),
+            held_calls: Vec::new(),
+            refusals: BTreeMap::new(),
         });
         self.update_learners();
         self.push_notice(notice::Notice::Serving(term));
@@ -164,6 +169,7 @@
         }
         self.publish_if_due(due);
         self.answer_watches();
+        self.answer_held_calls();
         self.review_voters();
     }
 
@@ -254,7 +260,7 @@
         let upstreams = leadership.registry.published(now);
         let groups = leadership.groups.to_views();
         leadership.publisher.publish(state, upstreams, &groups);
-        leadership.watches.on_published(leadership.publisher.stamp().revision);
+        leadership.on_published(leadership.publisher.stamp().revision);
         // Updates are also sent when nothing has changed: they tell the entry that this process
         // still leads.
         let due = now.since(leadership.last_local_update) >= action::MAX_WATCH_HOLD;
@@ -336,12 +342,13 @@
             leadership.voter_review.last_review = Some(now);
         }
         self.update_learners();
+        self.update_absent_instances();
         let Some(change) = change else { return };
         self.push_notice(match change.clone() {
             voters::Change::Replace { from, to } => notice::Notice::SeatReplaced(from, to),
-            voters::Change::Remove(instance) | voters::Change::Add(instance) => {
-                notice::Notice::SeatRemoved(instance)
-            }
+            voters::Change::Displace(instance)
+            | voters::Change::Remove(instance)
+            | voters::Change::Add(instance) => notice::Notice::SeatRemoved(instance),
         });
         self.push_log_event(log_event::Event::ChangeVoters { ticket: 0, change });
     }
--- a/crates/hyssopfork-fleet/src/core/watches.rs
+++ b/crates/hyssopfork-fleet/src/core/watches.rs
@@ -113,6 +113,8 @@
     /// Its revision at that time; `None` for an entry known from an earlier leader that has sent no
     /// watch yet.
     known_stamp: Option<view::Stamp>,
+    /// Version of its declaration at that time; 0 for none.
+    declared_version: u64,
     /// Time of the last update that it was sent; the start of the term before the first one.
     last_update: clock::Instant,
 }
@@ -220,6 +222,7 @@
         let follower = Follower {
             last_seen: self.term_start,
             known_stamp: None,
+            declared_version: 0,
             last_update: self.term_start,
         };
         for entry in known {
@@ -243,7 +246,12 @@
             self.next_pass_at = now;
         }
         let last_update = self.entries.get(&from).map_or(self.term_start, |it| it.last_update);
-        let follower = Follower { last_seen: now, known_stamp: Some(known_stamp), last_update };
+        let follower = Follower {
+            last_seen: now,
+            known_stamp: Some(known_stamp),
+            declared_version: document_progress.version,
+            last_update,
+        };
         self.entries.insert(from, follower);
         // A process has one watch at a time, so an earlier one has been abandoned.
         self.watches.retain(|_, watch| watch.from != from);
@@ -428,6 +436,22 @@
         (replicated, expired)
     }
 
+    /// Whether an entry has the declaration of `version` or a newer one.
+    pub(super) fn has_declaration(&self, entry: net::SocketAddr, version: u64) -> bool {
+        self.entries.get(&entry).is_some_and(|it| it.declared_version >= version)
+    }
+
+    /// Whether an entry has received `revision` of the leader of `term`.
+    pub(super) fn has_revision(
+        &self,
+        entry: net::SocketAddr,
+        term: number::Term,
+        revision: u64,
+    ) -> bool {
+        let known_stamp = self.entries.get(&entry).and_then(|it| it.known_stamp);
+        known_stamp.is_some_and(|it| it.term == term && it.revision >= revision)
+    }
+
     /// Processes that can probe an upstream for the leader. They are picked at equal distances from
     /// the sorted addresses, because processes of one zone have adjacent addresses.
     pub(super) fn probe_peers(&self) -> BTreeSet<net::SocketAddr> {
--- a/crates/hyssopfork-fleet/src/durable.rs
+++ b/crates/hyssopfork-fleet/src/durable.rs
@@ -60,6 +60,11 @@
         document.encode(None).parts().map(Command::DeclarePart).collect()
     }
 
+    /// Whether the command declares a document or a part of one.
+    pub fn is_declaration(&self) -> bool {
+        matches!(self, Command::Declare(_) | Command::DeclarePart(_))
+    }
+
     /// Encodes the command for the log.
     pub fn encode(&self) -> Vec<u8> {
         bincode::serialize(self).expect("commands are plain data")
--- a/crates/hyssopfork-fleet/src/event.rs
+++ b/crates/hyssopfork-fleet/src/event.rs
@@ -95,6 +95,8 @@
     Reported(name::Instance, groups::order::Report),
     /// A peer probed an upstream; `false` also if the peer can't be reached.
     PeerProbed(net::SocketAddr, name::Instance, bool),
+    /// A connection to another process was refused: no process listens there.
+    Refused(net::SocketAddr),
     /// The seeds in the settings changed.
     SeedsChanged(Vec<net::SocketAddr>),
     /// The process is about to stop.
--- a/crates/hyssopfork-fleet/src/lib.rs
+++ b/crates/hyssopfork-fleet/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`read_refusal`]: what is logged of reads that are refused
 //! - [`bootstrap`]: which data folder forms the log on the first start
 
+pub mod acknowledgement;
 pub mod action;
 pub mod announcement;
 pub mod bootstrap;
--- a/crates/hyssopfork-fleet/src/notice.rs
+++ b/crates/hyssopfork-fleet/src/notice.rs
@@ -86,6 +86,13 @@
     SeatReplaced(name::Instance, name::Instance),
     /// Reads of the configuration were refused.
     ReadRefused(Box<read_refusal::Refusal>),
+    /// A change is applied and not acknowledged, since too many instances may run without it.
+    AcknowledgementWithheld {
+        /// Instances that have not received it.
+        missing: Vec<name::Instance>,
+        /// Number of instances that have a seat, or had one and may run.
+        members: usize,
+    },
     /// The received parts of a declaration can't be decoded.
     DocumentDamaged(String),
     /// An update of the view can't be decoded.
@@ -114,6 +121,7 @@
             Notice::ViewRestored(..) => 5014,
             Notice::SeatReplaced(..) => 5015,
             Notice::ReadRefused(..) => 5016,
+            Notice::AcknowledgementWithheld { .. } => 5017,
             Notice::Upstream(..) => 5020,
             Notice::LateCall(..) => 5021,
             Notice::Departed(..) => 5022,
@@ -142,6 +150,7 @@
             | Notice::FolderFailed
             | Notice::Paused(..)
             | Notice::SeatRemoved(..)
+            | Notice::AcknowledgementWithheld { .. }
             | Notice::DocumentDamaged(..)
             | Notice::UpdateDamaged(..)
             | Notice::Quarantined(..)
@@ -272,6 +281,14 @@
             Notice::ReadRefused(refusal) => {
                 write!(formatter, "read of the configuration refused: {refusal}")
             }
+            Notice::AcknowledgementWithheld { missing, members } => {
+                let missing: Vec<&str> = missing.iter().map(name::Instance::as_str).collect();
+                write!(
+                    formatter,
+                    "change applied, not acknowledged: instances={members} missing={}",
+                    missing.join(",")
+                )
+            }
             Notice::DocumentDamaged(reason) | Notice::UpdateDamaged(reason) => {
                 formatter.write_str(reason)
             }
--- a/crates/hyssopfork-fleet/src/seats.rs
+++ b/crates/hyssopfork-fleet/src/seats.rs
@@ -126,5 +126,5 @@
         return None;
     }
     let leaving = || seats.iter().find(|seat| seat.is_leaving);
-    silent_seat(seats).or_else(leaving).map(|seat| voters::Change::Remove(seat.instance.clone()))
+    silent_seat(seats).or_else(leaving).map(|seat| voters::Change::Displace(seat.instance.clone()))
 }
--- a/crates/hyssopfork-fleet/tests/fleet/main.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the fleet's control, driven without network, clock or disk.
 
+mod acknowledgement;
+mod added_instances;
 mod bootstrap;
 mod dark_upstreams;
 mod declaration;
--- a/crates/hyssopfork-fleet/tests/fleet/world.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/world.rs
@@ -116,6 +116,8 @@
     engine_addresses: BTreeMap<SocketAddr, name::Instance>,
     /// Pairs (from, to) between which messages are dropped.
     pub blocked_links: BTreeSet<(SocketAddr, SocketAddr)>,
+    /// Killed processes whose hosts are gone as well: connections to them get no answer.
+    silent_hosts: BTreeSet<SocketAddr>,
     /// Processes of a release that knows no introductions.
     pub older_releases: BTreeSet<SocketAddr>,
     /// Engines that reset new connections while those of clients continue.
@@ -210,6 +212,7 @@
             engines: BTreeMap::new(),
             engine_addresses: BTreeMap::new(),
             blocked_links: BTreeSet::new(),
+            silent_hosts: BTreeSet::new(),
             older_releases: BTreeSet::new(),
             resets: BTreeSet::new(),
             slow_answers: BTreeMap::new(),
@@ -304,6 +307,7 @@
             heartbeat_interval: HEARTBEAT,
             stall_timeout: STALL_TIMEOUT,
         };
+        self.silent_hosts.remove(&address);
         process.core = Some(core::Core::new(settings, fixture::decode, now));
         process.starts += 1;
         process.calls.clear();
@@ -320,7 +324,13 @@
         }
     }
 
-    /// Kills a process; its synced data is kept.
+    /// Kills a process and turns its host off; its synced data is kept.
+    pub fn power_off(&mut self, address: SocketAddr) {
+        self.kill(address);
+        self.silent_hosts.insert(address);
+    }
+
+    /// Kills a process, whose host refuses connections then; its synced data is kept.
     pub fn kill(&mut self, address: SocketAddr) {
         if let Some(process) = self.processes.get_mut(&address) {
             process.core = None;
@@ -385,6 +395,36 @@
         }
     }
 
+    /// Newest version that was acknowledged before `moment`; 0 for none.
+    pub fn acknowledged_before(&self, moment: clock::Instant) -> u64 {
+        let before = self.acknowledged.iter().filter(|(at, _)| *at < moment);
+        before.map(|(_, version)| *version).max().unwrap_or(0)
+    }
+
+    /// Starts an additional process with a blank folder in a zone.
+    pub fn add_in_zone(&mut self, host: u16, zone: &name::Zone) {
+        self.insert_process(host, true, None);
+        let process = self.processes.get_mut(&fixture::address(host)).expect("it is there");
+        process.zone = zone.clone();
+        self.start_process(fixture::address(host), false);
+    }
+
+    /// Availability zone of a process.
+    pub fn zone(&self, address: SocketAddr) -> name::Zone {
+        self.processes[&address].zone.clone()
+    }
+
+    /// Cuts the links between the processes with a folder in `side` and all others with one.
+    pub fn split(&mut self, side: &BTreeSet<SocketAddr>) {
+        let folders = self.processes.iter().filter(|(_, process)| process.has_folder);
+        let folders: Vec<SocketAddr> = folders.map(|(address, _)| *address).collect();
+        for from in &folders {
+            for to in folders.iter().filter(|to| side.contains(from) != side.contains(to)) {
+                self.blocked_links.insert((*from, *to));
+            }
+        }
+    }
+
     pub fn leader(&self) -> Option<SocketAddr> {
         let leads =
             |process: &Process| process.core.as_ref().is_some_and(core::Core::is_active_leader);
@@ -498,7 +538,7 @@
         transmit(to, sent, true).since(now) + LATENCY
     }
 
-    fn can_reach(&self, from: SocketAddr, to: SocketAddr) -> bool {
+    pub fn can_reach(&self, from: SocketAddr, to: SocketAddr) -> bool {
         !self.blocked_links.contains(&(from, to))
             && self.processes.get(&to).is_none_or(|it| it.core.is_some())
     }
@@ -635,9 +675,18 @@
         if self.can_reach(from, to) {
             let after = self.transfer(from, to, &packet);
             self.send(to, after, event::Event::Received(packet));
+        } else if self.refuses(from, to) {
+            self.send(from, LATENCY * 2, event::Event::Refused(to));
         }
     }
 
+    /// Whether a connection between two processes is refused: the host of the second runs without it.
+    fn refuses(&self, from: SocketAddr, to: SocketAddr) -> bool {
+        let is_cut =
+            self.blocked_links.contains(&(from, to)) || self.blocked_links.contains(&(to, from));
+        !is_cut && !self.silent_hosts.contains(&to)
+    }
+
     fn ask(
         &mut self,
         from: SocketAddr,
