fleet: give the seat of a voter that stops to an instance without a vote

Seen: a successor joined in the zone of a sound instance, one of another zone stopped on SIGTERM, and a third one lost its disk within a second.

Cause: the successor takes the vote of the sound instance in its own zone. The one that stops asks the leader to remove its seat, which it does only while the required number of others answers: with three voters never. A learner that gave up its vote took a silent seat after 4 s, not that of one that says that it ends.

Change: the seat of a voter that stops goes to such a learner at the next review (0.1 s), in whatever zone. A voter that only restarts gets it back, as after an outage. If the voter's address refuses connections, the same happens 0.5 s after its last answer instead of 4 s, but not for the learner's own zone, whose voter may be its successor.

Without the change, `a_lost_disk_is_tolerated_after_a_replacement_in_any_zone` and `the_seat_of_a_voter_that_stops_or_has_ended_goes_to_a_superseded_instance` fail. The first plays each zone of the successor, each instance that stops and each disk.

--- a/crates/hyssopfork-consensus/src/node/membership.rs
+++ b/crates/hyssopfork-consensus/src/node/membership.rs
@@ -156,7 +156,8 @@
         let Some(seat) = voters.iter_mut().find(|voter| voter.instance == *from) else {
             return false;
         };
-        let is_responsive = self.is_responsive(state, seat);
+        // One that leaves and is back later is no superseded instance: it may get a seat again.
+        let is_responsive = self.is_responsive(state, seat) && !state.is_leaving(seat, self.now);
         let is_ready = self.find_seat(to).is_none() && self.is_ready_learner(state, &learner);
         *seat = learner;
         voters.sort();
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -334,6 +334,7 @@
         let to_learner = |instance: name::Instance| seats::Learner {
             zone: self.zone_of(&instance),
             is_superseded: node.superseded().contains(&instance),
+            is_leaving: node.is_leaving(&instance, now),
             instance,
         };
         let learners: Vec<_> = ready.into_iter().map(to_learner).collect();
@@ -384,6 +385,7 @@
                 silence: silence.or(contact_ages.get(&instance).copied()).unwrap_or_default(),
                 is_vacant: voter.folder == consensus::VACANT,
                 is_leaving: leaving.contains(&instance),
+                has_ended: self.has_ended(&instance),
                 is_superseded: node.superseded().contains(&instance),
                 instance,
             }
--- a/crates/hyssopfork-fleet/src/seats.rs
+++ b/crates/hyssopfork-fleet/src/seats.rs
@@ -2,7 +2,8 @@
 //!
 //! The successor of an instance takes its seat as soon as it has the log, and the older instance becomes
 //! a learner. The end of the older instance then removes no vote, and the number of voters stays odd. An
-//! older instance is recognised by its availability zone, if it has the only seat there.
+//! older instance is recognised by its availability zone, if it has the only seat there. If it was another
+//! one, the instance that stops shows it: its seat goes to a learner that gave up its own.
 
 use hyssopfork_consensus::voters;
 use hyssopfork_wire::name;
@@ -11,6 +12,11 @@
 /// Time without an answer after which a voter is removed or replaced; longer than a restart takes.
 pub const VOTER_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time without an answer after which the seat of a voter whose address refuses connections is given to
+/// an instance of another zone; longer than an election timeout, so that a voter that only restarts is
+/// not superseded.
+const ENDED_VOTER_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Longest time without an answer for which a voter counts as reachable.
 const MAX_VOTER_SILENCE: Duration = Duration::from_secs(1);
 
@@ -27,6 +33,8 @@
     pub is_vacant: bool,
     /// Whether its process is stopping.
     pub is_leaving: bool,
+    /// Whether its address refuses connections.
+    pub has_ended: bool,
     /// Whether it gave its vote to a newer instance before.
     pub is_superseded: bool,
 }
@@ -40,6 +48,8 @@
     pub zone: Option<name::Zone>,
     /// Whether it gave its vote to a newer instance.
     pub is_superseded: bool,
+    /// Whether its process is stopping.
+    pub is_leaving: bool,
 }
 
 /// Whether an instance without a seat waits for that of another one while there are enough voters,
@@ -63,8 +73,8 @@
 /// for voters.
 ///
 /// A voter is removed only while at least `required` others answer, since each change reduces the
-/// tolerance while it is in progress. Otherwise a superseded instance of another zone takes its seat,
-/// since the successor that has its vote may be the one of that voter.
+/// tolerance while it is in progress. Otherwise a superseded instance takes its seat, since the successor
+/// that has its vote may be the one of that voter: at once if the voter's process is stopping.
 pub fn next_change(
     seats: &[Seat],
     learners: &[Learner],
@@ -72,7 +82,9 @@
 ) -> Option<voters::Change> {
     let is_known = |seat: &Seat| seat.zone.is_some() || seat.silence >= VOTER_TIMEOUT;
     let may_replace = seats.iter().all(is_known);
-    let learners = || learners.iter().filter(|learner| may_replace && learner.zone.is_some());
+    let is_candidate =
+        |learner: &&Learner| may_replace && learner.zone.is_some() && !learner.is_leaving;
+    let learners = || learners.iter().filter(is_candidate);
     let replace = |seat: &Seat, learner: &Learner| voters::Change::Replace {
         from: seat.instance.clone(),
         to: learner.instance.clone(),
@@ -85,11 +97,14 @@
         };
         Some(replace(seat?, learner))
     });
-    let in_other_zone = || {
-        let learner = learners().find(|learner| learner.is_superseded)?;
-        Some(replace(silent_seat(seats)?, learner))
+    let from_superseded = || {
+        let superseded = || learners().filter(|learner| learner.is_superseded);
+        let silent_or_leaving = || silent_seat(seats).or_else(|| leaving_seat(seats));
+        let freed = superseded().find_map(|learner| Some(replace(silent_or_leaving()?, learner)));
+        let ended = || superseded().find_map(|it| Some(replace(ended_seat(seats, it)?, it)));
+        freed.or_else(ended)
     };
-    in_zone.or_else(|| removal(seats, required)).or_else(in_other_zone)
+    in_zone.or_else(|| removal(seats, required)).or_else(from_superseded)
 }
 
 fn seat_for_new<'a>(seats: &'a [Seat], learner: &Learner) -> Option<&'a Seat> {
@@ -119,12 +134,23 @@
     seats.iter().find(|seat| seat.silence >= VOTER_TIMEOUT)
 }
 
+fn leaving_seat(seats: &[Seat]) -> Option<&Seat> {
+    seats.iter().find(|seat| seat.is_leaving)
+}
+
+/// Seat of another zone than the learner's whose process has ended.
+fn ended_seat<'a>(seats: &'a [Seat], learner: &Learner) -> Option<&'a Seat> {
+    let is_ended = |seat: &&Seat| seat.has_ended && seat.silence >= ENDED_VOTER_TIMEOUT;
+    seats.iter().filter(is_ended).find(|seat| seat.zone != learner.zone)
+}
+
 fn removal(seats: &[Seat], required: usize) -> Option<voters::Change> {
     let answers =
         |seat: &&Seat| !seat.is_vacant && !seat.is_leaving && seat.silence < MAX_VOTER_SILENCE;
     if seats.iter().filter(answers).count() < required {
         return None;
     }
-    let leaving = || seats.iter().find(|seat| seat.is_leaving);
-    silent_seat(seats).or_else(leaving).map(|seat| voters::Change::Displace(seat.instance.clone()))
+    silent_seat(seats)
+        .or_else(|| leaving_seat(seats))
+        .map(|seat| voters::Change::Displace(seat.instance.clone()))
 }
--- a/crates/hyssopfork-fleet/tests/fleet/added_instances.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/added_instances.rs
@@ -33,6 +33,9 @@
 const CHANGE_INTERVAL_MS: u64 = 300;
 const CHECK_INTERVAL_MS: u64 = 50;
 
+/// Time between the end of an instance and the loss of a disk, in milliseconds.
+const LOSS_DELAY_MS: u64 = 500;
+
 /// A world whose acknowledgements are checked from outside.
 struct Checked {
     world: world::World,
@@ -192,6 +195,40 @@
     }
 }
 
+/// Guards against the end of control after a planned replacement by an instance of any zone, and a lost
+/// disk right after it: the vote of the instance that stops is missing, though another one has the log.
+#[test]
+fn a_lost_disk_is_tolerated_after_a_replacement_in_any_zone() {
+    for zone in 1..=3 {
+        for stopped in 1..=3 {
+            for wiped in (1..=3).chain([0]).filter(|wiped| *wiped != stopped) {
+                let mut checked = Checked::new(world::World::declared(3, 1), 3);
+                let successor = checked.add(fixture::address(zone));
+                checked.world.run(6_000);
+                let wiped = if wiped == 0 { successor } else { fixture::address(wiped) };
+                let stopped = fixture::address(stopped);
+                let case =
+                    format!("successor in the zone of {zone}, {stopped} stops, {wiped} wiped");
+                checked.version += 1;
+                assert!(checked.world.declare(checked.version), "{case}");
+
+                checked.world.stop(&[stopped]);
+                checked.world.run(LOSS_DELAY_MS);
+                checked.version += 1;
+                assert!(checked.world.declare(checked.version), "{case}");
+                checked.world.kill(wiped);
+                checked.world.wipe_folder(wiped);
+                checked.world.run(1_000);
+                checked.world.start_process(wiped, false);
+
+                checked.world.run(CATCH_UP_MS);
+                assert_eq!(checked.world.read_version(), Some(checked.version), "{case}");
+                checked.check_recovery(&case);
+            }
+        }
+    }
+}
+
 /// Guards against changes that wait for instances that were replaced and have ended, once another one is
 /// lost: those that refuse connections, and those that have been silent for long.
 #[test]
@@ -228,6 +265,25 @@
     }
 }
 
+/// Guards against a zone without a vote for good, where the voter of it restarts on request and a superseded
+/// instance has its seat meanwhile.
+#[test]
+fn a_voter_that_restarts_on_request_gets_its_seat_back() {
+    for restarted in [2, 3].map(fixture::address) {
+        let mut checked = with_added(1);
+        checked.world.stop(&[restarted]);
+        checked.world.run(500);
+        checked.world.start_process(restarted, false);
+        checked.world.run(CATCH_UP_MS);
+
+        let leader = checked.world.leader().expect("one leads");
+        let controls =
+            &checked.world.processes[&leader].view.as_ref().expect("it has one").controls;
+        assert_eq!(controls.len(), 3, "{controls:?}");
+        assert!(controls.contains(&restarted), "{controls:?}");
+    }
+}
+
 /// Guards against a change that is acknowledged while an instance in contact has not received it: a split
 /// right after would leave it with the declaration before, without a leader.
 #[test]
--- a/crates/hyssopfork-fleet/tests/fleet/seats.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/seats.rs
@@ -1,5 +1,6 @@
 //! Which instances wait for the seat of another one.
 
+use hyssopfork_consensus::voters;
 use hyssopfork_fleet::seats;
 use hyssopfork_wire::name;
 use std::time::Duration;
@@ -11,10 +12,66 @@
         silence: Duration::ZERO,
         is_vacant: false,
         is_leaving: false,
+        has_ended: false,
         is_superseded: false,
     }
 }
 
+fn learner(zone: &str, is_superseded: bool) -> seats::Learner {
+    seats::Learner {
+        instance: name::Instance::from("learner"),
+        zone: Some(name::Zone::from(zone)),
+        is_superseded,
+        is_leaving: false,
+    }
+}
+
+fn replaced(change: Option<voters::Change>) -> Option<name::Instance> {
+    match change {
+        Some(voters::Change::Replace { from, .. }) => Some(from),
+        _ => None,
+    }
+}
+
+/// State of a voter.
+#[derive(Clone, Copy, Debug)]
+enum Voter {
+    Sound,
+    Leaving,
+    /// Its address refuses connections, and it last answered this many milliseconds ago.
+    Ended(u64),
+}
+
+/// Guards against a vote that ends with its process while an instance without a vote has the whole log.
+#[test]
+fn the_seat_of_a_voter_that_stops_or_has_ended_goes_to_a_superseded_instance() {
+    let cases = [
+        (Voter::Leaving, "z1", true, true),
+        (Voter::Ended(600), "z1", true, true),
+        (Voter::Ended(300), "z1", true, false),
+        // The successor of this learner, which may only restart.
+        (Voter::Ended(600), "z2", true, false),
+        (Voter::Sound, "z1", true, false),
+    ];
+    for (voter, zone, is_superseded, is_replaced) in cases {
+        let mut seats =
+            [("a", "z1"), ("b", "z2"), ("c", "z3")].map(|(name, zone)| seat(name, Some(zone)));
+        match voter {
+            Voter::Sound => {}
+            Voter::Leaving => seats[1].is_leaving = true,
+            Voter::Ended(silence_ms) => {
+                seats[1].has_ended = true;
+                seats[1].silence = Duration::from_millis(silence_ms);
+            }
+        }
+
+        let next = seats::next_change(&seats, &[learner(zone, is_superseded)], 3);
+
+        let expected = is_replaced.then(|| name::Instance::from("b"));
+        assert_eq!(replaced(next), expected, "{voter:?}, {zone}, {is_superseded}");
+    }
+}
+
 /// Guards against a further seat for a successor that joins a leader before the voter of its zone has
 /// introduced itself.
 #[test]
