fleet: an instance that has had a seat replaces no sound one

Cause: a voter that is silent for 4 s loses its seat. Back, its process introduces itself like a new one, is taken for the successor of the sound instance in its zone, and takes that one's seat.

Change: a process whose folder has had a seat introduces itself as one that replaces no other, and gets a further seat. Whether an admission was ever committed is known from the first message of a leader; until then, for 3 s at most, it doesn't introduce itself. An instance that loses its seat waits until the leader has reviewed the seats, and a process counts as one of an earlier release only if it calls without an introduction without a gap.

Evidence: `outages_leave_a_seat_for_each_instance_of_the_start` has 5 voters of 6 without the change, 6 with it, for processes that restart and for those that are cut off.

--- a/crates/hyssopfork-consensus/src/log.rs
+++ b/crates/hyssopfork-consensus/src/log.rs
@@ -195,6 +195,12 @@
         lists.take(ends.count() + 1).any(|membership| membership.voters.contains(voter))
     }
 
+    /// Whether a list of voters in memory that was in force up to `index` contains `voter`.
+    pub fn has_listed(&self, voter: &consensus::Voter, index: number::Index) -> bool {
+        let mut lists = self.memberships.iter().filter(|membership| membership.since <= index);
+        lists.any(|membership| membership.voters.contains(voter))
+    }
+
     /// Voters before the last change if decisions need a quorum of them as well: the change is not
     /// known to be committed, and quorums of the two lists need not share a voter. Empty otherwise.
     pub fn replaced_voters(&self, committed: number::Index) -> &[consensus::Voter] {
--- a/crates/hyssopfork-consensus/src/node.rs
+++ b/crates/hyssopfork-consensus/src/node.rs
@@ -535,6 +535,15 @@
         quorum::Quorums { voters: self.log.voters(), previous, lost }
     }
 
+    /// Whether this node's folder has or had a seat; `None` while it is not known whether its admission
+    /// was ever committed.
+    pub fn has_had_seat(&self) -> Option<bool> {
+        if self.log.has_listed(&self.identity, self.committed) {
+            return Some(true);
+        }
+        (!self.log.has_listed(&self.identity, self.log.last().index)).then_some(false)
+    }
+
     fn is_voter(&self) -> bool {
         self.log.voters().contains(&self.identity)
     }
--- a/crates/hyssopfork-fleet/src/core.rs
+++ b/crates/hyssopfork-fleet/src/core.rs
@@ -112,6 +112,10 @@
     settings: settings::Settings,
     decode: Decode,
     node: Option<node::Node>,
+    /// Whether this process's folder has been that of a voter.
+    had_seat: bool,
+    /// When the data folder was last opened.
+    folder_opened_at: clock::Instant,
     /// Leader of the log as last reported by the local consensus node.
     node_leader: Option<net::SocketAddr>,
     state: durable::State,
@@ -151,12 +155,14 @@
         let is_first_seed =
             settings.first_start && settings.seeds.first() == Some(&settings.address);
         let mut discovery = discovery::Discovery::new(settings.address, settings.seeds.clone());
-        if let Some(introduction) = settings.introduction() {
+        if let Some(introduction) = settings.introduction(false) {
             discovery.record_introduction(now, introduction);
         }
         Core {
             decode,
             node: None,
+            had_seat: false,
+            folder_opened_at: now,
             node_leader: None,
             state: durable::State::default(),
             applied: (number::Index(0), number::Term(0)),
@@ -310,6 +316,8 @@
         self.applied = (number::Index(0), number::Term(0));
         let node = node::Node::new(identity, durable, options, seed, self.now);
         let recovered = log_notice::Notice::Recovered(Box::new(node.folder()));
+        self.had_seat = node.has_had_seat() == Some(true);
+        self.folder_opened_at = self.now;
         self.node = Some(node);
         self.push_notice(notice::Notice::FolderOpened);
         self.push_notice(notice::Notice::Log(recovered));
--- a/crates/hyssopfork-fleet/src/core/follow.rs
+++ b/crates/hyssopfork-fleet/src/core/follow.rs
@@ -2,11 +2,17 @@
 
 use super::Core;
 use crate::{action, declaration, delta, document, notice, peer, view};
-use hyssopfork_consensus::event as log_event;
+use hyssopfork_consensus::{event as log_event, node};
 use hyssopfork_wire::clock;
 use std::mem;
 use std::net;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest time for which a process doesn't introduce itself, since it is not known whether its folder has
+/// had a seat. The first message of a leader tells; without one for longer, the process would count as one
+/// of an older release.
+const SEAT_HISTORY_TIMEOUT: Duration = Duration::from_secs(3);
 
 impl Core {
     /// Greets other processes, and keeps a watch open at the leader.
@@ -23,7 +29,13 @@
 
     /// Introduces this process to those that it greets and to the leader.
     fn introduce(&mut self, greeted: Vec<net::SocketAddr>) {
-        let Some(introduction) = self.settings.introduction() else { return };
+        let had_seat = self.node.as_ref().map_or(Some(false), node::Node::has_had_seat);
+        self.had_seat |= had_seat == Some(true);
+        let is_expected = self.now.since(self.folder_opened_at) < SEAT_HISTORY_TIMEOUT;
+        if had_seat.is_none() && !self.had_seat && is_expected {
+            return;
+        }
+        let Some(introduction) = self.settings.introduction(self.had_seat) else { return };
         let leader = self.discovery.due_introduction(self.now);
         let leader = leader.filter(|leader| !greeted.contains(leader));
         for to in greeted.into_iter().chain(leader) {
--- a/crates/hyssopfork-fleet/src/core/lead.rs
+++ b/crates/hyssopfork-fleet/src/core/lead.rs
@@ -333,6 +333,7 @@
         let seats = self.seats();
         let to_learner = |instance: name::Instance| seats::Learner {
             zone: self.zone_of(&instance),
+            is_initial: self.is_initial(&instance),
             is_superseded: node.superseded().contains(&instance),
             is_leaving: node.is_leaving(&instance, now),
             instance,
@@ -393,6 +394,12 @@
         node.voters().iter().map(to_seat).collect()
     }
 
+    /// Whether an instance started with the system, or has had a seat: it replaces no other one.
+    fn is_initial(&self, instance: &name::Instance) -> bool {
+        let folder = super::address_of(instance).and_then(|it| self.discovery.folder(it));
+        folder.is_some_and(|folder| folder.is_initial)
+    }
+
     fn zone_of(&self, instance: &name::Instance) -> Option<name::Zone> {
         let folder = self.discovery.folder(super::address_of(instance)?);
         folder.map(|folder| folder.zone.clone())
@@ -408,9 +415,14 @@
         // Seats are not replaced then, so that waiting for one would be without end.
         let has_older_voter =
             seats.iter().filter_map(|seat| super::address_of(&seat.instance)).any(is_older);
+        // One that loses its seat waits until the seats are known to have changed.
+        let has_seat = |control: &net::SocketAddr| {
+            seats.iter().any(|seat| super::address_of(&seat.instance) == Some(*control))
+        };
         let waits = |control: &net::SocketAddr| match self.discovery.folder(*control) {
             Some(folder) => {
-                !has_older_voter && seats::waits_for_seat(&seats, &folder.zone, folder.is_initial)
+                let is_initial = folder.is_initial && !has_seat(control);
+                !has_older_voter && seats::waits_for_seat(&seats, &folder.zone, is_initial)
             }
             None => !is_older(*control),
         };
--- a/crates/hyssopfork-fleet/src/discovery.rs
+++ b/crates/hyssopfork-fleet/src/discovery.rs
@@ -17,6 +17,10 @@
 /// Time after which a process that calls without introducing itself counts as one of an older release.
 const INTRODUCTION_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time without a call after which the next one may be that of another process. Processes call at least
+/// every [`SEED_GREETING_INTERVAL`].
+const CALL_GAP_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Processes greeted in one round: enough that some of them follow the leader, and few enough that
 /// the rounds of all processes don't grow with the square of their number.
 const MAX_GREETINGS: usize = 6;
@@ -139,7 +143,11 @@
     pub fn confirm_control(&mut self, now: clock::Instant, control: net::SocketAddr) -> bool {
         let is_new = !self.controls.contains_key(&control);
         let control = self.make_room_for(control);
-        control.confirmed_at = Some(now);
+        let confirmed_at = control.confirmed_at.replace(now);
+        // Another process may run there since.
+        if confirmed_at.is_none_or(|at| now.since(at) >= CALL_GAP_TIMEOUT) {
+            control.unintroduced_since = None;
+        }
         let is_outdated = |it: &mut Introduced| now.since(it.received_at) >= INTRODUCTION_TIMEOUT;
         let has_ended = control.introduced.take_if(is_outdated).is_some();
         if control.introduced.is_none() {
--- a/crates/hyssopfork-fleet/src/peer.rs
+++ b/crates/hyssopfork-fleet/src/peer.rs
@@ -33,7 +33,8 @@
 pub struct Folder {
     /// Availability zone of its instance.
     pub zone: name::Zone,
-    /// Whether the process started with the system: it replaces no other one.
+    /// Whether the process started with the system, or its folder has been that of a voter: it replaces
+    /// no other one.
     pub is_initial: bool,
 }
 
--- a/crates/hyssopfork-fleet/src/seats.rs
+++ b/crates/hyssopfork-fleet/src/seats.rs
@@ -46,6 +46,8 @@
     pub instance: name::Instance,
     /// Availability zone; unknown unless its process introduced itself.
     pub zone: Option<name::Zone>,
+    /// Whether it started with the system, or has had a seat: it replaces no other instance.
+    pub is_initial: bool,
     /// Whether it gave its vote to a newer instance.
     pub is_superseded: bool,
     /// Whether its process is stopping.
@@ -60,11 +62,13 @@
 /// unless a superseded instance has a seat to give back.
 pub fn waits_for_seat(seats: &[Seat], zone: &name::Zone, is_initial: bool) -> bool {
     let is_in_zone = |seat: &&Seat| seat.zone.as_ref() == Some(zone);
-    let may_replace_one = match seats.iter().filter(is_in_zone).count() {
-        0 => seats.iter().any(|seat| seat.zone.is_none()),
-        count => count == 1,
+    let in_zone: Vec<&Seat> = seats.iter().filter(is_in_zone).collect();
+    let may_replace_one = match in_zone[..] {
+        [] => seats.iter().any(|seat| seat.zone.is_none()),
+        [seat] => !is_initial || seat.is_superseded,
+        _ => false,
     };
-    !is_initial && may_replace_one || spare_seat(seats).is_some()
+    may_replace_one || spare_seat(seats).is_some()
 }
 
 /// Next change of the voters, if any.
@@ -110,7 +114,8 @@
 fn seat_for_new<'a>(seats: &'a [Seat], learner: &Learner) -> Option<&'a Seat> {
     let only_in_zone = learner.zone.as_ref().and_then(|zone| {
         let mut in_zone = seats.iter().filter(|seat| seat.zone.as_ref() == Some(zone));
-        in_zone.next().filter(|_| in_zone.next().is_none())
+        let is_replaced = |seat: &&Seat| !learner.is_initial || seat.is_superseded;
+        in_zone.next().filter(is_replaced).filter(|_| in_zone.next().is_none())
     });
     only_in_zone.or_else(|| spare_seat(seats)).or_else(|| silent_seat(seats))
 }
--- a/crates/hyssopfork-fleet/src/settings.rs
+++ b/crates/hyssopfork-fleet/src/settings.rs
@@ -33,9 +33,11 @@
 }
 
 impl Settings {
-    /// Introduction of this process to others, if it has a data folder.
-    pub fn introduction(&self) -> Option<peer::Introduction> {
-        let folder = peer::Folder { zone: self.zone.clone(), is_initial: self.first_start };
+    /// Introduction of this process to others, if it has a data folder. `had_seat` tells whether its
+    /// folder has been that of a voter.
+    pub fn introduction(&self, had_seat: bool) -> Option<peer::Introduction> {
+        let is_initial = self.first_start || had_seat;
+        let folder = peer::Folder { zone: self.zone.clone(), is_initial };
         self.has_folder.then_some(peer::Introduction { address: self.address, folder })
     }
 
--- a/crates/hyssopfork-fleet/tests/fleet/added_instances.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/added_instances.rs
@@ -265,6 +265,35 @@
     }
 }
 
+/// Guards against a list of voters that shrinks with each outage: an instance that was down takes the seat
+/// of the sound one in its zone.
+#[test]
+fn outages_leave_a_seat_for_each_instance_of_the_start() {
+    for is_restarted in [false, true] {
+        let mut world = world::World::declared_in_zones(6, 3, 2);
+        for host in [1, 5, 3, 4] {
+            let down = fixture::address(host);
+            if is_restarted {
+                world.kill(down);
+            } else {
+                world.split(&BTreeSet::from([down]));
+            }
+            world.run(6_000);
+            if is_restarted {
+                world.start_process(down, false);
+            }
+            world.blocked_links.clear();
+            world.run(CATCH_UP_MS);
+        }
+        assert!(world.declare(2));
+        world.run(1_000);
+
+        let leader = world.leader().expect("one leads");
+        let controls = &world.processes[&leader].view.as_ref().expect("it has one").controls;
+        assert_eq!(controls.len(), 6, "{is_restarted}: {controls:?}");
+    }
+}
+
 /// Guards against a zone without a vote for good, where the voter of it restarts on request and a superseded
 /// instance has its seat meanwhile.
 #[test]
--- a/crates/hyssopfork-fleet/tests/fleet/seats.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/seats.rs
@@ -21,6 +21,7 @@
     seats::Learner {
         instance: name::Instance::from("learner"),
         zone: Some(name::Zone::from(zone)),
+        is_initial: true,
         is_superseded,
         is_leaving: false,
     }
@@ -47,6 +48,7 @@
 fn the_seat_of_a_voter_that_stops_or_has_ended_goes_to_a_superseded_instance() {
     let cases = [
         (Voter::Leaving, "z1", true, true),
+        (Voter::Leaving, "z1", false, false),
         (Voter::Ended(600), "z1", true, true),
         (Voter::Ended(300), "z1", true, false),
         // The successor of this learner, which may only restart.
@@ -72,6 +74,23 @@
     }
 }
 
+/// Guards against an instance that is back after an outage and takes the seat of the sound one in its zone.
+#[test]
+fn an_instance_that_has_had_a_seat_replaces_no_other_one() {
+    let zone = name::Zone::from("z1");
+    for (is_initial, is_superseded, waits) in
+        [(true, false, false), (true, true, true), (false, false, true)]
+    {
+        let mut seats = ["z1", "z2", "z3"].map(|zone| seat(zone, Some(zone)));
+        seats[0].is_superseded = is_superseded;
+        let learner = seats::Learner { is_initial, ..learner("z1", false) };
+
+        assert_eq!(seats::waits_for_seat(&seats, &zone, is_initial), waits);
+        let next = replaced(seats::next_change(&seats, &[learner], 3));
+        assert_eq!(next.is_some(), waits, "{is_initial}, {is_superseded}");
+    }
+}
+
 /// Guards against a further seat for a successor that joins a leader before the voter of its zone has
 /// introduced itself.
 #[test]
