exchange: a response with a status above 599 is malformed

Here 000 and 099 became 502, but 600 and 999 were passed on, with the upstream's signature.

Cause: the codec accepts 100 to 999, and nothing after it looks at the class.

Change: statuses above 599 fail the exchange where responses are read, for client requests, orders, reports, probes and agents.

Both tests fail on the code before.

--- a/crates/hyssopfork-daemon/tests/edge/drawn_responses.rs
+++ b/crates/hyssopfork-daemon/tests/edge/drawn_responses.rs
@@ -38,6 +38,9 @@
 const REJECTIONS: [&str; 12] =
     ["429", "503", "400", "408", "429", "503", "400", "408", "429", "503", "400", "421"];
 
+/// Statuses that a response can't have.
+const INVALID_STATUSES: [&str; 9] = ["000", "099", "600", "999", "20", "2000", "-1", "1e2", "abc"];
+
 const DECLARATION: &str = r#"{"Version":1,
  "Routes":[
   {"Name":"many","Host":"host","PathPrefix":"/many/","Kind":"idempotent","TimeoutMs":4000,
@@ -102,10 +105,11 @@
 
 fn draw(random: &mut Random, identifier: &str) -> (Drawn, Vec<u8>) {
     let mut pick = |from: &[&'static str]| from[random.below(from.len() as u64) as usize];
-    let kind = pick(&["run", "run", "run", "rejected"]);
+    let kind = pick(&["run", "run", "run", "rejected", "invalid"]);
     let status = match kind {
+        "run" => pick(&STATUSES),
         "rejected" => pick(&REJECTIONS),
-        _ => pick(&STATUSES),
+        _ => pick(&INVALID_STATUSES),
     };
     let has_run = kind != "rejected";
     let statement = match kind {
@@ -174,7 +178,7 @@
 }
 
 /// Guards against work that its client sends again, since its upstream fails with 429 or 408 after it has
-/// run it.
+/// run it, and against statuses that no response can have (000, 600) and that clients can't read.
 #[test]
 fn responses_of_any_status_promise_nothing_false() {
     let seed = std::env::var("HYSSOPFORK_RESPONSES_SEED").ok().and_then(|it| it.parse().ok());
--- a/crates/hyssopfork-exchange/src/connection.rs
+++ b/crates/hyssopfork-exchange/src/connection.rs
@@ -21,6 +21,10 @@
 /// Minimum space of the buffer for reading the rest of a larger body, in bytes.
 const READ_BYTES: usize = 16 << 10;
 
+/// Greatest status of a response (RFC 9110, section 15). The codec rejects those below 100 and those that
+/// don't have three digits.
+const MAX_STATUS: u16 = 599;
+
 /// Maximum number of interim responses before a final one.
 const MAX_INTERIM_RESPONSES: u32 = 16;
 
@@ -360,6 +364,9 @@
         let head = decoded.map_err(|error| error::Error::Malformed(error.to_string()))?;
         let head = match head {
             Some(head) if head.status.is_informational() => head,
+            Some(head) if head.status.as_u16() > MAX_STATUS => {
+                return Err(error::Error::Malformed(format!("status {}", head.status.as_u16())));
+            }
             head => return Ok(head),
         };
         *interim_responses += 1;
--- a/crates/hyssopfork-exchange/tests/connection.rs
+++ b/crates/hyssopfork-exchange/tests/connection.rs
@@ -118,6 +118,39 @@
 }
 
 /// Guards against interim responses that pass for the final one.
+/// Guards against a status that no response can have and that is taken for an answer, such as 000 or 600.
+#[actix_rt::test]
+async fn a_status_outside_the_defined_classes_is_malformed() {
+    for interim in ["", "HTTP/1.1 100 Continue\r\n\r\n"] {
+        for (status, is_valid) in [
+            ("200", true),
+            ("425", true),
+            ("599", true),
+            ("000", false),
+            ("099", false),
+            ("600", false),
+            ("999", false),
+            ("20", false),
+            ("2000", false),
+            ("-1", false),
+        ] {
+            let response =
+                format!("{interim}HTTP/1.1 {status} Status\r\nContent-Length: 2\r\n\r\nok");
+            let address = start_scripted_server(response.leak().as_bytes());
+
+            let result = exchange(address).await;
+
+            let case = format!("{status} after {interim:?}: {result:?}");
+            match result {
+                Ok(body) => assert!(is_valid && body == "ok", "{case}"),
+                Err(error) => {
+                    assert!(!is_valid && matches!(error, error::Error::Malformed(_)), "{case}");
+                }
+            }
+        }
+    }
+}
+
 #[actix_rt::test]
 async fn interim_responses_are_dropped() {
     let response = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nx-a: 1\r\n\r\n\
