tests: planned stops and endless answers to orders (ruled out)

Late in the grace of a planned stop: eight clients on open and new connections, work of 1 to 2,500 ms, from 0.6 s before SIGTERM until 8 s after it, with four slow readers of 600 KB. A request that is read after connections close (2.6 s after the signal) is answered 503 and not passed on.

--- a/crates/hyssopfork-daemon/tests/edge/endless.rs
+++ b/crates/hyssopfork-daemon/tests/edge/endless.rs
@@ -164,6 +164,13 @@
 
 impl Site {
     fn start(name: &str, service: &'static str, response: Endless) -> Site {
+        let site = Site::start_sound(name);
+        site.register(service, "i-3", start_upstream(response, &site.record));
+        site
+    }
+
+    /// Starts an entry with the sound upstreams only.
+    fn start_sound(name: &str) -> Site {
         let site =
             Site { edge: Edge::start(name), record: Arc::default(), is_over: Arc::default() };
         let edge = &site.edge;
@@ -175,7 +182,6 @@
         edge.call_until(edge.client_address, &get("/other/x"), 200);
         edge.call_until(edge.client_address, &get("/check/x"), 200);
         assert_eq!(site.count_served("/check/x"), REQUESTS);
-        site.register(service, "i-3", start_upstream(response, &site.record));
         site
     }
 
@@ -295,3 +301,72 @@
         }
     }
 }
+
+const REPORT: &str = r#"{"Phase":"combined","Models":[],"Busy":false,"Sequence":0,"QueuedRequests":0,
+    "ActiveRequests":0,"KvUsed":0,"KvTotal":90000,"KvHandles":0}"#;
+
+/// Starts an engine whose reports are sound and whose responses to orders have no end.
+fn start_engine(response: Endless, record: &Arc<Record>) -> SocketAddr {
+    let listener = http::free_listener().expect("a free port");
+    let address = listener.local_addr().expect("the listener is bound");
+    let shared = record.clone();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let record = shared.clone();
+            thread::spawn(move || {
+                let mut start = [0; 4];
+                if !matches!(stream.peek(&mut start), Ok(1..)) {
+                    return;
+                }
+                if start.starts_with(b"POST") {
+                    return respond(stream, &response, &record);
+                }
+                let _any = stream.read(&mut [0; 4096]);
+                let length = REPORT.len();
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+                let _any = stream.write_all((head + REPORT).as_bytes());
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a leader that fills its memory with the responses of an engine to its orders, or keeps
+/// the connections.
+#[test]
+fn responses_to_orders_without_an_end_are_closed() {
+    let responses = [
+        fast("", "x"),
+        fast("", INTERIM),
+        fast("HTTP/1.1 202 Accepted\r\n", "x-a: b\r\n"),
+        fast("HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\n[[[[[[[[\r\n"),
+        slow("HTTP/1.1 202 Accepted\r\n", "x-a: b\r\n"),
+    ];
+    let threads = responses.into_iter().enumerate().map(|(index, response)| {
+        thread::spawn(move || {
+            let site = Site::start_sound(&format!("endless-order-{index}"));
+            for instance in ["e-1", "e-2"] {
+                site.register("engines", instance, start_engine(response, &site.record));
+            }
+            let since = Instant::now();
+            let is_asked = || !site.record.closed.lock().expect("no thread panics").is_empty();
+            while !is_asked() && since.elapsed() < Duration::from_secs(15) {
+                thread::sleep(Duration::from_millis(50));
+            }
+            thread::sleep(Duration::from_secs(2));
+            let others = site.count_served("/other/x");
+
+            assert_eq!(others, REQUESTS, "beside {response:?}");
+            site.check_memory(&response);
+            let closed = site.record.closed.lock().expect("no thread panics");
+            assert!(!closed.is_empty(), "no order was sent to {response:?}");
+            for (bytes, time) in closed.iter() {
+                assert!(*bytes < MAX_RESPONSE_BYTES, "{bytes} bytes of {response:?} were read");
+                assert!(*time < Duration::from_millis(900), "{response:?} was read for {time:?}");
+            }
+        })
+    });
+    for thread in threads.collect::<Vec<_>>() {
+        thread.join().expect("the orders end");
+    }
+}
--- a/crates/hyssopfork-daemon/tests/edge/main.rs
+++ b/crates/hyssopfork-daemon/tests/edge/main.rs
@@ -20,6 +20,7 @@
 mod pausing_engine;
 mod pausing_upstream;
 mod plain_upstream;
+mod planned_stop;
 mod ports;
 mod prompt_part;
 mod query_of_death;
