platform: reject registrations that no process can use

Cause: a registration was checked for the types of its fields only.

Anything else is answered 400 with the field and what is allowed. `announcements_that_name_no_usable_upstream_are_rejected` fails on the code before.

--- a/crates/hyssopfork-daemon/src/edge/endpoints.rs
+++ b/crates/hyssopfork-daemon/src/edge/endpoints.rs
@@ -11,6 +11,7 @@
 use hyssopfork_wire::name;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
 
 /// Endpoints of the control address.
@@ -64,7 +65,9 @@
             event::Request::Register(peer::Registration::Departed(instance))
         }
         operator::Request::Announce(instance) => {
-            let announcement = registration::parse_announcement(&instance, body);
+            let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            let now_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+            let announcement = registration::parse_announcement(&instance, body, now_ms);
             event::announced(announcement.map_err(|error| error.to_string())?)
         }
         operator::Request::Declare => {
--- a/crates/hyssopfork-daemon/tests/edge/main.rs
+++ b/crates/hyssopfork-daemon/tests/edge/main.rs
@@ -16,6 +16,7 @@
 mod named_rate;
 mod no_leader;
 mod occupancy;
+mod odd_entries;
 mod pause;
 mod pausing_engine;
 mod pausing_upstream;
