fleet: act on the drain of a process whose clock was set back

Cause: its calls have an earlier start than the known process and count as late ones until that has been silent for 2.3 heartbeats. The handler recorded the departure of the known process and acknowledged the drain whatever its outcome.

Change: a drain with an earlier start takes the upstream out of service if its process has called before, since the known one was last heard; the known one's next call ends that. The log records the process that called, and a drain that takes nothing out of service is not acknowledged. Ruled out: replacing the record at once, since the known process would then count as ended for good if the drain was a late call.

The new test fails without the change.

--- a/crates/hyssopfork-fleet/src/core/calls.rs
+++ b/crates/hyssopfork-fleet/src/core/calls.rs
@@ -3,7 +3,7 @@
 use super::{Core, acknowledge};
 use crate::{
     action, announcement, declaration, discovery, document, durable, event, heartbeats, notice,
-    peer, read_refusal, registry,
+    peer, quarantine, read_refusal, registry,
 };
 use hyssopfork_consensus::event as log_event;
 use hyssopfork_wire::name;
@@ -238,22 +238,31 @@
         let (changed, leaving, notice) = match registration {
             peer::Registration::Announced(announcement) => {
                 let (instance, draining) = (announcement.instance.clone(), announcement.draining);
+                let start_time_ms = announcement.start_time_ms;
                 let outcome = registry.record_announcement(now, *announcement);
                 let record = registry.get(&instance);
                 let notice =
                     record.and_then(|record| notice::Notice::for_announcement(outcome, record));
-                let leaving = draining.then_some(instance);
-                (outcome == registry::Outcome::Changed, leaving, notice)
+                // The drain of a process that is not the known one may have been dropped. Acknowledged,
+                // its process would exit while it still gets requests.
+                let is_leaving = record.is_some_and(registry::Record::is_leaving);
+                if draining && !is_leaving {
+                    if let Some(notice) = notice {
+                        self.push_notice(notice);
+                    }
+                    return self.reply(call, action::Reply::Unknown);
+                }
+                let leaving = draining.then_some(quarantine::Process { instance, start_time_ms });
+                (draining || outcome == registry::Outcome::Changed, leaving, notice)
             }
             peer::Registration::Departed(instance) => {
                 let changed = registry.record_departure(now, &instance);
                 let notice = changed.then(|| notice::Notice::Departed(instance.clone()));
-                (changed, Some(instance), notice)
+                (changed, registry.process_of(&instance), notice)
             }
         };
         leadership.dirty |= changed;
-        let process = leaving.and_then(|instance| registry.process_of(&instance));
-        let unrecorded = process.filter(|process| !self.state.has_departed(process));
+        let unrecorded = leaving.filter(|process| !self.state.has_departed(process));
         if let Some(process) = unrecorded {
             let command = durable::Command::Depart(process.clone());
             leadership.watches.hold_registration(now, call, process);
--- a/crates/hyssopfork-fleet/src/precedence.rs
+++ b/crates/hyssopfork-fleet/src/precedence.rs
@@ -78,6 +78,18 @@
         now.since(known.since) >= period
     }
 
+    /// Whether the process has called before `now`, since the known one was last heard at `rival_heard_at`.
+    pub fn has_called_before(
+        &self,
+        now: clock::Instant,
+        call: &Announcement,
+        rival_heard_at: clock::Instant,
+    ) -> bool {
+        self.0.get(&call.instance).is_some_and(|it| {
+            it.start_time_ms == call.start_time_ms && it.since >= rival_heard_at && it.since < now
+        })
+    }
+
     /// Removes the contenders of a name.
     pub fn remove(&mut self, instance: &name::Instance) {
         self.0.remove(instance);
--- a/crates/hyssopfork-fleet/src/registry.rs
+++ b/crates/hyssopfork-fleet/src/registry.rs
@@ -48,6 +48,9 @@
     pub heard_this_term: bool,
     /// Whether it has announced its departure, to control or in a response to an entry.
     pub departed: bool,
+    /// Whether a process with an earlier start, which calls under its name since it was last heard, is
+    /// draining. Its own next call shows that the other one has ended.
+    contender_drains: bool,
     /// Whether it is unreachable, which does not show that it is dead.
     pub unresponsive: bool,
     /// Whether there is evidence that its process or instance is gone.
@@ -69,6 +72,7 @@
             rate_set_at: None,
             heard_this_term: true,
             departed: false,
+            contender_drains: false,
             unresponsive: false,
             dead: false,
             evidence: precedence::Evidence::from_first_call(announcement.membership.as_ref()),
@@ -79,7 +83,7 @@
 
     /// Whether it is draining or has departed, and must get no new work.
     pub fn is_leaving(&self) -> bool {
-        self.departed || self.announcement.draining
+        self.departed || self.contender_drains || self.announcement.draining
     }
 
     /// Whether only another report or call can show of which group it is a member.
@@ -179,6 +183,7 @@
         mut announcement: announcement::Announcement,
     ) -> Outcome {
         if !self.is_newer(now, &announcement) {
+            self.record_contender_drain(now, &announcement);
             return Outcome::Stale;
         }
         self.contenders.remove(&announcement.instance);
@@ -200,7 +205,8 @@
                 known.evidence.merge_call(membership, announcement.membership.take());
         }
         let is_same = !restarted && known.announcement.is_equivalent(&announcement);
-        let unchanged = is_same && !known.dead && !known.unresponsive;
+        let was_contended = std::mem::take(&mut known.contender_drains);
+        let unchanged = is_same && !known.dead && !known.unresponsive && !was_contended;
         if !is_same {
             known.same_since = announcement.sequence;
         }
@@ -229,6 +235,17 @@
         Outcome::Changed
     }
 
+    /// Takes an upstream out of service if the call is the drain of a process with an earlier start that has
+    /// called before, since the known one was last heard: the clock of its machine may have been set back.
+    fn record_contender_drain(&mut self, now: clock::Instant, call: &announcement::Announcement) {
+        let Some(known) = self.records.get_mut(&call.instance) else { return };
+        let is_contending = self.contenders.has_called_before(now, call, known.last_heard);
+        if call.draining && is_contending && !known.contender_drains {
+            known.contender_drains = true;
+            self.changed.insert(call.instance.clone());
+        }
+    }
+
     /// Records a heartbeat that a follower accepted. It counts only if the record is still what the
     /// follower's view contained, and has come from the upstream itself during this term.
     pub fn record_heartbeat(&mut self, now: clock::Instant, heartbeat: &heartbeats::Heartbeat) {
--- a/crates/hyssopfork-fleet/tests/fleet/registry.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/registry.rs
@@ -363,3 +363,29 @@
 fn start_time_ms(registry: &Registry) -> u64 {
     registry.get(&e1()).expect("the fixture's upstream").announcement.start_time_ms
 }
+
+/// Guards against a drain that is dropped as that of an earlier process although its process runs: the
+/// clock of its machine was set back before it started.
+#[test]
+fn the_drain_of_a_process_with_an_earlier_start_takes_the_upstream_out_of_service() {
+    let earlier =
+        |sequence| Announcement { start_time_ms: 500, sequence, ..fixture::announcement("e1") };
+    let drain = |sequence| Announcement { draining: true, ..earlier(sequence) };
+    let is_leaving =
+        |registry: &Registry| registry.get(&e1()).is_some_and(|record| record.is_leaving());
+    for (calls_before, expected) in [(0, false), (1, true), (2, true)] {
+        let mut registry = registry();
+        for sequence in 1..=calls_before {
+            registry.record_announcement(fixture::at(100 * sequence), earlier(sequence));
+        }
+
+        registry.record_announcement(fixture::at(1_000), drain(calls_before + 1));
+
+        assert_eq!(is_leaving(&registry), expected, "{calls_before} calls before");
+        let known = Announcement { sequence: 2, ..fixture::announcement("e1") };
+        registry.record_announcement(fixture::at(1_200), known);
+        assert!(!is_leaving(&registry), "the known process goes on");
+        registry.record_announcement(fixture::at(1_300), drain(calls_before + 2));
+        assert!(!is_leaving(&registry), "a late call of an ended process");
+    }
+}
