fleet: hosts of routes that differ in capitals only are the same

Cause: routes are looked up by the host in small letters, and the check for two routes in one place compared it as it was written.

Change: the check compares small letters. `hosts_that_differ_in_capitals_are_the_same` fails on the code before.

--- a/crates/hyssopfork-fleet/src/declaration.rs
+++ b/crates/hyssopfork-fleet/src/declaration.rs
@@ -260,7 +260,8 @@
         let mut places = BTreeMap::new();
         let mut faults = Vec::new();
         for route in &self.routes {
-            let place = (route.host.as_str(), route.prefix.as_str());
+            // Hosts of requests are compared in lower case.
+            let place = (route.host.to_ascii_lowercase(), route.prefix.as_str());
             if let Some(first) = places.insert(place, &route.name) {
                 faults.push(Fault::DuplicateRoute(first.clone(), route.name.clone()));
             }
--- a/crates/hyssopfork-fleet/tests/fleet/declaration.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/declaration.rs
@@ -51,3 +51,20 @@
 
     assert_eq!(declaration.faults(), Vec::new());
 }
+
+/// Guards against requests that run at the service of another route: the hosts of two routes differ in
+/// capitals only, which requests don't distinguish.
+#[test]
+fn hosts_that_differ_in_capitals_are_the_same() {
+    let mut declaration = fixture::declaration(1);
+    let mut twin = declaration.routes[0].clone();
+    twin.name = name::Route::from("twin");
+    twin.host = twin.host.to_ascii_uppercase();
+    let first = declaration.routes[0].name.clone();
+    assert_ne!(twin.host, declaration.routes[0].host);
+    declaration.routes.push(twin);
+
+    let faults = declaration.faults();
+
+    assert_eq!(faults, [Fault::DuplicateRoute(first, name::Route::from("twin"))]);
+}
