fleet: upstreams of a zone that is brought in count as cold until they call

Seen: the upstream of a zone that was out became cold right after a call, and the zone was brought back in 0.1 s later.

Cause: a leader knows the cold time from calls alone; only a new leader assumed that upstreams of a zone that is out are cold.

Change: a leader that stays does the same when a zone is brought in: its upstreams count as cold until their next calls, two heartbeats and a call at most, in the revision that brings the zone in. Upstreams without a cold rate are not affected.

The new test fails without the change.

--- a/crates/hyssopfork-fleet/src/core.rs
+++ b/crates/hyssopfork-fleet/src/core.rs
@@ -449,12 +449,22 @@
             // Its announcement is logged by the leader.
             durable::Command::Depart(_) => return self.state.apply(command),
         };
+        let brought_in = match &command {
+            durable::Command::BringIn(zone) => Some(zone.clone()),
+            _ => None,
+        };
         let applied = self.state.apply(command);
-        if applied == durable::Applied::Changed {
+        let has_changed = applied == durable::Applied::Changed;
+        if has_changed {
             self.push_notice(notice);
         }
         if let Some(leadership) = &mut self.leadership {
             leadership.dirty = true;
+            // Its upstreams may have become cold since their last calls.
+            if let Some(zone) = brought_in.filter(|_| has_changed) {
+                let until = self.now + self.settings.assumed_cold_time();
+                leadership.registry.assume_cold(&zone, until);
+            }
         }
         applied
     }
--- a/crates/hyssopfork-fleet/src/registry.rs
+++ b/crates/hyssopfork-fleet/src/registry.rs
@@ -246,6 +246,16 @@
         }
     }
 
+    /// Takes the upstreams of a zone for cold until they call, at most until `until`.
+    pub fn assume_cold(&mut self, zone: &name::Zone, until: clock::Instant) {
+        let is_in_zone =
+            |(_, record): &(&name::Instance, &mut Record)| record.announcement.zone == *zone;
+        for (instance, record) in self.records.iter_mut().filter(is_in_zone) {
+            record.cold_until = record.cold_until.max(until);
+            self.changed.insert(instance.clone());
+        }
+    }
+
     /// Records a heartbeat that a follower accepted. It counts only if the record is still what the
     /// follower's view contained, and has come from the upstream itself during this term.
     pub fn record_heartbeat(&mut self, now: clock::Instant, heartbeat: &heartbeats::Heartbeat) {
--- a/crates/hyssopfork-fleet/tests/fleet/replication.rs
+++ b/crates/hyssopfork-fleet/tests/fleet/replication.rs
@@ -619,6 +619,38 @@
     assert!(view.upstreams.values().all(|it| !it.announcement.cold.is_zero()));
 }
 
+/// Guards against requests at full rate to upstreams that became cold right before their zone is brought
+/// back in: the leader knows them as warm until their next calls.
+#[test]
+fn upstreams_of_a_zone_that_is_brought_in_count_as_cold_until_they_call() {
+    let mut world = world::World::declared(3, 1);
+    world.add_engines(1..=4, "d1");
+    world.run(20_000);
+    let zone = name::Zone::from("z-d1");
+    assert!(world.call_until_done(&event::Request::TakeOut(zone.clone())));
+    world.run(8_000);
+    let are_cold = |world: &world::World| {
+        let views = world.processes.values().filter_map(|process| process.view.as_ref());
+        let upstreams: Vec<bool> = views
+            .filter(|view| view.out.is_empty())
+            .flat_map(|view| view.upstreams.values())
+            .map(|upstream| !upstream.announcement.cold.is_zero())
+            .collect();
+        upstreams
+    };
+    assert!(are_cold(&world).is_empty());
+    world.engines.keys().cloned().collect::<Vec<_>>().iter().for_each(|it| world.cut_engine(it));
+
+    let leader = world.leader().expect("one leads");
+    world.call(leader, event::Request::BringIn(zone));
+    for _ in 0..500 {
+        world.run(1);
+        assert!(are_cold(&world).into_iter().all(|is_cold| is_cold));
+    }
+
+    assert!(!are_cold(&world).is_empty());
+}
+
 /// Guards against a log that every process with a folder votes on: its heartbeats, and requests to join
 /// that each folder sent to each other, grew with the square of the fleet.
 #[test]
