consensus: three syncs in turn for a new data folder, not five

Cause: a first opening synced the log, the folder, the identity, the folder and the log again, one after the other.

Evidence: by reading; the slow syncs didn't come back here, so no time before and after is measured. `an_interrupted_first_opening_is_repeated` plays each state that an interrupted opening leaves (it passes on the code before too).

--- a/crates/hyssopfork-consensus/src/journal.rs
+++ b/crates/hyssopfork-consensus/src/journal.rs
@@ -62,11 +62,14 @@
     /// error, since dropping it would lose acknowledged writes.
     pub fn open(path: &path::Path) -> Result<(Journal, node::Durable, u64), error::Error> {
         let folder = folder::Folder::open(path)?;
-        let number = load_identity(&folder)?;
+        let (number, is_new) = match load_identity(&folder)? {
+            Some(number) => (number, false),
+            None => (initialize(&folder)?, true),
+        };
         let log = Log::read(&folder)?;
         let (end, sequence) = (log.end, log.sequence);
         let durable = recover(&folder, log)?;
-        let file = folder.open_for_append(LOG_FILE, end)?;
+        let file = folder.open_for_append(LOG_FILE, end, is_new)?;
         let journal = Journal { folder, file, sequence, failed: false };
         Ok((journal, durable, number))
     }
@@ -149,7 +152,7 @@
             self.sequence += 1;
         }
         self.folder.replace(LOG_FILE, &bytes)?;
-        self.file = self.folder.open_for_append(LOG_FILE, bytes.len() as u64)?;
+        self.file = self.folder.open_for_append(LOG_FILE, bytes.len() as u64, true)?;
         Ok(())
     }
 }
@@ -219,23 +222,24 @@
     snapshot.map(Some).ok_or_else(|| error::Error::Damaged(folder.file_path(SNAPSHOT_FILE), 0))
 }
 
-/// Reads the random number of the folder, or initializes an unused folder. The identity file is
-/// written last, so that a folder with an identity always has a log.
-fn load_identity(folder: &folder::Folder) -> Result<u64, error::Error> {
+/// Reads the random number of the folder; `None` if the folder was never used.
+fn load_identity(folder: &folder::Folder) -> Result<Option<u64>, error::Error> {
+    let damaged = || error::Error::Damaged(folder.file_path(IDENTITY_FILE), 0);
     if let Some(bytes) = folder.read(IDENTITY_FILE)? {
         let number = single_record(&bytes).and_then(|record| deserialize(&bytes, &record));
-        return number.ok_or_else(|| error::Error::Damaged(folder.file_path(IDENTITY_FILE), 0));
-    }
-    if !is_unused(folder)? {
-        return Err(error::Error::Damaged(folder.file_path(IDENTITY_FILE), 0));
+        return number.map(Some).ok_or_else(damaged);
     }
+    if is_unused(folder)? { Ok(None) } else { Err(damaged()) }
+}
+
+/// Creates the files of an unused folder and returns its random number. The identity file is the last, so
+/// that a folder with an identity always has a log.
+fn initialize(folder: &folder::Folder) -> Result<u64, error::Error> {
     let number = rand::random_range(1..=u64::MAX);
-    let mut bytes = Vec::new();
-    record::encode(0, &serialize(&Base::default()), &mut bytes);
-    folder.replace(LOG_FILE, &bytes)?;
-    bytes.clear();
-    record::encode(0, &serialize(&number), &mut bytes);
-    folder.replace(IDENTITY_FILE, &bytes)?;
+    let (mut log, mut identity) = (Vec::new(), Vec::new());
+    record::encode(0, &serialize(&Base::default()), &mut log);
+    record::encode(0, &serialize(&number), &mut identity);
+    folder.replace_in_order((LOG_FILE, &log), (IDENTITY_FILE, &identity))?;
     Ok(number)
 }
 
--- a/crates/hyssopfork-consensus/src/journal/folder.rs
+++ b/crates/hyssopfork-consensus/src/journal/folder.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::io::{self, Write};
 use std::path;
+use std::thread;
 
 /// Name of the lock file.
 const LOCK_FILE: &str = "lock";
@@ -49,24 +50,63 @@
     }
 
     fn try_replace(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        let next = self.file_path(&format!("{name}.next"));
-        let mut file = fs::File::create(&next)?;
+        self.write_next(name, bytes)?;
+        self.rename_next(name)
+    }
+
+    /// Replaces two files; after a crash the second is new only if the first is. Their contents are synced at
+    /// the same time, since each sync of a slow disk takes long.
+    pub fn replace_in_order(
+        &self,
+        (first, first_bytes): (&str, &[u8]),
+        (second, second_bytes): (&str, &[u8]),
+    ) -> Result<(), error::Error> {
+        let (first_written, second_written) = thread::scope(|scope| {
+            let writing = scope.spawn(|| self.write_next(first, first_bytes));
+            let second_written = self.write_next(second, second_bytes);
+            (writing.join().expect("a write does not panic"), second_written)
+        });
+        let first_result = first_written.and(second_written).and_then(|()| self.rename_next(first));
+        first_result.map_err(|source| self.disk_error(first, source))?;
+        self.rename_next(second).map_err(|source| self.disk_error(second, source))
+    }
+
+    /// Writes and syncs the next content of a file.
+    fn write_next(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let mut file = fs::File::create(self.next_path(name))?;
         file.write_all(bytes)?;
-        file.sync_all()?;
-        fs::rename(&next, self.file_path(name))?;
+        file.sync_all()
+    }
+
+    /// Puts the next content of a file in its place.
+    fn rename_next(&self, name: &str) -> io::Result<()> {
+        fs::rename(self.next_path(name), self.file_path(name))?;
         // A crash could undo the rename unless the folder is synced.
         fs::File::open(&self.path)?.sync_all()
     }
 
-    /// Opens a file for appending, truncated to `length`.
-    pub fn open_for_append(&self, name: &str, length: u64) -> Result<fs::File, error::Error> {
+    fn next_path(&self, name: &str) -> path::PathBuf {
+        self.file_path(&format!("{name}.next"))
+    }
+
+    /// Opens a file for appending, truncated to `length`. `is_synced` tells that this process has synced
+    /// its content.
+    pub fn open_for_append(
+        &self,
+        name: &str,
+        length: u64,
+        is_synced: bool,
+    ) -> Result<fs::File, error::Error> {
         let open = || {
             let file = fs::OpenOptions::new().append(true).open(self.file_path(name))?;
-            if file.metadata()?.len() != length {
+            let is_longer = file.metadata()?.len() != length;
+            if is_longer {
                 file.set_len(length)?;
             }
             // The bytes read may only be in the page cache if the last write was not synced.
-            file.sync_all()?;
+            if is_longer || !is_synced {
+                file.sync_all()?;
+            }
             Ok(file)
         };
         open().map_err(|source| self.disk_error(name, source))
--- a/crates/hyssopfork-consensus/tests/journal.rs
+++ b/crates/hyssopfork-consensus/tests/journal.rs
@@ -185,6 +185,36 @@
     }
 }
 
+/// Guards against a folder that is refused, or gets another log, because its first opening was interrupted:
+/// each file may be missing, or have the name under which it was written, up to the identity.
+#[test]
+fn an_interrupted_first_opening_is_repeated() {
+    let states: [&[(&str, &str)]; 5] = [
+        &[],
+        &[("log", "log.next")],
+        &[("log", "log.next"), ("identity", "identity.next")],
+        &[("log", "log"), ("identity", "identity.next")],
+        &[("log", "log")],
+    ];
+    for (index, files) in states.into_iter().enumerate() {
+        let whole = fresh_path("interrupted-whole");
+        journal::Journal::open(&whole).expect("opens");
+        let path = fresh_path(&format!("interrupted-{index}"));
+        fs::create_dir_all(&path).expect("creates");
+        for (file, name) in files {
+            fs::copy(whole.join(file), path.join(name)).expect("copies");
+        }
+
+        let (mut journal, durable, number) = journal::Journal::open(&path).expect("opens");
+        journal.write(&append(&[1], 1)).expect("writes");
+        drop(journal);
+
+        assert_eq!(durable, node::Durable::default(), "{files:?}");
+        let (_, durable, again) = journal::Journal::open(&path).expect("opens again");
+        assert_eq!((durable.entries.len(), again), (1, number), "{files:?}");
+    }
+}
+
 #[test]
 fn a_folder_in_use_is_rejected() {
     let path = fresh_path("in-use");
--- a/crates/hyssopfork-daemon/src/edge/journal.rs
+++ b/crates/hyssopfork-daemon/src/edge/journal.rs
@@ -90,8 +90,13 @@
     /// Opens the folder, retrying until that succeeds.
     fn open(&self) -> journal::Journal {
         loop {
+            let started = Instant::now();
             match journal::Journal::open(&self.folder) {
                 Ok((journal, durable, folder)) => {
+                    let elapsed = started.elapsed();
+                    if elapsed >= SLOW_SYNC_THRESHOLD {
+                        log::notice(&notice::Notice::OpenSlow(elapsed.as_millis() as u64));
+                    }
                     let seed = rand::random();
                     let view = view_store::read(&self.folder);
                     self.post(event::Event::FolderOpened {
--- a/crates/hyssopfork-daemon/src/notice.rs
+++ b/crates/hyssopfork-daemon/src/notice.rs
@@ -35,6 +35,8 @@
     LogUnreadable(String),
     /// A journal sync was slow: the number of writes and its duration in milliseconds.
     SyncSlow(usize, u64),
+    /// Opening the data folder was slow: its duration in milliseconds.
+    OpenSlow(u64),
     /// The view can't be saved in the data folder.
     ViewNotSaved(String),
     /// The view in the data folder can't be read.
@@ -69,6 +71,7 @@
             Notice::ClientStalled(..) => 4520,
             Notice::UpstreamStalled(..) => 4521,
             Notice::MemoryExhausted(..) => 4522,
+            Notice::OpenSlow(_) => 4523,
         }
     }
 
@@ -82,6 +85,7 @@
             | Notice::FolderUnusable(_)
             | Notice::CallRefused(..)
             | Notice::SyncSlow(..)
+            | Notice::OpenSlow(_)
             | Notice::ViewNotSaved(_)
             | Notice::SavedViewDamaged(_)
             | Notice::ClientStalled(..)
@@ -132,6 +136,9 @@
             Notice::SyncSlow(writes, millis) => {
                 write!(formatter, "journal sync was slow writes={writes} after_ms={millis}")
             }
+            Notice::OpenSlow(millis) => {
+                write!(formatter, "data folder opened slowly after_ms={millis}")
+            }
             Notice::ClientStalled(client, millis) => {
                 write!(formatter, "client {client} stopped reading, disconnected after_ms={millis}")
             }
--- a/crates/hyssopfork-fleet/src/core/acknowledge.rs
+++ b/crates/hyssopfork-fleet/src/core/acknowledge.rs
@@ -7,8 +7,8 @@
 use std::net;
 use std::time::Duration;
 
-/// Time after a refused connection for which an instance counts as ended. A process that starts again is
-/// not trusted by clients, and serves no requests, before that.
+/// Time after a refused connection for which an instance counts as ended; its process may have started
+/// since.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What shows that an entry has received a change.
